Add the design page and the project scaffold

Cause: the project starts with an empty repository. Change: docs/design.md with modules, interfaces, state, messages, failures and decisions; package, lint, type check and test commands; clock, random, errors, events, logs and platform ports. Conclusion: the interfaces are ready for the first request path.

--- /dev/null
+++ b/scripts/start.mjs
@@ -0,0 +1,11 @@
+// `npm start`: serves the sample pipeline on embedded stand-ins in one process.
+import process from 'node:process';
+import {bin, install, run} from './install.mjs';
+
+install();
+if (run(bin('tsc'), ['-p', 'tsconfig.build.json']) !== 0) {
+	process.exit(1);
+}
+
+const {main} = await import('../dist/cli/main.js');
+await main(['sample', ...process.argv.slice(2)]);
--- /dev/null
+++ b/src/clock/system-clock.ts
@@ -0,0 +1,37 @@
+import {performance} from 'node:perf_hooks';
+import type {CancelTimer, Clock, Ms} from './clock.js';
+import {sleepOn} from './sleep.js';
+
+/**
+ * Clock of the running process.
+ *
+ * @example
+ * const clock = SystemClock.create();
+ */
+export class SystemClock implements Clock {
+	/** Creates a clock; `skew` in ms shifts the wall clock, for tests of skewed processes. */
+	static create({skew = 0}: {skew?: Ms} = {}): SystemClock {
+		return new SystemClock(skew);
+	}
+
+	private constructor(private readonly skew: Ms) {}
+
+	now(): Ms {
+		return performance.now();
+	}
+
+	wall(): Ms {
+		return Date.now() + this.skew;
+	}
+
+	after(delay: Ms, fn: () => void): CancelTimer {
+		const timer = setTimeout(fn, delay);
+		return () => {
+			clearTimeout(timer);
+		};
+	}
+
+	async sleep(delay: Ms, signal?: AbortSignal): Promise<void> {
+		await sleepOn(this, delay, signal);
+	}
+}
--- /dev/null
+++ b/src/errors/guavamill-error.ts
@@ -0,0 +1,9 @@
+/**
+ * Base class of every error that guavamill raises. Messages read `Cannot <act>: <state>`.
+ *
+ * @example
+ * throw new GuavamillError('Cannot read the log: connection refused', {cause: err});
+ */
+export class GuavamillError extends Error {
+	override name = 'GuavamillError';
+}
--- /dev/null
+++ b/src/errors/index.ts
@@ -0,0 +1,5 @@
+export {errorMessage} from './error-message.js';
+export {formatFinding, type Finding} from './finding.js';
+export {FindingsError} from './findings-error.js';
+export {GuavamillError} from './guavamill-error.js';
+export {zodFindings} from './zod-findings.js';
--- /dev/null
+++ b/src/logs/logger.ts
@@ -0,0 +1,71 @@
+import process from 'node:process';
+import {type ILogObj, Logger} from 'tslog';
+
+/** Log levels, least severe first. */
+export const logLevels = ['debug', 'info', 'warn', 'error', 'off'] as const;
+
+/** Severity below which lines are not written. */
+export type LogLevel = typeof logLevels[number];
+
+/** Parts that write logs; each line starts with its part. */
+export type LogPart = 'entry-vm' | 'config' | 'claims' | 'targets' | 'links' | 'orders' | 'requests' | 'operators' | 'stand-in' | 'cli';
+
+/** Logger of one part. Sentences are short; facts go into the second argument. */
+export interface PartLogger {
+	debug(message: string, facts?: Record<string, unknown>): void;
+	info(message: string, facts?: Record<string, unknown>): void;
+	warn(message: string, facts?: Record<string, unknown>): void;
+	error(message: string, facts?: Record<string, unknown>): void;
+}
+
+/** Creates the logger of a part. */
+export type LoggerFactory = (part: LogPart) => PartLogger;
+
+const minLevel: Record<LogLevel, number> = {
+	debug: 2, info: 3, warn: 4, error: 5, off: 7,
+};
+
+/**
+ * Returns a factory of loggers (tslog) that write one JSON object per line to standard error.
+ *
+ * @example
+ * const createLogger = createLoggerFactory({process: 'riga-1', level: 'info'});
+ * createLogger('config').info('Applied a change.', {revision: 12});
+ */
+export function createLoggerFactory(options: {process: string; level: LogLevel}): LoggerFactory {
+	const root = new Logger<ILogObj>({
+		type: 'hidden',
+		minLevel: minLevel[options.level],
+		hideLogPositionForProduction: true,
+	});
+	return part => {
+		const write = (level: LogLevel, message: string, facts: Record<string, unknown> = {}) => {
+			process.stderr.write(`${JSON.stringify({
+				time: new Date().toISOString(), level, process: options.process, part, message, ...facts,
+			})}\n`);
+		};
+
+		const sub = root.getSubLogger({name: part});
+		// tslog filters by level and calls the transport for lines that pass.
+		sub.attachTransport(entry => {
+			const [message, facts] = entry as unknown as [string, Record<string, unknown>];
+			const level = (entry as {_meta: {logLevelName: string}})._meta.logLevelName.toLowerCase() as LogLevel;
+			write(level, message, facts);
+		});
+		const pick = (facts?: Record<string, unknown>): Record<string, unknown> => ({0: undefined, ...facts});
+		return {
+			debug: (message, facts) => void sub.debug(message, pick(facts)),
+			info: (message, facts) => void sub.info(message, pick(facts)),
+			warn: (message, facts) => void sub.warn(message, pick(facts)),
+			error: (message, facts) => void sub.error(message, pick(facts)),
+		};
+	};
+}
+
+/** Logger factory that writes nothing; for tests. */
+export const silentLoggerFactory: LoggerFactory = () => {
+	const drop = () => undefined;
+	return {
+		debug: drop, info: drop, warn: drop, error: drop,
+	};
+};
--- /dev/null
+++ b/src/random/index.ts
@@ -0,0 +1,1 @@
+export {Random} from './random.js';
--- /dev/null
+++ b/src/random/random.ts
@@ -0,0 +1,46 @@
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/**
+ * Seeded source of randomness (pure-rand). The same seed gives the same sequence.
+ *
+ * @example
+ * const random = Random.create(7);
+ * const pick = random.integer(0, 9);
+ */
+export class Random {
+	/** Creates a source from an integer seed. */
+	static create(seed: number): Random {
+		return new Random(seed);
+	}
+
+	readonly #generator: ReturnType<typeof xoroshiro128plus>;
+
+	private constructor(readonly seed: number) {
+		this.#generator = xoroshiro128plus(seed);
+	}
+
+	/** A number in [0, 1). */
+	float(): number {
+		return (this.#generator.next() >>> 0) / 0x1_00_00_00_00;
+	}
+
+	/** An integer in [min, max], both included. */
+	integer(min: number, max: number): number {
+		return min + Math.floor(this.float() * (max - min + 1));
+	}
+
+	/** True with the given probability in [0, 1]. */
+	chance(probability: number): boolean {
+		return this.float() < probability;
+	}
+
+	/** One element of a non-empty list. */
+	pick<T>(items: readonly T[]): T {
+		return items[this.integer(0, items.length - 1)]!;
+	}
+
+	/** An exponentially distributed number with the given mean; for arrival gaps. */
+	exponential(mean: number): number {
+		return -mean * Math.log(1 - this.float());
+	}
+}
