--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -9,3 +9,4 @@
 
 const {main} = await import('../dist/cli/main.js');
 await main(['sample', ...process.argv.slice(2)]);
+process.exit();
--- /dev/null
+++ b/src/claims/minted-claims.ts
@@ -0,0 +1,117 @@
+import {randomUUID} from 'node:crypto';
+import type {Clock, Ms} from '../clock/index.js';
+import type {
+	BookingKey, BookingOutcome, Claim, ClaimDecision, ClaimService,
+} from './claim-service.js';
+import {parseMintedKey} from './minted-key.js';
+
+type Entry = {
+	claimId: string;
+	bodyHash: string;
+	notAfterMs: Ms;
+	outcome: BookingOutcome | undefined;
+	waiters: Set<() => void>;
+};
+
+const maxAnswerBytes = 16 * 1024;
+
+/**
+ * Claims on keys that this incarnation minted: decided from memory, without the platform's log, because no other
+ * process may run them.
+ *
+ * @example
+ * const claims = MintedClaims.create({clock, incarnation});
+ */
+export class MintedClaims implements ClaimService {
+	static create(options: {clock: Clock; incarnation: string}): MintedClaims {
+		return new MintedClaims(options.clock, options.incarnation);
+	}
+
+	readonly #entries = new Map<string, Entry>();
+
+	private constructor(private readonly clock: Clock, private readonly incarnation: string) {}
+
+	/** Number of keys held. */
+	get size(): number {
+		return this.#entries.size;
+	}
+
+	async acquire(key: BookingKey, deadlineMs: Ms): Promise<ClaimDecision> {
+		this.#expire();
+		const minted = parseMintedKey(key.key);
+		if (minted?.incarnation !== this.incarnation) {
+			return {type: 'unknown', reason: 'minter_gone'};
+		}
+
+		const id = JSON.stringify([key.team, key.pipeline, key.key]);
+		const held = this.#entries.get(id);
+		if (held) {
+			return held.bodyHash === key.bodyHash ? this.#waitFor(held, deadlineMs) : {type: 'not_run', reason: 'key_conflict'};
+		}
+
+		if (this.clock.wall() > minted.notAfterMs) {
+			return {type: 'not_run', reason: 'key_expired'};
+		}
+
+		const claim: Claim = {keyHash: id, claimId: randomUUID()};
+		this.#entries.set(id, {
+			claimId: claim.claimId, bodyHash: key.bodyHash, notAfterMs: minted.notAfterMs, outcome: undefined, waiters: new Set(),
+		});
+		return {type: 'won', claim};
+	}
+
+	settle(claim: Claim, outcome: BookingOutcome): void {
+		const entry = this.#entries.get(claim.keyHash);
+		if (entry?.claimId !== claim.claimId) {
+			return;
+		}
+
+		entry.outcome = outcome.type === 'done' && (outcome.answer?.length ?? 0) > maxAnswerBytes ? {type: 'done'} : outcome;
+		this.#wake(entry);
+	}
+
+	release(claim: Claim): void {
+		const entry = this.#entries.get(claim.keyHash);
+		if (entry?.claimId === claim.claimId) {
+			this.#entries.delete(claim.keyHash);
+			this.#wake(entry);
+		}
+	}
+
+	async #waitFor(entry: Entry, deadlineMs: Ms): Promise<ClaimDecision> {
+		if (!entry.outcome) {
+			const woken = new AbortController();
+			const wake = () => {
+				woken.abort();
+			};
+
+			entry.waiters.add(wake);
+			await this.clock.sleep(Math.max(0, deadlineMs - this.clock.now()), woken.signal);
+			entry.waiters.delete(wake);
+		}
+
+		return entry.outcome?.type === 'done'
+			? {type: 'done', answer: entry.outcome.answer}
+			: {type: 'unknown', reason: 'earlier_attempt_unknown'};
+	}
+
+	#wake(entry: Entry): void {
+		for (const wake of entry.waiters) {
+			wake();
+		}
+	}
+
+	/** A key past its not-after time answers `key_expired` without an entry, so its entry can go. */
+	#expire(): void {
+		const now = this.clock.wall();
+		for (const [id, entry] of this.#entries) {
+			if (entry.notAfterMs >= now) {
+				break;
+			}
+
+			if (entry.outcome) {
+				this.#entries.delete(id);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,107 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {realpathSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import meow from 'meow';
+import {errorMessage, FindingsError} from '../errors/index.js';
+import {variableOf} from '../settings/index.js';
+import {exitCodes, type Command, type CommandInput} from './command.js';
+import {sampleCommand} from './sample-command.js';
+import {serveCommand} from './serve-command.js';
+import {standInCommand} from './stand-in-command.js';
+
+/** Every subcommand. */
+export const commands: readonly Command[] = [
+	serveCommand,
+	standInCommand,
+	sampleCommand,
+];
+
+/**
+ * Runs the program with its arguments and sets the exit code: 0 ok, 1 failed, 2 wrong usage.
+ *
+ * @example
+ * await main(['serve', '--name', 'riga-1']);
+ */
+export async function main(argv: readonly string[]): Promise<void> {
+	process.exitCode = await run(argv);
+}
+
+async function run(argv: readonly string[]): Promise<number> {
+	const command = commands.find(candidate => candidate.name === argv[0]);
+	const rest = command ? argv.slice(1) : argv;
+	if (rest.includes('--help') || argv.length === 0) {
+		print(command ? commandHelp(command) : programHelp());
+		return argv.length === 0 ? exitCodes.usage : exitCodes.ok;
+	}
+
+	if (!command) {
+		process.stderr.write(`Cannot run ${argv[0]}: it is not a command\n\n${programHelp()}\n`);
+		return exitCodes.usage;
+	}
+
+	try {
+		return await command.run({
+			...parse(command, rest), env: process.env, print, stopped: stopSignal(),
+		});
+	} catch (err) {
+		process.stderr.write(`${errorMessage(err)}\n`);
+		return err instanceof FindingsError ? exitCodes.usage : exitCodes.failed;
+	}
+}
+
+function parse(command: Command, argv: readonly string[]): Pick<CommandInput, 'flags' | 'args'> {
+	const cli = meow({
+		importMeta: import.meta,
+		argv,
+		autoHelp: false,
+		autoVersion: false,
+		flags: Object.fromEntries(Object.values(command.settings).map(setting => [
+			setting.flag.replaceAll(/-(?<letter>.)/g, (_match, letter: string) => letter.toUpperCase()),
+			{type: setting.isSwitch ? 'boolean' as const : 'string' as const},
+		])),
+		booleanDefault: undefined,
+	});
+	const flags = new Map<string, string>();
+	for (const [name, value] of Object.entries(cli.flags)) {
+		if (value !== undefined) {
+			flags.set(name.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`), typeof value === 'string' ? value : JSON.stringify(value));
+		}
+	}
+
+	return {flags, args: cli.input};
+}
+
+function programHelp(): string {
+	const rows = commands.map(command => `  ${command.name.padEnd(10)} ${command.summary}`);
+	return ['Usage: guavamill <command> [flags]', '', ...rows, '', 'guavamill <command> --help lists its flags.'].join('\n');
+}
+
+function commandHelp(command: Command): string {
+	const rows = Object.values(command.settings).map(setting => {
+		const fallback = setting.fallback === undefined ? 'required' : `default ${setting.fallback === '' ? 'empty' : setting.fallback}`;
+		return `  --${setting.flag.padEnd(22)} ${variableOf(setting.flag).padEnd(34)} ${setting.help} (${fallback})`;
+	});
+	return [`Usage: ${command.usage}`, '', command.summary, '', ...rows].join('\n');
+}
+
+function print(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+/** The handlers stay in place, so that a second signal does not end the process while it drains. */
+async function stopSignal(): Promise<void> {
+	return new Promise(resolve => {
+		for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+			process.on(signal, () => {
+				resolve();
+			});
+		}
+	});
+}
+
+if (process.argv[1] !== undefined && realpathSync(process.argv[1]) === fileURLToPath(import.meta.url)) {
+	await main(process.argv.slice(2));
+	// Idle connections of clients would keep the process alive.
+	process.exit();
+}
--- /dev/null
+++ b/src/cli/sample-command.ts
@@ -0,0 +1,114 @@
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {SystemClock} from '../clock/index.js';
+import {EntryVm} from '../entry-vm/index.js';
+import type {TimelineEvent} from '../events/index.js';
+import {createLoggerFactory} from '../logs/index.js';
+import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
+import type {Answer} from '../requests/index.js';
+import {listenAddressSchema, resolveSettings, switchSchema} from '../settings/index.js';
+import {
+	EngineStandIn, expectedAnswer, LogStandIn, PlatformStandIn, ServiceStandIn,
+} from '../stand-ins/index.js';
+import {exitCodes, type Command, type CommandInput} from './command.js';
+import {sampleDeclarations} from './sample.js';
+
+const anyPort = {host: '127.0.0.1', port: 0};
+const readyPollMs = 20;
+const sampleText = 'How do I bevel the edge of a guanacaste inlay?';
+const sampleTokens = 16;
+
+/** Settings of `guavamill sample`. */
+export const sampleSettings = {
+	exit: {
+		flag: 'exit', help: 'Leaves after the sample request.', fallback: 'false', schema: switchSchema, isSwitch: true,
+	},
+	callers: {
+		flag: 'callers', help: 'Address for callers, IP:port.', fallback: '127.0.0.1:0', schema: listenAddressSchema,
+	},
+};
+
+/** `guavamill sample`: a pipeline of four stages on embedded stand-ins, in one process. */
+export const sampleCommand: Command = {
+	name: 'sample',
+	usage: 'guavamill sample [--exit]',
+	summary: 'Serves a sample pipeline on embedded stand-ins, sends one request and prints its answer and time line.',
+	settings: sampleSettings,
+	async run(input) {
+		const settings = resolveSettings(sampleSettings, input);
+		const clock = SystemClock.create();
+		const log = await LogStandIn.create({clock, listen: anyPort});
+		const platform = await PlatformStandIn.create({clock, listen: anyPort});
+		const service = async () => ServiceStandIn.create({
+			clock, listen: anyPort, startId: randomUUID(), serviceMs: 5,
+		});
+		const [encoder, retriever, reranker] = [await service(), await service(), await service()];
+		const engine = await EngineStandIn.create({
+			clock, listen: anyPort, startId: randomUUID(), decodeMsPerToken: 10, prefillMsPerToken: 0.05,
+		});
+		await log.log.append('config', [{
+			kind: 'change',
+			id: randomUUID(),
+			base: -1,
+			author: 'sample',
+			set: sampleDeclarations({
+				encoder: encoder.origin, retriever: retriever.origin, reranker: reranker.origin, engine: engine.origin,
+			}),
+		}]);
+		const vm = await EntryVm.create({
+			name: 'sample-1',
+			zone: 'sample-a',
+			callers: settings.callers,
+			operators: anyPort,
+			maxBodyBytes: 1_048_576,
+			eventCapacity: 20_000,
+			clock,
+			log: HttpPlatformLog.create(log.origin),
+			vmList: HttpVmList.create(platform.origin),
+			createLogger: createLoggerFactory({process: 'sample-1', level: 'warn'}),
+		});
+		const origin = `http://${settings.callers.host}:${vm.callerPort}`;
+		const isGood = await showSample(vm, origin, input.print);
+		if (!settings.exit) {
+			input.print('');
+			input.print('Serving until Ctrl-C. Call it with:');
+			input.print(`  curl -N ${origin}/v1/pipelines/advice/requests -d '{"team":"apprentices","input":{"text":"${sampleText}"},"stream":true}'`);
+			input.print(`Metrics: http://127.0.0.1:${vm.operatorPort}/metrics`);
+			await input.stopped;
+		}
+
+		await vm.shutdown();
+		await Promise.all([log, platform, encoder, retriever, reranker, engine].map(async part => part.close()));
+		return isGood ? exitCodes.ok : exitCodes.failed;
+	},
+};
+
+async function showSample(vm: EntryVm, origin: string, print: CommandInput['print']): Promise<boolean> {
+	const start = vm.events.recorded;
+	while (vm.config.current().revision < 0) {
+		await sleep(readyPollMs);
+	}
+
+	const res = await request(`${origin}/v1/pipelines/advice/requests`, {
+		method: 'POST', body: JSON.stringify({team: 'apprentices', input: {text: sampleText}, max_tokens: sampleTokens}),
+	});
+	const answer = await res.body.json() as Answer;
+	print(`Status ${res.statusCode}, answer:`);
+	print(JSON.stringify(answer, undefined, 2));
+	print('Time line:');
+	for (const event of vm.events.select({requestId: answer.request_id})) {
+		print(`  ${formatEvent(event)}`);
+	}
+
+	const expected = expectedAnswer([{kind: 'encode'}, {kind: 'retrieve'}, {kind: 'rerank'}, {kind: 'generate', maxTokens: sampleTokens}], [sampleText]);
+	const isGood = res.statusCode === 200 && answer.answer === expected && vm.events.recorded > start;
+	print(isGood ? 'The answer is whole and correct.' : 'The answer is wrong.');
+	return isGood;
+}
+
+function formatEvent(event: TimelineEvent): string {
+	const time = new Date(event.wallMs).toISOString().slice(11, 23);
+	const parts = [event.stage, event.attempt === undefined ? undefined : `attempt ${event.attempt}`, event.target, event.detail];
+	return `${time} ${event.process} #${event.sequence} ${event.kind} ${parts.filter(part => part !== undefined).join(' ')}`.trimEnd();
+}
--- /dev/null
+++ b/src/cli/serve-command.ts
@@ -0,0 +1,60 @@
+import {z} from 'zod';
+import {SystemClock} from '../clock/index.js';
+import {EntryVm} from '../entry-vm/index.js';
+import {createLoggerFactory, logLevels} from '../logs/index.js';
+import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
+import {
+	listenAddressSchema, nameSchema, numberSchema, originSchema, resolveSettings,
+} from '../settings/index.js';
+import {exitCodes, type Command} from './command.js';
+
+/** Settings of `guavamill serve`. */
+export const serveSettings = {
+	name: {flag: 'name', help: 'Name of this entry VM.', schema: nameSchema},
+	zone: {flag: 'zone', help: 'Availability zone of this entry VM.', schema: nameSchema},
+	callers: {
+		flag: 'callers', help: 'Address for callers, IP:port.', fallback: '127.0.0.1:7000', schema: listenAddressSchema,
+	},
+	operators: {
+		flag: 'operators', help: 'Address for operators, IP:port.', fallback: '127.0.0.1:7001', schema: listenAddressSchema,
+	},
+	log: {flag: 'log', help: 'Origin of the platform\'s log.', schema: originSchema},
+	vms: {flag: 'vms', help: 'Origin of the platform\'s VM list.', schema: originSchema},
+	maxBodyBytes: {
+		flag: 'max-body-bytes', help: 'Largest body of a request, in bytes.', fallback: '1048576', schema: numberSchema(1024, 67_108_864),
+	},
+	eventCapacity: {
+		flag: 'event-capacity', help: 'Events kept for the time line.', fallback: '20000', schema: numberSchema(100, 1_000_000),
+	},
+	logLevel: {
+		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
+	},
+	wallSkewMs: {
+		flag: 'wall-skew-ms', help: 'Shifts the wall clock, for tests, in ms.', fallback: '0', schema: numberSchema(-3_600_000, 3_600_000),
+	},
+};
+
+/** `guavamill serve`: the daemon of an entry VM. */
+export const serveCommand: Command = {
+	name: 'serve',
+	usage: 'guavamill serve --name riga-1 --zone riga-a --log http://127.0.0.1:7100 --vms http://127.0.0.1:7101',
+	summary: 'Runs an entry VM until SIGTERM or SIGINT, then drains.',
+	settings: serveSettings,
+	async run(input) {
+		const settings = resolveSettings(serveSettings, input);
+		const clock = SystemClock.create({skew: settings.wallSkewMs});
+		const vm = await EntryVm.create({
+			...settings,
+			clock,
+			log: HttpPlatformLog.create(settings.log),
+			vmList: HttpVmList.create(settings.vms),
+			createLogger: createLoggerFactory({process: settings.name, level: settings.logLevel}),
+		});
+		input.print(JSON.stringify({
+			listening: {callers: vm.callerPort, operators: vm.operatorPort}, incarnation: vm.incarnation,
+		}));
+		await input.stopped;
+		await vm.shutdown();
+		return exitCodes.ok;
+	},
+};
--- /dev/null
+++ b/src/entry-vm/caller-server.ts
@@ -0,0 +1,196 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {randomUUID} from 'node:crypto';
+import {mintKey} from '../claims/index.js';
+import type {Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
+import {
+	BodyError, closeServer, listen, readJsonBody, sendJson, type ListenAddress,
+} from '../http/index.js';
+import {
+	isRejection, statusOf, type RejectionReason, type RequestResult, type RequestRunner,
+} from '../requests/index.js';
+import {EventStream} from './event-stream.js';
+
+const keepAliveMs: Ms = 1000;
+/** Time for a caller to send its headers and its body. */
+const headersTimeoutMs: Ms = 10_000;
+const bodyTimeoutMs: Ms = 30_000;
+const maxHeaderBytes = 16 * 1024;
+const defaultKeyLifetimeMs: Ms = 600_000;
+
+/** Parts and limits of the callers' server. */
+export interface CallerServerOptions {
+	readonly clock: Clock;
+	readonly runner: RequestRunner;
+	readonly incarnation: string;
+	readonly listen: ListenAddress;
+	readonly maxBodyBytes: number;
+	/** True while new requests are taken. */
+	readonly isReady: () => boolean;
+	/** Told each result, for metrics. */
+	readonly onResult?: (pipeline: string, team: string, result: RequestResult, tookMs: Ms) => void;
+}
+
+/**
+ * HTTP server towards callers.
+ *
+ * @internal
+ */
+export class CallerServer {
+	static async create(options: CallerServerOptions): Promise<CallerServer> {
+		const callers = new CallerServer(options);
+		await callers.#listen();
+		return callers;
+	}
+
+	readonly #server: Server;
+	readonly #streams = new Set<EventStream>();
+	#cancelKeepAlive: () => void = () => undefined;
+	#inFlight = 0;
+	#port = 0;
+
+	private constructor(private readonly options: CallerServerOptions) {
+		this.#server = createServer({
+			maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: bodyTimeoutMs, keepAliveTimeout: 65_000,
+		}, (req, res) => {
+			void this.#handle(req, res);
+		});
+		this.#server.maxHeadersCount = 100;
+		this.#scheduleKeepAlive();
+	}
+
+	get port(): number {
+		return this.#port;
+	}
+
+	/** Requests whose answers are not sent yet. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	/** Stops taking connections; open ones are told to close after their answer. */
+	stopAccepting(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Closes every connection at once. */
+	async close(): Promise<void> {
+		this.#cancelKeepAlive();
+		await closeServer(this.#server);
+	}
+
+	async #listen(): Promise<void> {
+		this.#port = await listen(this.#server, this.options.listen);
+	}
+
+	#scheduleKeepAlive(): void {
+		this.#cancelKeepAlive = this.options.clock.after(keepAliveMs, () => {
+			for (const stream of this.#streams) {
+				stream.keepAlive();
+			}
+
+			this.#scheduleKeepAlive();
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		res.on('error', () => undefined);
+		const path = (req.url ?? '/').split('?', 1)[0]!;
+		if (req.method === 'GET' && path === '/live') {
+			sendJson(res, 200, {live: true});
+		} else if (req.method === 'GET' && path === '/ready') {
+			const ready = this.options.isReady();
+			sendJson(res, ready ? 200 : 503, {ready});
+		} else if (req.method === 'POST' && path === '/v1/keys') {
+			this.#mint(res);
+		} else {
+			const pipeline = /^\/v1\/pipelines\/(?<pipeline>[\w.-]{1,63})\/requests$/.exec(path)?.groups?.pipeline;
+			if (req.method === 'POST' && pipeline !== undefined) {
+				await this.#request(req, res, pipeline);
+			} else {
+				sendJson(res, pipeline === undefined ? 404 : 405, {message: 'Cannot serve the path: see POST /v1/pipelines/{pipeline}/requests'}, {connection: 'close'});
+			}
+		}
+	}
+
+	#mint(res: ServerResponse): void {
+		const notAfterMs = this.options.clock.wall() + defaultKeyLifetimeMs;
+		sendJson(res, 200, {key: mintKey(this.options.incarnation, notAfterMs), not_after_ms: Math.floor(notAfterMs)});
+	}
+
+	async #request(req: IncomingMessage, res: ServerResponse, pipeline: string): Promise<void> {
+		const requestId = randomUUID();
+		this.#inFlight++;
+		try {
+			await this.#answer(req, res, pipeline, requestId);
+		} catch (err) {
+			sendJson(res, 500, {
+				request_id: requestId, outcome: 'unknown', reason: 'internal', message: errorMessage(err),
+			});
+		} finally {
+			this.#inFlight--;
+		}
+	}
+
+	async #answer(req: IncomingMessage, res: ServerResponse, pipeline: string, requestId: string): Promise<void> {
+		if (!this.options.isReady()) {
+			this.#reject(res, requestId, 'shutting_down', 'Cannot take the request: this entry VM is not ready');
+			return;
+		}
+
+		let body: unknown;
+		try {
+			body = await readJsonBody(req, this.options.maxBodyBytes);
+		} catch (err) {
+			const reason = err instanceof BodyError && err.problem === 'too_large' ? 'body_too_large' : 'bad_request';
+			this.#reject(res, requestId, reason, errorMessage(err));
+			return;
+		}
+
+		const startedAt = this.options.clock.now();
+		const left = new AbortController();
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				left.abort();
+			}
+		});
+		const wantsStream = isStreamWanted(body);
+		let stream: EventStream | undefined;
+		const result = await this.options.runner.run(pipeline, body, {
+			requestId,
+			signal: left.signal,
+			onAdmitted: () => {
+				if (wantsStream) {
+					stream = EventStream.create(res);
+					this.#streams.add(stream);
+				}
+			},
+			sink(texts, firstIndex) {
+				stream?.chunks(texts, firstIndex);
+			},
+		});
+		if (stream) {
+			this.#streams.delete(stream);
+			stream.end(result);
+		} else {
+			sendJson(res, statusOf(result), result, this.options.isReady() ? {} : {connection: 'close'});
+		}
+
+		const isTeamKnown = !isRejection(result) || (result.reason !== 'unknown_team' && result.reason !== 'bad_request');
+		this.options.onResult?.(pipeline, isTeamKnown ? (body as {team: string}).team : '', result, this.options.clock.now() - startedAt);
+	}
+
+	#reject(res: ServerResponse, requestId: string, reason: RejectionReason, message: string): void {
+		const result: RequestResult = {
+			request_id: requestId, outcome: 'not_run', reason, message,
+		};
+		sendJson(res, statusOf(result), result, {connection: 'close'});
+	}
+}
+
+function isStreamWanted(body: unknown): boolean {
+	return typeof body === 'object' && body !== null && 'stream' in body && body.stream === true;
+}
--- /dev/null
+++ b/src/entry-vm/entry-vm.ts
@@ -0,0 +1,160 @@
+import {randomBytes} from 'node:crypto';
+import {MintedClaims} from '../claims/index.js';
+import type {Clock, Ms} from '../clock/index.js';
+import {ConfigFollower} from '../config/index.js';
+import {EventRing} from '../events/index.js';
+import {sendJson, type ListenAddress} from '../http/index.js';
+import type {LoggerFactory} from '../logs/index.js';
+import type {PlatformLog, VmList} from '../platform/index.js';
+import {RequestRunner} from '../requests/index.js';
+import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
+import {FcfsScheduler} from '../teams/index.js';
+import {CallerServer} from './caller-server.js';
+import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
+import {Metrics} from './metrics.js';
+import {OperatorServer} from './operator-server.js';
+
+/** Settings and ports of an entry VM. */
+export interface EntryVmOptions {
+	readonly name: string;
+	readonly zone: string;
+	readonly callers: ListenAddress;
+	readonly operators: ListenAddress;
+	readonly maxBodyBytes: number;
+	readonly eventCapacity: number;
+	readonly clock: Clock;
+	readonly log: PlatformLog;
+	readonly vmList: VmList;
+	readonly createLogger: LoggerFactory;
+	readonly ports?: PortFactory;
+}
+
+const defaultDrainMs: Ms = 9000;
+const idlePollMs: Ms = 20;
+
+/**
+ * An entry VM: everything between callers and targets, in one process.
+ *
+ * @example
+ * const vm = await EntryVm.create(options);
+ * await vm.shutdown();
+ */
+export class EntryVm {
+	/** Starts an entry VM; resolves when it listens. */
+	static async create(options: EntryVmOptions): Promise<EntryVm> {
+		const vm = new EntryVm(options);
+		await vm.#start();
+		return vm;
+	}
+
+	/** Differs for each start. */
+	readonly incarnation = `${Date.now().toString(36)}${randomBytes(6).toString('hex')}`;
+	readonly events: EventRing;
+	readonly config: ConfigFollower;
+	readonly targets: DeclaredTargets;
+	readonly runner: RequestRunner;
+	readonly #lifecycle = EntryVmLifecycle.create();
+	readonly #metrics: Metrics;
+	#callers: CallerServer | undefined;
+	#operators: OperatorServer | undefined;
+	#shutdown: Promise<void> | undefined;
+
+	private constructor(private readonly options: EntryVmOptions) {
+		const {clock, log, createLogger} = options;
+		this.events = EventRing.create({process: options.name, clock, capacity: options.eventCapacity});
+		this.config = ConfigFollower.create({
+			clock, log, events: this.events, logger: createLogger('config'),
+		});
+		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.runner = RequestRunner.create({
+			clock,
+			config: this.config,
+			scheduler: FcfsScheduler.create({clock, targets: this.targets}),
+			claims: MintedClaims.create({clock, incarnation: this.incarnation}),
+			events: this.events,
+		});
+		this.#metrics = Metrics.create({
+			inFlight: () => this.runner.inFlight,
+			revision: () => this.config.current().revision,
+			targets: () => this.#targetCounts(),
+			events: () => this.events.recorded,
+		});
+	}
+
+	get state(): EntryVmState {
+		return this.#lifecycle.state;
+	}
+
+	get callerPort(): number {
+		return this.#callers!.port;
+	}
+
+	get operatorPort(): number {
+		return this.#operators!.port;
+	}
+
+	/** Drains and stops; a second call waits for the first. */
+	async shutdown(): Promise<void> {
+		this.#shutdown ??= this.#drain();
+		return this.#shutdown;
+	}
+
+	async #start(): Promise<void> {
+		const {options} = this;
+		this.config.start();
+		this.#operators = await OperatorServer.create({
+			listen: options.operators,
+			metrics: this.#metrics,
+			isReady: () => this.#isReady(),
+			rpc(_req, res) {
+				sendJson(res, 404, {message: 'Cannot serve the path: it is unknown'});
+			},
+		});
+		this.#callers = await CallerServer.create({
+			clock: options.clock,
+			runner: this.runner,
+			incarnation: this.incarnation,
+			listen: options.callers,
+			maxBodyBytes: options.maxBodyBytes,
+			isReady: () => this.#isReady(),
+			onResult: (pipeline, team, result, tookMs) => {
+				this.#metrics.observe(pipeline, team, result, tookMs);
+			},
+		});
+		this.#lifecycle.send({type: 'LISTENING'});
+		options.createLogger('entry-vm').info('Listening.', {callers: this.callerPort, operators: this.operatorPort, zone: options.zone});
+	}
+
+	#isReady(): boolean {
+		return this.#lifecycle.state === 'serving' && this.config.current().revision >= 0;
+	}
+
+	async #drain(): Promise<void> {
+		const {clock, createLogger} = this.options;
+		const logger = createLogger('entry-vm');
+		this.#lifecycle.send({type: 'SHUTDOWN'});
+		this.events.record({kind: 'shutdown', detail: `${this.runner.inFlight} requests in progress`});
+		logger.info('Draining.', {inFlight: this.runner.inFlight});
+		this.#callers!.stopAccepting();
+		const longest = Math.max(this.config.current().declarations.longestDeadlineMs(), defaultDrainMs);
+		const end = clock.now() + longest;
+		while (this.#callers!.inFlight > 0 && clock.now() < end) {
+			await clock.sleep(idlePollMs);
+		}
+
+		this.#lifecycle.send({type: 'IDLE'});
+		this.config.stop();
+		await this.#callers!.close();
+		await this.#operators!.close();
+		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
+	}
+
+	#targetCounts(): Record<string, number> {
+		const counts: Record<string, number> = {};
+		for (const target of this.targets.all()) {
+			counts[target.state] = (counts[target.state] ?? 0) + 1;
+		}
+
+		return counts;
+	}
+}
--- /dev/null
+++ b/src/entry-vm/index.ts
@@ -0,0 +1,2 @@
+export {EntryVm, type EntryVmOptions} from './entry-vm.js';
+export {metricNames} from './metrics.js';
--- /dev/null
+++ b/src/entry-vm/metrics.ts
@@ -0,0 +1,80 @@
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {Ms} from '../clock/index.js';
+import {isRejection, type RequestResult} from '../requests/index.js';
+
+/** Names of the metrics, for pages and tests. */
+export const metricNames = [
+	'guavamill_requests_total',
+	'guavamill_request_seconds',
+	'guavamill_requests_in_flight',
+	'guavamill_config_revision',
+	'guavamill_targets',
+	'guavamill_events_total',
+] as const;
+
+/** Values read when the metrics are collected. */
+export interface MetricSources {
+	readonly inFlight: () => number;
+	readonly revision: () => number;
+	readonly targets: () => Record<string, number>;
+	readonly events: () => number;
+}
+
+/**
+ * Metrics of an entry VM (prom-client).
+ *
+ * @internal
+ */
+export class Metrics {
+	static create(sources: MetricSources): Metrics {
+		return new Metrics(sources);
+	}
+
+	readonly registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'guavamill_requests_total', help: 'Requests by pipeline, team, outcome and reason.', labelNames: ['pipeline', 'team', 'outcome', 'reason'], registers: [this.registry],
+	});
+
+	readonly #seconds = new Histogram({
+		name: 'guavamill_request_seconds', help: 'Time from arrival to the end, in seconds.', labelNames: ['pipeline', 'outcome'], buckets: [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 9, 20], registers: [this.registry],
+	});
+
+	private constructor(sources: MetricSources) {
+		const gauge = (name: string, help: string, read: () => number) => new Gauge({
+			name,
+			help,
+			registers: [this.registry],
+			collect() {
+				this.set(read());
+			},
+		});
+		gauge('guavamill_requests_in_flight', 'Requests in progress.', sources.inFlight);
+		gauge('guavamill_config_revision', 'Revision of the configuration in force.', sources.revision);
+		gauge('guavamill_events_total', 'Events recorded on the time line.', sources.events);
+		// eslint-disable-next-line no-new -- The registry keeps the gauge.
+		new Gauge({
+			name: 'guavamill_targets',
+			help: 'Targets by state.',
+			labelNames: ['state'],
+			registers: [this.registry],
+			collect() {
+				this.reset();
+				for (const [state, count] of Object.entries(sources.targets())) {
+					this.set({state}, count);
+				}
+			},
+		});
+	}
+
+	/** Counts one ended request. */
+	observe(pipeline: string, team: string, result: RequestResult, tookMs: Ms): void {
+		const reason = isRejection(result) ? result.reason : '';
+		// Names that are not declared would make one series each; they share one.
+		const known = reason !== 'unknown_pipeline' && reason !== 'bad_request';
+		const labels = {pipeline: known ? pipeline : '', outcome: result.outcome};
+		this.#requests.inc({...labels, team: known ? team : '', reason});
+		this.#seconds.observe(labels, tookMs / 1000);
+	}
+}
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,3 @@
+export {closeServer, listen, type ListenAddress} from './listen.js';
+export {BodyError, readJsonBody} from './read-json-body.js';
+export {sendJson} from './send-json.js';
--- a/src/logs/logger.ts
+++ b/src/logs/logger.ts
@@ -21,6 +21,9 @@
 /** Creates the logger of a part. */
 export type LoggerFactory = (part: LogPart) => PartLogger;
 
+/** What tslog hands to a transport for `log(message, facts)`. */
+type LogLine = {0: string; 1: Record<string, unknown>; _meta: {date: Date; logLevelName: string}};
+
 const minLevel: Record<LogLevel, number> = {
 	debug: 2, info: 3, warn: 4, error: 5, off: 7,
 };
@@ -39,25 +42,20 @@
 		hideLogPositionForProduction: true,
 	});
 	return part => {
-		const write = (level: LogLevel, message: string, facts: Record<string, unknown> = {}) => {
-			process.stderr.write(`${JSON.stringify({
-				time: new Date().toISOString(), level, process: options.process, part, message, ...facts,
-			})}\n`);
-		};
-
 		const sub = root.getSubLogger({name: part});
 		// tslog filters by level and calls the transport for lines that pass.
 		sub.attachTransport(entry => {
-			const [message, facts] = entry as unknown as [string, Record<string, unknown>];
-			const level = (entry as {_meta: {logLevelName: string}})._meta.logLevelName.toLowerCase() as LogLevel;
-			write(level, message, facts);
+			const line = entry as unknown as LogLine;
+			process.stderr.write(`${JSON.stringify({
+				time: line._meta.date.toISOString(), level: line._meta.logLevelName.toLowerCase(), process: options.process, part, message: line[0], ...line[1],
+			})}\n`);
 		});
-		const pick = (facts?: Record<string, unknown>): Record<string, unknown> => ({0: undefined, ...facts});
+		const write = (level: Exclude<LogLevel, 'off'>) => (message: string, facts: Record<string, unknown> = {}) => {
+			sub[level](message, facts);
+		};
+
 		return {
-			debug: (message, facts) => void sub.debug(message, pick(facts)),
-			info: (message, facts) => void sub.info(message, pick(facts)),
-			warn: (message, facts) => void sub.warn(message, pick(facts)),
-			error: (message, facts) => void sub.error(message, pick(facts)),
+			debug: write('debug'), info: write('info'), warn: write('warn'), error: write('error'),
 		};
 	};
 }
--- /dev/null
+++ b/src/platform/http-platform-log.ts
@@ -0,0 +1,107 @@
+import {Pool} from 'undici';
+import {z} from 'zod';
+import type {Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
+import {
+	LogTimeoutError, LogUnavailableError, type LogPage, type LogStream, type PlatformLog, type ReadOptions,
+} from './platform-log.js';
+
+const defaultTimeoutMs: Ms = 2000;
+/** A read may take this much longer than its `waitMs`. */
+const readSlackMs: Ms = 2000;
+/** An append needs one connection at a time, each follower one for its long poll. */
+const connections = 8;
+
+const appendReply = z.object({offset: z.number().int()});
+const pageReply = z.object({
+	earliest: z.number().int(),
+	next: z.number().int(),
+	records: z.array(z.object({offset: z.number().int(), at_ms: z.number(), record: z.unknown()})),
+});
+
+/**
+ * Platform log over HTTP.
+ *
+ * @example
+ * const log = HttpPlatformLog.create('http://127.0.0.1:7100');
+ */
+export class HttpPlatformLog implements PlatformLog {
+	/** Creates a client of the log at an HTTP origin. */
+	static create(origin: string): HttpPlatformLog {
+		return new HttpPlatformLog(new Pool(origin, {connections, headersTimeout: 0, bodyTimeout: 0}));
+	}
+
+	private constructor(private readonly pool: Pool) {}
+
+	async append(stream: LogStream, records: readonly unknown[], options: {timeoutMs?: Ms} = {}): Promise<{offset: number}> {
+		let status: number;
+		let body: unknown;
+		try {
+			const res = await this.pool.request({
+				method: 'POST',
+				path: `/v1/streams/${stream}/records`,
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({records}),
+				signal: AbortSignal.timeout(options.timeoutMs ?? defaultTimeoutMs),
+			});
+			status = res.statusCode;
+			body = await res.body.json();
+		} catch (err) {
+			if (isConnectError(err)) {
+				throw new LogUnavailableError(`Cannot append to stream ${stream}: ${errorMessage(err)}`, {cause: err});
+			}
+
+			throw new LogTimeoutError(`Cannot append to stream ${stream}: ${errorMessage(err)}`, {cause: err});
+		}
+
+		if (status === 503) {
+			throw new LogUnavailableError(`Cannot append to stream ${stream}: the log answered 503`);
+		}
+
+		const reply = appendReply.safeParse(body);
+		if (status !== 200 || !reply.success) {
+			throw new LogTimeoutError(`Cannot append to stream ${stream}: the log answered ${status}`);
+		}
+
+		return reply.data;
+	}
+
+	async read(stream: LogStream, from: number, options: ReadOptions = {}): Promise<LogPage> {
+		const timeout = AbortSignal.timeout((options.waitMs ?? 0) + readSlackMs);
+		try {
+			const res = await this.pool.request({
+				method: 'GET',
+				path: `/v1/streams/${stream}/records?from=${from}&max=${options.max ?? 1000}&wait_ms=${options.waitMs ?? 0}`,
+				signal: options.signal ? AbortSignal.any([options.signal, timeout]) : timeout,
+			});
+			const body = await res.body.json();
+			if (res.statusCode !== 200) {
+				throw new LogUnavailableError(`Cannot read stream ${stream}: the log answered ${res.statusCode}`);
+			}
+
+			const page = pageReply.parse(body);
+			return {
+				earliest: page.earliest,
+				next: page.next,
+				records: page.records.map(entry => ({offset: entry.offset, atMs: entry.at_ms, record: entry.record})),
+			};
+		} catch (err) {
+			if (err instanceof LogUnavailableError) {
+				throw err;
+			}
+
+			throw new LogUnavailableError(`Cannot read stream ${stream}: ${errorMessage(err)}`, {cause: err});
+		}
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.pool.destroy();
+	}
+}
+
+const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+function isConnectError(err: unknown): boolean {
+	return connectErrorCodes.has((err as {code?: string}).code ?? '');
+}
--- /dev/null
+++ b/src/requests/request-context.ts
@@ -0,0 +1,37 @@
+import type {Ms} from '../clock/index.js';
+import type {Pipeline, Stage} from '../config/index.js';
+import type {PromptSegment} from '../targets/index.js';
+import type {CallerRequest} from './caller-request.js';
+import type {RequestLifecycle} from './request-lifecycle.js';
+
+/** Receives the chunks of the last stage as they arrive, batch by batch. */
+export type ChunkSink = (texts: readonly string[], firstIndex: number) => void;
+
+/** State of one request in progress. @internal */
+export interface RequestContext {
+	readonly requestId: string;
+	readonly pipeline: Pipeline;
+	readonly body: CallerRequest;
+	readonly prompt: readonly PromptSegment[];
+	/** Absolute deadline on the clock's monotonic time. */
+	readonly deadlineMs: Ms;
+	readonly lifecycle: RequestLifecycle;
+	/** Aborts when the caller leaves. */
+	readonly signal: AbortSignal;
+	readonly sink: ChunkSink;
+}
+
+/** True when a stage of this request may run at most once. @internal */
+export function isNonIdempotent(context: Pick<RequestContext, 'body'>, stage: Stage): boolean {
+	return context.body.non_idempotent || !stage.idempotent;
+}
+
+/** True when a request has a stage that may run at most once. @internal */
+export function hasNonIdempotentStage(body: CallerRequest, pipeline: Pipeline): boolean {
+	return body.non_idempotent || pipeline.stages.some(stage => !stage.idempotent);
+}
+
+/** True when sending this stage rules out the outcome `not_run`. @internal */
+export function countsAsRun(context: RequestContext, stage: Stage): boolean {
+	return isNonIdempotent(context, stage) || !hasNonIdempotentStage(context.body, context.pipeline);
+}
--- /dev/null
+++ b/src/targets/http-engine.ts
@@ -0,0 +1,146 @@
+import {Pool, type Dispatcher} from 'undici';
+import {errorMessage, GuavamillError} from '../errors/index.js';
+import type {
+	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, TargetHealth, TargetLoad,
+} from './engine-port.js';
+import {
+	callFailure, controlTimeoutMs, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
+} from './http-common.js';
+import {TargetError} from './target-error.js';
+
+/**
+ * Engine over HTTP: chunks as lines of JSON.
+ *
+ * @example
+ * const engine = HttpEngine.create('http://127.0.0.1:7201', {connections: 16});
+ */
+export class HttpEngine implements EnginePort {
+	/** Creates a client; `onHealth` is told the start id and draining flag of every reply. */
+	static create(origin: string, options: {connections: number; onHealth?: HealthListener}): HttpEngine {
+		const pool = new Pool(origin, {
+			connections: options.connections, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 4000,
+		});
+		return new HttpEngine(origin, pool, options.onHealth ?? (() => undefined));
+	}
+
+	private constructor(private readonly origin: string, private readonly pool: Pool, private readonly onHealth: HealthListener) {}
+
+	async * generate(call: GenerateCall, signal: AbortSignal): AsyncIterable<readonly Chunk[]> {
+		const res = await this.#send(call, signal);
+		this.onHealth(readHealthHeaders(res.headers));
+		if (res.statusCode !== 200) {
+			await res.body.dump();
+			throw TargetError.create(res.statusCode === 503 ? 'refused' : 'failed', `Cannot generate at ${this.origin}: the engine answered ${res.statusCode}`);
+		}
+
+		yield * readChunks(res.body, this.origin);
+	}
+
+	async cancel(call: Pick<GenerateCall, 'requestId' | 'stage' | 'attempt'>): Promise<void> {
+		await this.#post('/v1/cancel', {request_id: call.requestId, stage: call.stage, attempt: call.attempt});
+	}
+
+	async load(): Promise<TargetLoad> {
+		return loadSchema.parse(await this.#get('/v1/load'));
+	}
+
+	async health(): Promise<TargetHealth> {
+		const health = healthSchema.parse(await this.#get('/v1/health'));
+		this.onHealth(health);
+		return health;
+	}
+
+	async cacheEvents(after: number): Promise<{startId: string; events: readonly CacheEvent[]}> {
+		return await this.#get(`/v1/cache-events?after=${after}`) as {startId: string; events: CacheEvent[]};
+	}
+
+	async order(order: EngineOrder): Promise<OrderResult> {
+		const reply = await this.#post('/v1/orders', order) as {result: OrderResult};
+		return reply.result;
+	}
+
+	async state(): Promise<EngineState> {
+		return await this.#get('/v1/state') as EngineState;
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.pool.destroy();
+	}
+
+	async #send(call: GenerateCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
+		try {
+			return await this.pool.request({
+				method: 'POST',
+				path: '/v1/generate',
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({
+					request_id: call.requestId,
+					stage: call.stage,
+					attempt: call.attempt,
+					team: call.team,
+					share_class: call.shareClass,
+					prompt: call.prompt,
+					max_tokens: call.maxTokens,
+					from_index: call.fromIndex,
+					generated_text: call.generatedText,
+					remaining_ms: Math.max(0, Math.round(call.remainingMs)),
+				}),
+				signal,
+			});
+		} catch (err) {
+			throw TargetError.create(callFailure(err), `Cannot generate at ${this.origin}: ${errorMessage(err)}`, err);
+		}
+	}
+
+	async #get(path: string): Promise<unknown> {
+		return this.#control({method: 'GET', path});
+	}
+
+	async #post(path: string, body: unknown): Promise<unknown> {
+		return this.#control({
+			method: 'POST', path, headers: {'content-type': 'application/json'}, body: JSON.stringify(body),
+		});
+	}
+
+	async #control(options: Dispatcher.RequestOptions): Promise<unknown> {
+		try {
+			const res = await this.pool.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
+			return await res.body.json();
+		} catch (err) {
+			throw new GuavamillError(`Cannot reach the engine at ${this.origin}: ${errorMessage(err)}`, {cause: err});
+		}
+	}
+}
+
+type WireChunk = {request_id: string; stage: string; attempt: number; index: number; text: string; done: boolean};
+
+async function * readChunks(body: AsyncIterable<Uint8Array>, origin: string): AsyncIterable<readonly Chunk[]> {
+	const decoder = new TextDecoder();
+	let rest = '';
+	let finished = false;
+	try {
+		for await (const bytes of body) {
+			const lines = (rest + decoder.decode(bytes, {stream: true})).split('\n');
+			rest = lines.pop()!;
+			const chunks = lines.filter(line => line !== '').map(line => parseChunk(line));
+			finished ||= chunks.some(chunk => chunk.done);
+			if (chunks.length > 0) {
+				yield chunks;
+			}
+		}
+	} catch (err) {
+		throw TargetError.create('lost', `Cannot read the stream of ${origin}: ${errorMessage(err)}`, err);
+	}
+
+	if (!finished) {
+		throw TargetError.create('lost', `Cannot read the stream of ${origin}: it ended before its last chunk`);
+	}
+}
+
+function parseChunk(line: string): Chunk {
+	const wire = JSON.parse(line) as WireChunk;
+	return {
+		requestId: wire.request_id, stage: wire.stage, attempt: wire.attempt, index: wire.index, text: wire.text, done: wire.done,
+	};
+}
--- /dev/null
+++ b/src/targets/http-service.ts
@@ -0,0 +1,120 @@
+import {Client, Pool, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {errorMessage, GuavamillError} from '../errors/index.js';
+import type {TargetHealth, TargetLoad} from './engine-port.js';
+import {
+	callFailure, controlTimeoutMs, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
+} from './http-common.js';
+import type {ServiceCall, ServicePort, ServiceReply} from './service-port.js';
+import {TargetError} from './target-error.js';
+
+const replySchema = z.object({
+	request_id: z.string(), stage: z.string(), attempt: z.number(), output: z.string(),
+});
+
+/**
+ * Service over HTTP. Idempotent calls share a pool of connections; each non-idempotent call opens a fresh one,
+ * because an idle connection may be half open and would leave the outcome unknown.
+ *
+ * @example
+ * const service = HttpService.create('http://127.0.0.1:7301', {connections: 8});
+ */
+export class HttpService implements ServicePort {
+	/** Creates a client; `onHealth` is told the start id and draining flag of every reply. */
+	static create(origin: string, options: {connections: number; onHealth?: HealthListener}): HttpService {
+		const pool = new Pool(origin, {
+			connections: options.connections, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 4000,
+		});
+		return new HttpService(origin, pool, options.onHealth ?? (() => undefined));
+	}
+
+	private constructor(private readonly origin: string, private readonly pool: Pool, private readonly onHealth: HealthListener) {}
+
+	async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
+		if (call.idempotent) {
+			return this.#callOn(this.pool, call, signal);
+		}
+
+		const client = new Client(this.origin, {headersTimeout: 0, bodyTimeout: 0});
+		try {
+			return await this.#callOn(client, call, signal);
+		} finally {
+			void client.destroy();
+		}
+	}
+
+	async lookup(key: string): Promise<ServiceReply | undefined> {
+		const reply = await this.#get(`/v1/lookup?key=${encodeURIComponent(key)}`) as {found: boolean; reply?: unknown};
+		return reply.found ? toReply(replySchema.parse(reply.reply)) : undefined;
+	}
+
+	async load(): Promise<TargetLoad> {
+		return loadSchema.parse(await this.#get('/v1/load'));
+	}
+
+	async health(): Promise<TargetHealth> {
+		const health = healthSchema.parse(await this.#get('/v1/health'));
+		this.onHealth(health);
+		return health;
+	}
+
+	/** Closes the connections. */
+	async close(): Promise<void> {
+		await this.pool.destroy();
+	}
+
+	async #callOn(dispatcher: Dispatcher, call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
+		let status: number;
+		let body: unknown;
+		try {
+			const res = await dispatcher.request({
+				method: 'POST',
+				path: '/v1/call',
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({
+					request_id: call.requestId,
+					stage: call.stage,
+					attempt: call.attempt,
+					team: call.team,
+					share_class: call.shareClass,
+					kind: call.kind,
+					input: call.input,
+					idempotency_key: call.idempotencyKey,
+					remaining_ms: Math.max(0, Math.round(call.remainingMs)),
+				}),
+				signal,
+			});
+			this.onHealth(readHealthHeaders(res.headers));
+			status = res.statusCode;
+			body = await res.body.json();
+		} catch (err) {
+			throw TargetError.create(callFailure(err), `Cannot call ${this.origin}: ${errorMessage(err)}`, err);
+		}
+
+		if (status !== 200) {
+			throw TargetError.create(status === 503 ? 'refused' : 'failed', `Cannot call ${this.origin}: the service answered ${status}`);
+		}
+
+		const reply = replySchema.safeParse(body);
+		if (!reply.success) {
+			throw TargetError.create('failed', `Cannot call ${this.origin}: the reply is malformed`, reply.error);
+		}
+
+		return toReply(reply.data);
+	}
+
+	async #get(path: string): Promise<unknown> {
+		try {
+			const res = await this.pool.request({method: 'GET', path, signal: AbortSignal.timeout(controlTimeoutMs)});
+			return await res.body.json();
+		} catch (err) {
+			throw new GuavamillError(`Cannot reach the service at ${this.origin}: ${errorMessage(err)}`, {cause: err});
+		}
+	}
+}
+
+function toReply(wire: z.infer<typeof replySchema>): ServiceReply {
+	return {
+		requestId: wire.request_id, stage: wire.stage, attempt: wire.attempt, output: wire.output,
+	};
+}
--- /dev/null
+++ b/src/targets/index.ts
@@ -0,0 +1,12 @@
+export {DeclaredTargets, httpPortFactory, type PortFactory} from './declared-targets.js';
+export type {
+	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, PromptSegment, ShareClass, TargetHealth, TargetLoad,
+} from './engine-port.js';
+export {drainingHeader, startIdHeader} from './http-common.js';
+export {HttpEngine} from './http-engine.js';
+export {HttpService} from './http-service.js';
+export type {ServiceCall, ServicePort, ServiceReply} from './service-port.js';
+export type {
+	Target, TargetRegistry, TargetState, TargetView,
+} from './target.js';
+export {TargetError, type TargetFailure} from './target-error.js';
--- /dev/null
+++ b/src/teams/fcfs-scheduler.ts
@@ -0,0 +1,107 @@
+import type {Clock} from '../clock/index.js';
+import type {Target, TargetRegistry} from '../targets/index.js';
+import {AcquireError} from './acquire-error.js';
+import type {
+	AdmissionDecision, Grant, Scheduler, StageWork,
+} from './scheduler.js';
+
+type Waiter = {work: StageWork; resolve: (grant: Grant) => void};
+
+/**
+ * Baseline scheduler: first come first served per pool, least calls in flight, admits everything.
+ *
+ * @example
+ * const scheduler = FcfsScheduler.create({clock, targets});
+ */
+export class FcfsScheduler implements Scheduler {
+	static create(options: {clock: Clock; targets: TargetRegistry}): FcfsScheduler {
+		return new FcfsScheduler(options.clock, options.targets);
+	}
+
+	readonly #waiting = new Map<string, Waiter[]>();
+
+	private constructor(private readonly clock: Clock, private readonly targets: TargetRegistry) {}
+
+	admit(): AdmissionDecision {
+		return {admitted: true, predictedMs: 0};
+	}
+
+	async acquire(work: StageWork, signal: AbortSignal): Promise<Grant> {
+		const {pool} = work.stage;
+		if (this.targets.pool(pool).length === 0) {
+			throw AcquireError.create('no_target', pool);
+		}
+
+		const target = this.#choose(work);
+		return target ? this.#grant(target) : this.#wait(work, signal);
+	}
+
+	spendRetry(): boolean {
+		return true;
+	}
+
+	#choose(work: StageWork): Target | undefined {
+		const free = this.targets.pool(work.stage.pool)
+			.filter(target => target.dispatchable && target.inFlight < target.declaration.slots);
+		const others = free.filter(target => target.name !== work.previousTarget);
+		const candidates = others.length > 0 ? others : free;
+		return candidates.reduce<Target | undefined>((best, target) => best && best.inFlight <= target.inFlight ? best : target, undefined);
+	}
+
+	#grant(target: Target): Grant {
+		this.targets.callStarted(target.name);
+		return {
+			target,
+			shareClass: 'within',
+			revoked: new AbortController().signal,
+			settle: result => {
+				this.targets.callEnded(target.name, result.outcome);
+				this.#wake(target.pool.name);
+			},
+		};
+	}
+
+	async #wait(work: StageWork, signal: AbortSignal): Promise<Grant> {
+		const {pool} = work.stage;
+		const queue = this.#waiting.get(pool) ?? [];
+		this.#waiting.set(pool, queue);
+		return new Promise((resolve, reject) => {
+			const end = (failure: 'deadline' | 'aborted') => {
+				queue.splice(queue.indexOf(waiter), 1);
+				cancel();
+				reject(AcquireError.create(failure, pool));
+			};
+
+			const onAbort = () => {
+				end('aborted');
+			};
+
+			const cancel = this.clock.after(work.deadlineMs - this.clock.now(), () => {
+				signal.removeEventListener('abort', onAbort);
+				end('deadline');
+			});
+			const waiter: Waiter = {
+				work,
+				resolve(grant) {
+					cancel();
+					signal.removeEventListener('abort', onAbort);
+					resolve(grant);
+				},
+			};
+			signal.addEventListener('abort', onAbort, {once: true});
+			queue.push(waiter);
+		});
+	}
+
+	#wake(pool: string): void {
+		const queue = this.#waiting.get(pool) ?? [];
+		while (queue.length > 0) {
+			const target = this.#choose(queue[0]!.work);
+			if (!target) {
+				return;
+			}
+
+			queue.shift()!.resolve(this.#grant(target));
+		}
+	}
+}
--- /dev/null
+++ b/test/support/fleet.ts
@@ -0,0 +1,86 @@
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import type {Declaration} from '../../src/config/index.js';
+import {Daemon} from './daemon.js';
+
+/** Waits until `check` holds; throws after a generous bound. */
+export async function until(check: () => Promise<boolean> | boolean, what: string, boundMs = 30_000): Promise<void> {
+	const end = Date.now() + boundMs;
+	while (!await check()) {
+		if (Date.now() > end) {
+			throw new Error(`Cannot go on: ${what} did not happen within ${boundMs} ms`);
+		}
+
+		await sleep(20);
+	}
+}
+
+/** Sends JSON and returns status and JSON. */
+export async function post(url: string, body: unknown): Promise<{status: number; body: any}> {
+	const res = await request(url, {method: 'POST', body: JSON.stringify(body), headersTimeout: 60_000});
+	return {status: res.statusCode, body: await res.body.json()};
+}
+
+/** Reads JSON. */
+export async function get(url: string): Promise<any> {
+	const res = await request(url);
+	return res.body.json();
+}
+
+/** Processes of one test: log, VM list, targets and entry VMs. */
+export class Fleet {
+	static async start(): Promise<Fleet> {
+		const [log, platform] = await Promise.all([Daemon.start(['stand-in', 'log']), Daemon.start(['stand-in', 'platform'])]);
+		return new Fleet(log, platform);
+	}
+
+	readonly targets = new Map<string, Daemon>();
+	readonly entryVms: Daemon[] = [];
+	#revision = -1;
+
+	private constructor(readonly log: Daemon, readonly platform: Daemon) {}
+
+	/** Starts a target stand-in with flags. */
+	async target(name: string, kind: 'engine' | 'service', flags: readonly string[] = []): Promise<Daemon> {
+		const daemon = await Daemon.start(['stand-in', kind, ...flags]);
+		this.targets.set(name, daemon);
+		return daemon;
+	}
+
+	/** Starts an entry VM. */
+	async entryVm(name: string, zone: string, flags: readonly string[] = []): Promise<Daemon> {
+		const daemon = await Daemon.start(['serve', '--name', name, '--zone', zone, '--callers', '127.0.0.1:0', '--operators', '127.0.0.1:0', '--log', this.log.origin, '--vms', this.platform.origin, '--log-level', 'warn', ...flags]);
+		this.entryVms.push(daemon);
+		return daemon;
+	}
+
+	/** Appends a change to the log directly, as an operator's tool does. */
+	async publish(declarations: readonly Declaration[]): Promise<void> {
+		const {body} = await post(`${this.log.origin}/v1/streams/config/records`, {
+			records: [{
+				kind: 'change', id: randomUUID(), base: this.#revision, author: 'test', set: declarations,
+			}],
+		});
+		this.#revision = body.offset as number;
+	}
+
+	/** Waits until every entry VM is ready. */
+	async ready(): Promise<void> {
+		for (const vm of this.entryVms) {
+			await until(async () => (await request(`http://127.0.0.1:${vm.ports.operators}/ready`)).statusCode === 200, 'readiness');
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all([...this.entryVms, ...this.targets.values(), this.log, this.platform].map(async daemon => {
+			daemon.resume();
+			await daemon.kill();
+		}));
+	}
+}
+
+/** URL of a pipeline at an entry VM. */
+export function pipelineUrl(vm: Daemon, pipeline: string): string {
+	return `http://127.0.0.1:${vm.ports.callers}/v1/pipelines/${pipeline}/requests`;
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,13 @@
 			'unicorn/catch-error-name': ['error', {name: 'err'}],
 			// Wire formats and declarations use snake_case keys.
 			camelcase: 'off',
+			// A default branch covers the rest.
+			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
+			'@stylistic/max-len': 'off',
+			// Private constructors stand behind the static `create` methods.
+			'@typescript-eslint/no-empty-function': ['error', {allow: ['private-constructors']}],
+			'@typescript-eslint/member-ordering': 'off',
+			'@typescript-eslint/no-restricted-types': 'off',
 			'@typescript-eslint/naming-convention': 'off',
 			// Protocol loops are sequential on purpose.
 			'no-await-in-loop': 'off',
@@ -46,6 +53,7 @@
 		files: ['**/*.test.ts', 'test/**/*.ts', 'bench/**/*.ts', 'scripts/**'],
 		rules: {
 			'max-params': 'off',
+			'unicorn/no-await-expression-member': 'off',
 			'no-console': 'off',
 			'n/no-extraneous-import': 'off',
 			'import-x/no-extraneous-dependencies': 'off',
