Probe targets, renew silent connections and hold back draining ones

Traces showed that calls lost together counted as many incidents, so both twins became suspect, and that waiting work was woken only by the end of another call, never by a recovered target. The stand-ins and the deadline were ruled out. Change: target lifecycle, prober (1 s), VM list watcher, fresh connections after a silence, a probe decides after a lost call, waiting work is woken by state changes; shutdown waits for the latest deadline.

--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,4 +1,4 @@
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import {MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import {ConfigFollower} from '../config/index.js';
@@ -6,8 +6,11 @@
 import {sendJson, type ListenAddress} from '../http/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
+import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
-import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
+import {
+	DeclaredTargets, httpPortFactory, TargetProber, VmWatcher, type PortFactory,
+} from '../targets/index.js';
 import {FcfsScheduler} from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
@@ -29,7 +32,8 @@
 	readonly ports?: PortFactory;
 }
 
-const defaultDrainMs: Ms = 9000;
+/** Time for the last answers to leave after the latest deadline. */
+const drainSlackMs: Ms = 1000;
 const idlePollMs: Ms = 20;
 
 /**
@@ -55,6 +59,8 @@
 	readonly runner: RequestRunner;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
+	readonly #prober: TargetProber;
+	readonly #vmWatcher: VmWatcher;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -65,7 +71,13 @@
 		this.config = ConfigFollower.create({
 			clock, log, events: this.events, logger: createLogger('config'),
 		});
-		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.targets = DeclaredTargets.create({
+			config: this.config, events: this.events, clock, ports: options.ports ?? httpPortFactory,
+		});
+		this.#prober = TargetProber.create({clock, random: Random.create(randomInt(2 ** 31)), targets: this.targets});
+		this.#vmWatcher = VmWatcher.create({
+			clock, vmList: options.vmList, targets: this.targets, logger: createLogger('targets'),
+		});
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
@@ -102,6 +114,8 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		this.config.start();
+		this.#prober.start();
+		this.#vmWatcher.start();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -136,14 +150,15 @@
 		this.events.record({kind: 'shutdown', detail: `${this.runner.inFlight} requests in progress`});
 		logger.info('Draining.', {inFlight: this.runner.inFlight});
 		this.#callers!.stopAccepting();
-		const longest = Math.max(this.config.current().declarations.longestDeadlineMs(), defaultDrainMs);
-		const end = clock.now() + longest;
+		const end = Math.max(clock.now(), this.runner.latestDeadlineMs) + drainSlackMs;
 		while (this.#callers!.inFlight > 0 && clock.now() < end) {
 			await clock.sleep(idlePollMs);
 		}
 
 		this.#lifecycle.send({type: 'IDLE'});
 		this.config.stop();
+		this.#prober.stop();
+		this.#vmWatcher.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
--- a/src/requests/request-runner.ts
+++ b/src/requests/request-runner.ts
@@ -47,6 +47,7 @@
 	}
 
 	#inFlight = 0;
+	#latestDeadlineMs: Ms = 0;
 
 	private constructor(private readonly parts: RequestRunnerParts, private readonly stages: StageRunner) {}
 
@@ -55,6 +56,11 @@
 		return this.#inFlight;
 	}
 
+	/** Latest deadline of any request so far, on the clock's monotonic time. */
+	get latestDeadlineMs(): Ms {
+		return this.#latestDeadlineMs;
+	}
+
 	/** Runs one request; never throws. `body` is the unchecked JSON. */
 	async run(pipelineName: string, body: unknown, options: RequestOptions = {}): Promise<RequestResult> {
 		const requestId = options.requestId ?? randomUUID();
@@ -97,6 +103,7 @@
 		const {clock} = this.parts;
 		const isKeyed = body.idempotency !== undefined && hasNonIdempotentStage(body, pipeline);
 		const budgetMs = body.deadline_ms ?? pipeline.deadline_ms;
+		this.#latestDeadlineMs = Math.max(this.#latestDeadlineMs, clock.now() + budgetMs);
 		const ended = new AbortController();
 		const deadline = new AbortController();
 		const end = () => {
--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -22,6 +22,9 @@
 /** Bounds of the silence after which a stream is taken for half open. */
 const minStallMs: Ms = 1000;
 const stallGapFactor = 20;
+/** Bounds of the silence after which an idempotent call to a service is taken for lost. */
+const minServiceSilenceMs: Ms = 1000;
+const serviceSilenceFactor = 20;
 /** Time for a stream to end after its last chunk, before its connection is dropped. */
 const streamEndMs: Ms = 1000;
 
@@ -127,8 +130,10 @@
 			...(nonIdempotent && context.body.idempotency ? {idempotencyKey: context.body.idempotency.key} : {}),
 			remainingMs: context.deadlineMs - this.clock.now(),
 		};
-		return this.#attempt(context, work, grant, async ({signal}) => {
-			const reply = await service.call(call, signal);
+		const silenceMs = nonIdempotent ? undefined : this.#silenceBound(context, Math.max(minServiceSilenceMs, grant.target.pool.service_ms * serviceSilenceFactor));
+		return this.#attempt(context, work, grant, async controller => {
+			const cancelSilence = silenceMs === undefined ? () => undefined : this.#watchSilence(controller, grant, silenceMs);
+			const reply = await service.call(call, controller.signal).finally(cancelSilence);
 			if (reply.requestId !== call.requestId || reply.stage !== call.stage || reply.attempt !== call.attempt) {
 				throw TargetError.create('mismatch', `Cannot accept a reply: it answers ${reply.requestId}/${reply.stage}/${reply.attempt}`);
 			}
@@ -162,34 +167,44 @@
 		}
 
 		const stallMs = Math.max(minStallMs, grant.target.pool.decode_ms_per_token * stallGapFactor);
+		const firstChunkMs = this.#silenceBound(context, Number.POSITIVE_INFINITY);
 		return this.#attempt(context, work, grant, async (controller, state) => {
-			let cancelStall: CancelTimer = () => undefined;
-			const watchStall = () => {
-				cancelStall();
-				cancelStall = this.clock.after(stallMs, () => {
-					controller.abort(TargetError.create('lost', `Cannot read the stream of ${grant.target.name}: silent for ${stallMs} ms`));
-				});
-			};
-
+			// The first chunk may wait for a free slot of the engine, so its bound is the longer one.
+			let cancelSilence = this.#watchSilence(controller, grant, firstChunkMs);
 			const stream = engine.generate(call, controller.signal)[Symbol.asyncIterator]();
 			try {
 				for (let batch = await stream.next(); !batch.done; batch = await stream.next()) {
 					state.firstMs ??= this.clock.now() - state.sentAt;
 					this.#take(call, batch.value, options.isLast ? context.sink : undefined, assembler);
-					watchStall();
+					cancelSilence();
+					cancelSilence = this.#watchSilence(controller, grant, stallMs);
 					if (assembler.done) {
 						this.#finishStream(stream, controller);
 						return assembler.text;
 					}
 				}
 			} finally {
-				cancelStall();
+				cancelSilence();
 			}
 
 			throw TargetError.create('lost', `Cannot read the stream of ${grant.target.name}: it ended before its last chunk`);
 		});
 	}
 
+	/** Bound of a silence: at most half of what is left, so that another target can still answer in time. */
+	#silenceBound(context: RequestContext, usualMs: Ms): Ms {
+		return Math.max(minStallMs, Math.min(usualMs, (context.deadlineMs - this.clock.now()) / 2));
+	}
+
+	/** Gives an attempt up after a silence; its connection may be half open, so the target's connections are renewed. */
+	#watchSilence(controller: AbortController, grant: Grant, silenceMs: Ms): CancelTimer {
+		const {target} = grant;
+		return this.clock.after(silenceMs, () => {
+			(target.engine ?? target.service)?.renew();
+			controller.abort(TargetError.create('lost', `Cannot wait for ${target.name}: silent for ${Math.round(silenceMs)} ms`));
+		});
+	}
+
 	#take(call: GenerateCall, chunks: readonly Chunk[], sink: ChunkSink | undefined, assembler: StreamAssembler): void {
 		const firstIndex = assembler.nextIndex;
 		const fresh = chunks.filter(chunk => assembler.accept(call, chunk));
@@ -215,14 +230,14 @@
 
 		this.#record('attempt_sent', work, grant.target.name);
 		// A non-idempotent attempt that was sent is waited for even when its caller leaves, so that its outcome is known.
-		const sources = isNonIdempotent(context, work.stage) ? [context.deadlineSignal] : [context.signal, grant.revoked];
+		const sources = isNonIdempotent(context, work.stage) ? [context.deadlineSignal] : [context.signal, grant.revoked, grant.target.suspected];
 		const attempt = linkedController(sources);
 		try {
 			const output = await send(attempt.controller, state);
 			this.#settle(state, 'ok', output.length);
 			return output;
 		} catch (err) {
-			const cancelled = sources.some(source => source.aborted);
+			const cancelled = context.signal.aborted || grant.revoked.aborted;
 			const failure = err instanceof TargetError ? err.failure : 'lost';
 			this.#settle(state, cancelled ? 'cancelled' : (failure === 'lost' ? 'lost' : 'failed'), 0, errorMessage(err));
 			if (cancelled && grant.target.engine) {
--- a/src/targets/declared-targets.ts
+++ b/src/targets/declared-targets.ts
@@ -1,6 +1,8 @@
+import type {Clock} from '../clock/index.js';
 import type {ConfigView, Pool, TargetDeclaration} from '../config/index.js';
 import type {EventRecorder} from '../events/index.js';
-import type {EnginePort, TargetHealth, TargetLoad} from './engine-port.js';
+import {DeclaredTarget} from './declared-target.js';
+import type {EnginePort, TargetHealth} from './engine-port.js';
 import {HttpEngine} from './http-engine.js';
 import {HttpService} from './http-service.js';
 import type {ServicePort} from './service-port.js';
@@ -18,40 +20,19 @@
 	service: (declaration, onHealth) => HttpService.create(declaration.address, {connections: declaration.slots + 2, onHealth}),
 };
 
-/** One declared target with its present state. @internal */
-class DeclaredTarget implements Target {
-	engine: EnginePort | undefined;
-	service: ServicePort | undefined;
-	state: TargetState = 'unknown';
-	startId: string | undefined;
-	inFlight = 0;
-	load: TargetLoad | undefined;
-
-	constructor(readonly declaration: TargetDeclaration, readonly pool: Pool, readonly region: string) {}
-
-	get name(): string {
-		return this.declaration.name;
-	}
-
-	get zone(): string {
-		return this.declaration.zone;
-	}
-
-	get dispatchable(): boolean {
-		return this.state === 'unknown' || this.state === 'healthy';
-	}
-}
+/** Told that a target drains, with the start id that drains. */
+export type DrainingListener = (target: string, startId: string) => void;
 
 /**
  * Registry of the targets that the configuration declares.
  *
  * @example
- * const targets = DeclaredTargets.create({config, events, ports: httpPortFactory});
+ * const targets = DeclaredTargets.create({config, events, clock, ports: httpPortFactory});
  * targets.pool('engraving');
  */
 export class DeclaredTargets implements TargetRegistry {
-	static create(options: {config: ConfigView; events: EventRecorder; ports: PortFactory}): DeclaredTargets {
-		const targets = new DeclaredTargets(options.config, options.events, options.ports);
+	static create(options: {config: ConfigView; events: EventRecorder; clock: Clock; ports: PortFactory}): DeclaredTargets {
+		const targets = new DeclaredTargets(options);
 		targets.#rebuild();
 		options.config.onChange(() => {
 			targets.#rebuild();
@@ -61,31 +42,40 @@
 
 	#byName = new Map<string, DeclaredTarget>();
 	#byPool = new Map<string, DeclaredTarget[]>();
+	readonly #changeListeners = new Set<(pool: string) => void>();
+	readonly #drainingListeners = new Set<DrainingListener>();
 
-	private constructor(private readonly config: ConfigView, private readonly events: EventRecorder, private readonly ports: PortFactory) {}
+	private constructor(private readonly options: {config: ConfigView; events: EventRecorder; clock: Clock; ports: PortFactory}) {}
 
 	pool(name: string): readonly Target[] {
 		return this.#byPool.get(name) ?? [];
 	}
 
-	get(name: string): Target | undefined {
+	get(name: string): DeclaredTarget | undefined {
 		return this.#byName.get(name);
 	}
 
 	/** Every target, for probes and status. */
-	all(): readonly Target[] {
+	all(): readonly DeclaredTarget[] {
 		return [...this.#byName.values()];
 	}
 
+	/** Calls `listener` once for each start that is first known to drain. */
+	onDraining(listener: DrainingListener): void {
+		this.#drainingListeners.add(listener);
+	}
+
+	onChange(listener: (pool: string) => void): void {
+		this.#changeListeners.add(listener);
+	}
+
 	markDraining(name: string, startId: string, source: string): void {
 		const target = this.#byName.get(name);
-		if (!target || target.state === 'draining' || (target.startId !== undefined && target.startId !== startId)) {
-			return;
+		if (target) {
+			this.#watchDraining(target, () => {
+				target.drain(startId, source);
+			});
 		}
-
-		target.startId = startId;
-		target.state = 'draining';
-		this.events.record({kind: 'target_draining', target: name, detail: `${startId} by ${source}`});
 	}
 
 	callStarted(name: string): void {
@@ -95,15 +85,12 @@
 		}
 	}
 
-	callEnded(name: string): void {
-		const target = this.#byName.get(name);
-		if (target) {
-			target.inFlight--;
-		}
+	callEnded(name: string, result: 'ok' | 'failed' | 'lost' | 'cancelled'): void {
+		this.#byName.get(name)?.callEnded(result);
 	}
 
 	#rebuild(): void {
-		const {declarations} = this.config.current();
+		const {declarations} = this.options.config.current();
 		const byName = new Map<string, DeclaredTarget>();
 		const byPool = new Map<string, DeclaredTarget[]>();
 		for (const declaration of declarations.targets()) {
@@ -118,8 +105,23 @@
 			byPool.set(pool.name, [...byPool.get(pool.name) ?? [], target]);
 		}
 
+		for (const [name, old] of this.#byName) {
+			if (byName.get(name) !== old) {
+				old.send('REMOVED', 'not declared any more');
+			}
+		}
+
 		this.#byName = byName;
 		this.#byPool = byPool;
+		for (const pool of byPool.keys()) {
+			this.#notify(pool);
+		}
+	}
+
+	#notify(pool: string): void {
+		for (const listener of this.#changeListeners) {
+			listener(pool);
+		}
 	}
 
 	#keep(declaration: TargetDeclaration, pool: Pool, region: string): DeclaredTarget {
@@ -128,33 +130,37 @@
 			return old;
 		}
 
-		const target = new DeclaredTarget(declaration, pool, region);
+		const target = new DeclaredTarget(declaration, pool, region, {
+			...this.options,
+			onState: () => {
+				this.#notify(pool.name);
+			},
+		});
 		const onHealth = (health: TargetHealth | undefined) => {
-			this.#applyHealth(target, health);
+			if (health) {
+				this.#watchDraining(target, () => {
+					target.contact(health);
+				});
+			}
 		};
 
 		if (pool.type === 'engine') {
-			target.engine = this.ports.engine(declaration, onHealth);
+			target.engine = this.options.ports.engine(declaration, onHealth);
 		} else {
-			target.service = this.ports.service(declaration, onHealth);
+			target.service = this.options.ports.service(declaration, onHealth);
 		}
 
 		return target;
 	}
 
-	#applyHealth(target: DeclaredTarget, health: TargetHealth | undefined): void {
-		if (!health) {
-			return;
-		}
-
-		if (target.startId !== health.startId) {
-			// Another start at the same address is a new target: what was known of the old one is void.
-			target.startId = health.startId;
-			target.state = 'healthy';
-		}
-
-		if (health.draining) {
-			this.markDraining(target.name, health.startId, 'health');
+	#watchDraining(target: DeclaredTarget, change: () => void): void {
+		const before = target.state;
+		change();
+		const after: TargetState = target.state;
+		if (before !== after && after === 'draining' && target.startId !== undefined) {
+			for (const listener of this.#drainingListeners) {
+				listener(target.name, target.startId);
+			}
 		}
 	}
 }
--- a/src/targets/engine-port.ts
+++ b/src/targets/engine-port.ts
@@ -79,6 +79,8 @@
 	/** Streams chunks batch by batch; each batch holds the chunks that arrived together. */
 	generate(call: GenerateCall, signal: AbortSignal): AsyncIterable<readonly Chunk[]>;
 	cancel(call: Pick<GenerateCall, 'requestId' | 'stage' | 'attempt'>): Promise<void>;
+	/** Uses fresh connections from now on; calls in progress keep theirs. */
+	renew(): void;
 	load(): Promise<TargetLoad>;
 	health(): Promise<TargetHealth>;
 	cacheEvents(after: number): Promise<{startId: string; events: readonly CacheEvent[]}>;
--- a/src/targets/http-common.ts
+++ b/src/targets/http-common.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import {Pool} from 'undici';
 import {z} from 'zod';
 import type {Ms} from '../clock/index.js';
 import type {TargetHealth} from './engine-port.js';
@@ -29,6 +30,17 @@
 	return typeof startId === 'string' ? {startId, draining: headers[drainingHeader] === 'true'} : undefined;
 }
 
+/** Idle connections are dropped before a target's usual keep-alive of 5 s ends them. */
+const keepAliveMs: Ms = 4000;
+const connectTimeoutMs: Ms = 1000;
+
+/** Pool of connections to a target; time limits are the caller's. @internal */
+export function createPool(origin: string, connections: number): Pool {
+	return new Pool(origin, {
+		connections, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: keepAliveMs, connect: {timeout: connectTimeoutMs},
+	});
+}
+
 const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /** Tells a call that never left this process from one that may have run. @internal */
--- a/src/targets/http-engine.ts
+++ b/src/targets/http-engine.ts
@@ -1,10 +1,10 @@
-import {Pool, type Dispatcher} from 'undici';
+import type {Dispatcher, Pool} from 'undici';
 import {errorMessage, GuavamillError} from '../errors/index.js';
 import type {
 	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, TargetHealth, TargetLoad,
 } from './engine-port.js';
 import {
-	callFailure, controlTimeoutMs, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
+	callFailure, controlTimeoutMs, createPool, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
 } from './http-common.js';
 import {TargetError} from './target-error.js';
 
@@ -17,13 +17,14 @@
 export class HttpEngine implements EnginePort {
 	/** Creates a client; `onHealth` is told the start id and draining flag of every reply. */
 	static create(origin: string, options: {connections: number; onHealth?: HealthListener}): HttpEngine {
-		const pool = new Pool(origin, {
-			connections: options.connections, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 4000,
-		});
-		return new HttpEngine(origin, pool, options.onHealth ?? (() => undefined));
+		return new HttpEngine(origin, options.connections, options.onHealth ?? (() => undefined));
 	}
 
-	private constructor(private readonly origin: string, private readonly pool: Pool, private readonly onHealth: HealthListener) {}
+	#pool: Pool;
+
+	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {
+		this.#pool = createPool(origin, connections);
+	}
 
 	async * generate(call: GenerateCall, signal: AbortSignal): AsyncIterable<readonly Chunk[]> {
 		const res = await this.#send(call, signal);
@@ -63,14 +64,20 @@
 		return await this.#get('/v1/state') as EngineState;
 	}
 
+	renew(): void {
+		const old = this.#pool;
+		this.#pool = createPool(this.origin, this.connections);
+		void old.close();
+	}
+
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.pool.destroy();
+		await this.#pool.destroy();
 	}
 
 	async #send(call: GenerateCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
 		try {
-			return await this.pool.request({
+			return await this.#pool.request({
 				method: 'POST',
 				path: '/v1/generate',
 				headers: {'content-type': 'application/json'},
@@ -105,7 +112,7 @@
 
 	async #control(options: Dispatcher.RequestOptions): Promise<unknown> {
 		try {
-			const res = await this.pool.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
+			const res = await this.#pool.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
 			return await res.body.json();
 		} catch (err) {
 			throw new GuavamillError(`Cannot reach the engine at ${this.origin}: ${errorMessage(err)}`, {cause: err});
--- a/src/targets/http-service.ts
+++ b/src/targets/http-service.ts
@@ -1,9 +1,9 @@
-import {Client, Pool, type Dispatcher} from 'undici';
+import {Client, type Dispatcher, type Pool} from 'undici';
 import {z} from 'zod';
 import {errorMessage, GuavamillError} from '../errors/index.js';
 import type {TargetHealth, TargetLoad} from './engine-port.js';
 import {
-	callFailure, controlTimeoutMs, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
+	callFailure, controlTimeoutMs, createPool, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
 } from './http-common.js';
 import type {ServiceCall, ServicePort, ServiceReply} from './service-port.js';
 import {TargetError} from './target-error.js';
@@ -22,17 +22,18 @@
 export class HttpService implements ServicePort {
 	/** Creates a client; `onHealth` is told the start id and draining flag of every reply. */
 	static create(origin: string, options: {connections: number; onHealth?: HealthListener}): HttpService {
-		const pool = new Pool(origin, {
-			connections: options.connections, headersTimeout: 0, bodyTimeout: 0, keepAliveTimeout: 4000,
-		});
-		return new HttpService(origin, pool, options.onHealth ?? (() => undefined));
+		return new HttpService(origin, options.connections, options.onHealth ?? (() => undefined));
 	}
 
-	private constructor(private readonly origin: string, private readonly pool: Pool, private readonly onHealth: HealthListener) {}
+	#pool: Pool;
+
+	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {
+		this.#pool = createPool(origin, connections);
+	}
 
 	async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
 		if (call.idempotent) {
-			return this.#callOn(this.pool, call, signal);
+			return this.#callOn(this.#pool, call, signal);
 		}
 
 		const client = new Client(this.origin, {headersTimeout: 0, bodyTimeout: 0});
@@ -58,9 +59,15 @@
 		return health;
 	}
 
+	renew(): void {
+		const old = this.#pool;
+		this.#pool = createPool(this.origin, this.connections);
+		void old.close();
+	}
+
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.pool.destroy();
+		await this.#pool.destroy();
 	}
 
 	async #callOn(dispatcher: Dispatcher, call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
@@ -105,7 +112,7 @@
 
 	async #get(path: string): Promise<unknown> {
 		try {
-			const res = await this.pool.request({method: 'GET', path, signal: AbortSignal.timeout(controlTimeoutMs)});
+			const res = await this.#pool.request({method: 'GET', path, signal: AbortSignal.timeout(controlTimeoutMs)});
 			return await res.body.json();
 		} catch (err) {
 			throw new GuavamillError(`Cannot reach the service at ${this.origin}: ${errorMessage(err)}`, {cause: err});
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -1,4 +1,6 @@
-export {DeclaredTargets, httpPortFactory, type PortFactory} from './declared-targets.js';
+export {
+	DeclaredTargets, httpPortFactory, type DrainingListener, type PortFactory,
+} from './declared-targets.js';
 export type {
 	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, PromptSegment, ShareClass, TargetHealth, TargetLoad,
 } from './engine-port.js';
@@ -9,4 +11,6 @@
 export type {
 	Target, TargetRegistry, TargetState, TargetView,
 } from './target.js';
+export {TargetProber, type CacheEventListener, type TargetProberOptions} from './target-prober.js';
+export {VmWatcher} from './vm-watcher.js';
 export {TargetError, type TargetFailure} from './target-error.js';
--- a/src/targets/service-port.ts
+++ b/src/targets/service-port.ts
@@ -29,6 +29,8 @@
 	call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply>;
 	/** Answer stored for a key, where the service offers look-ups; `undefined` when the key never ran. */
 	lookup(key: string): Promise<ServiceReply | undefined>;
+	/** Uses fresh connections from now on; calls in progress keep theirs. */
+	renew(): void;
 	load(): Promise<TargetLoad>;
 	health(): Promise<TargetHealth>;
 }
--- a/src/targets/target.ts
+++ b/src/targets/target.ts
@@ -27,12 +27,16 @@
 export interface Target extends TargetView {
 	readonly engine: EnginePort | undefined;
 	readonly service: ServicePort | undefined;
+	/** Aborts when the target becomes suspect or gone; calls that may be repeated are then given up. */
+	readonly suspected: AbortSignal;
 }
 
 /** Targets known to this entry VM. */
 export interface TargetRegistry {
 	pool(name: string): readonly Target[];
 	get(name: string): Target | undefined;
+	/** Calls `listener` with the pool's name when a target of it appears, leaves or changes its state. */
+	onChange(listener: (pool: string) => void): void;
 	/** Marks a target as draining for its present start id; `source` names who said so. */
 	markDraining(name: string, startId: string, source: string): void;
 	/** Records that a call was sent or ended, for in-flight counts and health. */
--- /dev/null
+++ b/src/teams/fcfs-scheduler.test.ts
@@ -0,0 +1,28 @@
+import {expect, test} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import {sampleDeclarations} from '../cli/sample.js';
+import {StaticConfigView} from '../config/index.js';
+import {EventRing} from '../events/index.js';
+import {DeclaredTargets, httpPortFactory} from '../targets/index.js';
+import {FcfsScheduler} from './fcfs-scheduler.js';
+
+// Guards against work that waits until its deadline although a suspect target recovered.
+test('waiting work is granted when a target recovers', async () => {
+	const clock = ManualClock.create();
+	const config = StaticConfigView.create(sampleDeclarations({
+		encoder: 'http://127.0.0.1:1', retriever: 'http://127.0.0.1:2', reranker: 'http://127.0.0.1:3', engine: 'http://127.0.0.1:4',
+	}));
+	const targets = DeclaredTargets.create({
+		config, clock, events: EventRing.create({process: 'vm', clock}), ports: httpPortFactory,
+	});
+	const scheduler = FcfsScheduler.create({clock, targets});
+	const target = targets.get('encoders-1')!;
+	target.suspect('test');
+	const pipeline = config.current().declarations.pipeline('advice')!;
+	const grant = scheduler.acquire({
+		requestId: 'r', team: 'apprentices', pipeline, stage: pipeline.stages[0]!, attempt: 1, prompt: [], maxTokens: 1, deadlineMs: 60_000, previousTarget: undefined,
+	}, new AbortController().signal);
+	await clock.advance(1500);
+	target.contact({startId: 's1', draining: false});
+	expect((await grant).target.name).toBe('encoders-1');
+});
--- a/src/teams/fcfs-scheduler.ts
+++ b/src/teams/fcfs-scheduler.ts
@@ -17,7 +17,12 @@
  */
 export class FcfsScheduler implements Scheduler {
 	static create(options: {clock: Clock; targets: TargetRegistry}): FcfsScheduler {
-		return new FcfsScheduler(options.clock, options.targets);
+		const scheduler = new FcfsScheduler(options.clock, options.targets);
+		// Without this, work that waits while every target is suspect would wait until its deadline.
+		options.targets.onChange(pool => {
+			scheduler.#wake(pool);
+		});
+		return scheduler;
 	}
 
 	readonly #waiting = new Map<string, Waiter[]>();
--- /dev/null
+++ b/test/callers.test.ts
@@ -0,0 +1,82 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {
+	afterAll, beforeAll, expect, test,
+} from 'vitest';
+import {
+	type Fleet,
+	get, pipelineUrl, post, until,
+} from './support/fleet.js';
+import {sampleAnswer, startSampleFleet} from './support/sample-fleet.js';
+
+let fleet: Fleet;
+
+beforeAll(async () => {
+	fleet = await startSampleFleet({engineFlags: ['--decode-ms-per-token', '2', '--slots', '32']});
+});
+
+afterAll(async () => {
+	await fleet.close();
+});
+
+async function open(): Promise<Socket> {
+	const socket = connect(fleet.entryVms[0]!.ports.callers, '127.0.0.1');
+	socket.on('error', () => undefined);
+	await once(socket, 'connect');
+	return socket;
+}
+
+async function reply(socket: Socket): Promise<string> {
+	let text = '';
+	socket.setEncoding('utf8').on('data', part => {
+		text += String(part);
+	});
+	await once(socket, 'close');
+	return text;
+}
+
+async function expectServing(): Promise<void> {
+	const result = await post(pipelineUrl(fleet.entryVms[0]!, 'advice'), {team: 'apprentices', input: {text: 'well'}, max_tokens: 8});
+	expect(result.body.answer).toBe(sampleAnswer('well', 8));
+}
+
+const path = '/v1/pipelines/advice/requests';
+
+// Guards against input that crashes the process, hangs it or costs other requests their answers.
+test.each([
+	['broken JSON', `POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\nconnection: close\r\n\r\n{"a":`, '400'],
+	['a body that is no object', `POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\nconnection: close\r\n\r\nnull`, '400'],
+	['a flood of header bytes', `POST ${path} HTTP/1.1\r\nhost: x\r\n${`x-a: ${'y'.repeat(1000)}\r\n`.repeat(40)}\r\n`, '431'],
+	['no HTTP', 'hello there\r\n\r\n', '400'],
+	['an announced body that is too large', `POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n`, '413'],
+	['an unknown path', 'GET /nothing HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n', '404'],
+])('%s gets a clear error', async (_name, text, status) => {
+	const socket = await open();
+	socket.write(text);
+	expect(await reply(socket)).toContain(`HTTP/1.1 ${status}`);
+	await expectServing();
+});
+
+// Guards against work for callers that are gone, and against memory for callers that do not read.
+test('callers that leave or never read cost others nothing', async () => {
+	const body = (stream: boolean) => JSON.stringify({
+		team: 'apprentices', input: {text: 'x'.repeat(100)}, max_tokens: 2000, stream,
+	});
+	const sockets = await Promise.all(Array.from({length: 10}, async () => open()));
+	for (const [index, socket] of sockets.entries()) {
+		const text = body(index % 2 === 0);
+		socket.pause();
+		socket.write(`POST ${path} HTTP/1.1\r\nhost: x\r\ncontent-length: ${text.length}\r\n\r\n${text}`);
+	}
+
+	await expectServing();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	await until(async () => {
+		const loads = await Promise.all(['engines-1', 'engines-2'].map(async name => get(`${fleet.targets.get(name)!.origin}/v1/load`)));
+		return loads.every(load => load.inFlight === 0 && load.queued === 0);
+	}, 'engines are idle after their callers left');
+	await expectServing();
+});
--- /dev/null
+++ b/test/support/sample-fleet.ts
@@ -0,0 +1,44 @@
+import type {Declaration} from '../../src/config/index.js';
+import {sampleDeclarations} from '../../src/cli/sample.js';
+import {expectedAnswer} from '../../src/stand-ins/index.js';
+import type {Daemon} from './daemon.js';
+import {Fleet} from './fleet.js';
+
+/** Stages of the sample pipeline, for the expected answer. */
+export function sampleAnswer(text: string, maxTokens: number): string {
+	return expectedAnswer([{kind: 'encode'}, {kind: 'retrieve'}, {kind: 'rerank'}, {kind: 'generate', maxTokens}], [text]);
+}
+
+/** Options of a sample fleet. */
+export interface SampleFleetOptions {
+	readonly entryVms?: number;
+	/** Flags of each engine. */
+	readonly engineFlags?: readonly string[];
+}
+
+/** Fleet with the sample pipeline, two engines and two rerankers, so that each can be replaced by its twin. */
+export async function startSampleFleet(options: SampleFleetOptions = {}): Promise<Fleet> {
+	const fleet = await Fleet.start();
+	const engineFlags = options.engineFlags ?? ['--decode-ms-per-token', '5'];
+	const [encoder, retriever, reranker, reranker2, engine, engine2] = await Promise.all([
+		fleet.target('encoders-1', 'service'),
+		fleet.target('retrievers-1', 'service'),
+		fleet.target('rerankers-1', 'service'),
+		fleet.target('rerankers-2', 'service'),
+		fleet.target('engines-1', 'engine', engineFlags),
+		fleet.target('engines-2', 'engine', engineFlags),
+	]);
+	const extra = (name: string, pool: string, daemon: Daemon): Declaration => ({
+		kind: 'target', name, zone: 'sample-a', pool, address: daemon.origin, slots: 8, checks_fencing: false,
+	});
+	await Promise.all(Array.from({length: options.entryVms ?? 1}, async (_, index) => fleet.entryVm(`vm-${index + 1}`, 'sample-a')));
+	await fleet.publish([
+		...sampleDeclarations({
+			encoder: encoder.origin, retriever: retriever.origin, reranker: reranker.origin, engine: engine.origin,
+		}),
+		extra('rerankers-2', 'rerankers', reranker2),
+		extra('engines-2', 'engines', engine2),
+	]);
+	await fleet.ready();
+	return fleet;
+}
