--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -51,7 +51,7 @@
 }
 
 function parse(command: Command, argv: readonly string[]): Pick<CommandInput, 'flags' | 'args'> {
-	const cli = meow({
+	const cli = readFlags(() => meow({
 		importMeta: import.meta,
 		argv,
 		autoHelp: false,
@@ -61,7 +61,7 @@
 			{type: setting.isSwitch ? 'boolean' as const : 'string' as const},
 		])),
 		booleanDefault: undefined,
-	});
+	}));
 	const flags = new Map<string, string>();
 	for (const [name, value] of Object.entries(cli.flags)) {
 		if (value !== undefined) {
@@ -72,6 +72,15 @@
 	return {flags, args: cli.input};
 }
 
+/** meow throws for a flag that is given twice; that is wrong usage. */
+function readFlags<T>(read: () => T): T {
+	try {
+		return read();
+	} catch (err) {
+		throw FindingsError.create('read the flags', [{place: 'flags', message: errorMessage(err)}]);
+	}
+}
+
 function programHelp(): string {
 	const rows = commands.map(command => `  ${command.name.padEnd(10)} ${command.summary}`);
 	return ['Usage: guavamill <command> [flags]', '', ...rows, '', 'guavamill <command> --help lists its flags.'].join('\n');
--- a/src/cli/sample-command.ts
+++ b/src/cli/sample-command.ts
@@ -63,6 +63,7 @@
 			operators: anyPort,
 			maxBodyBytes: 1_048_576,
 			eventCapacity: 20_000,
+			weightGbPerSecond: 2,
 			clock,
 			log: HttpPlatformLog.create(log.origin),
 			vmList: HttpVmList.create(platform.origin),
--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -26,6 +26,9 @@
 	eventCapacity: {
 		flag: 'event-capacity', help: 'Events kept for the time line.', fallback: '20000', schema: numberSchema(100, 1_000_000),
 	},
+	weightGbPerSecond: {
+		flag: 'weight-gb-per-second', help: 'Rate of the weight store that orders may use, in GB a second.', fallback: '2', schema: numberSchema(0.001, 1000),
+	},
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -5,6 +5,7 @@
 import {EventRing} from '../events/index.js';
 import {sendJson, type ListenAddress} from '../http/index.js';
 import type {LoggerFactory} from '../logs/index.js';
+import {LeaseService, OrderGiver, WeightBudget} from '../orders/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
@@ -25,6 +26,8 @@
 	readonly operators: ListenAddress;
 	readonly maxBodyBytes: number;
 	readonly eventCapacity: number;
+	/** Rate of the weight store that orders may use, in GB a second. */
+	readonly weightGbPerSecond: number;
 	readonly clock: Clock;
 	readonly log: PlatformLog;
 	readonly vmList: VmList;
@@ -35,6 +38,9 @@
 /** Time for the last answers to leave after the latest deadline. */
 const drainSlackMs: Ms = 1000;
 const idlePollMs: Ms = 20;
+/** Longest time of an order: its call ends after this (see `controlTimeoutMs` of the targets). */
+const longestOrderMs: Ms = 2000;
+const weightBurstSeconds = 30;
 
 /**
  * An entry VM: everything between callers and targets, in one process.
@@ -61,6 +67,8 @@
 	readonly #metrics: Metrics;
 	readonly #prober: TargetProber;
 	readonly #vmWatcher: VmWatcher;
+	readonly #lease: LeaseService;
+	readonly #orders: OrderGiver;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -78,6 +86,19 @@
 		this.#vmWatcher = VmWatcher.create({
 			clock, vmList: options.vmList, targets: this.targets, logger: createLogger('targets'),
 		});
+		this.#lease = LeaseService.create({
+			clock, log, events: this.events, logger: createLogger('orders'), random: Random.create(randomInt(2 ** 31)), holder: this.incarnation, scope: 'orders', settleMs: longestOrderMs,
+		});
+		this.#orders = OrderGiver.create({
+			clock,
+			config: this.config,
+			targets: this.targets,
+			lease: this.#lease,
+			budget: WeightBudget.create({clock, gbPerSecond: options.weightGbPerSecond, burstGb: options.weightGbPerSecond * weightBurstSeconds}),
+			events: this.events,
+			logger: createLogger('orders'),
+			longestOrderMs,
+		});
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
@@ -116,6 +137,8 @@
 		this.config.start();
 		this.#prober.start();
 		this.#vmWatcher.start();
+		this.#lease.start();
+		this.#orders.start();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -159,6 +182,8 @@
 		this.config.stop();
 		this.#prober.stop();
 		this.#vmWatcher.stop();
+		this.#orders.stop();
+		this.#lease.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
--- /dev/null
+++ b/src/orders/index.ts
@@ -0,0 +1,7 @@
+export {
+	foldLeases, leaseRecordSchema, type Lease, type LeaseRecord, type LeaseTable,
+} from './lease-fold.js';
+export {nextLeaseState, type LeaseEvent, type LeaseState} from './lease-lifecycle.js';
+export {LeaseService, type LeaseServiceOptions} from './lease-service.js';
+export {OrderGiver, type OrderGiverOptions} from './order-giver.js';
+export {WeightBudget} from './weight-budget.js';
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -50,7 +50,7 @@
 
 	/** Starts an entry VM. */
 	async entryVm(name: string, zone: string, flags: readonly string[] = []): Promise<Daemon> {
-		const daemon = await Daemon.start(['serve', '--name', name, '--zone', zone, '--callers', '127.0.0.1:0', '--operators', '127.0.0.1:0', '--log', this.log.origin, '--vms', this.platform.origin, '--log-level', 'warn', ...flags]);
+		const daemon = await Daemon.start(['serve', '--name', name, '--zone', zone, '--callers', '127.0.0.1:0', '--operators', '127.0.0.1:0', '--log', this.log.origin, '--vms', this.platform.origin, ...flags], {GUAVAMILL_LOG_LEVEL: 'warn'});
 		this.entryVms.push(daemon);
 		return daemon;
 	}
