Apply configuration through the operators' RPC

Cause: changes were appended to the log by hand, without checks, and a process could neither start after expiry nor during an outage.

Change: the fold rejects changes whose result is inconsistent, as every process decides alike. The service runs on the operators' port; the commands apply, plan, get, status and drain call it.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,16 +5,26 @@
 import meow from 'meow';
 import {errorMessage, FindingsError} from '../errors/index.js';
 import {variableOf} from '../settings/index.js';
+import {applyCommand} from './apply-command.js';
 import {exitCodes, type Command, type CommandInput} from './command.js';
+import {drainCommand} from './drain-command.js';
+import {getCommand} from './get-command.js';
+import {planCommand} from './plan-command.js';
 import {sampleCommand} from './sample-command.js';
 import {serveCommand} from './serve-command.js';
 import {standInCommand} from './stand-in-command.js';
+import {statusCommand} from './status-command.js';
 
 /** Every subcommand. */
 export const commands: readonly Command[] = [
 	serveCommand,
 	standInCommand,
 	sampleCommand,
+	applyCommand,
+	planCommand,
+	getCommand,
+	statusCommand,
+	drainCommand,
 ];
 
 /**
--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {z} from 'zod';
 import {SystemClock} from '../clock/index.js';
 import {EntryVm} from '../entry-vm/index.js';
@@ -26,6 +27,9 @@
 	eventCapacity: {
 		flag: 'event-capacity', help: 'Events kept for the time line.', fallback: '20000', schema: numberSchema(100, 1_000_000),
 	},
+	configSnapshotMs: {
+		flag: 'config-snapshot-ms', help: 'Time between snapshots of the configuration, in ms; at most a third of the log\'s retention.', fallback: '600000', schema: numberSchema(100, 1e12),
+	},
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
@@ -53,7 +57,8 @@
 		input.print(JSON.stringify({
 			listening: {callers: vm.callerPort, operators: vm.operatorPort}, incarnation: vm.incarnation,
 		}));
-		await input.stopped;
+		// An operator may drain the entry VM as well as a signal.
+		await Promise.race([input.stopped, once(vm.stopping, 'abort')]);
 		await vm.shutdown();
 		return exitCodes.ok;
 	},
--- a/src/config/config-follower.ts
+++ b/src/config/config-follower.ts
@@ -2,36 +2,100 @@
 import {errorMessage} from '../errors/index.js';
 import type {EventRecorder} from '../events/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {PlatformLog} from '../platform/index.js';
+import type {LogRecord, PlatformLog} from '../platform/index.js';
+import type {Random} from '../random/index.js';
+import {ConfigLifecycle, type ConfigLifecycleState} from './config-lifecycle.js';
+import type {ConfigEndpoint, ConfigPeers} from './config-peers.js';
+import {
+	decodeConfigState, encodeConfigState, isNewerConfig, isSameConfig, type ChangeVerdict, type ConfigState, type DecodedConfigState,
+} from './config-state.js';
 import type {AppliedConfig, ConfigView} from './config-view.js';
-import {emptyConfig, foldConfig, type FoldVerdict} from './fold.js';
+import {findSnapshot, isSnapshotRecord, readSnapshot} from './find-snapshot.js';
+import {emptyConfig, foldConfig, type FoldResult} from './fold.js';
+import {readStream} from './read-stream.js';
+import {SnapshotSchedule} from './snapshot-schedule.js';
+import {VerdictMap} from './verdict-map.js';
 
 const pollWaitMs: Ms = 1000;
 const retryMs: Ms = 200;
+/** A gap without a usable snapshot reads the whole stream again, so it is tried less often. */
+const gapRetryMs: Ms = 500;
+/** Peers are asked at most this often. */
+const peerRequestMs: Ms = 500;
+/** Hints within this time of each other start one read; a peer that reports a wrong offset causes no busy loop. */
+const minHintGapMs: Ms = 100;
+/** Verdicts kept in memory, and carried by snapshots and peer states. 2,600 changes a day make 4096 last a day and a half. */
+const heldVerdicts = 4096;
+const carriedVerdicts = 256;
+
+/** Parts and settings of a follower. */
+export interface ConfigFollowerParts {
+	readonly clock: Clock;
+	readonly log: PlatformLog;
+	readonly events: EventRecorder;
+	readonly logger: PartLogger;
+	readonly random: Random;
+	/** Time after which a new snapshot is appended; a third of the log's retention. */
+	readonly snapshotMs: Ms;
+	readonly peers?: ConfigPeers | undefined;
+}
 
 /**
  * Follows the stream `config` and keeps the configuration in force. Offsets and revisions only grow.
  *
  * @example
- * const follower = ConfigFollower.create({clock, log, events, logger});
+ * const follower = ConfigFollower.create({clock, log, events, logger, random, snapshotMs: 600_000});
  * follower.start();
  */
-export class ConfigFollower implements ConfigView {
-	static create(parts: {clock: Clock; log: PlatformLog; events: EventRecorder; logger: PartLogger}): ConfigFollower {
+export class ConfigFollower implements ConfigView, ConfigEndpoint {
+	static create(parts: ConfigFollowerParts): ConfigFollower {
 		return new ConfigFollower(parts);
 	}
 
 	#config: AppliedConfig = emptyConfig;
+	readonly #lifecycle = ConfigLifecycle.create();
 	readonly #listeners = new Set<(config: AppliedConfig) => void>();
-	readonly #verdicts = new Map<string, FoldVerdict>();
+	readonly #progressWaiters = new Set<() => void>();
+	readonly #verdicts = VerdictMap.create(heldVerdicts);
+	readonly #schedule: SnapshotSchedule;
 	readonly #stopped = new AbortController();
-	#reachable = false;
+	#poll = new AbortController();
+	/** Monotonic times: last answer of the log, last time the state was known to be current, last request and hint. */
+	#unreachableSince: Ms | undefined;
+	#currentAt: Ms | undefined;
+	#requestedAt = Number.NEGATIVE_INFINITY;
+	#hintedAt = Number.NEGATIVE_INFINITY;
+	#snapshotOffset = -1;
 
-	private constructor(private readonly parts: {clock: Clock; log: PlatformLog; events: EventRecorder; logger: PartLogger}) {}
+	private constructor(private readonly parts: ConfigFollowerParts) {
+		const now = parts.clock.now();
+		this.#unreachableSince = now;
+		this.#schedule = SnapshotSchedule.create({intervalMs: parts.snapshotMs, random: parts.random, now});
+		parts.peers?.attach(this);
+	}
 
 	/** True while the last read of the log succeeded. */
 	get reachable(): boolean {
-		return this.#reachable;
+		return this.#unreachableSince === undefined;
+	}
+
+	get state(): ConfigLifecycleState {
+		return this.#lifecycle.state;
+	}
+
+	/** Time since the log last answered, in ms; 0 while it answers. */
+	get unreachableMs(): Ms {
+		return this.#unreachableSince === undefined ? 0 : this.parts.clock.now() - this.#unreachableSince;
+	}
+
+	/** Age of the configuration knowledge in ms; `undefined` before the first. */
+	get ageMs(): Ms | undefined {
+		return this.#currentAt === undefined ? undefined : this.parts.clock.now() - this.#currentAt;
+	}
+
+	/** Number of verdicts held; bounded. */
+	get verdictCount(): number {
+		return this.#verdicts.size;
 	}
 
 	current(): AppliedConfig {
@@ -45,11 +109,29 @@
 		};
 	}
 
-	/** Verdict of a change that this process has folded. */
-	verdict(changeId: string): FoldVerdict | undefined {
+	/** Verdict of a change that this process has folded or learned. */
+	verdict(changeId: string): ChangeVerdict | undefined {
 		return this.#verdicts.get(changeId);
 	}
 
+	/** Resolves when the follower has read or learned something, or when the signal aborts. */
+	async progress(signal: AbortSignal): Promise<void> {
+		if (signal.aborted) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const wake = () => {
+				this.#progressWaiters.delete(wake);
+				signal.removeEventListener('abort', wake);
+				resolve();
+			};
+
+			this.#progressWaiters.add(wake);
+			signal.addEventListener('abort', wake);
+		});
+	}
+
 	start(): void {
 		void this.#follow();
 	}
@@ -58,44 +140,206 @@
 		this.#stopped.abort();
 	}
 
+	/** Reads at once instead of waiting for the present read or pause to end. */
+	pollNow(): void {
+		this.#poll.abort();
+	}
+
+	stateAfter(offset: number): ConfigState | undefined {
+		return this.#config.offset > offset
+			? encodeConfigState(this.#config, this.#verdicts.latest(carriedVerdicts), this.ageMs ?? 0)
+			: undefined;
+	}
+
+	receive(state: unknown, peer: string): void {
+		const decoded = decodeConfigState(state);
+		if (!decoded) {
+			this.parts.logger.warn('Cannot use a peer\'s configuration: it is malformed or inconsistent.', {peer});
+			return;
+		}
+
+		if (isNewerConfig(decoded.config, this.#config)) {
+			this.#adopt(decoded, `peer ${peer}`);
+			this.#currentAt = Math.max(this.#currentAt ?? Number.NEGATIVE_INFINITY, this.parts.clock.now() - decoded.ageMs);
+			this.#wake();
+		}
+	}
+
+	hintOffset(offset: number, _peer: string): void {
+		const now = this.parts.clock.now();
+		if (offset <= this.#config.offset || now - this.#hintedAt < minHintGapMs) {
+			return;
+		}
+
+		this.#hintedAt = now;
+		if (this.state !== 'following') {
+			this.#requestFromPeers();
+		}
+
+		this.pollNow();
+	}
+
 	async #follow(): Promise<void> {
 		while (!this.#stopped.signal.aborted) {
+			this.#poll = new AbortController();
+			const signal = AbortSignal.any([this.#stopped.signal, this.#poll.signal]);
 			try {
-				await this.#readPage();
-				this.#reachable = true;
+				await this.#readPage(signal);
 			} catch (err) {
-				if (this.#reachable) {
-					this.parts.logger.warn('Cannot read the log.', {error: errorMessage(err)});
+				if (!signal.aborted) {
+					this.#fail(err);
+					await this.parts.clock.sleep(retryMs, signal);
 				}
-
-				this.#reachable = false;
-				await this.parts.clock.sleep(retryMs, this.#stopped.signal);
 			}
+
+			this.#wake();
 		}
 	}
 
-	async #readPage(): Promise<void> {
-		const page = await this.parts.log.read('config', this.#config.offset + 1, {waitMs: pollWaitMs, signal: this.#stopped.signal});
+	async #readPage(signal: AbortSignal): Promise<void> {
+		const {clock, log} = this.parts;
+		const startedAt = clock.now();
+		const page = await log.read('config', this.#config.offset + 1, {waitMs: pollWaitMs, signal});
+		this.#unreachableSince = undefined;
+		if (page.earliest > this.#config.offset + 1) {
+			await this.#recover(signal);
+			return;
+		}
+
 		for (const record of page.records) {
-			const {config, verdict, changeId} = foldConfig(this.#config, record);
-			this.#config = config;
-			if (changeId !== undefined) {
-				this.#verdicts.set(changeId, verdict);
-			}
+			this.#fold(record);
+		}
 
-			this.#report(verdict, changeId);
+		this.#lifecycle.send({type: 'READ'});
+		if (this.#config.offset + 1 >= page.next) {
+			this.#currentAt = Math.max(this.#currentAt ?? startedAt, startedAt);
 		}
+
+		await this.#snapshotIfDue(page.earliest);
 	}
 
-	#report(verdict: FoldVerdict, changeId: string | undefined): void {
+	#fail(err: unknown): void {
+		if (this.#lifecycle.send({type: 'FAILED'})) {
+			this.parts.logger.warn('Cannot read the log.', {error: errorMessage(err)});
+		}
+
+		this.#unreachableSince ??= this.parts.clock.now();
+		this.#requestFromPeers();
+	}
+
+	/** Records before the next offset have expired: starts over from a snapshot and serves the old state meanwhile. */
+	async #recover(signal: AbortSignal): Promise<void> {
+		const {clock, events, log, logger} = this.parts;
+		if (this.#lifecycle.send({type: 'GAP'})) {
+			events.record({kind: 'config_gap', detail: `offset ${this.#config.offset}`});
+			logger.warn('Cannot read the next records: they have expired.', {offset: this.#config.offset});
+		}
+
+		const stream = await readStream(log, 'config', signal);
+		const snapshot = findSnapshot(stream.records, stream.earliest, this.#config);
+		if (!snapshot) {
+			this.#requestFromPeers();
+			await clock.sleep(gapRetryMs, signal);
+			return;
+		}
+
+		this.#adopt(snapshot, 'snapshot');
+		for (const record of stream.records) {
+			this.#fold(record);
+		}
+	}
+
+	#adopt(decoded: DecodedConfigState, source: string): void {
+		const before = this.#config.revision;
+		this.#config = decoded.config;
+		for (const verdict of decoded.verdicts) {
+			this.#verdicts.add(verdict);
+		}
+
+		if (decoded.config.revision > before) {
+			this.#announce({source});
+		}
+	}
+
+	#fold(record: LogRecord): void {
+		if (record.offset > this.#config.offset && isSnapshotRecord(record.record)) {
+			this.#noteSnapshot(record);
+		}
+
+		const result = foldConfig(this.#config, record);
+		this.#config = result.config;
+		this.#report(result);
+	}
+
+	#report({verdict, changeId}: FoldResult): void {
+		if (verdict === 'ignored' || changeId === undefined) {
+			return;
+		}
+
+		this.#verdicts.add({id: changeId, verdict, revision: this.#config.revision});
 		if (verdict === 'accepted') {
-			this.parts.events.record({kind: 'config_applied', detail: `revision ${this.#config.revision}`});
-			this.parts.logger.info('Applied a change.', {revision: this.#config.revision, changeId});
-			for (const listener of this.#listeners) {
-				listener(this.#config);
-			}
-		} else if (verdict === 'conflict') {
-			this.parts.events.record({kind: 'config_rejected', detail: `change ${changeId}`});
+			this.#announce({changeId});
+		} else {
+			this.parts.events.record({kind: 'config_rejected', detail: `${verdict}: change ${changeId}`});
+		}
+	}
+
+	#announce(facts: Record<string, unknown>): void {
+		const {revision} = this.#config;
+		this.parts.events.record({kind: 'config_applied', detail: `revision ${revision}`});
+		this.parts.logger.info('Applied a revision.', {revision, ...facts});
+		for (const listener of this.#listeners) {
+			listener(this.#config);
+		}
+	}
+
+	/** Compares a snapshot with the state folded here; a wrong one does not delay the next. */
+	#noteSnapshot(record: LogRecord): void {
+		const {clock, logger} = this.parts;
+		const decoded = readSnapshot(record);
+		const isWrong = !decoded || decoded.config.revision > this.#config.revision
+			|| (decoded.config.revision === this.#config.revision && !isSameConfig(decoded.config, this.#config));
+		if (isWrong) {
+			logger.warn('Cannot use a snapshot: it is corrupt or differs from the folded state.', {offset: record.offset});
+			this.#schedule.missing(clock.now());
+			return;
+		}
+
+		this.#snapshotOffset = decoded.config.offset;
+		this.#schedule.seen(clock.now(), Math.max(0, clock.wall() - record.atMs));
+	}
+
+	async #snapshotIfDue(earliest: number): Promise<void> {
+		const {clock, events, log, logger} = this.parts;
+		if (earliest > 0 && this.#snapshotOffset + 1 < earliest) {
+			this.#schedule.missing(clock.now());
+		}
+
+		if (this.#config.offset < 0 || !this.#schedule.takeDue(clock.now())) {
+			return;
+		}
+
+		const state = encodeConfigState(this.#config, this.#verdicts.latest(carriedVerdicts));
+		try {
+			await log.append('config', [{kind: 'snapshot', ...state}]);
+			events.record({kind: 'config_snapshot', detail: `offset ${state.offset}`});
+			logger.info('Appended a snapshot.', {offset: state.offset, revision: state.revision});
+		} catch (err) {
+			logger.warn('Cannot append a snapshot.', {error: errorMessage(err)});
+		}
+	}
+
+	#requestFromPeers(): void {
+		const now = this.parts.clock.now();
+		if (this.parts.peers && now - this.#requestedAt >= peerRequestMs) {
+			this.#requestedAt = now;
+			this.parts.peers.request(this.#config.offset);
+		}
+	}
+
+	#wake(): void {
+		for (const wake of this.#progressWaiters) {
+			wake();
 		}
 	}
 }
--- /dev/null
+++ b/src/config/find-snapshot.ts
@@ -0,0 +1,34 @@
+import {z} from 'zod';
+import type {LogRecord} from '../platform/index.js';
+import {decodeConfigState, isNewerConfig, type DecodedConfigState} from './config-state.js';
+import type {AppliedConfig} from './config-view.js';
+
+const snapshotKind = z.object({kind: z.literal('snapshot')});
+
+/** True for a record that claims to be a snapshot. */
+export function isSnapshotRecord(record: unknown): boolean {
+	return snapshotKind.safeParse(record).success;
+}
+
+/** Decodes a snapshot record; `undefined` where it is another record, corrupt, or claims an offset that it cannot know. */
+export function readSnapshot(entry: LogRecord): DecodedConfigState | undefined {
+	const decoded = isSnapshotRecord(entry.record) ? decodeConfigState(entry.record) : undefined;
+	return decoded && decoded.config.offset < entry.offset ? decoded : undefined;
+}
+
+/**
+ * Finds the newest snapshot from which the present state can be reached: every later record is readable, and the
+ * snapshot does not revert `current`.
+ *
+ * @internal
+ */
+export function findSnapshot(records: readonly LogRecord[], earliest: number, current: AppliedConfig): DecodedConfigState | undefined {
+	for (const entry of records.toReversed()) {
+		const decoded = readSnapshot(entry);
+		if (decoded && decoded.config.offset + 1 >= earliest && isNewerConfig(decoded.config, current)) {
+			return decoded;
+		}
+	}
+
+	return undefined;
+}
--- a/src/config/fold.ts
+++ b/src/config/fold.ts
@@ -1,6 +1,8 @@
 import {z} from 'zod';
 import type {LogRecord} from '../platform/index.js';
+import {checkChange} from './check-declarations.js';
 import type {AppliedConfig} from './config-view.js';
+import type {DeclarationFinding} from './declaration-finding.js';
 import {DeclarationSet} from './declarations-set.js';
 import {declarationSchema, type DeclarationKey} from './declarations.js';
 
@@ -14,11 +16,23 @@
 	remove: z.array(z.string()).default([]),
 });
 
+/** The part of a change that identifies it, for changes whose declarations do not parse. */
+const changeIdSchema = changeRecordSchema.pick({kind: true, id: true, base: true});
+
 /** A change of the configuration. */
 export type ChangeRecord = z.infer<typeof changeRecordSchema>;
 
-/** What folding a record did. */
-export type FoldVerdict = 'accepted' | 'conflict' | 'ignored';
+/** What folding a record did. `invalid`: the result would be inconsistent, so the change has no effect. */
+export type FoldVerdict = 'accepted' | 'conflict' | 'invalid' | 'ignored';
+
+/** Result of folding one record. */
+export interface FoldResult {
+	readonly config: AppliedConfig;
+	readonly verdict: FoldVerdict;
+	readonly changeId?: string;
+	/** Errors of an invalid change. */
+	readonly findings?: readonly DeclarationFinding[];
+}
 
 /** Configuration before the first record. */
 export const emptyConfig: AppliedConfig = {offset: -1, revision: -1, declarations: DeclarationSet.create()};
@@ -29,29 +43,42 @@
  * @example
  * const {config, verdict} = foldConfig(emptyConfig, record);
  */
-export function foldConfig(config: AppliedConfig, entry: LogRecord): {config: AppliedConfig; verdict: FoldVerdict; changeId?: string} {
+export function foldConfig(config: AppliedConfig, entry: LogRecord): FoldResult {
 	if (entry.offset <= config.offset) {
 		return {config, verdict: 'ignored'};
 	}
 
 	const seen = {...config, offset: entry.offset};
+	const id = changeIdSchema.safeParse(entry.record);
+	if (!id.success) {
+		return {config: seen, verdict: 'ignored'};
+	}
+
+	const changeId = id.data.id;
+	if (id.data.base !== config.revision) {
+		return {config: seen, verdict: 'conflict', changeId};
+	}
+
 	const parsed = changeRecordSchema.safeParse(entry.record);
 	if (!parsed.success) {
-		return {config: seen, verdict: 'ignored'};
+		return {config: seen, verdict: 'invalid', changeId};
 	}
 
-	const change = parsed.data;
-	if (change.base !== config.revision) {
-		return {config: seen, verdict: 'conflict', changeId: change.id};
+	const {set, remove} = parsed.data;
+	const errors = checkChange(config.declarations, {set, remove}).filter(finding => finding.severity === 'error');
+	if (errors.length > 0) {
+		return {
+			config: seen, verdict: 'invalid', changeId, findings: errors,
+		};
 	}
 
 	return {
 		config: {
 			offset: entry.offset,
 			revision: entry.offset,
-			declarations: config.declarations.with(change.set, change.remove as DeclarationKey[]),
+			declarations: config.declarations.with(set, remove as DeclarationKey[]),
 		},
 		verdict: 'accepted',
-		changeId: change.id,
+		changeId,
 	};
 }
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,18 +1,20 @@
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import {MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
-import {ConfigFollower} from '../config/index.js';
-import {EventRing} from '../events/index.js';
-import {sendJson, type ListenAddress} from '../http/index.js';
+import {ConfigFollower, ConfigWriter, type ConfigPeers} from '../config/index.js';
+import {EventRing, type PeerEvents} from '../events/index.js';
+import type {ListenAddress} from '../http/index.js';
 import type {LoggerFactory} from '../logs/index.js';
+import {createOperatorHandler, type PeerStatusSource} from '../operators/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
+import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
 import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
 import {FcfsScheduler} from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
 import {Metrics} from './metrics.js';
-import {OperatorServer} from './operator-server.js';
+import {OperatorServer, type HttpHandler} from './operator-server.js';
 
 /** Settings and ports of an entry VM. */
 export interface EntryVmOptions {
@@ -27,8 +29,14 @@
 	readonly vmList: VmList;
 	readonly createLogger: LoggerFactory;
 	readonly ports?: PortFactory;
+	/** Time after which a configuration snapshot is appended again; at most a third of the log's retention. */
+	readonly configSnapshotMs?: Ms;
+	readonly configPeers?: ConfigPeers;
+	readonly peerEvents?: PeerEvents;
+	readonly peerStatus?: PeerStatusSource;
 }
 
+const defaultSnapshotMs: Ms = 600_000;
 const defaultDrainMs: Ms = 9000;
 const idlePollMs: Ms = 20;
 
@@ -58,12 +66,13 @@
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
+	readonly #stopping = new AbortController();
 
 	private constructor(private readonly options: EntryVmOptions) {
 		const {clock, log, createLogger} = options;
 		this.events = EventRing.create({process: options.name, clock, capacity: options.eventCapacity});
 		this.config = ConfigFollower.create({
-			clock, log, events: this.events, logger: createLogger('config'),
+			clock, log, events: this.events, logger: createLogger('config'), snapshotMs: options.configSnapshotMs ?? defaultSnapshotMs, random: Random.create(randomInt(2 ** 31)), peers: options.configPeers,
 		});
 		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
 		this.runner = RequestRunner.create({
@@ -93,8 +102,14 @@
 		return this.#operators!.port;
 	}
 
+	/** Aborts when a shutdown begins, whoever asked for it. */
+	get stopping(): AbortSignal {
+		return this.#stopping.signal;
+	}
+
 	/** Drains and stops; a second call waits for the first. */
 	async shutdown(): Promise<void> {
+		this.#stopping.abort();
 		this.#shutdown ??= this.#drain();
 		return this.#shutdown;
 	}
@@ -106,9 +121,7 @@
 			listen: options.operators,
 			metrics: this.#metrics,
 			isReady: () => this.#isReady(),
-			rpc(_req, res) {
-				sendJson(res, 404, {message: 'Cannot serve the path: it is unknown'});
-			},
+			rpc: this.#operatorHandler(),
 		});
 		this.#callers = await CallerServer.create({
 			clock: options.clock,
@@ -125,6 +138,27 @@
 		options.createLogger('entry-vm').info('Listening.', {callers: this.callerPort, operators: this.operatorPort, zone: options.zone});
 	}
 
+	#operatorHandler(): HttpHandler {
+		const {options, config, events, targets} = this;
+		return createOperatorHandler({
+			clock: options.clock,
+			config,
+			events,
+			targets,
+			writer: ConfigWriter.create({clock: options.clock, log: options.log, follower: config}),
+			...(options.peerEvents ? {peerEvents: options.peerEvents} : {}),
+			...(options.peerStatus ? {peerStatus: options.peerStatus} : {}),
+			logger: options.createLogger('operators'),
+			vm: () => ({
+				name: options.name, zone: options.zone, incarnation: this.incarnation, state: this.state, inFlight: this.runner.inFlight,
+			}),
+			targetCounts: () => this.#targetCounts(),
+			shutdown: () => {
+				void this.shutdown();
+			},
+		});
+	}
+
 	#isReady(): boolean {
 		return this.#lifecycle.state === 'serving' && this.config.current().revision >= 0;
 	}
