Publish test configurations through Apply

Tests appended changes to the log directly and passed by the checks of Apply. Fleet.publish now calls the RPC of the first entry VM; before any runs, a short-lived one applies the change, so that existing callers keep working. npx vitest run test/path.test.ts: 6 passed.

--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -18,10 +18,22 @@
 
 /** Sends JSON and returns status and JSON. */
 export async function post(url: string, body: unknown): Promise<{status: number; body: any}> {
-	const res = await request(url, {method: 'POST', body: JSON.stringify(body), headersTimeout: 60_000});
+	const res = await request(url, {
+		method: 'POST', headers: {'content-type': 'application/json'}, body: JSON.stringify(body), headersTimeout: 60_000,
+	});
 	return {status: res.statusCode, body: await res.body.json()};
 }
 
+/** Calls the operators' RPC of an entry VM in Connect's JSON form; throws for a status other than 200. */
+export async function rpc(vm: Daemon, method: string, body: unknown): Promise<any> {
+	const result = await post(`http://127.0.0.1:${vm.ports.operators}/guavamill.v1.OperatorService/${method}`, body);
+	if (result.status !== 200) {
+		throw new Error(`Cannot call ${method}: ${result.status} ${JSON.stringify(result.body)}`);
+	}
+
+	return result.body;
+}
+
 /** Reads JSON. */
 export async function get(url: string): Promise<any> {
 	const res = await request(url);
@@ -55,14 +67,30 @@
 		return daemon;
 	}
 
-	/** Appends a change to the log directly, as an operator's tool does. */
-	async publish(declarations: readonly Declaration[]): Promise<void> {
-		const {body} = await post(`${this.log.origin}/v1/streams/config/records`, {
-			records: [{
-				kind: 'change', id: randomUUID(), base: this.#revision, author: 'test', set: declarations,
-			}],
-		});
-		this.#revision = body.offset as number;
+	/**
+	 * Applies declarations through the operators' RPC of the first entry VM, on the latest revision. Before any entry VM
+	 * runs, a short-lived one applies them. Throws unless the change is accepted.
+	 */
+	async publish(declarations: readonly Declaration[], remove: readonly string[] = []): Promise<void> {
+		const running = this.entryVms[0];
+		const vm = running ?? await this.entryVm('publisher', 'sample-a');
+		try {
+			const {revision} = await rpc(vm, 'Get', {keys: ['zone/none']});
+			this.#revision = Math.max(this.#revision, Number(revision));
+			const result = await rpc(vm, 'Apply', {
+				baseRevision: this.#revision, set: declarations, remove, author: 'test', changeId: randomUUID(),
+			});
+			if (!result.accepted) {
+				throw new Error(`Cannot publish: ${JSON.stringify(result)}`);
+			}
+
+			this.#revision = Number(result.accepted.revision);
+		} finally {
+			if (!running) {
+				this.entryVms.splice(this.entryVms.indexOf(vm), 1);
+				await vm.stop();
+			}
+		}
 	}
 
 	/** Waits until every entry VM is ready. */
