--- a/src/config/check-declarations.ts
+++ b/src/config/check-declarations.ts
@@ -139,7 +139,7 @@
 
 	const needed = stage.kind === 'generate' ? 'engine' : 'service';
 	if (pool.type !== needed) {
-		report('error', `${path}.pool`, `names ${pool.type} pool ${stage.pool}; a ${stage.kind} stage needs a pool of type ${needed}`);
+		report('error', `${path}.pool`, `names ${pool.type} pool ${stage.pool}; stage kind ${stage.kind} needs a pool of type ${needed}`);
 	}
 
 	if (set.poolTargets(stage.pool).length === 0) {
--- a/src/config/load-declarations.ts
+++ b/src/config/load-declarations.ts
@@ -2,6 +2,7 @@
 	isMap, isNode, isPair, isSeq, LineCounter, parseAllDocuments, type Document, type Node,
 } from 'yaml';
 import type {z} from 'zod';
+import {errorMessage} from '../errors/index.js';
 import {checkDeclarations} from './check-declarations.js';
 import type {DeclarationFinding} from './declaration-finding.js';
 import {DeclarationSet} from './declarations-set.js';
@@ -19,7 +20,7 @@
 	readonly findings: readonly DeclarationFinding[];
 }
 
-type Source = {file: string; root: Node; lines: LineCounter};
+type Source = {file: string; root: Node; document: Document; lines: LineCounter};
 
 /**
  * Loads declarations from YAML. A document holds one declaration or a list of them; a file holds any number of documents.
@@ -38,7 +39,9 @@
 		for (const document of Array.isArray(documents) ? documents : []) {
 			findings.push(...syntaxFindings(document, file, lines));
 			for (const root of document.errors.length > 0 ? [] : declarationNodes(document.contents)) {
-				loadOne({file, root, lines}, {findings, declarations, sources});
+				loadOne({
+					file, root, document, lines,
+				}, {findings, declarations, sources});
 			}
 		}
 	}
@@ -52,7 +55,7 @@
 
 function syntaxFindings(document: Document.Parsed | Document, file: string, lines: LineCounter): DeclarationFinding[] {
 	return document.errors.map(error => ({
-		severity: 'error', key: '', path: '', message: error.message.split('\n', 1)[0]!, file, line: lines.linePos(error.pos[0]).line,
+		severity: 'error', key: '', path: '', message: error.message.replace(/ at line \d+, column \d+:[^]*$/, ''), file, line: lines.linePos(error.pos[0]).line,
 	}));
 }
 
@@ -65,7 +68,16 @@
 }
 
 function loadOne(source: Source, into: {findings: DeclarationFinding[]; declarations: Declaration[]; sources: Map<string, Source>}): void {
-	const value: unknown = source.root.toJSON();
+	let value: unknown;
+	try {
+		value = source.root.toJS(source.document);
+	} catch (err) {
+		into.findings.push(locate({
+			severity: 'error', key: '', path: '', message: errorMessage(err),
+		}, source));
+		return;
+	}
+
 	const parsed = declarationSchema.safeParse(value);
 	if (!parsed.success) {
 		const key = rawKey(value);
