--- a/src/config/config-follower.ts
+++ b/src/config/config-follower.ts
@@ -173,7 +173,7 @@
 
 		this.#hintedAt = now;
 		if (this.state !== 'following') {
-			this.#requestFromPeers();
+			this.#requestFromPeers(minHintGapMs);
 		}
 
 		this.pollNow();
@@ -199,7 +199,9 @@
 	async #readPage(signal: AbortSignal): Promise<void> {
 		const {clock, log} = this.parts;
 		const startedAt = clock.now();
-		const page = await log.read('config', this.#config.offset + 1, {waitMs: pollWaitMs, signal});
+		// After a failure or a gap the first read does not wait, so that the state is known at once.
+		const waitMs = this.state === 'following' ? pollWaitMs : 0;
+		const page = await log.read('config', this.#config.offset + 1, {waitMs, signal});
 		this.#unreachableSince = undefined;
 		if (page.earliest > this.#config.offset + 1) {
 			await this.#recover(signal);
@@ -329,9 +331,9 @@
 		}
 	}
 
-	#requestFromPeers(): void {
+	#requestFromPeers(minGapMs: Ms = peerRequestMs): void {
 		const now = this.parts.clock.now();
-		if (this.parts.peers && now - this.#requestedAt >= peerRequestMs) {
+		if (this.parts.peers && now - this.#requestedAt >= minGapMs) {
 			this.#requestedAt = now;
 			this.parts.peers.request(this.#config.offset);
 		}
