--- a/src/config/config-follower.test.ts
+++ b/src/config/config-follower.test.ts
@@ -253,3 +253,47 @@
 	expect(follower.current().offset).toBe(9999);
 	expect(follower.verdictCount).toBe(4096);
 });
+
+// Guards against a process that stays without configuration when its records expired before any snapshot.
+test('peers fill a gap that no snapshot covers', async () => {
+	const {clock, log} = world();
+	const network = MemoryConfigPeers.network();
+	const a = start(clock, log, {peers: network.join('a')});
+	await settle(clock, a.writer.apply(change('a', -1, 1)));
+	await settle(clock, a.writer.apply(change('b', 0, 2)));
+	log.expireBelow('config', 2);
+	const alone = start(clock, log);
+	const fresh = start(clock, log, {peers: network.join('fresh')});
+	await clock.advance(300);
+	expect([alone.follower.state, weight(alone.follower)]).toEqual(['gap', undefined]);
+	expect([fresh.follower.state, weight(fresh.follower)]).toEqual(['gap', 2]);
+	// A process that is ahead sees that no snapshot is readable and appends one early.
+	await clock.advance(5000);
+	expect([alone, fresh].map(({follower}) => [follower.state, weight(follower)])).toEqual([['following', 2], ['following', 2]]);
+	expect(await settle(clock, fresh.writer.apply(change('c', 1, 3)))).toMatchObject({type: 'accepted'});
+});
+
+// Guards against an accepted answer for a change that was appended but not read back.
+test('a change that cannot be read back is unknown', async () => {
+	const {clock, log} = world();
+	let isReadable = true;
+	const deaf: PlatformLog = {
+		append: log.append.bind(log), async read(...args) {
+			const page = await log.read(...args);
+			if (!isReadable) {
+				throw new Error('no answer');
+			}
+
+			return page;
+		},
+	};
+	const {writer, follower} = start(clock, deaf);
+	await clock.advance(1000);
+	isReadable = false;
+	expect((await settle(clock, writer.apply(change('a', -1)))).type).toBe('unknown');
+	expect(follower.current().revision).toBe(-1);
+	isReadable = true;
+	await clock.advance(1000);
+	expect(await settle(clock, writer.apply(change('a', -1)))).toEqual({type: 'accepted', revision: 0});
+	expect(log.appends).toBe(1);
+});
