--- a/src/cli/apply-command.ts
+++ b/src/cli/apply-command.ts
@@ -31,7 +31,7 @@
 	settings: applySettings,
 	async run(input) {
 		const settings = resolveSettings(applySettings, input);
-		const base = baseRevision(settings.base);
+		const givenBase = baseRevision(settings.base);
 		const loaded = await loadChange(input.args, {isComplete: settings.prune, print: input.print});
 		if (!loaded) {
 			return exitCodes.failed;
@@ -46,10 +46,11 @@
 			return exitCodes.ok;
 		}
 
+		const base = givenBase ?? plan.revision;
 		const answer = await client.apply({
-			baseRevision: base ?? plan.revision, set, remove: keysToRemove(plan), author: settings.author, changeId,
+			baseRevision: base, set, remove: keysToRemove(plan), author: settings.author, changeId,
 		});
-		for (const line of settings.json ? [toJsonString(ApplyResponseSchema, answer, {alwaysEmitImplicit: true})] : formatAnswer(answer, changeId)) {
+		for (const line of settings.json ? [toJsonString(ApplyResponseSchema, answer, {alwaysEmitImplicit: true})] : formatAnswer(answer, {changeId, base})) {
 			input.print(line);
 		}
 
@@ -73,7 +74,7 @@
 	return plan.steps.filter(step => step.action === PlanStep_Action.REMOVE).map(step => step.key);
 }
 
-function formatAnswer(answer: ApplyResponse, changeId: string): string[] {
+function formatAnswer(answer: ApplyResponse, {changeId, base}: {changeId: string; base: bigint}): string[] {
 	const {result} = answer;
 	switch (result.case) {
 		case 'accepted': {
@@ -93,7 +94,7 @@
 		}
 
 		default: {
-			return [`${result.value?.message ?? 'Cannot read the answer'}. Settle it with --change-id ${changeId} --base and the same files.`];
+			return [`${result.value?.message ?? 'Cannot read the answer'}. Settle it with the same files and --change-id ${changeId} --base ${base}.`];
 		}
 	}
 }
