--- a/src/config/check-declarations.ts
+++ b/src/config/check-declarations.ts
@@ -2,7 +2,7 @@
 import type {DeclarationFinding} from './declaration-finding.js';
 import type {DeclarationSet} from './declarations-set.js';
 import {
-	declarationKey, type Declaration, type DeclarationKey, type Model, type Path, type Pipeline, type Stage, type TargetDeclaration,
+	type Declaration, type DeclarationKey, type Model, type Path, type Pipeline, type Stage, type TargetDeclaration,
 } from './declarations.js';
 
 /** Prompt and answer sizes that the estimate of a generate stage assumes, in tokens. */
@@ -161,35 +161,3 @@
 function ofKind<K extends Declaration['kind']>(set: DeclarationSet, kind: K): Array<Extract<Declaration, {kind: K}>> {
 	return [...set.byKey.values()].filter(declaration => declaration.kind === kind) as Array<Extract<Declaration, {kind: K}>>;
 }
-
-/**
- * Checks a change against the set that it would produce: repeated keys, removals of undeclared keys, then references.
- *
- * @example
- * const findings = checkChange(current, {set: [team], remove: ['zone/riga-a']});
- */
-export function checkChange(current: DeclarationSet, change: {set: readonly Declaration[]; remove: readonly string[]}): DeclarationFinding[] {
-	const findings: DeclarationFinding[] = [];
-	const error = (key: string, message: string) => {
-		findings.push({
-			severity: 'error', key, path: '', message,
-		});
-	};
-
-	const keys = new Set<string>();
-	for (const key of [...change.set.map(declaration => declarationKey(declaration)), ...change.remove]) {
-		if (keys.has(key)) {
-			error(key, 'occurs more than once in the change');
-		}
-
-		keys.add(key);
-	}
-
-	for (const key of change.remove) {
-		if (!current.byKey.has(key as DeclarationKey)) {
-			error(key, 'cannot be removed: it is not declared');
-		}
-	}
-
-	return [...findings, ...checkDeclarations(current.with(change.set, change.remove as DeclarationKey[]))];
-}
--- /dev/null
+++ b/src/config/config-follower-parts.ts
@@ -0,0 +1,18 @@
+import type {Clock, Ms} from '../clock/index.js';
+import type {EventRecorder} from '../events/index.js';
+import type {PartLogger} from '../logs/index.js';
+import type {PlatformLog} from '../platform/index.js';
+import type {Random} from '../random/index.js';
+import type {ConfigPeers} from './config-peers.js';
+
+/** Parts and settings of a follower. */
+export interface ConfigFollowerParts {
+	readonly clock: Clock;
+	readonly log: PlatformLog;
+	readonly events: EventRecorder;
+	readonly logger: PartLogger;
+	readonly random: Random;
+	/** Time after which a new snapshot is appended; a third of the log's retention. */
+	readonly snapshotMs: Ms;
+	readonly peers?: ConfigPeers | undefined;
+}
--- a/src/config/config-follower.ts
+++ b/src/config/config-follower.ts
@@ -1,19 +1,17 @@
-import type {Clock, Ms} from '../clock/index.js';
+import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
-import type {EventRecorder} from '../events/index.js';
-import type {PartLogger} from '../logs/index.js';
-import type {LogRecord, PlatformLog} from '../platform/index.js';
-import type {Random} from '../random/index.js';
+import type {LogRecord} from '../platform/index.js';
 import {ConfigLifecycle, type ConfigLifecycleState} from './config-lifecycle.js';
-import type {ConfigEndpoint, ConfigPeers} from './config-peers.js';
+import type {ConfigFollowerParts} from './config-follower-parts.js';
+import type {ConfigEndpoint} from './config-peers.js';
 import {
-	decodeConfigState, encodeConfigState, isNewerConfig, isSameConfig, type ChangeVerdict, type ConfigState, type DecodedConfigState,
+	decodeConfigState, encodeConfigState, isNewerConfig, type ChangeVerdict, type ConfigState, type DecodedConfigState,
 } from './config-state.js';
 import type {AppliedConfig, ConfigView} from './config-view.js';
-import {findSnapshot, isSnapshotRecord, readSnapshot} from './find-snapshot.js';
+import {findSnapshot, isSnapshotRecord} from './find-snapshot.js';
 import {emptyConfig, foldConfig, type FoldResult} from './fold.js';
 import {readStream} from './read-stream.js';
-import {SnapshotSchedule} from './snapshot-schedule.js';
+import {SnapshotKeeper} from './snapshot-keeper.js';
 import {VerdictMap} from './verdict-map.js';
 
 const pollWaitMs: Ms = 1000;
@@ -28,18 +26,6 @@
 const heldVerdicts = 4096;
 const carriedVerdicts = 256;
 
-/** Parts and settings of a follower. */
-export interface ConfigFollowerParts {
-	readonly clock: Clock;
-	readonly log: PlatformLog;
-	readonly events: EventRecorder;
-	readonly logger: PartLogger;
-	readonly random: Random;
-	/** Time after which a new snapshot is appended; a third of the log's retention. */
-	readonly snapshotMs: Ms;
-	readonly peers?: ConfigPeers | undefined;
-}
-
 /**
  * Follows the stream `config` and keeps the configuration in force. Offsets and revisions only grow.
  *
@@ -57,7 +43,7 @@
 	readonly #listeners = new Set<(config: AppliedConfig) => void>();
 	readonly #progressWaiters = new Set<() => void>();
 	readonly #verdicts = VerdictMap.create(heldVerdicts);
-	readonly #schedule: SnapshotSchedule;
+	readonly #snapshots: SnapshotKeeper;
 	readonly #stopped = new AbortController();
 	#poll = new AbortController();
 	/** Monotonic times: last answer of the log, last time the state was known to be current, last request and hint. */
@@ -65,12 +51,11 @@
 	#currentAt: Ms | undefined;
 	#requestedAt = Number.NEGATIVE_INFINITY;
 	#hintedAt = Number.NEGATIVE_INFINITY;
-	#snapshotOffset = -1;
 
 	private constructor(private readonly parts: ConfigFollowerParts) {
 		const now = parts.clock.now();
 		this.#unreachableSince = now;
-		this.#schedule = SnapshotSchedule.create({intervalMs: parts.snapshotMs, random: parts.random, now});
+		this.#snapshots = SnapshotKeeper.create({...parts, intervalMs: parts.snapshotMs});
 		parts.peers?.attach(this);
 	}
 
@@ -217,7 +202,7 @@
 			this.#currentAt = Math.max(this.#currentAt ?? startedAt, startedAt);
 		}
 
-		await this.#snapshotIfDue(page.earliest);
+		this.#snapshots.writeIfDue(page.earliest, () => this.stateAfter(-1));
 	}
 
 	#fail(err: unknown): void {
@@ -265,7 +250,7 @@
 
 	#fold(record: LogRecord): void {
 		if (record.offset > this.#config.offset && isSnapshotRecord(record.record)) {
-			this.#noteSnapshot(record);
+			this.#snapshots.note(record, this.#config);
 		}
 
 		const result = foldConfig(this.#config, record);
@@ -295,42 +280,6 @@
 		}
 	}
 
-	/** Compares a snapshot with the state folded here; a wrong one does not delay the next. */
-	#noteSnapshot(record: LogRecord): void {
-		const {clock, logger} = this.parts;
-		const decoded = readSnapshot(record);
-		const isWrong = !decoded || decoded.config.revision > this.#config.revision
-			|| (decoded.config.revision === this.#config.revision && !isSameConfig(decoded.config, this.#config));
-		if (isWrong) {
-			logger.warn('Cannot use a snapshot: it is corrupt or differs from the folded state.', {offset: record.offset});
-			this.#schedule.missing(clock.now());
-			return;
-		}
-
-		this.#snapshotOffset = decoded.config.offset;
-		this.#schedule.seen(clock.now(), Math.max(0, clock.wall() - record.atMs));
-	}
-
-	async #snapshotIfDue(earliest: number): Promise<void> {
-		const {clock, events, log, logger} = this.parts;
-		if (earliest > 0 && this.#snapshotOffset + 1 < earliest) {
-			this.#schedule.missing(clock.now());
-		}
-
-		if (this.#config.offset < 0 || !this.#schedule.takeDue(clock.now())) {
-			return;
-		}
-
-		const state = encodeConfigState(this.#config, this.#verdicts.latest(carriedVerdicts));
-		try {
-			await log.append('config', [{kind: 'snapshot', ...state}]);
-			events.record({kind: 'config_snapshot', detail: `offset ${state.offset}`});
-			logger.info('Appended a snapshot.', {offset: state.offset, revision: state.revision});
-		} catch (err) {
-			logger.warn('Cannot append a snapshot.', {error: errorMessage(err)});
-		}
-	}
-
 	#requestFromPeers(minGapMs: Ms = peerRequestMs): void {
 		const now = this.parts.clock.now();
 		if (this.parts.peers && now - this.#requestedAt >= minGapMs) {
--- a/src/config/config-state.ts
+++ b/src/config/config-state.ts
@@ -16,7 +16,8 @@
 export const configStateSchema = z.object({
 	offset: z.number().int().nonnegative(),
 	revision: z.number().int().min(-1),
-	state: z.array(declarationSchema),
+	/** Declarations; checked when the state is decoded. */
+	state: z.array(z.unknown()),
 	verdicts: z.array(changeVerdictSchema).default([]),
 	/** SHA-256 of offset, revision, declarations and verdicts; detects corruption. */
 	digest: z.string(),
@@ -57,9 +58,15 @@
 		return undefined;
 	}
 
-	const {offset, revision, state, verdicts, age_ms: ageMs} = parsed.data;
-	const declarations = DeclarationSet.create(state);
-	if (declarations.byKey.size !== state.length || checkDeclarations(declarations).some(finding => finding.severity === 'error')) {
+	const {offset, revision, verdicts, age_ms: ageMs} = parsed.data;
+	// The digest covers the declarations as they were written; parsing adds defaults that a writer of an older version did not know.
+	const state = z.array(declarationSchema).safeParse(parsed.data.state);
+	if (!state.success) {
+		return undefined;
+	}
+
+	const declarations = DeclarationSet.create(state.data);
+	if (declarations.byKey.size !== state.data.length || checkDeclarations(declarations).some(finding => finding.severity === 'error')) {
 		return undefined;
 	}
 
--- a/src/config/find-snapshot.test.ts
+++ b/src/config/find-snapshot.test.ts
@@ -1,5 +1,7 @@
 import {expect, test} from 'vitest';
-import {encodeConfigState, isNewerConfig, type ConfigState} from './config-state.js';
+import {
+	decodeConfigState, encodeConfigState, isNewerConfig, type ConfigState,
+} from './config-state.js';
 import type {AppliedConfig} from './config-view.js';
 import {DeclarationSet} from './declarations-set.js';
 import type {Declaration} from './declarations.js';
@@ -41,6 +43,15 @@
 	expect(findSnapshot(records, 10, emptyConfig)?.config.offset).toBe(11);
 });
 
+// Guards against a new version that cannot start from the snapshots of the version before it.
+test('a snapshot without a field that has a default is usable', () => {
+	const short = {
+		kind: 'team', name: 'engravers', weight: 1, deadline_ms: 9000,
+	} as unknown as Declaration;
+	const state = encodeConfigState({offset: 12, revision: 5, declarations: DeclarationSet.create([short])}, []);
+	expect(decodeConfigState(state)?.config.declarations.team('engravers')?.priority).toBe(5);
+});
+
 // Guards against a state that reverts a process which is ahead, or swaps the declarations of its revision.
 test.each([
 	['a newer offset and revision', config(9, 7), true],
--- a/src/config/fold.ts
+++ b/src/config/fold.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import type {LogRecord} from '../platform/index.js';
-import {checkChange} from './check-declarations.js';
+import {checkChange} from './check-change.js';
 import type {AppliedConfig} from './config-view.js';
 import type {DeclarationFinding} from './declaration-finding.js';
 import {DeclarationSet} from './declarations-set.js';
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -6,7 +6,8 @@
 export {DeclarationSet} from './declarations-set.js';
 export {StaticConfigView} from './static-config-view.js';
 export type {DeclarationFinding} from './declaration-finding.js';
-export {checkChange, checkDeclarations} from './check-declarations.js';
+export {checkChange} from './check-change.js';
+export {checkDeclarations} from './check-declarations.js';
 export {formatDeclarationFinding} from './format-declaration-finding.js';
 export {loadDeclarations, type DeclarationFile, type LoadedDeclarations} from './load-declarations.js';
 export {planChange, type PlanStep} from './plan-change.js';
@@ -16,7 +17,8 @@
 export type {ConfigEndpoint, ConfigPeers} from './config-peers.js';
 export {MemoryConfigPeers} from './memory-config-peers.js';
 export type {ConfigLifecycleState} from './config-lifecycle.js';
-export {ConfigFollower, type ConfigFollowerParts} from './config-follower.js';
+export {ConfigFollower} from './config-follower.js';
+export type {ConfigFollowerParts} from './config-follower-parts.js';
 export {ConfigWriter, type ApplyResult, type ChangeRequest} from './config-writer.js';
 export {
 	changeRecordSchema, emptyConfig, foldConfig, type ChangeRecord, type FoldResult, type FoldVerdict,
