--- a/src/targets/declared-target.ts
+++ b/src/targets/declared-target.ts
@@ -137,7 +137,7 @@
 		}
 
 		this.#state = next;
-		this.parts.events.record({kind: next === 'draining' ? 'target_draining' : 'target_state', target: this.name, detail: `${next}: ${detail}`});
+		this.parts.events.record({kind: next === 'draining' ? 'target_draining' : 'target_state', target: this.name, detail: next === 'draining' ? detail : `${next}: ${detail}`});
 		if (next === 'suspect' || next === 'gone') {
 			const old = this.#suspected;
 			this.#suspected = new AbortController();
