Let the follower's abort signals be collected

Each read derived a signal from the follower's long-lived one with AbortSignal.any; Node.js 20 keeps such signals. The follower now uses one controller per read, and stop() aborts the present one. npx vitest run src/config: passed as before.

--- a/src/config/config-follower.ts
+++ b/src/config/config-follower.ts
@@ -44,8 +44,9 @@
 	readonly #progressWaiters = new Set<() => void>();
 	readonly #verdicts = VerdictMap.create(heldVerdicts);
 	readonly #snapshots: SnapshotKeeper;
-	readonly #stopped = new AbortController();
+	/** Ends the present read or pause; renewed for each, because signals derived from a long-lived one stay in memory. */
 	#poll = new AbortController();
+	#isStopped = false;
 	/** Monotonic times: last answer of the log, last time the state was known to be current, last request and hint. */
 	#unreachableSince: Ms | undefined;
 	#currentAt: Ms | undefined;
@@ -122,7 +123,8 @@
 	}
 
 	stop(): void {
-		this.#stopped.abort();
+		this.#isStopped = true;
+		this.#poll.abort();
 	}
 
 	/** Reads at once instead of waiting for the present read or pause to end. */
@@ -165,9 +167,9 @@
 	}
 
 	async #follow(): Promise<void> {
-		while (!this.#stopped.signal.aborted) {
+		while (!this.#isStopped) {
 			this.#poll = new AbortController();
-			const signal = AbortSignal.any([this.#stopped.signal, this.#poll.signal]);
+			const {signal} = this.#poll;
 			try {
 				await this.#readPage(signal);
 			} catch (err) {
