Let go of long-lived signals and sockets

The log adapter and two stand-ins still added a listener for each call. Change: linkController with unlink for the log adapter and the stage runner; the stand-ins listen on the response, or once for each socket.

--- a/src/platform/http-platform-log.ts
+++ b/src/platform/http-platform-log.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
+import {linkController} from '../signals/index.js';
 import {
 	LogTimeoutError, LogUnavailableError, type LogPage, type LogStream, type PlatformLog, type ReadOptions,
 } from './platform-log.js';
@@ -68,11 +69,12 @@
 
 	async read(stream: LogStream, from: number, options: ReadOptions = {}): Promise<LogPage> {
 		const timeout = AbortSignal.timeout((options.waitMs ?? 0) + readSlackMs);
+		const {controller, unlink} = linkController(options.signal ? [options.signal, timeout] : [timeout]);
 		try {
 			const res = await this.pool.request({
 				method: 'GET',
 				path: `/v1/streams/${stream}/records?from=${from}&max=${options.max ?? 1000}&wait_ms=${options.waitMs ?? 0}`,
-				signal: options.signal ? AbortSignal.any([options.signal, timeout]) : timeout,
+				signal: controller.signal,
 			});
 			const body = await res.body.json();
 			if (res.statusCode !== 200) {
@@ -91,6 +93,8 @@
 			}
 
 			throw new LogUnavailableError(`Cannot read stream ${stream}: ${errorMessage(err)}`, {cause: err});
+		} finally {
+			unlink();
 		}
 	}
 
--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -2,6 +2,7 @@
 import type {Stage} from '../config/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {EventRecorder} from '../events/index.js';
+import {linkController} from '../signals/index.js';
 import {
 	TargetError, type Chunk, type GenerateCall, type ServiceCall,
 } from '../targets/index.js';
@@ -231,7 +232,7 @@
 		this.#record('attempt_sent', work, grant.target.name);
 		// A non-idempotent attempt that was sent is waited for even when its caller leaves, so that its outcome is known.
 		const sources = isNonIdempotent(context, work.stage) ? [context.deadlineSignal] : [context.signal, grant.revoked, grant.target.suspected];
-		const attempt = linkedController(sources);
+		const attempt = linkController(sources);
 		try {
 			const output = await send(attempt.controller, state);
 			this.#settle(state, 'ok', output.length);
@@ -299,28 +300,3 @@
 function round(ms: Ms): Ms {
 	return Math.round(ms * 100) / 100;
 }
-
-/** A controller that aborts with any of its sources. `AbortSignal.any` costs several times as much. */
-function linkedController(sources: readonly AbortSignal[]): {controller: AbortController; unlink: () => void} {
-	const controller = new AbortController();
-	const abort = () => {
-		controller.abort();
-	};
-
-	for (const source of sources) {
-		if (source.aborted) {
-			abort();
-		}
-
-		source.addEventListener('abort', abort);
-	}
-
-	return {
-		controller,
-		unlink() {
-			for (const source of sources) {
-				source.removeEventListener('abort', abort);
-			}
-		},
-	};
-}
--- /dev/null
+++ b/src/signals/index.ts
@@ -0,0 +1,1 @@
+export {linkController, type LinkedController} from './linked-controller.js';
--- a/src/stand-ins/log-stand-in.ts
+++ b/src/stand-ins/log-stand-in.ts
@@ -43,9 +43,9 @@
 						return undefined;
 					}
 				}],
-				['GET', /^\/v1\/streams\/(config|claims|leases)\/records$/, async ({query, req, res, params}) => {
+				['GET', /^\/v1\/streams\/(config|claims|leases)\/records$/, async ({query, res, params}) => {
 					const left = new AbortController();
-					req.socket.once('close', () => {
+					res.once('close', () => {
 						left.abort();
 					});
 					try {
--- a/src/stand-ins/service-stand-in.ts
+++ b/src/stand-ins/service-stand-in.ts
@@ -79,8 +79,11 @@
 	}
 
 	async #call(call: WireCall, req: IncomingMessage, res: ServerResponse): Promise<unknown> {
-		this.#sockets.add(req.socket);
-		req.socket.once('close', () => this.#sockets.delete(req.socket));
+		if (!this.#sockets.has(req.socket)) {
+			this.#sockets.add(req.socket);
+			req.socket.once('close', () => this.#sockets.delete(req.socket));
+		}
+
 		if (this.faults.draining) {
 			sendJson(res, 503, {message: 'Cannot call: the service is draining'});
 			return undefined;
