--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -26,6 +26,9 @@
 	eventCapacity: {
 		flag: 'event-capacity', help: 'Events kept for the time line.', fallback: '20000', schema: numberSchema(100, 1_000_000),
 	},
+	claimMaxLifeMs: {
+		flag: 'claim-max-life-ms', help: 'Longest time to a key\'s not-after time, in ms; at most half of the log\'s retention.', fallback: '900000', schema: numberSchema(1000, 86_400_000),
+	},
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,12 +1,12 @@
 import {randomBytes} from 'node:crypto';
-import {MintedClaims} from '../claims/index.js';
+import {ClaimRouter, LogClaimService, MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import {ConfigFollower} from '../config/index.js';
 import {EventRing} from '../events/index.js';
 import {sendJson, type ListenAddress} from '../http/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
-import {RequestRunner} from '../requests/index.js';
+import {nullKeyForwarder, RequestRunner, type KeyForwarder} from '../requests/index.js';
 import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
 import {FcfsScheduler} from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
@@ -27,9 +27,16 @@
 	readonly vmList: VmList;
 	readonly createLogger: LoggerFactory;
 	readonly ports?: PortFactory;
+	/** Longest life of a caller's key, in ms; at most half of the log's retention. */
+	readonly claimMaxLifeMs?: Ms;
+	/** Way to the entry VMs that minted other keys. */
+	readonly forwarder?: KeyForwarder;
 }
 
 const defaultDrainMs: Ms = 9000;
+const defaultClaimMaxLifeMs: Ms = 900_000;
+/** Time for the last outcomes to reach the log. */
+const claimDrainMs: Ms = 2000;
 const idlePollMs: Ms = 20;
 
 /**
@@ -53,6 +60,7 @@
 	readonly config: ConfigFollower;
 	readonly targets: DeclaredTargets;
 	readonly runner: RequestRunner;
+	readonly claims: LogClaimService;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
 	#callers: CallerServer | undefined;
@@ -66,11 +74,15 @@
 			clock, log, events: this.events, logger: createLogger('config'),
 		});
 		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.claims = LogClaimService.create({
+			clock, log, events: this.events, logger: createLogger('claims'), incarnation: this.incarnation, maxLifeMs: options.claimMaxLifeMs ?? defaultClaimMaxLifeMs,
+		});
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
 			scheduler: FcfsScheduler.create({clock, targets: this.targets}),
-			claims: MintedClaims.create({clock, incarnation: this.incarnation}),
+			claims: ClaimRouter.create({minted: MintedClaims.create({clock, incarnation: this.incarnation}), logged: this.claims}),
+			forwarding: {incarnation: this.incarnation, forwarder: options.forwarder ?? nullKeyForwarder},
 			events: this.events,
 		});
 		this.#metrics = Metrics.create({
@@ -78,6 +90,7 @@
 			revision: () => this.config.current().revision,
 			targets: () => this.#targetCounts(),
 			events: () => this.events.recorded,
+			claims: () => this.claims.stats,
 		});
 	}
 
@@ -102,6 +115,7 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		this.config.start();
+		this.claims.start();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -143,6 +157,7 @@
 		}
 
 		this.#lifecycle.send({type: 'IDLE'});
+		await this.claims.stop(claimDrainMs);
 		this.config.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
--- a/src/entry-vm/metrics.ts
+++ b/src/entry-vm/metrics.ts
@@ -2,6 +2,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {Ms} from '../clock/index.js';
+import type {ClaimStats} from '../claims/index.js';
 import {isRejection, type RequestResult} from '../requests/index.js';
 
 /** Names of the metrics, for pages and tests. */
@@ -12,6 +13,12 @@
 	'guavamill_config_revision',
 	'guavamill_targets',
 	'guavamill_events_total',
+	'guavamill_claims_held',
+	'guavamill_claim_answer_bytes',
+	'guavamill_claim_appends_total',
+	'guavamill_claims_won_total',
+	'guavamill_claims_lost_total',
+	'guavamill_claims_log_age_seconds',
 ] as const;
 
 /** Values read when the metrics are collected. */
@@ -20,6 +27,7 @@
 	readonly revision: () => number;
 	readonly targets: () => Record<string, number>;
 	readonly events: () => number;
+	readonly claims: () => ClaimStats;
 }
 
 /**
@@ -53,6 +61,12 @@
 		gauge('guavamill_requests_in_flight', 'Requests in progress.', sources.inFlight);
 		gauge('guavamill_config_revision', 'Revision of the configuration in force.', sources.revision);
 		gauge('guavamill_events_total', 'Events recorded on the time line.', sources.events);
+		gauge('guavamill_claims_held', 'Keys of the log held in memory.', () => sources.claims().held);
+		gauge('guavamill_claim_answer_bytes', 'Bytes of stored answers held in memory.', () => sources.claims().answerBytes);
+		gauge('guavamill_claim_appends_total', 'Append calls for claims, releases and outcomes.', () => sources.claims().appends);
+		gauge('guavamill_claims_won_total', 'Claims of this entry VM that won.', () => sources.claims().won);
+		gauge('guavamill_claims_lost_total', 'Claims of this entry VM that lost or expired.', () => sources.claims().lost);
+		gauge('guavamill_claims_log_age_seconds', 'Time since the claims were last read to their end.', () => sources.claims().ageMs / 1000);
 		// eslint-disable-next-line no-new -- The registry keeps the gauge.
 		new Gauge({
 			name: 'guavamill_targets',
--- a/src/requests/request-runner.ts
+++ b/src/requests/request-runner.ts
@@ -1,5 +1,7 @@
 import {createHash, randomUUID} from 'node:crypto';
-import type {BookingKey, Claim, ClaimService} from '../claims/index.js';
+import {
+	parseMintedKey, type BookingKey, type Claim, type ClaimService,
+} from '../claims/index.js';
 import type {Clock} from '../clock/index.js';
 import type {ConfigView, Pipeline} from '../config/index.js';
 import {errorMessage, zodFindings} from '../errors/index.js';
@@ -8,6 +10,7 @@
 import type {Scheduler} from '../teams/index.js';
 import {callerRequestSchema, type CallerRequest} from './caller-request.js';
 import {hasNonIdempotentStage, type ChunkSink, type RequestContext} from './request-context.js';
+import type {KeyForwarder} from './key-forwarder.js';
 import {RequestError} from './request-error.js';
 import {RequestLifecycle} from './request-lifecycle.js';
 import {
@@ -21,6 +24,8 @@
 	readonly config: ConfigView;
 	readonly scheduler: Scheduler;
 	readonly claims: ClaimService;
+	/** Own incarnation, and the way to the others for requests with keys that they minted. */
+	readonly forwarding?: {readonly incarnation: string; readonly forwarder: KeyForwarder};
 	readonly events: EventRecorder;
 }
 
@@ -132,6 +137,11 @@
 			return this.#rejection(context.requestId, 'not_run', 'bad_request', 'Cannot run the request: idempotency.not_after_ms is missing');
 		}
 
+		const forwarded = await this.#forward(context);
+		if (forwarded) {
+			return forwarded;
+		}
+
 		const decision = await claims.acquire(key, context.deadlineMs);
 		switch (decision.type) {
 			case 'won': {
@@ -155,6 +165,20 @@
 		}
 	}
 
+	/** Runs a request whose key another incarnation minted there; `undefined` for every other request. */
+	async #forward(context: RequestContext): Promise<RequestResult | undefined> {
+		const {forwarding} = this.parts;
+		const minter = parseMintedKey(context.body.idempotency!.key)?.incarnation;
+		if (!forwarding || minter === undefined || minter === forwarding.incarnation) {
+			return undefined;
+		}
+
+		const result = await forwarding.forwarder.forward(context.pipeline.name, context.body, minter, context.deadlineMs);
+		return result === 'gone'
+			? this.#rejection(context.requestId, 'unknown', 'minter_gone', claimMessage('minter_gone'))
+			: result;
+	}
+
 	#settleClaim(claim: Claim, result: RequestResult): void {
 		const {claims} = this.parts;
 		if (!isRejection(result)) {
