Decide minted keys by the latest wall time seen

Cause: an entry was dropped by the wall clock, so that after a step back the same minted key could win and run again. A key written by a caller with a far not-after time held memory for ever. A retry after the not-after time was answered not_run although an earlier try may have run. Change: the latest wall time seen decides; a minted key lives at most 900 s; a declared retry of an expired key is unknown; answers are measured in bytes.

--- a/src/claims/minted-claims.ts
+++ b/src/claims/minted-claims.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import type {Clock, Ms} from '../clock/index.js';
 import type {
@@ -14,6 +15,8 @@
 };
 
 const maxAnswerBytes = 16 * 1024;
+/** Callers can write keys of this form themselves; a longer life would hold memory for ever. */
+const maxLifeMs: Ms = 900_000;
 
 /**
  * Claims on keys that this incarnation minted: decided from memory, without the platform's log, because no other
@@ -28,6 +31,8 @@
 	}
 
 	readonly #entries = new Map<string, Entry>();
+	/** Latest wall time seen: after a step back, a key whose entry was dropped must not run again. */
+	#wallMs: Ms = 0;
 
 	private constructor(private readonly clock: Clock, private readonly incarnation: string) {}
 
@@ -49,8 +54,12 @@
 			return held.bodyHash === key.bodyHash ? this.#waitFor(held, deadlineMs) : {type: 'not_run', reason: 'key_conflict'};
 		}
 
-		if (this.clock.wall() > minted.notAfterMs) {
-			return {type: 'not_run', reason: 'key_expired'};
+		if (this.#wallMs > minted.notAfterMs) {
+			return key.attempt > 1 ? {type: 'unknown', reason: 'earlier_attempt_unknown'} : {type: 'not_run', reason: 'key_expired'};
+		}
+
+		if (minted.notAfterMs > this.#wallMs + maxLifeMs) {
+			return {type: 'not_run', reason: 'key_too_long_lived'};
 		}
 
 		const claim: Claim = {keyHash: id, claimId: randomUUID()};
@@ -66,7 +75,7 @@
 			return;
 		}
 
-		entry.outcome = outcome.type === 'done' && (outcome.answer?.length ?? 0) > maxAnswerBytes ? {type: 'done'} : outcome;
+		entry.outcome = outcome.type === 'done' && Buffer.byteLength(outcome.answer ?? '') > maxAnswerBytes ? {type: 'done'} : outcome;
 		this.#wake(entry);
 	}
 
@@ -103,7 +112,8 @@
 
 	/** A key past its not-after time answers `key_expired` without an entry, so its entry can go. */
 	#expire(): void {
-		const now = this.clock.wall();
+		this.#wallMs = Math.max(this.#wallMs, this.clock.wall());
+		const now = this.#wallMs;
 		for (const [id, entry] of this.#entries) {
 			if (entry.notAfterMs >= now) {
 				break;
