Look up a lost non-idempotent call at its target

Cause: a call that was sent and not answered ended as unknown even where the target can tell its outcome.

--- a/src/targets/http-service.ts
+++ b/src/targets/http-service.ts
@@ -43,9 +43,15 @@
 		}
 	}
 
-	async lookup(key: string): Promise<ServiceReply | undefined> {
-		const reply = await this.#get(`/v1/lookup?key=${encodeURIComponent(key)}`) as {found: boolean; reply?: unknown};
-		return reply.found ? toReply(replySchema.parse(reply.reply)) : undefined;
+	/** Opens a fresh connection: the call that is looked up may have been lost on a half-open one. */
+	async lookup(key: string, signal?: AbortSignal): Promise<ServiceReply | undefined> {
+		const client = new Client(this.origin);
+		try {
+			const reply = await this.#get(`/v1/lookup?key=${encodeURIComponent(key)}`, {dispatcher: client, signal}) as {found: boolean; reply?: unknown};
+			return reply.found ? toReply(replySchema.parse(reply.reply)) : undefined;
+		} finally {
+			void client.destroy();
+		}
 	}
 
 	async load(): Promise<TargetLoad> {
@@ -103,9 +109,12 @@
 		return toReply(reply.data);
 	}
 
-	async #get(path: string): Promise<unknown> {
+	async #get(path: string, options: {dispatcher?: Dispatcher; signal?: AbortSignal | undefined} = {}): Promise<unknown> {
+		const timeout = AbortSignal.timeout(controlTimeoutMs);
 		try {
-			const res = await this.pool.request({method: 'GET', path, signal: AbortSignal.timeout(controlTimeoutMs)});
+			const res = await (options.dispatcher ?? this.pool).request({
+				origin: this.origin, method: 'GET', path, signal: options.signal ? AbortSignal.any([options.signal, timeout]) : timeout,
+			});
 			return await res.body.json();
 		} catch (err) {
 			throw new GuavamillError(`Cannot reach the service at ${this.origin}: ${errorMessage(err)}`, {cause: err});
--- a/src/targets/service-port.ts
+++ b/src/targets/service-port.ts
@@ -27,8 +27,8 @@
 /** Port to one instance of a service. */
 export interface ServicePort {
 	call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply>;
-	/** Answer stored for a key, where the service offers look-ups; `undefined` when the key never ran. */
-	lookup(key: string): Promise<ServiceReply | undefined>;
+	/** Answer stored for a key, where the service offers look-ups; `undefined` when no run of the key has ended. */
+	lookup(key: string, signal?: AbortSignal): Promise<ServiceReply | undefined>;
 	load(): Promise<TargetLoad>;
 	health(): Promise<TargetHealth>;
 }
