--- a/src/claims/log-claim-service.ts
+++ b/src/claims/log-claim-service.ts
@@ -257,8 +257,8 @@
 			const append = this.#writer.append(record);
 			this.#record('claim_appended', claim, key.team);
 			void append.result.then(appended => {
-				if (this.#pending.has(claim.claimId)) {
-					finish(appended === 'appended' ? 'won' : 'refused');
+				if (appended === 'refused' && this.#pending.has(claim.claimId)) {
+					finish('refused');
 				}
 			});
 		});
