Read the claims in groups while none is awaited

Cause: every append woke the long polls of all entry VMs; the log answered each of them for single records and became the bottleneck.

--- a/src/claims/claims-follower.ts
+++ b/src/claims/claims-follower.ts
@@ -8,6 +8,8 @@
 
 const pollWaitMs: Ms = 1000;
 const retryMs: Ms = 100;
+/** Every entry VM reads every record; reading them in groups spares the log while no own claim is awaited. */
+const idlePaceMs: Ms = 20;
 
 /** A folded record. `trusted` is false when records before it were lost to a gap; a claim must not win by it then. */
 export interface FoldedClaim extends ClaimFold {
@@ -21,6 +23,8 @@
 	readonly log: PlatformLog;
 	readonly logger: PartLogger;
 	readonly table: ClaimTable;
+	/** True while a record is awaited that this process appended. */
+	readonly isUrgent?: () => boolean;
 }
 
 /**
@@ -43,6 +47,7 @@
 	readonly #stopped = new AbortController();
 	readonly #foldListeners = new Set<(folded: FoldedClaim) => void>();
 	readonly #stateListeners = new Set<(state: ClaimsFollowerState) => void>();
+	#hurry = new AbortController();
 	#untrustedBelow = 0;
 	#freshAt: Ms | undefined;
 
@@ -71,8 +76,14 @@
 		void this.#follow();
 	}
 
+	/** Ends a pause between reads: a record is now awaited. */
+	hurry(): void {
+		this.#hurry.abort();
+	}
+
 	stop(): void {
 		this.#send({type: 'STOP'});
+		this.hurry();
 		this.#stopped.abort();
 	}
 
@@ -81,6 +92,7 @@
 		while (!this.#stopped.signal.aborted) {
 			try {
 				await this.#readPage();
+				await this.#pause();
 			} catch (err) {
 				if (this.#send({type: 'FAILED'})) {
 					logger.warn('Cannot read the claims.', {error: errorMessage(err)});
@@ -91,6 +103,14 @@
 		}
 	}
 
+	async #pause(): Promise<void> {
+		const {clock, isUrgent} = this.parts;
+		if (this.state === 'following' && isUrgent && !isUrgent()) {
+			this.#hurry = new AbortController();
+			await clock.sleep(idlePaceMs, this.#hurry.signal);
+		}
+	}
+
 	async #readPage(): Promise<void> {
 		const {clock, log, table, logger} = this.parts;
 		const from = table.offset + 1;
--- a/src/claims/log-claim-service.ts
+++ b/src/claims/log-claim-service.ts
@@ -68,7 +68,7 @@
 		this.#writes = OpenWrites.create({clock, writer: this.#writer});
 		this.#waiters = Waiters.create(clock);
 		this.follower = ClaimsFollower.create({
-			clock, log, logger, table: this.#table,
+			clock, log, logger, table: this.#table, isUrgent: () => this.#pending.size > 0,
 		});
 		this.follower.onFold(folded => {
 			this.#onFold(folded);
@@ -254,6 +254,7 @@
 				finish('pending');
 			});
 			this.#pending.set(claim.claimId, finish);
+			this.follower.hurry();
 			const append = this.#writer.append(record);
 			this.#record('claim_appended', claim, key.team);
 			void append.result.then(appended => {
