--- a/src/claims/log-claim-service.ts
+++ b/src/claims/log-claim-service.ts
@@ -12,7 +12,7 @@
 import type {ClaimStats} from './claim-stats.js';
 import {ClaimTable} from './claim-table.js';
 import {ClaimsFollower, type FoldedClaim} from './claims-follower.js';
-import type {ClaimEntry} from './fold-claims.js';
+import {decideFree, decideHeld, notRun} from './decide-key.js';
 import {hashBookingKey} from './hash-booking-key.js';
 import {OpenWrites} from './open-writes.js';
 import {Waiters} from './waiters.js';
@@ -96,11 +96,16 @@
 	}
 
 	async acquire(key: BookingKey, deadlineMs: Ms): Promise<ClaimDecision> {
-		const {clock} = this.parts;
+		const {clock, incarnation, maxLifeMs} = this.parts;
 		const keyHash = hashBookingKey(key);
 		for (;;) {
 			const entry = this.#table.get(keyHash);
-			const decision = entry ? this.#decideHeld(key, entry, deadlineMs) : this.#decideFree(key, deadlineMs);
+			const facts = {nowMs: clock.now(), deadlineMs, followerState: this.follower.state};
+			const decision = entry
+				? decideHeld(key, entry, {...facts, isOwn: entry.incarnation === incarnation, own: this.#outcomes.get(entry.claimId)})
+				: decideFree(key, {
+					...facts, wallMs: clock.wall(), logTimeMs: this.#table.logTimeMs, maxLifeMs,
+				});
 			if (decision !== 'wait' && decision !== 'claim') {
 				return decision;
 			}
@@ -147,63 +152,6 @@
 		});
 	}
 
-	#decideHeld(key: BookingKey, entry: ClaimEntry, deadlineMs: Ms): ClaimDecision | 'wait' {
-		if (entry.bodyHash !== key.bodyHash) {
-			return {type: 'not_run', reason: 'key_conflict'};
-		}
-
-		const own = this.#outcomes.get(entry.claimId);
-		const state = own?.type ?? entry.state;
-		if (state === 'done') {
-			return {type: 'done', answer: own?.type === 'done' ? own.answer : entry.answer};
-		}
-
-		if (state === 'unknown' || this.#isStopped) {
-			return {type: 'unknown', reason: 'earlier_attempt_unknown'};
-		}
-
-		const isOwn = entry.incarnation === this.parts.incarnation;
-		if (!isOwn && this.follower.state === 'outage') {
-			return {type: 'unknown', reason: 'earlier_attempt_unknown'};
-		}
-
-		if (this.parts.clock.now() < deadlineMs) {
-			return 'wait';
-		}
-
-		return {type: 'unknown', reason: isOwn ? 'earlier_attempt_unknown' : 'claimer_unknown'};
-	}
-
-	#decideFree(key: BookingKey, deadlineMs: Ms): ClaimDecision | 'wait' | 'claim' {
-		const {clock, maxLifeMs} = this.parts;
-		// Only a quick answer: the log's clock judges every claim again, and alone judges declared retries.
-		if (key.attempt === 1 && key.notAfterMs > clock.wall() + maxLifeMs) {
-			return {type: 'not_run', reason: 'key_too_long_lived'};
-		}
-
-		if (key.notAfterMs < Math.max(this.#table.logTimeMs, clock.wall())) {
-			return notRun(key, 'key_expired');
-		}
-
-		if (clock.now() >= deadlineMs) {
-			return notRun(key, 'deadline');
-		}
-
-		switch (this.follower.state) {
-			case 'following': {
-				return 'claim';
-			}
-
-			case 'starting': {
-				return 'wait';
-			}
-
-			default: {
-				return notRun(key, 'log_unavailable');
-			}
-		}
-	}
-
 	/** Decision after an own claim; `undefined` when another claim holds the key, or held it. */
 	#decideClaimed(key: BookingKey, claim: Claim, result: ClaimResult): ClaimDecision | undefined {
 		switch (result) {
@@ -313,16 +261,7 @@
 		return entry?.state === 'open' && entry.claimId === claim.claimId;
 	}
 
-	get #isStopped(): boolean {
-		return this.follower.state === 'stopped';
-	}
-
 	#record(kind: 'claim_appended' | 'claim_won' | 'claim_lost' | 'claim_released' | 'claim_settled', claim: Claim, team?: string): void {
 		this.parts.events.record({kind, detail: `${claim.keyHash} ${claim.claimId}`, ...(team === undefined ? {} : {team})});
 	}
 }
-
-/** A first try that was not run is `not_run`; of a declared retry, the earlier tries are unknown. */
-function notRun(key: BookingKey, reason: 'log_unavailable' | 'deadline' | 'key_expired'): ClaimDecision {
-	return key.attempt > 1 ? {type: 'unknown', reason: 'earlier_attempt_unknown'} : {type: 'not_run', reason};
-}
--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -3,7 +3,7 @@
 import {errorMessage} from '../errors/index.js';
 import type {EventRecorder} from '../events/index.js';
 import {
-	TargetError, type GenerateCall, type ServiceCall, type ServicePort, type ServiceReply,
+	TargetError, type GenerateCall, type ServiceCall,
 } from '../targets/index.js';
 import {
 	AcquireError, type Grant, type Scheduler, type StageWork,
@@ -11,7 +11,7 @@
 import {
 	countsAsRun, isNonIdempotent, type RequestContext,
 } from './request-context.js';
-import {lookUpReply, lookUpReserveMs} from './look-up-reply.js';
+import {callOrLookUp, callService} from './call-service.js';
 import {RequestError} from './request-error.js';
 import type {StageReport} from './result.js';
 import {StreamAssembler} from './stream-assembler.js';
@@ -129,37 +129,14 @@
 		return this.#attempt(context, work, grant, async signal => {
 			const {idempotencyKey} = call;
 			const reply = grant.target.pool.lookup && idempotencyKey !== undefined
-				? await this.#callOrLookUp(service, {...call, idempotencyKey}, signal)
+				? await callOrLookUp({
+					clock: this.clock, service, call: {...call, idempotencyKey}, signal,
+				})
 				: await callService(service, call, signal);
 			return reply.output;
 		});
 	}
 
-	/** Gives up the call in time to look it up on a fresh connection; throws the call's error when nothing is found. */
-	async #callOrLookUp(service: ServicePort, call: ServiceCall & {idempotencyKey: string}, signal: AbortSignal): Promise<ServiceReply> {
-		const givenUp = new AbortController();
-		const cancel = this.clock.after(call.remainingMs - lookUpReserveMs(call.remainingMs), () => {
-			givenUp.abort();
-		});
-		try {
-			return await callService(service, call, AbortSignal.any([signal, givenUp.signal]));
-		} catch (err) {
-			const wasNotRun = err instanceof TargetError && (err.failure === 'not_sent' || err.failure === 'refused');
-			const found = wasNotRun
-				? undefined
-				: await lookUpReply({
-					clock: this.clock, service, call, signal,
-				});
-			if (!found) {
-				throw err;
-			}
-
-			return found;
-		} finally {
-			cancel();
-		}
-	}
-
 	async #generate(context: RequestContext, work: StageWork, grant: Grant, options: {assembler: StreamAssembler; isLast: boolean}): Promise<string> {
 		const {engine} = grant.target;
 		if (!engine) {
@@ -300,15 +277,6 @@
 	}
 }
 
-async function callService(service: ServicePort, call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
-	const reply = await service.call(call, signal);
-	if (reply.requestId !== call.requestId || reply.stage !== call.stage || reply.attempt !== call.attempt) {
-		throw TargetError.create('mismatch', `Cannot accept a reply: it answers ${reply.requestId}/${reply.stage}/${reply.attempt}`);
-	}
-
-	return reply;
-}
-
 function round(ms: Ms): Ms {
 	return Math.round(ms * 100) / 100;
 }
