--- /dev/null
+++ b/src/claims/batch-writer.ts
@@ -0,0 +1,133 @@
+import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import {LogUnavailableError, type LogStream, type PlatformLog} from '../platform/index.js';
+
+/** Records that arrive within this time share one append. */
+const defaultLingerMs: Ms = 2;
+/** Time from one append to the next while the log has not answered: records gather instead of queueing at the log. */
+const busyLingerMs: Ms = 10;
+/** Bounds the appends of one process: the log takes several hundred a second in all. */
+const defaultMaxInFlight = 4;
+const maxBatchRecords = 256;
+const maxBatchBytes = 1024 * 1024;
+const maxQueuedRecords = 10_000;
+
+/** Result of an append: `refused` was certainly not appended, `unanswered` may be appended, now or later. */
+export type AppendResult = 'appended' | 'refused' | 'unanswered';
+
+/** A record on its way. `cancel` takes it back while it is still queued; it is then `refused`. */
+export interface QueuedAppend {
+	readonly result: Promise<AppendResult>;
+	cancel(): void;
+}
+
+type Item = {readonly record: unknown; readonly bytes: number; readonly resolve: (result: AppendResult) => void};
+
+/**
+ * Appends records to a stream in batches.
+ *
+ * @example
+ * const writer = BatchWriter.create({clock, log, stream: 'claims'});
+ * await writer.append(record).result; // 'appended'
+ */
+export class BatchWriter {
+	static create(options: {clock: Clock; log: PlatformLog; stream: LogStream; maxInFlight?: number}): BatchWriter {
+		return new BatchWriter(options);
+	}
+
+	readonly #queue: Item[] = [];
+	#inFlight = 0;
+	#dueAt: Ms = Number.POSITIVE_INFINITY;
+	#flushedAt: Ms = Number.NEGATIVE_INFINITY;
+	#timerAt: Ms = Number.POSITIVE_INFINITY;
+	#cancelTimer: CancelTimer = () => undefined;
+	#appends = 0;
+
+	private constructor(private readonly options: {clock: Clock; log: PlatformLog; stream: LogStream; maxInFlight?: number}) {}
+
+	/** Append calls made. */
+	get appends(): number {
+		return this.#appends;
+	}
+
+	/** Queues a record; it may wait for others up to `lingerMs`. */
+	append(record: unknown, lingerMs: Ms = defaultLingerMs): QueuedAppend {
+		let item: Item | undefined;
+		const result = new Promise<AppendResult>(resolve => {
+			if (this.#queue.length >= maxQueuedRecords) {
+				resolve('refused');
+				return;
+			}
+
+			item = {record, bytes: JSON.stringify(record).length, resolve};
+			this.#queue.push(item);
+			this.#dueAt = Math.min(this.#dueAt, this.options.clock.now() + lingerMs);
+			this.#schedule();
+		});
+		return {
+			result,
+			cancel: () => {
+				const index = item ? this.#queue.indexOf(item) : -1;
+				if (index >= 0) {
+					this.#queue.splice(index, 1);
+					item!.resolve('refused');
+				}
+			},
+		};
+	}
+
+	#schedule(): void {
+		if (this.#queue.length === 0 || this.#inFlight >= (this.options.maxInFlight ?? defaultMaxInFlight)) {
+			return;
+		}
+
+		const at = this.#inFlight === 0 ? this.#dueAt : Math.max(this.#dueAt, this.#flushedAt + busyLingerMs);
+		if (this.#timerAt <= at) {
+			return;
+		}
+
+		this.#cancelTimer();
+		this.#timerAt = at;
+		this.#cancelTimer = this.options.clock.after(at - this.options.clock.now(), () => {
+			this.#timerAt = Number.POSITIVE_INFINITY;
+			void this.#flush();
+		});
+	}
+
+	async #flush(): Promise<void> {
+		const batch = this.#take();
+		if (batch.length === 0) {
+			return;
+		}
+
+		this.#flushedAt = this.options.clock.now();
+		this.#inFlight++;
+		this.#appends++;
+		this.#schedule();
+		let result: AppendResult = 'appended';
+		try {
+			await this.options.log.append(this.options.stream, batch.map(item => item.record));
+		} catch (err) {
+			result = err instanceof LogUnavailableError ? 'refused' : 'unanswered';
+		}
+
+		this.#inFlight--;
+		for (const item of batch) {
+			item.resolve(result);
+		}
+
+		this.#schedule();
+	}
+
+	#take(): Item[] {
+		let count = 0;
+		let bytes = 0;
+		while (count < this.#queue.length && count < maxBatchRecords && (count === 0 || bytes + this.#queue[count]!.bytes <= maxBatchBytes)) {
+			bytes += this.#queue[count]!.bytes;
+			count++;
+		}
+
+		const batch = this.#queue.splice(0, count);
+		this.#dueAt = this.#queue.length === 0 ? Number.POSITIVE_INFINITY : this.options.clock.now();
+		return batch;
+	}
+}
--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -33,6 +33,9 @@
 	configSnapshotMs: {
 		flag: 'config-snapshot-ms', help: 'Time between snapshots of the configuration, in ms; at most a third of the log\'s retention.', fallback: '600000', schema: numberSchema(100, 1e12),
 	},
+	claimMaxLifeMs: {
+		flag: 'claim-max-life-ms', help: 'Longest time to a key\'s not-after time, in ms; at most half of the log\'s retention.', fallback: '900000', schema: numberSchema(1000, 86_400_000),
+	},
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,5 +1,5 @@
 import {randomBytes, randomInt} from 'node:crypto';
-import {MintedClaims} from '../claims/index.js';
+import {ClaimRouter, LogClaimService, MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import {ConfigFollower, ConfigWriter, type ConfigPeers} from '../config/index.js';
 import {EventRing, type PeerEvents} from '../events/index.js';
@@ -9,7 +9,7 @@
 import {createOperatorHandler, type PeerStatusSource} from '../operators/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
-import {RequestRunner} from '../requests/index.js';
+import {nullKeyForwarder, RequestRunner, type KeyForwarder} from '../requests/index.js';
 import {
 	DeclaredTargets, httpPortFactory, TargetProber, VmWatcher, type PortFactory,
 } from '../targets/index.js';
@@ -39,10 +39,17 @@
 	readonly configPeers?: ConfigPeers;
 	readonly peerEvents?: PeerEvents;
 	readonly peerStatus?: PeerStatusSource;
+	/** Longest life of a caller's key, in ms; at most half of the log's retention. */
+	readonly claimMaxLifeMs?: Ms;
+	/** Way to the entry VMs that minted other keys. */
+	readonly forwarder?: KeyForwarder;
 }
 
 /** Time for the last answers to leave after the latest deadline. */
 const drainSlackMs: Ms = 1000;
+const defaultClaimMaxLifeMs: Ms = 900_000;
+/** Time for the last outcomes to reach the log. */
+const claimDrainMs: Ms = 2000;
 const defaultSnapshotMs: Ms = 600_000;
 const idlePollMs: Ms = 20;
 /** Longest time of an order: its call ends after this (see `controlTimeoutMs` of the targets). */
@@ -70,6 +77,7 @@
 	readonly config: ConfigFollower;
 	readonly targets: DeclaredTargets;
 	readonly runner: RequestRunner;
+	readonly claims: LogClaimService;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
 	readonly #prober: TargetProber;
@@ -107,11 +115,15 @@
 			logger: createLogger('orders'),
 			longestOrderMs,
 		});
+		this.claims = LogClaimService.create({
+			clock, log, events: this.events, logger: createLogger('claims'), incarnation: this.incarnation, maxLifeMs: options.claimMaxLifeMs ?? defaultClaimMaxLifeMs,
+		});
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
 			scheduler: FcfsScheduler.create({clock, targets: this.targets}),
-			claims: MintedClaims.create({clock, incarnation: this.incarnation}),
+			claims: ClaimRouter.create({minted: MintedClaims.create({clock, incarnation: this.incarnation}), logged: this.claims}),
+			forwarding: {incarnation: this.incarnation, forwarder: options.forwarder ?? nullKeyForwarder},
 			events: this.events,
 		});
 		this.#metrics = Metrics.create({
@@ -119,6 +131,7 @@
 			revision: () => this.config.current().revision,
 			targets: () => this.#targetCounts(),
 			events: () => this.events.recorded,
+			claims: () => this.claims.stats,
 		});
 	}
 
@@ -153,6 +166,7 @@
 		this.#vmWatcher.start();
 		this.#lease.start();
 		this.#orders.start();
+		this.claims.start();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -212,6 +226,7 @@
 		}
 
 		this.#lifecycle.send({type: 'IDLE'});
+		await this.claims.stop(claimDrainMs);
 		this.config.stop();
 		this.#prober.stop();
 		this.#vmWatcher.stop();
--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -12,6 +12,7 @@
 import {
 	countsAsRun, isNonIdempotent, type ChunkSink, type RequestContext,
 } from './request-context.js';
+import {callOrLookUp, callService} from './call-service.js';
 import {RequestError} from './request-error.js';
 import type {StageReport} from './result.js';
 import {StreamAssembler} from './stream-assembler.js';
@@ -133,12 +134,16 @@
 		};
 		const silenceMs = nonIdempotent ? undefined : this.#silenceBound(context, Math.max(minServiceSilenceMs, grant.target.pool.service_ms * serviceSilenceFactor));
 		return this.#attempt(context, work, grant, async controller => {
-			const cancelSilence = silenceMs === undefined ? () => undefined : this.#watchSilence(controller, grant, silenceMs);
-			const reply = await service.call(call, controller.signal).finally(cancelSilence);
-			if (reply.requestId !== call.requestId || reply.stage !== call.stage || reply.attempt !== call.attempt) {
-				throw TargetError.create('mismatch', `Cannot accept a reply: it answers ${reply.requestId}/${reply.stage}/${reply.attempt}`);
+			const {idempotencyKey} = call;
+			if (grant.target.pool.lookup && idempotencyKey !== undefined) {
+				const found = await callOrLookUp({
+					clock: this.clock, service, call: {...call, idempotencyKey}, signal: controller.signal,
+				});
+				return found.output;
 			}
 
+			const cancelSilence = silenceMs === undefined ? () => undefined : this.#watchSilence(controller, grant, silenceMs);
+			const reply = await callService(service, call, controller.signal).finally(cancelSilence);
 			return reply.output;
 		});
 	}
@@ -225,6 +230,12 @@
 	/** Sends one attempt and settles its grant exactly once. */
 	async #attempt(context: RequestContext, work: StageWork, grant: Grant, send: (controller: AbortController, state: AttemptState) => Promise<string>): Promise<string> {
 		const state: AttemptState = {work, grant, sentAt: this.clock.now()};
+		if (state.sentAt >= context.deadlineMs) {
+			// A process that was paused drops work past its deadline.
+			grant.settle({outcome: 'cancelled', serviceMs: 0});
+			throw RequestError.create('deadline', `Cannot send stage ${work.stage.name}: the deadline passed`);
+		}
+
 		if (countsAsRun(context, work.stage)) {
 			context.lifecycle.send({type: 'SENT'});
 		}
