--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -7,6 +7,7 @@
 	listenAddressSchema, nameSchema, numberSchema, originSchema, resolveSettings,
 } from '../settings/index.js';
 import {exitCodes, type Command} from './command.js';
+import {linkSettings, readLinkSettings} from './link-settings.js';
 
 /** Settings of `guavamill serve`. */
 export const serveSettings = {
@@ -29,6 +30,7 @@
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
+	...linkSettings,
 	wallSkewMs: {
 		flag: 'wall-skew-ms', help: 'Shifts the wall clock, for tests, in ms.', fallback: '0', schema: numberSchema(-3_600_000, 3_600_000),
 	},
@@ -45,13 +47,14 @@
 		const clock = SystemClock.create({skew: settings.wallSkewMs});
 		const vm = await EntryVm.create({
 			...settings,
+			links: readLinkSettings(settings),
 			clock,
 			log: HttpPlatformLog.create(settings.log),
 			vmList: HttpVmList.create(settings.vms),
 			createLogger: createLoggerFactory({process: settings.name, level: settings.logLevel}),
 		});
 		input.print(JSON.stringify({
-			listening: {callers: vm.callerPort, operators: vm.operatorPort}, incarnation: vm.incarnation,
+			listening: {callers: vm.callerPort, operators: vm.operatorPort, ...(vm.mesh ? {links: vm.mesh.port} : {})}, incarnation: vm.incarnation,
 		}));
 		await input.stopped;
 		await vm.shutdown();
--- a/src/entry-vm/caller-server.ts
+++ b/src/entry-vm/caller-server.ts
@@ -23,7 +23,7 @@
 /** Parts and limits of the callers' server. */
 export interface CallerServerOptions {
 	readonly clock: Clock;
-	readonly runner: RequestRunner;
+	readonly runner: Pick<RequestRunner, 'run'>;
 	readonly incarnation: string;
 	readonly listen: ListenAddress;
 	readonly maxBodyBytes: number;
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,11 +1,15 @@
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import {MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import {ConfigFollower} from '../config/index.js';
-import {EventRing} from '../events/index.js';
+import {EventRing, HybridClock} from '../events/index.js';
 import {sendJson, type ListenAddress} from '../http/index.js';
+import {
+	LinkMesh, MintedKeyRouter, WorkTracker, type LinkSettings,
+} from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
+import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
 import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
 import {FcfsScheduler} from '../teams/index.js';
@@ -27,6 +31,8 @@
 	readonly vmList: VmList;
 	readonly createLogger: LoggerFactory;
 	readonly ports?: PortFactory;
+	/** Links to other entry VMs; without it this entry VM works alone. */
+	readonly links?: LinkSettings | undefined;
 }
 
 const defaultDrainMs: Ms = 9000;
@@ -55,24 +61,39 @@
 	readonly runner: RequestRunner;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
+	readonly #hybrid: HybridClock;
+	readonly #work: WorkTracker;
+	readonly #router: MintedKeyRouter;
+	#mesh: LinkMesh | undefined;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
 
 	private constructor(private readonly options: EntryVmOptions) {
 		const {clock, log, createLogger} = options;
-		this.events = EventRing.create({process: options.name, clock, capacity: options.eventCapacity});
+		this.#hybrid = HybridClock.create(clock);
+		this.events = EventRing.create({
+			process: options.name, clock, capacity: options.eventCapacity, hybrid: this.#hybrid,
+		});
 		this.config = ConfigFollower.create({
 			clock, log, events: this.events, logger: createLogger('config'),
 		});
 		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.#work = WorkTracker.create({scheduler: FcfsScheduler.create({clock, targets: this.targets}), targets: this.targets});
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
-			scheduler: FcfsScheduler.create({clock, targets: this.targets}),
+			scheduler: this.#work,
 			claims: MintedClaims.create({clock, incarnation: this.incarnation}),
 			events: this.events,
 		});
+		this.#router = MintedKeyRouter.create({
+			clock,
+			incarnation: this.incarnation,
+			runner: this.runner,
+			forwarder: () => this.#mesh,
+			pipelineDeadlineMs: name => this.config.current().declarations.pipeline(name)?.deadline_ms,
+		});
 		this.#metrics = Metrics.create({
 			inFlight: () => this.runner.inFlight,
 			revision: () => this.config.current().revision,
@@ -93,6 +114,11 @@
 		return this.#operators!.port;
 	}
 
+	/** Links to other entry VMs; `undefined` without a link key. */
+	get mesh(): LinkMesh | undefined {
+		return this.#mesh;
+	}
+
 	/** Drains and stops; a second call waits for the first. */
 	async shutdown(): Promise<void> {
 		this.#shutdown ??= this.#drain();
@@ -102,6 +128,7 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		this.config.start();
+		this.#mesh = options.links && await this.#link(options.links);
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -112,7 +139,7 @@
 		});
 		this.#callers = await CallerServer.create({
 			clock: options.clock,
-			runner: this.runner,
+			runner: this.#router,
 			incarnation: this.incarnation,
 			listen: options.callers,
 			maxBodyBytes: options.maxBodyBytes,
@@ -138,7 +165,7 @@
 		this.#callers!.stopAccepting();
 		const longest = Math.max(this.config.current().declarations.longestDeadlineMs(), defaultDrainMs);
 		const end = clock.now() + longest;
-		while (this.#callers!.inFlight > 0 && clock.now() < end) {
+		while ((this.#callers!.inFlight > 0 || this.runner.inFlight > 0) && clock.now() < end) {
 			await clock.sleep(idlePollMs);
 		}
 
@@ -146,9 +173,39 @@
 		this.config.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
+		await this.#mesh?.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
 	}
 
+	async #link(settings: LinkSettings): Promise<LinkMesh> {
+		const {name, zone, clock, vmList, createLogger} = this.options;
+		const mesh = await LinkMesh.create({
+			...settings,
+			self: {name, zone, incarnation: this.incarnation},
+			clock,
+			random: Random.create(randomInt(0x7F_FF_FF_FF)),
+			vmList,
+			registry: this.#metrics.registry,
+			logger: createLogger('links'),
+			events: this.events,
+			hybrid: this.#hybrid,
+			regionOf: other => this.config.current().declarations.zone(other)?.region,
+			runner: this.runner,
+			config: {
+				offset: () => this.config.current().offset, state: () => undefined, onPeerOffset: () => undefined,
+			},
+			digest: {
+				work: () => this.#work.work(),
+				inFlight: () => this.targets.all().filter(target => target.inFlight > 0).map(target => ({target: target.name, calls: target.inFlight})),
+				draining: () => this.targets.all().filter(target => target.state === 'draining').map(target => ({target: target.name, startId: target.startId!})),
+			},
+		});
+		mesh.onNews((target, startId, source) => {
+			this.targets.markDraining(target, startId, `peer ${source}`);
+		});
+		return mesh;
+	}
+
 	#targetCounts(): Record<string, number> {
 		const counts: Record<string, number> = {};
 		for (const target of this.targets.all()) {
--- a/src/events/event-ring.ts
+++ b/src/events/event-ring.ts
@@ -1,5 +1,6 @@
 import type {Clock} from '../clock/index.js';
 import type {EventInput, TimelineEvent} from './event.js';
+import type {HybridClock} from './hybrid-clock.js';
 
 /** Which events to return; an absent field matches every event. */
 export interface EventFilter {
@@ -25,15 +26,16 @@
  * ring.record({kind: 'request_received', requestId: 'r1'});
  */
 export class EventRing implements EventRecorder {
-	static create(options: {process: string; clock: Clock; capacity?: number}): EventRing {
-		return new EventRing(options.process, options.clock, options.capacity ?? 20_000);
+	/** Creates a ring; with a hybrid clock its events are stamped with that clock's time instead of wall time. */
+	static create(options: {process: string; clock: Clock; capacity?: number; hybrid?: HybridClock}): EventRing {
+		return new EventRing(options.process, options.clock, options.capacity ?? 20_000, options.hybrid);
 	}
 
 	readonly #events: TimelineEvent[] = [];
 	#next = 0;
 	#sequence = 0;
 
-	private constructor(private readonly process: string, private readonly clock: Clock, private readonly capacity: number) {}
+	private constructor(private readonly process: string, private readonly clock: Clock, private readonly capacity: number, private readonly hybrid: HybridClock | undefined) {}
 
 	/** Number of events recorded since the start, dropped ones included. */
 	get recorded(): number {
@@ -42,8 +44,9 @@
 
 	record(input: EventInput): void {
 		this.#sequence++;
+		const {physicalMs, logical} = this.hybrid?.tick() ?? {physicalMs: this.clock.wall(), logical: 0};
 		this.#events[this.#next] = {
-			...input, process: this.process, sequence: this.#sequence, wallMs: this.clock.wall(), logical: 0,
+			...input, process: this.process, sequence: this.#sequence, wallMs: physicalMs, logical,
 		};
 		this.#next = (this.#next + 1) % this.capacity;
 	}
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,6 +4,7 @@
 export * from './entry-vm/index.js';
 export * from './errors/index.js';
 export * from './events/index.js';
+export * from './links/index.js';
 export * from './platform/index.js';
 export * from './requests/index.js';
 export * from './targets/index.js';
--- /dev/null
+++ b/src/links/forward-service.ts
@@ -0,0 +1,134 @@
+import {randomUUID} from 'node:crypto';
+import type {Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
+import type {RequestResult, RequestRunner} from '../requests/index.js';
+import type {KeyForwarder} from './key-forwarder.js';
+import type {LinkMessage} from './link-message.js';
+import type {Link} from './link.js';
+import type {MeshLinks} from './mesh-links.js';
+import {PendingReplies} from './pending-replies.js';
+import type {Roster} from './roster.js';
+
+/** From this entry VM over a gateway of its zone and one of the other zone. */
+const maxRelays = 2;
+
+type Reply = {result: string | undefined};
+
+/**
+ * Forwards requests with minted keys to the incarnation that minted the key, and runs those that arrive. A request is
+ * sent once; when its reply does not come, its outcome is `unknown`.
+ *
+ * @internal
+ */
+export class ForwardService implements KeyForwarder {
+	static create(options: {clock: Clock; links: MeshLinks; roster: Roster; runner: Pick<RequestRunner, 'run'>}): ForwardService {
+		return new ForwardService(options.clock, options.links, options.roster, options.runner);
+	}
+
+	readonly #replies: PendingReplies<Reply>;
+
+	private constructor(private readonly clock: Clock, private readonly links: MeshLinks, private readonly roster: Roster, private readonly runner: Pick<RequestRunner, 'run'>) {
+		this.#replies = PendingReplies.create(clock);
+	}
+
+	async forward(pipeline: string, body: unknown, incarnation: string, deadlineMs: Ms, requestId: string = randomUUID()): Promise<RequestResult | 'gone'> {
+		const route = this.#route(incarnation, maxRelays);
+		if (!route) {
+			return 'gone';
+		}
+
+		const remainingMs = deadlineMs - this.clock.now();
+		const reply = await this.#send(route, {
+			requestId, to: incarnation, pipeline, body: JSON.stringify(body), remainingMs,
+		});
+		if (typeof reply === 'string') {
+			return unknown(`Cannot tell the outcome: the request was forwarded to incarnation ${incarnation} and its reply did not come (${reply})`);
+		}
+
+		return reply.result === undefined ? 'gone' : readResult(reply.result);
+	}
+
+	async receive(link: Link, message: LinkMessage & {type: 'forward' | 'forward-reply'}): Promise<void> {
+		if (message.type === 'forward-reply') {
+			this.#replies.reply(link, message.id, {result: message.result});
+			return;
+		}
+
+		const result = message.to === this.links.self.incarnation ? await this.#run(message) : await this.#relay(message);
+		this.links.send(link, {type: 'forward-reply', id: message.id, ...(result === undefined ? {} : {result})});
+	}
+
+	linkLost(link: Link): void {
+		this.#replies.linkLost(link);
+	}
+
+	async #run(message: LinkMessage & {type: 'forward'}): Promise<string> {
+		let body: Record<string, unknown>;
+		try {
+			body = JSON.parse(message.body) as Record<string, unknown>;
+		} catch (err) {
+			return JSON.stringify(unknown(`Cannot read the forwarded request: ${errorMessage(err)}`));
+		}
+
+		const deadlineMs = Math.max(1, message.remainingMs);
+		return JSON.stringify(await this.runner.run(message.pipeline, {...body, deadline_ms: deadlineMs, stream: false}, {requestId: message.requestId}));
+	}
+
+	/** Passes a request on towards its incarnation; `undefined` when no link leads there. */
+	async #relay(message: LinkMessage & {type: 'forward'}): Promise<string | undefined> {
+		const route = message.hops > 0 ? this.#route(message.to, message.hops - 1) : undefined;
+		if (!route) {
+			return undefined;
+		}
+
+		const reply = await this.#send(route, message);
+		return typeof reply === 'string'
+			? JSON.stringify(unknown(`Cannot tell the outcome: the request was relayed to incarnation ${message.to} and its reply did not come (${reply})`))
+			: reply.result;
+	}
+
+	async #send(route: Route, request: ForwardedRequest): Promise<Reply | string> {
+		const {requestId, to, pipeline, body, remainingMs} = request;
+		return this.#replies.request(route.link, Math.max(0, remainingMs), id => this.links.send(route.link, {
+			type: 'forward', id, requestId, to, pipeline, body, remainingMs, hops: route.hops,
+		}));
+	}
+
+	/** The direct link, else a gateway of the other zone, else a gateway of this zone. */
+	#route(incarnation: string, hops: number): Route | undefined {
+		const direct = this.links.byIncarnation(incarnation);
+		if (direct) {
+			return {link: direct, hops: 0};
+		}
+
+		const remote = this.roster.linkTo(incarnation);
+		if (remote && hops >= 0) {
+			return {link: remote, hops: Math.min(1, hops)};
+		}
+
+		const {membership, self} = this.links;
+		if (hops < maxRelays || membership.isGateway) {
+			return undefined;
+		}
+
+		const gateway = membership.gateways(self.zone).map(name => this.links.byName(name)).find(link => link !== undefined);
+		return gateway && {link: gateway, hops};
+	}
+}
+
+type ForwardedRequest = {requestId: string; to: string; pipeline: string; body: string; remainingMs: Ms};
+type Route = {link: Link; hops: number};
+
+function unknown(message: string): RequestResult {
+	return {
+		request_id: '', outcome: 'unknown', reason: 'claimer_unknown', message,
+	};
+}
+
+function readResult(text: string): RequestResult {
+	try {
+		return JSON.parse(text) as RequestResult;
+	} catch {
+		return unknown('Cannot tell the outcome: the reply to the forwarded request is malformed');
+	}
+}
--- /dev/null
+++ b/src/links/index.ts
@@ -0,0 +1,17 @@
+export type {ConfigExchange, ConfigState, ConfigStateSource} from './config-exchange.js';
+export {digestIntervalMs, type DigestSource} from './digest-exchange.js';
+export type {DrainingListener, DrainingNews} from './draining-news.js';
+export type {KeyForwarder} from './key-forwarder.js';
+export {LinkError, type LinkCloseReason} from './link-error.js';
+export type {LinkDistance} from './link-bytes.js';
+export type {LinkIdentity} from './link-identity.js';
+export {LinkKey, minLinkKeyBytes} from './link-key.js';
+export {LinkMesh, type LinkMeshOptions, type LinkSettings} from './link-mesh.js';
+export {pingIntervalMs, silenceMs} from './link.js';
+export {
+	gatewaysPerZone, Membership, type Member, type PeerAddress,
+} from './membership.js';
+export type {MemberState} from './member-lifecycle.js';
+export {MintedKeyRouter, type MintedKeyRouterOptions} from './minted-key-router.js';
+export {rankByRendezvous} from './rendezvous.js';
+export {WorkTracker} from './work-tracker.js';
--- /dev/null
+++ b/src/links/link-mesh.ts
@@ -0,0 +1,300 @@
+import type {Registry} from 'prom-client';
+import {WebSocket} from 'ws';
+import type {Clock, Ms} from '../clock/index.js';
+import type {
+	CollectedEvents, EventFilter, EventRing, HybridClock, PeerEvents,
+} from '../events/index.js';
+import type {ListenAddress} from '../http/index.js';
+import type {PartLogger} from '../logs/index.js';
+import type {VmList} from '../platform/index.js';
+import type {Random} from '../random/index.js';
+import type {RequestResult, RequestRunner} from '../requests/index.js';
+import type {ZoneDigest, ZoneView} from '../teams/index.js';
+import type {ConfigExchange, ConfigState, ConfigStateSource} from './config-exchange.js';
+import {ConfigTransfer} from './config-transfer.js';
+import {DigestExchange, digestIntervalMs, type DigestSource} from './digest-exchange.js';
+import {DrainingGossip, type DrainingNews} from './draining-news.js';
+import {EventCollector} from './event-collector.js';
+import {ForwardService} from './forward-service.js';
+import type {KeyForwarder} from './key-forwarder.js';
+import {LinkBytes, type LinkDistance} from './link-bytes.js';
+import {LinkError} from './link-error.js';
+import type {LinkIdentity} from './link-identity.js';
+import type {LinkKey} from './link-key.js';
+import {LinkListener} from './link-listener.js';
+import type {LinkMessage, LinkTime} from './link-message.js';
+import {handshakeTimeoutMs, maxFrameBytes, type Link} from './link.js';
+import {Membership, type Member, type PeerAddress} from './membership.js';
+import type {MeshLinks} from './mesh-links.js';
+import {PeerLinks} from './peer-links.js';
+import {Roster} from './roster.js';
+import {VmListFollower} from './vm-list-follower.js';
+import {wsLinkSocket} from './ws-link-socket.js';
+
+/** Settings of the links of an entry VM. */
+export interface LinkSettings {
+	readonly key: LinkKey;
+	/** Address for peers; an entry VM without it only dials. */
+	readonly listen: ListenAddress | undefined;
+	readonly peers: readonly PeerAddress[];
+}
+
+/** Settings and ports of the mesh. */
+export interface LinkMeshOptions extends LinkSettings {
+	readonly self: LinkIdentity;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly vmList: VmList;
+	readonly registry: Registry;
+	readonly logger: PartLogger;
+	readonly events: EventRing;
+	/** Merged with the times of messages where present. */
+	readonly hybrid: HybridClock | undefined;
+	readonly regionOf: (zone: string) => string | undefined;
+	readonly runner: Pick<RequestRunner, 'run'>;
+	readonly config: ConfigExchange;
+	readonly digest: DigestSource;
+}
+
+/**
+ * Links of an entry VM to the others, with what they exchange: digests, news of draining targets, configuration
+ * offsets and state, requests with minted keys, and events.
+ *
+ * @example
+ * const mesh = await LinkMesh.create(options);
+ * mesh.onNews((target, startId, source) => targets.markDraining(target, startId, source));
+ */
+export class LinkMesh implements ZoneView, DrainingNews, KeyForwarder, PeerEvents, ConfigStateSource {
+	/** Starts listening and dialling. Throws when the address cannot be bound. */
+	static async create(options: LinkMeshOptions): Promise<LinkMesh> {
+		const mesh = new LinkMesh(options);
+		await mesh.#start();
+		return mesh;
+	}
+
+	readonly #membership: Membership;
+	readonly #links: PeerLinks;
+	readonly #roster: Roster;
+	readonly #draining: DrainingGossip;
+	readonly #config: ConfigTransfer;
+	readonly #digests: DigestExchange;
+	readonly #forwards: ForwardService;
+	readonly #collector: EventCollector;
+	readonly #vmList: VmListFollower;
+	#listener: LinkListener | undefined;
+	#cancelDigest: () => void = () => undefined;
+
+	private constructor(private readonly options: LinkMeshOptions) {
+		const {clock, self, events} = options;
+		this.#membership = Membership.create({self, peers: options.peers, events});
+		this.#links = PeerLinks.create({
+			...options,
+			membership: this.#membership,
+			bytes: LinkBytes.create(options.registry),
+			connect: address => connect(address),
+			distanceTo: zone => this.#distanceTo(zone),
+			onUp: () => {
+				this.#roster.publish();
+			},
+			onMessage: (link, message, time) => {
+				this.#receive(link, message, time);
+			},
+			onClosed: link => {
+				this.#lost(link);
+			},
+			onDropped: (link, cause) => {
+				this.#digests.dropped(link, cause);
+			},
+		});
+		const links = this.#meshLinks();
+		this.#roster = Roster.create(links);
+		this.#draining = DrainingGossip.create(links);
+		this.#config = ConfigTransfer.create({clock, links, exchange: options.config});
+		this.#digests = DigestExchange.create({
+			clock, links, source: options.digest, config: this.#config, offset: () => options.config.offset(), draining: this.#draining,
+		});
+		this.#forwards = ForwardService.create({
+			clock, links, roster: this.#roster, runner: options.runner,
+		});
+		this.#collector = EventCollector.create({clock, links, ring: events});
+		this.#vmList = VmListFollower.create({
+			clock,
+			vmList: options.vmList,
+			random: options.random,
+			logger: options.logger,
+			onList: snapshot => {
+				this.#membership.applyList(snapshot);
+			},
+		});
+	}
+
+	/** Port for peers; 0 without a listener. */
+	get port(): number {
+		return this.#listener?.port ?? 0;
+	}
+
+	/** Members that are not gone, without this entry VM. */
+	members(): readonly Member[] {
+		return this.#membership.members();
+	}
+
+	/** Names of the peers with a link. */
+	linked(): readonly string[] {
+		return this.#links.up().map(link => link.peer.name);
+	}
+
+	others(): readonly ZoneDigest[] {
+		return this.#digests.others();
+	}
+
+	/** Summaries of other zones, `process` being the zone; at gateways only. */
+	summaries(): readonly ZoneDigest[] {
+		return this.#digests.summaries();
+	}
+
+	publish(target: string, startId: string): void {
+		this.#draining.publish(target, startId);
+	}
+
+	onNews(listener: (target: string, startId: string, source: string) => void): () => void {
+		return this.#draining.onNews(listener);
+	}
+
+	async forward(pipeline: string, body: unknown, incarnation: string, deadlineMs: Ms, requestId?: string): Promise<RequestResult | 'gone'> {
+		return this.#forwards.forward(pipeline, body, incarnation, deadlineMs, requestId);
+	}
+
+	async collect(filter: EventFilter, timeoutMs: Ms): Promise<CollectedEvents> {
+		return this.#collector.collect(filter, timeoutMs);
+	}
+
+	async fetchConfigState(above: number, timeoutMs: Ms): Promise<ConfigState | undefined> {
+		return this.#config.fetchConfigState(above, timeoutMs);
+	}
+
+	/** Closes every link. */
+	async close(): Promise<void> {
+		this.#vmList.stop();
+		this.#cancelDigest();
+		this.#links.close();
+		await this.#listener?.close();
+	}
+
+	async #start(): Promise<void> {
+		const {listen} = this.options;
+		if (listen) {
+			this.#listener = await LinkListener.create({listen, accept: socket => this.#links.accept(socket)});
+		}
+
+		this.#links.start();
+		this.#vmList.start();
+		this.#scheduleDigest();
+	}
+
+	#scheduleDigest(): void {
+		this.#cancelDigest = this.options.clock.after(digestIntervalMs, () => {
+			this.#scheduleDigest();
+			this.#digests.publish();
+			this.#roster.publish();
+		});
+	}
+
+	#receive(link: Link, message: LinkMessage, time: LinkTime | undefined): void {
+		if (time) {
+			this.options.hybrid?.merge({physicalMs: time[0], logical: time[1]});
+		}
+
+		switch (message.type) {
+			case 'digest':
+			case 'summary': {
+				// Within a zone digests, across zones summaries; anything else is a fault of the peer.
+				if ((message.type === 'digest') !== (link.peer.zone === this.options.self.zone)) {
+					throw LinkError.create('bad_frame', `Cannot take a ${message.type} from zone ${link.peer.zone}`);
+				}
+
+				this.#digests.receive(link, message);
+				break;
+			}
+
+			case 'roster': {
+				this.#roster.receive(link, message);
+				break;
+			}
+
+			case 'draining': {
+				this.#draining.receive(link, message);
+				break;
+			}
+
+			case 'config-request':
+			case 'config-state': {
+				this.#config.receive(link, message);
+				break;
+			}
+
+			case 'forward':
+			case 'forward-reply': {
+				void this.#forwards.receive(link, message);
+				break;
+			}
+
+			case 'events-request':
+			case 'events-reply': {
+				void this.#collector.receive(link, message);
+				break;
+			}
+
+			case 'ping': {
+				break;
+			}
+		}
+	}
+
+	#lost(link: Link): void {
+		this.#digests.linkLost(link);
+		this.#roster.linkLost(link);
+		this.#config.linkLost(link);
+		this.#forwards.linkLost(link);
+		this.#collector.linkLost(link);
+	}
+
+	#meshLinks(): MeshLinks {
+		const {self, hybrid} = this.options;
+		const links = this.#links;
+		const time = (): LinkTime | undefined => {
+			const now = hybrid?.tick();
+			return now && [now.physicalMs, now.logical];
+		};
+
+		return {
+			self,
+			membership: this.#membership,
+			up: () => links.up(),
+			byName: name => links.byName(name),
+			byIncarnation: incarnation => links.byIncarnation(incarnation),
+			time,
+			send: (link, message) => link.send(message, time()),
+		};
+	}
+
+	#distanceTo(zone: string): LinkDistance {
+		const {self, regionOf} = this.options;
+		if (zone === self.zone) {
+			return 'same_zone';
+		}
+
+		const [own, other] = [regionOf(self.zone), regionOf(zone)];
+		if (own === undefined || other === undefined) {
+			return 'unknown';
+		}
+
+		return own === other ? 'other_zone' : 'other_region';
+	}
+}
+
+function connect({host, port}: ListenAddress) {
+	const socket = new WebSocket(`ws://${host.includes(':') ? `[${host}]` : host}:${port}/links`, {
+		perMessageDeflate: false, maxPayload: maxFrameBytes, handshakeTimeout: handshakeTimeoutMs,
+	});
+	return wsLinkSocket(socket);
+}
--- /dev/null
+++ b/src/links/link-message.ts
@@ -0,0 +1,130 @@
+import {z} from 'zod';
+import {eventKinds} from '../events/index.js';
+import {LinkError} from './link-error.js';
+import {packWire, unpackWire} from './wire.js';
+
+const count = z.number().int().nonnegative();
+const name = z.string().min(1).max(200);
+const id = count;
+
+/** Digest on the wire: names are indexes into a table that grows with the session. */
+export const wireDigestSchema = z.strictObject({
+	/** Sequence. */
+	s: count,
+	/** Sequence that a delta builds on; absent in a full digest. */
+	b: count.optional(),
+	/** Names added to the table. */
+	n: z.array(z.string().max(200)).max(20_000).optional(),
+	/** Rows of work: team, pool, in-flight ms, queued ms; zeros remove the row. */
+	w: z.array(z.tuple([count, count, count, count])).max(50_000).optional(),
+	/** Rows of calls in flight: target, calls; zero removes the row. */
+	f: z.array(z.tuple([count, count])).max(50_000).optional(),
+	/** Draining targets: target, start id; the whole list whenever it has changed. */
+	d: z.array(z.tuple([count, count])).max(20_000).optional(),
+	/** Offset of the configuration, when it has changed. */
+	o: z.number().int().min(-1).optional(),
+});
+
+const eventSchema = z.object({
+	kind: z.enum(eventKinds),
+	requestId: z.string().optional(),
+	team: z.string().optional(),
+	stage: z.string().optional(),
+	attempt: z.number().optional(),
+	target: z.string().optional(),
+	detail: z.string().optional(),
+	process: z.string(),
+	sequence: z.number(),
+	wallMs: z.number(),
+	logical: z.number(),
+});
+
+const filterSchema = z.strictObject({
+	requestId: z.string().optional(), team: z.string().optional(), target: z.string().optional(), sinceMs: z.number().optional(), untilMs: z.number().optional(),
+});
+
+// The position in this list is the type's number on the wire: append only.
+const schemas = [
+	z.strictObject({type: z.literal('ping')}),
+	z.strictObject({type: z.literal('digest'), digest: wireDigestSchema}),
+	z.strictObject({type: z.literal('summary'), digest: wireDigestSchema}),
+	z.strictObject({type: z.literal('roster'), members: z.array(z.tuple([name, name])).max(5000)}),
+	z.strictObject({type: z.literal('draining'), target: name, startId: name}),
+	z.strictObject({type: z.literal('config-request'), id}),
+	z.strictObject({
+		type: z.literal('config-state'), id, offset: z.number().int(), state: z.string(),
+	}),
+	z.strictObject({
+		type: z.literal('forward'), id, requestId: name, to: name, pipeline: name, body: z.string(), remainingMs: z.number(), hops: z.number().int().min(0).max(2),
+	}),
+	z.strictObject({type: z.literal('forward-reply'), id, result: z.string().optional()}),
+	z.strictObject({
+		type: z.literal('events-request'), id, filter: filterSchema, timeoutMs: z.number().positive().max(60_000), scope: z.enum(['process', 'zone', 'other_zones']),
+	}),
+	z.strictObject({
+		type: z.literal('events-reply'), id, events: z.array(eventSchema).max(100_000), answered: z.array(name).max(5000), silent: z.array(name).max(5000),
+	}),
+] as const;
+
+/** A message between entry VMs. */
+export type LinkMessage = z.infer<typeof schemas[number]>;
+
+/** Type of a message; also the cause under which its bytes are counted. */
+export type LinkMessageType = LinkMessage['type'];
+
+/** Digest on the wire. */
+export type WireDigest = z.infer<typeof wireDigestSchema>;
+
+/** Time of the sender's hybrid clock: physical ms and logical counter. */
+export type LinkTime = readonly [physicalMs: number, logical: number];
+
+/** Every type of message, in the order of its number on the wire. */
+export const linkMessageTypes = schemas.map(schema => schema.shape.type.value) as readonly LinkMessageType[];
+
+const envelopeSchema = z.tuple([count]).rest(z.unknown());
+const timeSchema = z.tuple([z.number().nonnegative(), count]);
+
+/**
+ * Encodes a message. A ping carries no time, since no event is caused by it.
+ *
+ * @internal
+ */
+export function encodeLinkMessage(message: LinkMessage, time?: LinkTime): Uint8Array {
+	const {type, ...fields} = message;
+	const number = linkMessageTypes.indexOf(type);
+	return packWire(type === 'ping' ? [number] : [number, time ?? null, fields]);
+}
+
+/**
+ * Decodes and checks a message; `undefined` for a type that this process does not know. Throws `LinkError` when it
+ * is malformed.
+ *
+ * @internal
+ */
+export function decodeLinkMessage(payload: Uint8Array): {message: LinkMessage; time: LinkTime | undefined} | undefined {
+	let value: unknown;
+	try {
+		value = unpackWire(payload);
+	} catch {
+		throw LinkError.create('bad_frame', 'Cannot read a message: it is malformed');
+	}
+
+	const envelope = envelopeSchema.safeParse(value);
+	if (!envelope.success) {
+		throw LinkError.create('bad_frame', 'Cannot read a message: it has no type');
+	}
+
+	const [number, time, fields] = envelope.data as [number, unknown, Record<string, unknown> | undefined];
+	const schema = schemas[number];
+	if (!schema) {
+		return undefined;
+	}
+
+	const parsed = schema.safeParse({type: linkMessageTypes[number], ...fields});
+	const parsedTime = timeSchema.nullish().safeParse(time);
+	if (!parsed.success || !parsedTime.success) {
+		throw LinkError.create('bad_frame', `Cannot read a message of type ${linkMessageTypes[number]}: it is malformed`);
+	}
+
+	return {message: parsed.data, time: parsedTime.data ?? undefined};
+}
--- /dev/null
+++ b/src/links/ws-link-socket.ts
@@ -0,0 +1,37 @@
+import {Buffer} from 'node:buffer';
+import type {WebSocket} from 'ws';
+import type {LinkSocket} from './link-socket.js';
+
+/**
+ * A `ws` connection as the socket of a link. A text message ends the connection: links are binary.
+ *
+ * @internal
+ */
+export function wsLinkSocket(socket: WebSocket): LinkSocket {
+	socket.binaryType = 'nodebuffer';
+	return {
+		get bufferedAmount() {
+			return socket.bufferedAmount;
+		},
+		send(bytes, onWritten) {
+			socket.send(bytes, onWritten);
+		},
+		terminate() {
+			socket.terminate();
+		},
+		on(event: string, listener: (...args: any[]) => void) {
+			if (event !== 'message') {
+				socket.on(event, listener);
+				return;
+			}
+
+			socket.on('message', (data, isBinary) => {
+				if (isBinary && Buffer.isBuffer(data)) {
+					listener(data);
+				} else {
+					socket.terminate();
+				}
+			});
+		},
+	};
+}
