--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,13 +1,14 @@
 import {randomBytes, randomInt} from 'node:crypto';
 import {MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
-import {ConfigFollower} from '../config/index.js';
+import {ConfigFollower, ConfigWriter} from '../config/index.js';
 import {EventRing, HybridClock} from '../events/index.js';
-import {sendJson, type ListenAddress} from '../http/index.js';
+import type {ListenAddress} from '../http/index.js';
 import {
 	LinkMesh, MintedKeyRouter, WorkTracker, type LinkSettings,
 } from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
+import {createOperatorHandler} from '../operators/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
@@ -16,7 +17,7 @@
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
 import {Metrics} from './metrics.js';
-import {OperatorServer} from './operator-server.js';
+import {OperatorServer, type HttpHandler} from './operator-server.js';
 
 /** Settings and ports of an entry VM. */
 export interface EntryVmOptions {
@@ -33,8 +34,11 @@
 	readonly ports?: PortFactory;
 	/** Links to other entry VMs; without it this entry VM works alone. */
 	readonly links?: LinkSettings | undefined;
+	/** Time after which a configuration snapshot is appended again; at most a third of the log's retention. */
+	readonly configSnapshotMs?: Ms;
 }
 
+const defaultSnapshotMs: Ms = 600_000;
 const defaultDrainMs: Ms = 9000;
 const idlePollMs: Ms = 20;
 
@@ -68,6 +72,7 @@
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
+	readonly #stopping = new AbortController();
 
 	private constructor(private readonly options: EntryVmOptions) {
 		const {clock, log, createLogger} = options;
@@ -76,7 +81,13 @@
 			process: options.name, clock, capacity: options.eventCapacity, hybrid: this.#hybrid,
 		});
 		this.config = ConfigFollower.create({
-			clock, log, events: this.events, logger: createLogger('config'),
+			clock, log, events: this.events, logger: createLogger('config'), snapshotMs: options.configSnapshotMs ?? defaultSnapshotMs, random: Random.create(randomInt(2 ** 31)),
+			peers: {
+				attach: () => undefined,
+				request: afterOffset => {
+					this.#mesh?.requestConfig(afterOffset);
+				},
+			},
 		});
 		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
 		this.#work = WorkTracker.create({scheduler: FcfsScheduler.create({clock, targets: this.targets}), targets: this.targets});
@@ -119,8 +130,14 @@
 		return this.#mesh;
 	}
 
+	/** Aborts when a shutdown begins, whoever asked for it. */
+	get stopping(): AbortSignal {
+		return this.#stopping.signal;
+	}
+
 	/** Drains and stops; a second call waits for the first. */
 	async shutdown(): Promise<void> {
+		this.#stopping.abort();
 		this.#shutdown ??= this.#drain();
 		return this.#shutdown;
 	}
@@ -133,9 +150,7 @@
 			listen: options.operators,
 			metrics: this.#metrics,
 			isReady: () => this.#isReady(),
-			rpc(_req, res) {
-				sendJson(res, 404, {message: 'Cannot serve the path: it is unknown'});
-			},
+			rpc: this.#operatorHandler(),
 		});
 		this.#callers = await CallerServer.create({
 			clock: options.clock,
@@ -152,6 +167,27 @@
 		options.createLogger('entry-vm').info('Listening.', {callers: this.callerPort, operators: this.operatorPort, zone: options.zone});
 	}
 
+	#operatorHandler(): HttpHandler {
+		const {options, config, events, targets} = this;
+		return createOperatorHandler({
+			clock: options.clock,
+			config,
+			events,
+			targets,
+			writer: ConfigWriter.create({clock: options.clock, log: options.log, follower: config}),
+			peerEvents: this.#mesh,
+			peerStatus: () => this.#mesh?.peerStates() ?? [],
+			logger: options.createLogger('operators'),
+			vm: () => ({
+				name: options.name, zone: options.zone, incarnation: this.incarnation, state: this.state, inFlight: this.runner.inFlight,
+			}),
+			targetCounts: () => this.#targetCounts(),
+			shutdown: () => {
+				void this.shutdown();
+			},
+		});
+	}
+
 	#isReady(): boolean {
 		return this.#lifecycle.state === 'serving' && this.config.current().revision >= 0;
 	}
@@ -191,9 +227,8 @@
 			hybrid: this.#hybrid,
 			regionOf: other => this.config.current().declarations.zone(other)?.region,
 			runner: this.runner,
-			config: {
-				offset: () => this.config.current().offset, state: () => undefined, onPeerOffset: () => undefined,
-			},
+			config: this.config,
+			configOffset: () => this.config.current().offset,
 			digest: {
 				work: () => this.#work.work(),
 				inFlight: () => this.targets.all().filter(target => target.inFlight > 0).map(target => ({target: target.name, calls: target.inFlight})),
--- a/src/links/config-transfer.ts
+++ b/src/links/config-transfer.ts
@@ -1,60 +1,57 @@
-import type {Clock, Ms} from '../clock/index.js';
-import type {ConfigExchange, ConfigState, ConfigStateSource} from './config-exchange.js';
+import type {ConfigEndpoint} from '../config/index.js';
 import type {LinkMessage} from './link-message.js';
 import type {Link} from './link.js';
 import type {MeshLinks} from './mesh-links.js';
-import {PendingReplies} from './pending-replies.js';
 
 /**
  * Offsets of peers, and the transfer of configuration state between entry VMs.
  *
  * @internal
  */
-export class ConfigTransfer implements ConfigStateSource {
-	static create(options: {clock: Clock; links: MeshLinks; exchange: ConfigExchange}): ConfigTransfer {
-		return new ConfigTransfer(options.links, options.exchange, PendingReplies.create(options.clock));
+export class ConfigTransfer {
+	static create(links: MeshLinks, endpoint: ConfigEndpoint): ConfigTransfer {
+		return new ConfigTransfer(links, endpoint);
 	}
 
-	readonly #offsets = new Map<Link, number>();
-	#highest = -1;
+	readonly #offsets = new Map<string, {link: Link; offset: number}>();
 
-	private constructor(private readonly links: MeshLinks, private readonly exchange: ConfigExchange, private readonly replies: PendingReplies<ConfigState>) {}
+	private constructor(private readonly links: MeshLinks, private readonly endpoint: ConfigEndpoint) {}
+
+	/** Offset that a peer told last; -1 before the first. */
+	offsetOf(name: string): number {
+		return this.#offsets.get(name)?.offset ?? -1;
+	}
 
 	/** A peer's digest named its offset. */
 	learn(link: Link, offset: number): void {
-		this.#offsets.set(link, offset);
-		if (offset > this.#highest && offset > this.exchange.offset()) {
-			this.#highest = offset;
-			this.exchange.onPeerOffset(offset);
-		}
+		this.#offsets.set(link.peer.name, {link, offset});
+		this.endpoint.hintOffset(offset, link.peer.name);
 	}
 
-	async fetchConfigState(above: number, timeoutMs: Ms): Promise<ConfigState | undefined> {
-		const [best] = [...this.#offsets].filter(([link, offset]) => link.isUp && offset > above).toSorted((a, b) => b[1] - a[1]);
-		if (!best) {
-			return undefined;
+	/** Asks the peer with the highest offset for its state. */
+	request(afterOffset: number): void {
+		const [best] = [...this.#offsets.values()].filter(({link, offset}) => link.isUp && offset > afterOffset).toSorted((a, b) => b.offset - a.offset);
+		if (best) {
+			this.links.send(best.link, {type: 'config-request', after: afterOffset});
 		}
-
-		const [link] = best;
-		const reply = await this.replies.request(link, timeoutMs, id => this.links.send(link, {type: 'config-request', id}));
-		return typeof reply === 'string' || reply.offset <= above ? undefined : reply;
 	}
 
 	receive(link: Link, message: LinkMessage & {type: 'config-request' | 'config-state'}): void {
 		if (message.type === 'config-state') {
-			this.replies.reply(link, message.id, {offset: message.offset, state: parse(message.state)});
+			this.endpoint.receive(parse(message.state), link.peer.name);
 			return;
 		}
 
-		const held = this.exchange.state();
-		this.links.send(link, {
-			type: 'config-state', id: message.id, offset: held?.offset ?? -1, state: JSON.stringify(held?.state ?? null),
-		});
+		const state = this.endpoint.stateAfter(message.after);
+		if (state) {
+			this.links.send(link, {type: 'config-state', state: JSON.stringify(state)});
+		}
 	}
 
 	linkLost(link: Link): void {
-		this.#offsets.delete(link);
-		this.replies.linkLost(link);
+		if (this.#offsets.get(link.peer.name)?.link === link) {
+			this.#offsets.delete(link.peer.name);
+		}
 	}
 }
 
--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -1,4 +1,3 @@
-export type {ConfigExchange, ConfigState, ConfigStateSource} from './config-exchange.js';
 export {digestIntervalMs, type DigestSource} from './digest-exchange.js';
 export type {DrainingListener, DrainingNews} from './draining-news.js';
 export type {KeyForwarder} from './key-forwarder.js';
--- /dev/null
+++ b/src/links/link-listener.test.ts
@@ -0,0 +1,50 @@
+import {once} from 'node:events';
+import net from 'node:net';
+import {Registry} from 'prom-client';
+import {expect, test} from 'vitest';
+import {WebSocket} from 'ws';
+import {SystemClock} from '../clock/index.js';
+import {LinkBytes} from './link-bytes.js';
+import {LinkKey} from './link-key.js';
+import {LinkListener} from './link-listener.js';
+import {Link} from './link.js';
+
+// Guards against strangers that fill memory with open connections, and against a plain HTTP request that is answered.
+test('unauthenticated connections are bounded and HTTP gets nothing', async () => {
+	const closed: string[] = [];
+	const listener = await LinkListener.create({
+		listen: {host: '127.0.0.1', port: 0},
+		maxUnauthenticated: 3,
+		accept: socket => Link.create({
+			socket, role: 'server', clock: SystemClock.create(), bytes: LinkBytes.create(new Registry()), key: LinkKey.create('a shared key of the tests'), self: {name: 'a', zone: 'z', incarnation: 'i'},
+			distanceTo: () => 'same_zone',
+			onUp: () => undefined,
+			onMessage: () => undefined,
+			onClosed(_link, reason) {
+				closed.push(reason);
+			},
+		}),
+	});
+	const strangers = Array.from({length: 5}, () => new WebSocket(`ws://127.0.0.1:${listener.port}/links`));
+	const received: unknown[] = [];
+	for (const stranger of strangers) {
+		stranger.on('message', data => received.push(data));
+		stranger.on('error', () => undefined);
+	}
+
+	await Promise.all(strangers.map(async stranger => once(stranger, 'open')));
+	strangers[4]!.send(new Uint8Array(5));
+	await once(strangers[4]!, 'close');
+	expect(closed.filter(reason => reason === 'evicted')).toHaveLength(2);
+	expect(closed).toContain('bad_handshake');
+	expect(received).toEqual([]);
+
+	const plain = net.connect(listener.port, '127.0.0.1');
+	plain.write('GET / HTTP/1.1\r\nHost: x\r\n\r\n');
+	const bytes: unknown[] = [];
+	plain.on('data', data => bytes.push(data));
+	plain.on('error', () => undefined);
+	await once(plain, 'close');
+	expect(bytes).toEqual([]);
+	await listener.close();
+});
--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -1,6 +1,7 @@
 import type {Registry} from 'prom-client';
 import {WebSocket} from 'ws';
 import type {Clock, Ms} from '../clock/index.js';
+import type {ConfigEndpoint} from '../config/index.js';
 import type {
 	CollectedEvents, EventFilter, EventRing, HybridClock, PeerEvents,
 } from '../events/index.js';
@@ -10,7 +11,6 @@
 import type {Random} from '../random/index.js';
 import type {RequestResult, RequestRunner} from '../requests/index.js';
 import type {ZoneDigest, ZoneView} from '../teams/index.js';
-import type {ConfigExchange, ConfigState, ConfigStateSource} from './config-exchange.js';
 import {ConfigTransfer} from './config-transfer.js';
 import {DigestExchange, digestIntervalMs, type DigestSource} from './digest-exchange.js';
 import {DrainingGossip, type DrainingNews} from './draining-news.js';
@@ -52,7 +52,10 @@
 	readonly hybrid: HybridClock | undefined;
 	readonly regionOf: (zone: string) => string | undefined;
 	readonly runner: Pick<RequestRunner, 'run'>;
-	readonly config: ConfigExchange;
+	/** The configuration's side of hints and state transfer. */
+	readonly config: ConfigEndpoint;
+	/** Offset of the configuration folded so far. */
+	readonly configOffset: () => number;
 	readonly digest: DigestSource;
 }
 
@@ -64,7 +67,7 @@
  * const mesh = await LinkMesh.create(options);
  * mesh.onNews((target, startId, source) => targets.markDraining(target, startId, source));
  */
-export class LinkMesh implements ZoneView, DrainingNews, KeyForwarder, PeerEvents, ConfigStateSource {
+export class LinkMesh implements ZoneView, DrainingNews, KeyForwarder, PeerEvents {
 	/** Starts listening and dialling. Throws when the address cannot be bound. */
 	static async create(options: LinkMeshOptions): Promise<LinkMesh> {
 		const mesh = new LinkMesh(options);
@@ -109,9 +112,9 @@
 		const links = this.#meshLinks();
 		this.#roster = Roster.create(links);
 		this.#draining = DrainingGossip.create(links);
-		this.#config = ConfigTransfer.create({clock, links, exchange: options.config});
+		this.#config = ConfigTransfer.create(links, options.config);
 		this.#digests = DigestExchange.create({
-			clock, links, source: options.digest, config: this.#config, offset: () => options.config.offset(), draining: this.#draining,
+			clock, links, source: options.digest, config: this.#config, offset: options.configOffset, draining: this.#draining,
 		});
 		this.#forwards = ForwardService.create({
 			clock, links, roster: this.#roster, runner: options.runner,
@@ -168,8 +171,16 @@
 		return this.#collector.collect(filter, timeoutMs);
 	}
 
-	async fetchConfigState(above: number, timeoutMs: Ms): Promise<ConfigState | undefined> {
-		return this.#config.fetchConfigState(above, timeoutMs);
+	/** Asks peers for a configuration newer than an offset; it is given to `LinkMeshOptions.config`. */
+	requestConfig(afterOffset: number): void {
+		this.#config.request(afterOffset);
+	}
+
+	/** State of the peers, for the operators' status. */
+	peerStates(): Array<{name: string; zone: string; state: string; offset: number}> {
+		return this.members().map(({name, zone, state}) => ({
+			name, zone: zone ?? '', state, offset: this.#config.offsetOf(name),
+		}));
 	}
 
 	/** Closes every link. */
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -50,10 +50,8 @@
 	z.strictObject({type: z.literal('summary'), digest: wireDigestSchema}),
 	z.strictObject({type: z.literal('roster'), members: z.array(z.tuple([name, name])).max(5000)}),
 	z.strictObject({type: z.literal('draining'), target: name, startId: name}),
-	z.strictObject({type: z.literal('config-request'), id}),
-	z.strictObject({
-		type: z.literal('config-state'), id, offset: z.number().int(), state: z.string(),
-	}),
+	z.strictObject({type: z.literal('config-request'), after: z.number().int().min(-1)}),
+	z.strictObject({type: z.literal('config-state'), state: z.string()}),
 	z.strictObject({
 		type: z.literal('forward'), id, requestId: name, to: name, pipeline: name, body: z.string(), remainingMs: z.number(), hops: z.number().int().min(0).max(2),
 	}),
--- /dev/null
+++ b/src/links/link.test.ts
@@ -0,0 +1,144 @@
+import {Registry} from 'prom-client';
+import {expect, test} from 'vitest';
+import {MemorySocket} from '../../test/support/memory-sockets.js';
+import {ManualClock} from '../clock/index.js';
+import {LinkBytes} from './link-bytes.js';
+import type {LinkMessage} from './link-message.js';
+import {LinkKey} from './link-key.js';
+import {
+	handshakeTimeoutMs, Link, pingIntervalMs, silenceMs,
+} from './link.js';
+
+const news: LinkMessage = {type: 'draining', target: 'engine-1', startId: 's1'};
+
+const sharedKey = 'a shared key of the tests';
+
+function connect({clientKey = sharedKey, expectedName = 'riga-2', maxQueueBytes = 1000} = {}) {
+	const clock = ManualClock.create();
+	const [clientSocket, serverSocket] = MemorySocket.pair();
+	const registry = new Registry();
+	const bytes = LinkBytes.create(registry);
+	const end = (role: 'client' | 'server', socket: MemorySocket, secret: string, name: string) => {
+		const received: LinkMessage[] = [];
+		const closed: string[] = [];
+		const dropped: string[] = [];
+		const link = Link.create({
+			socket, role, clock, bytes, maxQueueBytes, key: LinkKey.create(secret), self: {name, zone: 'riga-a', incarnation: name},
+			...(role === 'client' ? {expectedName} : {}),
+			distanceTo: () => 'same_zone',
+			onUp: () => undefined,
+			onMessage(_link, message) {
+				received.push(message);
+			},
+			onClosed(_link, reason) {
+				closed.push(reason);
+			},
+			onDropped(_link, cause) {
+				dropped.push(cause);
+			},
+		});
+		return {
+			link, socket, received, closed, dropped,
+		};
+	};
+
+	const server = end('server', serverSocket, sharedKey, 'riga-2');
+	const client = end('client', clientSocket, clientKey, 'riga-1');
+	clientSocket.open();
+	return {
+		clock, client, server, registry,
+	};
+}
+
+// Guards against messages that do not arrive, and against bytes that are not counted by cause.
+test('messages pass both ways after the handshake', async () => {
+	const {client, server, registry} = connect();
+	expect(client.link.send(news)).toBe(true);
+	expect(server.link.send(news)).toBe(true);
+	expect([client.received, server.received]).toEqual([[news], [news]]);
+	expect(await registry.metrics()).toMatch(/guavamill_link_messages_total{direction="received",cause="draining",distance="same_zone"} 2/);
+});
+
+// Guards against a stranger that gets bytes or delivers messages.
+test('a client with another key gets nothing', () => {
+	const {client, server} = connect({clientKey: 'another key of the tests'});
+	expect(server.closed).toEqual(['bad_handshake']);
+	expect(server.socket.sent).toEqual([]);
+	expect(client.link.send(news)).toBe(false);
+});
+
+// Guards against a connection that never authenticates and stays open.
+test('a connection without a handshake is closed in time', async () => {
+	const clock = ManualClock.create();
+	const [socket] = MemorySocket.pair();
+	const closed: string[] = [];
+	Link.create({
+		socket, role: 'server', clock, bytes: LinkBytes.create(new Registry()), key: LinkKey.create('a shared key of the tests'), self: {name: 'a', zone: 'z', incarnation: 'i'},
+		distanceTo: () => 'same_zone',
+		onUp: () => undefined,
+		onMessage: () => undefined,
+		onClosed(_link, reason) {
+			closed.push(reason);
+		},
+	});
+	await clock.advance(handshakeTimeoutMs);
+	expect(closed).toEqual(['handshake_timeout']);
+});
+
+// Guards against a link to another VM that took over an address.
+test('a peer with another name is refused', () => {
+	expect(connect({expectedName: 'riga-9'}).client.closed).toEqual(['wrong_name']);
+});
+
+// Guards against replayed, malformed or forged frames that are delivered.
+test('a replayed frame closes the link', () => {
+	const {client, server} = connect();
+	client.link.send(news);
+	server.socket.deliver(client.socket.sent.at(-1)!);
+	expect(server.closed).toEqual(['bad_frame']);
+	expect(server.received).toEqual([news]);
+});
+
+// Guards against a half-open link that stays in use: sockets open, no bytes.
+test('three silent intervals close the link, heartbeats keep it', async () => {
+	const {clock, client, server} = connect();
+	for (let interval = 0; interval < 10; interval++) {
+		await clock.advance(pingIntervalMs);
+		client.link.tick(false);
+		server.link.tick(false);
+	}
+
+	expect([client.link.state, server.link.state]).toEqual(['up', 'up']);
+	client.socket.isDelivering = false;
+	await clock.advance(silenceMs);
+	server.link.tick(false);
+	expect(server.closed).toEqual(['silent']);
+});
+
+// Guards against a process that was paused itself and blames its peers for it.
+test('a late tick leaves one interval to read waiting frames', async () => {
+	const {clock, server} = connect();
+	await clock.advance(10_000);
+	server.link.tick(true);
+	expect(server.link.state).toBe('up');
+	await clock.advance(pingIntervalMs);
+	server.link.tick(false);
+	expect(server.closed).toEqual(['silent']);
+});
+
+// Guards against a queue that grows without bound or drops a forwarded request.
+test('a full queue drops digests and never forwards', () => {
+	const {client, server} = connect();
+	client.socket.bufferedAmount = 1_000_000;
+	const forward: LinkMessage = {
+		type: 'forward', id: 1, requestId: 'r1', to: 'i', pipeline: 'p', body: 'x'.repeat(800), remainingMs: 1, hops: 0,
+	};
+	const digest: LinkMessage = {type: 'digest', digest: {s: 1, n: ['x'.repeat(150)]}};
+	expect(client.link.send(digest)).toBe(true);
+	expect(client.link.send(forward)).toBe(true);
+	expect(client.dropped).toEqual(['digest']);
+	expect(client.link.send(forward)).toBe(false);
+	client.socket.bufferedAmount = 0;
+	client.link.tick(false);
+	expect(server.received.map(message => message.type)).toEqual(['forward']);
+});
