--- a/src/links/membership.ts
+++ b/src/links/membership.ts
@@ -32,7 +32,6 @@
 	zone: string | undefined;
 	incarnation: string | undefined;
 	address: ListenAddress | undefined;
-	startId: string | undefined;
 	isPeer: boolean;
 	isListed: boolean;
 };
@@ -84,9 +83,9 @@
 			const entry = this.#entry(vm.id);
 			entry.isListed = true;
 			entry.zone ??= vm.zone;
-			if (entry.startId !== vm.startId || !entry.address) {
+			// A configured address goes before the listed one.
+			if (!entry.isPeer) {
 				entry.address = address;
-				entry.startId = vm.startId;
 			}
 
 			this.#apply(entry, {type: 'LISTED'});
@@ -157,7 +156,7 @@
 		let entry = this.#entries.get(name);
 		if (!entry) {
 			entry = {
-				name, lifecycle: MemberLifecycle.create(), zone: undefined, incarnation: undefined, address: undefined, startId: undefined, isPeer: false, isListed: false,
+				name, lifecycle: MemberLifecycle.create(), zone: undefined, incarnation: undefined, address: undefined, isPeer: false, isListed: false,
 			};
 			this.#entries.set(name, entry);
 		}
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -15,6 +15,8 @@
 
 /** The peer with the smaller name dials; the other one dials too when no link has come up for this long. */
 const fallbackDialMs: Ms = 3000;
+/** An entry VM that has just started dials every peer, since the VM list tells the others of it only later. */
+const joinMs: Ms = 10_000;
 /** A link that is no longer needed stays open for this long, so that changing gateways do not flap. */
 const lingerMs: Ms = 10_000;
 /** A log line about strangers is written at most once in this time. */
@@ -55,13 +57,15 @@
 	readonly #pending = new Set<Link>();
 	readonly #dials = new Map<string, Dial>();
 	readonly #unneededSince = new Map<string, Ms>();
+	readonly #startedMs: Ms;
 	#lastTickMs: Ms;
 	#strangerLoggedMs = -Infinity;
 	#cancelTick: () => void = () => undefined;
 	#isClosed = false;
 
 	private constructor(private readonly options: PeerLinksOptions) {
-		this.#lastTickMs = options.clock.now();
+		this.#startedMs = options.clock.now();
+		this.#lastTickMs = this.#startedMs;
 	}
 
 	start(): void {
@@ -142,7 +146,7 @@
 				this.#dials.set(member.name, dial);
 			}
 
-			const isDialler = this.options.self.name < member.name || now - dial.wantedSinceMs >= fallbackDialMs;
+			const isDialler = this.options.self.name < member.name || now - this.#startedMs < joinMs || now - dial.wantedSinceMs >= fallbackDialMs;
 			if (isDialler && !dial.link && now >= dial.dueMs) {
 				this.#dial(member.name, member.address, dial);
 			}
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -93,6 +93,29 @@
 		}
 	}
 
+	/** Starts an entry VM with links and puts it on the VM list; `address` stands for its own where a proxy is in front. */
+	async linkedVm(name: string, zone: string, options: {flags?: readonly string[]; proxy?: (port: number) => Promise<number>; isListed?: boolean; key?: string} = {}): Promise<Daemon> {
+		const vm = await this.entryVm(name, zone, ['--links', '127.0.0.1:0', '--link-key', options.key ?? linkKey, ...options.flags ?? []]);
+		const port = linkPort(vm);
+		if (options.isListed ?? true) {
+			await this.list(name, zone, {port: await options.proxy?.(port) ?? port, startId: vm.hello.incarnation as string});
+		}
+
+		return vm;
+	}
+
+	/** Puts an entry VM on the platform's list. */
+	async list(name: string, zone: string, options: {port: number; startId: string}): Promise<void> {
+		await post(`${this.platform.origin}/vms`, {
+			id: name, zone, role: 'entry', address: `127.0.0.1:${options.port}`, start_id: options.startId, state: 'live',
+		});
+	}
+
+	/** Removes an entry VM from the platform's list. */
+	async unlist(name: string): Promise<void> {
+		await post(`${this.platform.origin}/vms/remove`, {id: name});
+	}
+
 	/** Waits until every entry VM is ready. */
 	async ready(): Promise<void> {
 		for (const vm of this.entryVms) {
@@ -108,6 +131,20 @@
 	}
 }
 
+/** Link key of the tests. */
+export const linkKey = 'link key of the process tests';
+
+/** Port of an entry VM for its peers. */
+export function linkPort(vm: Daemon): number {
+	return (vm.hello.listening as {links: number}).links;
+}
+
+/** States of the peers as an entry VM's Status tells them, by name. */
+export async function peersOf(vm: Daemon): Promise<Record<string, string>> {
+	const {peers = []} = await rpc(vm, 'Status', {}) as {peers?: Array<{name: string; state: string}>};
+	return Object.fromEntries(peers.map(peer => [peer.name, peer.state]));
+}
+
 /** URL of a pipeline at an entry VM. */
 export function pipelineUrl(vm: Daemon, pipeline: string): string {
 	return `http://127.0.0.1:${vm.ports.callers}/v1/pipelines/${pipeline}/requests`;
