Send unchanged digests without content and publish draining at once

Cause: an unchanged digest took 39 B/s per peer; news of a draining target waited for the next digest.

--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -89,7 +89,14 @@
 				},
 			},
 		});
-		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.targets = DeclaredTargets.create({
+			config: this.config,
+			events: this.events,
+			ports: options.ports ?? httpPortFactory,
+			onDraining: (name, startId) => {
+				this.#mesh?.publish(name, startId);
+			},
+		});
 		this.#work = WorkTracker.create({scheduler: FcfsScheduler.create({clock, targets: this.targets}), targets: this.targets});
 		this.runner = RequestRunner.create({
 			clock,
--- a/src/links/digest-decoder.ts
+++ b/src/links/digest-decoder.ts
@@ -22,8 +22,9 @@
 
 	private constructor(private readonly peer: Pick<LinkIdentity, 'name' | 'incarnation'>) {}
 
-	/** Applies a digest; throws `LinkError` when it does not fit. */
-	apply(wire: WireDigest): ZoneDigest {
+	/** Applies a digest, `undefined` being an unchanged one; throws `LinkError` when it does not fit. */
+	apply(change: WireDigest | undefined): ZoneDigest {
+		const wire = change ?? {s: this.#sequence + 1, b: this.#sequence};
 		if (wire.b === undefined) {
 			this.#names.length = 0;
 			this.#work.clear();
--- a/src/links/digest-encoder.ts
+++ b/src/links/digest-encoder.ts
@@ -4,10 +4,13 @@
 /** The table of names starts over beyond this many, since names of ended work stay in it. */
 const maxNames = 8192;
 
-/** One encoded digest: `delta` only for peers that have received the one before. */
+/**
+ * One encoded digest. A delta is only for peers that have received the digest before; `unchanged` needs no content
+ * at all, `undefined` means that only the whole digest will do.
+ */
 export interface EncodedDigest {
 	readonly full: WireDigest;
-	readonly delta: WireDigest | undefined;
+	readonly delta: WireDigest | 'unchanged' | undefined;
 }
 
 /**
@@ -23,10 +26,14 @@
 
 	#names = new Map<string, number>();
 	#previous: Snapshot | undefined;
+	/** Counts the digests of this encoder without gaps, as an unchanged digest does not name its sequence. */
+	#sequence = 0;
 
 	private constructor() {}
 
-	next(digest: ZoneDigest): EncodedDigest {
+	/** Encodes the next digest; its sequence on the wire is the encoder's own. */
+	next(digest: Omit<ZoneDigest, 'sequence'>): EncodedDigest {
+		this.#sequence++;
 		if (this.#names.size > maxNames) {
 			this.#names = new Map();
 			this.#previous = undefined;
@@ -36,14 +43,14 @@
 		const snapshot = this.#snapshot(digest);
 		const names = [...this.#names.keys()];
 		const full: WireDigest = {
-			s: digest.sequence, n: names, w: [...snapshot.work.values()], f: [...snapshot.inFlight.values()], d: snapshot.draining, o: snapshot.offset,
+			s: this.#sequence, n: names, w: [...snapshot.work.values()], f: [...snapshot.inFlight.values()], d: snapshot.draining, o: snapshot.offset,
 		};
 		const delta = this.#previous && deltaOf(this.#previous, snapshot, names.slice(firstNew));
 		this.#previous = snapshot;
 		return {full, delta};
 	}
 
-	#snapshot(digest: ZoneDigest): Snapshot {
+	#snapshot(digest: Omit<ZoneDigest, 'sequence'>): Snapshot {
 		const work: Snapshot['work'] = new Map();
 		for (const row of digest.work) {
 			const ids = [this.#id(row.team), this.#id(row.pool)] as const;
@@ -57,7 +64,7 @@
 		}
 
 		return {
-			sequence: digest.sequence, work, inFlight, draining: digest.draining.map(row => [this.#id(row.target), this.#id(row.startId)]), offset: digest.configOffset,
+			sequence: this.#sequence, work, inFlight, draining: digest.draining.map(row => [this.#id(row.target), this.#id(row.startId)]), offset: digest.configOffset,
 		};
 	}
 
@@ -76,10 +83,10 @@
 type CallsRow = [number, number];
 type Snapshot = {sequence: number; work: Map<string, WorkRow>; inFlight: Map<string, CallsRow>; draining: Array<[number, number]>; offset: number};
 
-function deltaOf(before: Snapshot, after: Snapshot, names: string[]): WireDigest {
+function deltaOf(before: Snapshot, after: Snapshot, names: string[]): WireDigest | 'unchanged' {
 	const work = changes<WorkRow>(before.work, after.work, ([team, pool]) => [team, pool, 0, 0]);
 	const inFlight = changes<CallsRow>(before.inFlight, after.inFlight, ([target]) => [target, 0]);
-	return {
+	const delta: WireDigest = {
 		s: after.sequence,
 		b: before.sequence,
 		...(names.length > 0 ? {n: names} : {}),
@@ -88,6 +95,7 @@
 		...(String(before.draining) === String(after.draining) ? {} : {d: after.draining}),
 		...(before.offset === after.offset ? {} : {o: after.offset}),
 	};
+	return Object.keys(delta).length === 2 ? 'unchanged' : delta;
 }
 
 function changes<Row extends number[]>(before: Map<string, Row>, after: Map<string, Row>, removed: (row: Row) => Row): Row[] {
--- a/src/links/digest-exchange.ts
+++ b/src/links/digest-exchange.ts
@@ -4,7 +4,9 @@
 import {DigestDecoder} from './digest-decoder.js';
 import {DigestEncoder, type EncodedDigest} from './digest-encoder.js';
 import type {DrainingGossip} from './draining-news.js';
-import {encodeLinkMessage, type LinkMessage, type LinkMessageType} from './link-message.js';
+import {
+	encodeLinkMessage, type LinkMessage, type LinkMessageType,
+} from './link-message.js';
 import type {Link} from './link.js';
 import type {MeshLinks} from './mesh-links.js';
 
@@ -22,6 +24,7 @@
 	draining(): ZoneDigest['draining'];
 }
 
+type OwnDigest = Omit<ZoneDigest, 'sequence'>;
 type Received = {digest: ZoneDigest; atMs: Ms};
 
 /**
@@ -40,7 +43,6 @@
 	readonly #hasPrevious = {digest: new Set<Link>(), summary: new Set<Link>()};
 	readonly #decoders = new Map<Link, DigestDecoder>();
 	readonly #received = new Map<Link, Received>();
-	#sequence = 0;
 
 	private constructor(private readonly options: {clock: Clock; links: MeshLinks; source: DigestSource; config: ConfigTransfer; offset: () => number; draining: DrainingGossip}) {}
 
@@ -57,7 +59,6 @@
 	publish(): void {
 		const {links} = this.options;
 		const {self, membership} = links;
-		this.#sequence++;
 		const own = this.#own();
 		const up = links.up();
 		this.#send('digest', up.filter(link => link.peer.zone === self.zone), this.#digestEncoder.next(own));
@@ -80,7 +81,7 @@
 		const digest = decoder.apply(message.digest);
 		this.#received.set(link, {digest, atMs: this.options.clock.now()});
 		this.options.config.learn(link, digest.configOffset);
-		if (message.digest.d) {
+		if (message.digest?.d) {
 			for (const news of digest.draining) {
 				this.options.draining.receive(link, news);
 			}
@@ -101,15 +102,15 @@
 		this.#received.delete(link);
 	}
 
-	#own(): ZoneDigest {
+	#own(): OwnDigest {
 		const {links, source, offset} = this.options;
 		return {
-			process: links.self.name, incarnation: links.self.incarnation, sequence: this.#sequence, work: source.work(), inFlight: source.inFlight(), draining: source.draining(), configOffset: offset(),
+			process: links.self.name, incarnation: links.self.incarnation, work: source.work(), inFlight: source.inFlight(), draining: source.draining(), configOffset: offset(),
 		};
 	}
 
 	/** Work of the whole zone by team and pool, without targets. */
-	#summary(own: ZoneDigest): ZoneDigest {
+	#summary(own: OwnDigest): OwnDigest {
 		const work = new Map<string, TeamWork>();
 		for (const row of [own, ...this.others()].flatMap(digest => digest.work)) {
 			const key = `${row.team}\0${row.pool}`;
@@ -123,7 +124,7 @@
 	#send(type: 'digest' | 'summary', targets: readonly Link[], encoded: EncodedDigest): void {
 		const hasPrevious = this.#hasPrevious[type];
 		const full = lazy(() => encodeLinkMessage({type, digest: encoded.full}, this.options.links.time()));
-		const delta = encoded.delta && lazy(() => encodeLinkMessage({type, digest: encoded.delta!}));
+		const delta = encoded.delta && lazy(() => encodeLinkMessage(encoded.delta === 'unchanged' ? {type} : {type, digest: encoded.delta!}));
 		const current = new Set(targets);
 		for (const link of hasPrevious) {
 			// A peer that was passed over this time lacks the base of the next delta.
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -46,8 +46,9 @@
 // The position in this list is the type's number on the wire: append only.
 const schemas = [
 	z.strictObject({type: z.literal('ping')}),
-	z.strictObject({type: z.literal('digest'), digest: wireDigestSchema}),
-	z.strictObject({type: z.literal('summary'), digest: wireDigestSchema}),
+	// Without a digest: the same as the one before.
+	z.strictObject({type: z.literal('digest'), digest: wireDigestSchema.optional()}),
+	z.strictObject({type: z.literal('summary'), digest: wireDigestSchema.optional()}),
 	z.strictObject({type: z.literal('roster'), members: z.array(z.tuple([name, name])).max(5000)}),
 	z.strictObject({type: z.literal('draining'), target: name, startId: name}),
 	z.strictObject({type: z.literal('config-request'), after: z.number().int().min(-1)}),
@@ -90,7 +91,24 @@
 export function encodeLinkMessage(message: LinkMessage, time?: LinkTime): Uint8Array {
 	const {type, ...fields} = message;
 	const number = linkMessageTypes.indexOf(type);
-	return packWire(type === 'ping' ? [number] : [number, time ?? null, fields]);
+	const body = message.type === 'digest' || message.type === 'summary' ? message.digest && packDigest(message.digest) : fields;
+	return packWire(type === 'ping' || body === undefined ? [number] : (time ? [number, body, time] : [number, body]));
+}
+
+const digestKeys = ['s', 'b', 'n', 'w', 'f', 'd', 'o'] as const;
+
+/** A digest as a list without its absent end: it is the most frequent message besides heartbeats. */
+function packDigest(digest: WireDigest): unknown[] {
+	const list = digestKeys.map(key => digest[key] ?? null);
+	return list.slice(0, list.findLastIndex(value => value !== null) + 1);
+}
+
+function unpackDigest(list: unknown): {digest?: unknown} {
+	if (!Array.isArray(list)) {
+		return list === undefined ? {} : {digest: list};
+	}
+
+	return {digest: Object.fromEntries(digestKeys.map((key, index) => [key, list[index] as unknown]).filter(([, value]) => value !== null && value !== undefined))};
 }
 
 /**
@@ -112,16 +130,18 @@
 		throw LinkError.create('bad_frame', 'Cannot read a message: it has no type');
 	}
 
-	const [number, time, fields] = envelope.data as [number, unknown, Record<string, unknown> | undefined];
+	const [number, body, time] = envelope.data as [number, Record<string, unknown> | undefined, unknown];
 	const schema = schemas[number];
 	if (!schema) {
 		return undefined;
 	}
 
-	const parsed = schema.safeParse({type: linkMessageTypes[number], ...fields});
+	const type = linkMessageTypes[number]!;
+	const fields = type === 'digest' || type === 'summary' ? unpackDigest(body) : body;
+	const parsed = schema.safeParse({...fields, type});
 	const parsedTime = timeSchema.nullish().safeParse(time);
 	if (!parsed.success || !parsedTime.success) {
-		throw LinkError.create('bad_frame', `Cannot read a message of type ${linkMessageTypes[number]}: it is malformed`);
+		throw LinkError.create('bad_frame', `Cannot read a message of type ${type}: it is malformed`);
 	}
 
 	return {message: parsed.data, time: parsedTime.data ?? undefined};
--- a/src/targets/declared-targets.ts
+++ b/src/targets/declared-targets.ts
@@ -50,8 +50,9 @@
  * targets.pool('engraving');
  */
 export class DeclaredTargets implements TargetRegistry {
-	static create(options: {config: ConfigView; events: EventRecorder; ports: PortFactory}): DeclaredTargets {
-		const targets = new DeclaredTargets(options.config, options.events, options.ports);
+	/** `onDraining` is told each target that is found draining, from whatever source. */
+	static create(options: {config: ConfigView; events: EventRecorder; ports: PortFactory; onDraining?: (name: string, startId: string) => void}): DeclaredTargets {
+		const targets = new DeclaredTargets(options.config, options.events, options.ports, options.onDraining);
 		targets.#rebuild();
 		options.config.onChange(() => {
 			targets.#rebuild();
@@ -62,7 +63,7 @@
 	#byName = new Map<string, DeclaredTarget>();
 	#byPool = new Map<string, DeclaredTarget[]>();
 
-	private constructor(private readonly config: ConfigView, private readonly events: EventRecorder, private readonly ports: PortFactory) {}
+	private constructor(private readonly config: ConfigView, private readonly events: EventRecorder, private readonly ports: PortFactory, private readonly onDraining?: (name: string, startId: string) => void) {}
 
 	pool(name: string): readonly Target[] {
 		return this.#byPool.get(name) ?? [];
@@ -86,6 +87,7 @@
 		target.startId = startId;
 		target.state = 'draining';
 		this.events.record({kind: 'target_draining', target: name, detail: `${startId} by ${source}`});
+		this.onDraining?.(name, startId);
 	}
 
 	callStarted(name: string): void {
