Keep the ranked gateways until the membership changes

Cause: gateways were ranked anew several times a second, with one hash for each member of a zone. Change: Membership keeps them until a member changes. Conclusion: the rank costs nothing while the membership stays the same.

--- a/src/links/membership.ts
+++ b/src/links/membership.ts
@@ -57,6 +57,8 @@
 	}
 
 	readonly #entries = new Map<string, Entry>();
+	/** Gateways by zone since the last change; they are asked for several times a second. */
+	readonly #gateways = new Map<string, readonly string[]>();
 
 	private constructor(private readonly self: LinkIdentity, private readonly events: EventRecorder) {}
 
@@ -83,6 +85,7 @@
 			const entry = this.#entry(vm.id);
 			entry.isListed = true;
 			entry.zone ??= vm.zone;
+			this.#gateways.clear();
 			// A configured address goes before the listed one.
 			if (!entry.isPeer) {
 				entry.address = address;
@@ -107,6 +110,7 @@
 		}
 
 		entry.zone = peer.zone;
+		this.#gateways.clear();
 		entry.incarnation = peer.incarnation;
 		this.#apply(entry, {type: 'LINKED'});
 	}
@@ -129,7 +133,22 @@
 	 * Gateways of a zone, best first: the highest-ranked members, suspect ones last, so that a zone that was cut off as
 	 * a whole is still tried. In its own zone this entry VM counts itself.
 	 */
-	gateways(zone: string): string[] {
+	gateways(zone: string): readonly string[] {
+		let gateways = this.#gateways.get(zone);
+		if (!gateways) {
+			gateways = this.#rankGateways(zone);
+			this.#gateways.set(zone, gateways);
+		}
+
+		return gateways;
+	}
+
+	/** True when this entry VM links its zone to others. */
+	get isGateway(): boolean {
+		return this.gateways(this.self.zone).includes(this.self.name);
+	}
+
+	#rankGateways(zone: string): string[] {
 		const members = this.members().filter(member => member.zone === zone);
 		const suspect = members.filter(member => member.state === 'suspect').map(member => member.name);
 		const others = members.filter(member => member.state !== 'suspect').map(member => member.name);
@@ -141,11 +160,6 @@
 		return [...rankByRendezvous(key, others), ...rankByRendezvous(key, suspect)].slice(0, gatewaysPerZone);
 	}
 
-	/** True when this entry VM links its zone to others. */
-	get isGateway(): boolean {
-		return this.gateways(this.self.zone).includes(this.self.name);
-	}
-
 	#checkAbsent(entry: Entry): void {
 		if (!entry.isPeer && !entry.isListed) {
 			this.#apply(entry, {type: 'ABSENT'});
@@ -168,6 +182,7 @@
 		const before = entry.lifecycle.state;
 		entry.lifecycle.send(event);
 		if (entry.lifecycle.state !== before) {
+			this.#gateways.clear();
 			this.events.record({kind: 'member_state', target: entry.name, detail: `${before} to ${entry.lifecycle.state}`});
 		}
 
