--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -167,8 +167,8 @@
 	expect(retry.body).toMatchObject({outcome: 'unknown', reason: 'minter_gone'});
 });
 
-// Guards against a timeline that lacks processes without naming them, and against bytes across zones that are not counted.
-test('the timeline is merged over zones and names silent processes', async () => {
+// Guards against a timeline that lacks processes without naming them, a minted key that gateways do not pass on, and digests across zones.
+test('gateways pass on minted keys and events, and silent processes are named', async () => {
 	await publishSample();
 	const riga = [await fleet.linkedVm('riga-1', 'riga-a'), await fleet.linkedVm('riga-2', 'riga-a'), await fleet.linkedVm('riga-3', 'riga-a')];
 	const limon = [await fleet.linkedVm('limon-1', 'limon-a'), await fleet.linkedVm('limon-2', 'limon-a'), await fleet.linkedVm('limon-3', 'limon-a')];
@@ -186,6 +186,15 @@
 		}, 'events of all processes');
 	}
 
+	// Directly or over gateways, as the links stand at this time; each way is tested in forward-service.test.ts.
+	for (const [from, to] of riga.flatMap(vm => limon.map(other => [vm, other] as const))) {
+		const {body: {key}} = await post(`http://127.0.0.1:${to.ports.callers}/v1/keys`, {});
+		const result = await post(pipelineUrl(from, 'advice'), {
+			team: 'apprentices', input: {text: 'x'}, non_idempotent: true, idempotency: {key},
+		});
+		expect(result.body.outcome).toBe('done');
+	}
+
 	limon[2]!.pause();
 	for (const vm of riga) {
 		await until(async () => (await processes(vm)).missing.includes('limon-3'), 'the paused process among the silent ones');
