--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -14,6 +14,7 @@
 import {serveCommand} from './serve-command.js';
 import {standInCommand} from './stand-in-command.js';
 import {statusCommand} from './status-command.js';
+import {traceCommand} from './trace-command.js';
 
 /** Every subcommand. */
 export const commands: readonly Command[] = [
@@ -25,6 +26,7 @@
 	getCommand,
 	statusCommand,
 	drainCommand,
+	traceCommand,
 ];
 
 /**
--- /dev/null
+++ b/src/cli/trace-command.ts
@@ -0,0 +1,77 @@
+import {toJsonString} from '@bufbuild/protobuf';
+import {formatEvent, type PrintableEvent} from '../events/index.js';
+import {TraceResponseSchema, type TraceResponse} from '../gen/guavamill/v1/operator_pb.js';
+import {numberSchema, resolveSettings, textSchema} from '../settings/index.js';
+import {exitCodes, type Command} from './command.js';
+import {createOperatorClient, operatorSettings} from './operator-client.js';
+
+const traceSettings = {
+	...operatorSettings,
+	request: {
+		flag: 'request', help: 'Only events of this request.', fallback: '', schema: textSchema,
+	},
+	team: {
+		flag: 'team', help: 'Only events of this team.', fallback: '', schema: textSchema,
+	},
+	target: {
+		flag: 'target', help: 'Only events of this target or peer.', fallback: '', schema: textSchema,
+	},
+	sinceMs: {
+		flag: 'since', help: 'Only events of the last so many ms; all held events when 0.', fallback: '0', schema: numberSchema(0, 1e12),
+	},
+	limit: {
+		flag: 'limit', help: 'Most events, the latest ones.', fallback: '1000', schema: numberSchema(1, 20_000),
+	},
+};
+
+/** `guavamill trace`: the merged timeline of all entry VMs that answer. */
+export const traceCommand: Command = {
+	name: 'trace',
+	usage: 'guavamill trace --request 6f0c… --vm http://127.0.0.1:7001',
+	summary: 'Prints the timeline merged over all entry VMs, and names those that did not answer.',
+	settings: traceSettings,
+	async run(input) {
+		const settings = resolveSettings(traceSettings, input);
+		const answer = await createOperatorClient(settings).trace({
+			requestId: settings.request,
+			team: settings.team,
+			target: settings.target,
+			sinceMs: settings.sinceMs === 0 ? 0 : Math.max(1, Date.now() - settings.sinceMs),
+			limit: settings.limit,
+		});
+		if (settings.json) {
+			input.print(toJsonString(TraceResponseSchema, answer, {alwaysEmitImplicit: true}));
+			return exitCodes.ok;
+		}
+
+		for (const line of formatTrace(answer)) {
+			input.print(line);
+		}
+
+		return exitCodes.ok;
+	},
+};
+
+/** Lines of a timeline, with the processes whose events are missing last. */
+export function formatTrace(answer: TraceResponse): string[] {
+	const lines = answer.events.map(event => formatEvent(toEvent(event)));
+	return answer.missingProcesses.length === 0 ? lines : [...lines, `No answer from: ${answer.missingProcesses.join(', ')}`];
+}
+
+/** Fields without presence in the schema are empty where an event lacks them. */
+function toEvent(event: TraceResponse['events'][number]): PrintableEvent {
+	const text = (key: 'requestId' | 'team' | 'stage' | 'target' | 'detail') => event[key] === '' ? {} : {[key]: event[key]};
+	return {
+		kind: event.kind,
+		...text('requestId'),
+		...text('team'),
+		...text('stage'),
+		...(event.attempt === 0 ? {} : {attempt: event.attempt}),
+		...text('target'),
+		...text('detail'),
+		process: event.process,
+		sequence: Number(event.sequence),
+		wallMs: event.wallMs,
+		logical: event.logical,
+	};
+}
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,15 +1,16 @@
 import {randomBytes, randomInt} from 'node:crypto';
 import {ClaimRouter, LogClaimService, MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
-import {ConfigFollower, ConfigWriter, type ConfigPeers} from '../config/index.js';
-import {EventRing, type PeerEvents} from '../events/index.js';
+import {ConfigFollower, ConfigWriter} from '../config/index.js';
+import {EventRing, HybridClock} from '../events/index.js';
 import type {ListenAddress} from '../http/index.js';
+import {LinkMesh, WorkTracker, type LinkSettings} from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import {LeaseService, OrderGiver, WeightBudget} from '../orders/index.js';
-import {createOperatorHandler, type PeerStatusSource} from '../operators/index.js';
+import {createOperatorHandler} from '../operators/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
-import {nullKeyForwarder, RequestRunner, type KeyForwarder} from '../requests/index.js';
+import {RequestRunner} from '../requests/index.js';
 import {
 	DeclaredTargets, httpPortFactory, TargetProber, VmWatcher, type PortFactory,
 } from '../targets/index.js';
@@ -34,15 +35,12 @@
 	readonly vmList: VmList;
 	readonly createLogger: LoggerFactory;
 	readonly ports?: PortFactory;
+	/** Links to other entry VMs; without it this entry VM works alone. */
+	readonly links?: LinkSettings | undefined;
 	/** Time after which a configuration snapshot is appended again; at most a third of the log's retention. */
 	readonly configSnapshotMs?: Ms;
-	readonly configPeers?: ConfigPeers;
-	readonly peerEvents?: PeerEvents;
-	readonly peerStatus?: PeerStatusSource;
 	/** Longest life of a caller's key, in ms; at most half of the log's retention. */
 	readonly claimMaxLifeMs?: Ms;
-	/** Way to the entry VMs that minted other keys. */
-	readonly forwarder?: KeyForwarder;
 }
 
 /** Time for the last answers to leave after the latest deadline. */
@@ -84,6 +82,9 @@
 	readonly #vmWatcher: VmWatcher;
 	readonly #lease: LeaseService;
 	readonly #orders: OrderGiver;
+	readonly #hybrid: HybridClock;
+	readonly #work: WorkTracker;
+	#mesh: LinkMesh | undefined;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -91,13 +92,25 @@
 
 	private constructor(private readonly options: EntryVmOptions) {
 		const {clock, log, createLogger} = options;
-		this.events = EventRing.create({process: options.name, clock, capacity: options.eventCapacity});
+		this.#hybrid = HybridClock.create(clock);
+		this.events = EventRing.create({
+			process: options.name, clock, capacity: options.eventCapacity, hybrid: this.#hybrid,
+		});
 		this.config = ConfigFollower.create({
-			clock, log, events: this.events, logger: createLogger('config'), snapshotMs: options.configSnapshotMs ?? defaultSnapshotMs, random: Random.create(randomInt(2 ** 31)), peers: options.configPeers,
+			clock, log, events: this.events, logger: createLogger('config'), snapshotMs: options.configSnapshotMs ?? defaultSnapshotMs, random: Random.create(randomInt(2 ** 31)),
+			peers: {
+				attach: () => undefined,
+				request: afterOffset => {
+					this.#mesh?.requestConfig(afterOffset);
+				},
+			},
 		});
 		this.targets = DeclaredTargets.create({
 			config: this.config, events: this.events, clock, ports: options.ports ?? httpPortFactory,
 		});
+		this.targets.onDraining((name, startId) => {
+			this.#mesh?.publish(name, startId);
+		});
 		this.#prober = TargetProber.create({clock, random: Random.create(randomInt(2 ** 31)), targets: this.targets});
 		this.#vmWatcher = VmWatcher.create({
 			clock, vmList: options.vmList, targets: this.targets, logger: createLogger('targets'),
@@ -118,12 +131,13 @@
 		this.claims = LogClaimService.create({
 			clock, log, events: this.events, logger: createLogger('claims'), incarnation: this.incarnation, maxLifeMs: options.claimMaxLifeMs ?? defaultClaimMaxLifeMs,
 		});
+		this.#work = WorkTracker.create({scheduler: FcfsScheduler.create({clock, targets: this.targets}), targets: this.targets});
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
-			scheduler: FcfsScheduler.create({clock, targets: this.targets}),
+			scheduler: this.#work,
 			claims: ClaimRouter.create({minted: MintedClaims.create({clock, incarnation: this.incarnation}), logged: this.claims}),
-			forwarding: {incarnation: this.incarnation, forwarder: options.forwarder ?? nullKeyForwarder},
+			forwarding: {incarnation: this.incarnation, forwarder: {forward: async (...args) => this.#mesh ? this.#mesh.forward(...args) : 'gone'}},
 			events: this.events,
 		});
 		this.#metrics = Metrics.create({
@@ -147,6 +161,11 @@
 		return this.#operators!.port;
 	}
 
+	/** Links to other entry VMs; `undefined` without a link key. */
+	get mesh(): LinkMesh | undefined {
+		return this.#mesh;
+	}
+
 	/** Aborts when a shutdown begins, whoever asked for it. */
 	get stopping(): AbortSignal {
 		return this.#stopping.signal;
@@ -167,6 +186,7 @@
 		this.#lease.start();
 		this.#orders.start();
 		this.claims.start();
+		this.#mesh = options.links && await this.#link(options.links);
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -196,8 +216,8 @@
 			events,
 			targets,
 			writer: ConfigWriter.create({clock: options.clock, log: options.log, follower: config}),
-			...(options.peerEvents ? {peerEvents: options.peerEvents} : {}),
-			...(options.peerStatus ? {peerStatus: options.peerStatus} : {}),
+			peerEvents: this.#mesh,
+			peerStatus: () => this.#mesh?.peerStates() ?? [],
 			logger: options.createLogger('operators'),
 			vm: () => ({
 				name: options.name, zone: options.zone, incarnation: this.incarnation, state: this.state, inFlight: this.runner.inFlight,
@@ -221,7 +241,7 @@
 		logger.info('Draining.', {inFlight: this.runner.inFlight});
 		this.#callers!.stopAccepting();
 		const end = Math.max(clock.now(), this.runner.latestDeadlineMs) + drainSlackMs;
-		while (this.#callers!.inFlight > 0 && clock.now() < end) {
+		while ((this.#callers!.inFlight > 0 || this.runner.inFlight > 0) && clock.now() < end) {
 			await clock.sleep(idlePollMs);
 		}
 
@@ -234,9 +254,38 @@
 		this.#lease.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
+		await this.#mesh?.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
 	}
 
+	async #link(settings: LinkSettings): Promise<LinkMesh> {
+		const {name, zone, clock, vmList, createLogger} = this.options;
+		const mesh = await LinkMesh.create({
+			...settings,
+			self: {name, zone, incarnation: this.incarnation},
+			clock,
+			random: Random.create(randomInt(0x7F_FF_FF_FF)),
+			vmList,
+			registry: this.#metrics.registry,
+			logger: createLogger('links'),
+			events: this.events,
+			hybrid: this.#hybrid,
+			regionOf: other => this.config.current().declarations.zone(other)?.region,
+			runner: this.runner,
+			config: this.config,
+			configOffset: () => this.config.current().offset,
+			digest: {
+				work: () => this.#work.work(),
+				inFlight: () => this.targets.all().filter(target => target.inFlight > 0).map(target => ({target: target.name, calls: target.inFlight})),
+				draining: () => this.targets.all().filter(target => target.state === 'draining').map(target => ({target: target.name, startId: target.startId!})),
+			},
+		});
+		mesh.onNews((target, startId, source) => {
+			this.targets.markDraining(target, startId, `peer ${source}`);
+		});
+		return mesh;
+	}
+
 	#targetCounts(): Record<string, number> {
 		const counts: Record<string, number> = {};
 		for (const target of this.targets.all()) {
--- a/src/events/peer-events.ts
+++ b/src/events/peer-events.ts
@@ -1,26 +1,23 @@
+import type {Ms} from '../clock/index.js';
 import type {TimelineEvent} from './event.js';
 import type {EventFilter} from './event-ring.js';
 
 /** Events of other processes. */
-export interface PeerEventsReply {
+export interface CollectedEvents {
+	/** Of every process that answered; of each at most its latest 2000 that match. */
 	readonly events: readonly TimelineEvent[];
-	/** Names of the processes that did not answer. */
-	readonly missing: readonly string[];
+	/** Processes that did not answer in time. */
+	readonly silent: readonly string[];
 }
 
-/** Port to the event rings of other processes. Must answer within a bounded time. */
+/** Port that collects events of the other entry VMs. */
 export interface PeerEvents {
-	select(filter: EventFilter): Promise<PeerEventsReply>;
+	collect(filter: EventFilter, timeoutMs: Ms): Promise<CollectedEvents>;
 }
 
-/**
- * Peer events of a process without links: none.
- *
- * @example
- * const {events} = await localOnlyEvents.select({});
- */
-export const localOnlyEvents: PeerEvents = {
-	async select() {
-		return {events: [], missing: []};
+/** Port of an entry VM without peers. */
+export const noPeerEvents: PeerEvents = {
+	async collect() {
+		return {events: [], silent: []};
 	},
 };
--- /dev/null
+++ b/src/links/index.ts
@@ -0,0 +1,14 @@
+export {digestIntervalMs, type DigestSource} from './digest-exchange.js';
+export type {DrainingListener, DrainingNews} from './draining-news.js';
+export {LinkError, type LinkCloseReason} from './link-error.js';
+export type {LinkDistance} from './link-bytes.js';
+export type {LinkIdentity} from './link-identity.js';
+export {LinkKey, minLinkKeyBytes} from './link-key.js';
+export {LinkMesh, type LinkMeshOptions, type LinkSettings} from './link-mesh.js';
+export {pingIntervalMs, silenceMs} from './link.js';
+export {
+	gatewaysPerZone, Membership, type Member, type PeerAddress,
+} from './membership.js';
+export type {MemberState} from './member-lifecycle.js';
+export {rankByRendezvous} from './rendezvous.js';
+export {WorkTracker} from './work-tracker.js';
--- a/src/operators/operator-parts.ts
+++ b/src/operators/operator-parts.ts
@@ -33,7 +33,7 @@
 	readonly targets: TargetRegistry;
 	readonly logger: PartLogger;
 	/** Events of other processes; none unless given. */
-	readonly peerEvents?: PeerEvents;
+	readonly peerEvents?: PeerEvents | undefined;
 	/** State of the peers; none unless given. */
 	readonly peerStatus?: PeerStatusSource;
 	readonly vm: () => VmFacts;
--- a/src/operators/vm-calls.ts
+++ b/src/operators/vm-calls.ts
@@ -1,7 +1,7 @@
 import {Code, ConnectError} from '@connectrpc/connect';
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {Ms} from '../clock/index.js';
-import {localOnlyEvents, type EventFilter, type TimelineEvent} from '../events/index.js';
+import {mergeEvents, noPeerEvents, type EventFilter} from '../events/index.js';
 import type {
 	DrainRequest, DrainResponseSchema, StatusResponseSchema, TraceRequest, TraceResponseSchema,
 } from '../gen/guavamill/v1/operator_pb.js';
@@ -9,6 +9,8 @@
 
 const defaultTraceEvents = 1000;
 const maxTraceEvents = 20_000;
+/** Time for peers to send their events. */
+const peerEventsTimeoutMs: Ms = 3000;
 /** Time for the answer to reach the operator before this entry VM begins to shut down. */
 const drainDelayMs: Ms = 50;
 
@@ -46,22 +48,14 @@
 		...(req.sinceMs === 0 ? {} : {sinceMs: req.sinceMs}),
 		...(req.untilMs === 0 ? {} : {untilMs: req.untilMs}),
 	};
-	const remote = await (parts.peerEvents ?? localOnlyEvents).select(filter);
-	const events = [...parts.events.select(filter), ...remote.events].toSorted(compareEvents);
+	const remote = await (parts.peerEvents ?? noPeerEvents).collect(filter, peerEventsTimeoutMs);
+	const events = mergeEvents([parts.events.select(filter), remote.events]);
 	return {
 		events: events.slice(-(req.limit === 0 ? defaultTraceEvents : req.limit)).map(event => ({...event, sequence: BigInt(event.sequence)})),
-		missingProcesses: [...remote.missing],
+		missingProcesses: [...remote.silent],
 	};
 }
 
-/** Order of the timeline: time, then process and sequence where times are equal. */
-function compareEvents(a: TimelineEvent, b: TimelineEvent): number {
-	return a.wallMs - b.wallMs
-		|| a.logical - b.logical
-		|| a.process.localeCompare(b.process)
-		|| a.sequence - b.sequence;
-}
-
 /** Serves Drain. @internal */
 export function drain(parts: OperatorParts, req: DrainRequest): MessageInitShape<typeof DrainResponseSchema> {
 	const {subject} = req;
--- a/src/requests/key-forwarder.ts
+++ b/src/requests/key-forwarder.ts
@@ -7,8 +7,9 @@
 	/**
 	 * Runs a request at the incarnation that minted its key, until `deadlineMs` (monotonic). `gone` when that
 	 * incarnation cannot be reached. After the request was sent, a lost reply is a rejection with outcome `unknown`.
+	 * The request keeps its id where one is given.
 	 */
-	forward(pipeline: string, body: CallerRequest, incarnation: string, deadlineMs: Ms): Promise<RequestResult | 'gone'>;
+	forward(pipeline: string, body: CallerRequest, incarnation: string, deadlineMs: Ms, requestId?: string): Promise<RequestResult | 'gone'>;
 }
 
 /** Forwarder of an entry VM without links: every other incarnation is gone. */
--- a/src/requests/request-runner.ts
+++ b/src/requests/request-runner.ts
@@ -204,7 +204,7 @@
 			return undefined;
 		}
 
-		const result = await forwarding.forwarder.forward(context.pipeline.name, context.body, minter, context.deadlineMs);
+		const result = await forwarding.forwarder.forward(context.pipeline.name, context.body, minter, context.deadlineMs, context.requestId);
 		return result === 'gone'
 			? this.#rejection(context.requestId, 'unknown', 'minter_gone', claimMessage('minter_gone'))
 			: result;
--- a/src/targets/declared-targets.ts
+++ b/src/targets/declared-targets.ts
@@ -21,7 +21,7 @@
 };
 
 /** Told that a target drains, with the start id that drains. */
-export type DrainingListener = (target: string, startId: string) => void;
+export type TargetDrainingListener = (target: string, startId: string) => void;
 
 /**
  * Registry of the targets that the configuration declares.
@@ -43,7 +43,7 @@
 	#byName = new Map<string, DeclaredTarget>();
 	#byPool = new Map<string, DeclaredTarget[]>();
 	readonly #changeListeners = new Set<(pool: string) => void>();
-	readonly #drainingListeners = new Set<DrainingListener>();
+	readonly #drainingListeners = new Set<TargetDrainingListener>();
 
 	private constructor(private readonly options: {config: ConfigView; events: EventRecorder; clock: Clock; ports: PortFactory}) {}
 
@@ -61,7 +61,7 @@
 	}
 
 	/** Calls `listener` once for each start that is first known to drain. */
-	onDraining(listener: DrainingListener): void {
+	onDraining(listener: TargetDrainingListener): void {
 		this.#drainingListeners.add(listener);
 	}
 
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -1,5 +1,5 @@
 export {
-	DeclaredTargets, httpPortFactory, type DrainingListener, type PortFactory,
+	DeclaredTargets, httpPortFactory, type TargetDrainingListener, type PortFactory,
 } from './declared-targets.js';
 export type {
 	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, PromptSegment, ShareClass, TargetHealth, TargetLoad,
