Add routing by cost with a prefix index

Cause: stage attempts went to the target with the fewest own calls, whatever it held in its prefix cache and wherever it stood.

--- /dev/null
+++ b/src/routing/cost-router.ts
@@ -0,0 +1,149 @@
+import type {Ms} from '../clock/index.js';
+import type {ConfigView} from '../config/index.js';
+import type {Random} from '../random/index.js';
+import type {Target} from '../targets/index.js';
+import type {PrefixIndex} from './prefix-index.js';
+import type {RouteCandidate, Router, RouteRequest} from './router.js';
+import {estimateService} from './service-estimate.js';
+
+/**
+ * Worth of one unit of money in ms of latency at equal weights: at 0.1 per GB, the 10 KB of an ordinary call count
+ * 10 ms, about half of the latency between regions.
+ */
+const msPerCostUnit = 10_000_000;
+const bytesPerGb = 1_000_000_000;
+const bytesPerToken = 4;
+/** Costs within this part of the service time and these ms count as equal: estimates are no better than that. */
+const equalFactor = 0.05;
+const equalMs: Ms = 2;
+/** Part of its service time that a call gains from an empty target over a full one. */
+const crowdingFactor = 0.25;
+/** A target of another zone must be cheaper by this much, since its load is known later. */
+const spillMarginMs: Ms = 10;
+/** A suspect target is chosen only when every other one costs more than this. */
+const suspectMs: Ms = 5000;
+
+type Priced = {candidate: RouteCandidate; cost: number; timeMs: Ms};
+
+/** Network path to a region, seen from this entry VM. */
+type PathCost = {latencyMs: Ms; costPerGb: number};
+
+/**
+ * Chooses by cost: predicted wait, prefill of the uncached part, decoding, and the price of cross-region bytes.
+ * Two random choices among targets of nearly equal cost keep entry VMs from choosing the same target on late reports.
+ *
+ * @example
+ * const router = CostRouter.create({config, zone: 'riga-a', random: Random.create(7), index});
+ */
+export class CostRouter implements Router {
+	static create(options: {config: ConfigView; zone: string; random: Random; index: PrefixIndex}): CostRouter {
+		const router = new CostRouter(options.config, options.zone, options.random, options.index);
+		options.config.onChange(() => {
+			router.#paths.clear();
+		});
+		return router;
+	}
+
+	/** Paths by region; the look-up in the declarations is linear. */
+	readonly #paths = new Map<string, PathCost>();
+
+	private constructor(private readonly config: ConfigView, private readonly zone: string, private readonly random: Random, private readonly index: PrefixIndex) {}
+
+	choose(request: RouteRequest, candidates: readonly RouteCandidate[]): Target | undefined {
+		const near: Priced[] = [];
+		const far: Priced[] = [];
+		for (const candidate of candidates) {
+			(candidate.target.zone === this.zone ? near : far).push(this.#price(request, candidate));
+		}
+
+		const nearBest = cheapest(near);
+		const farBest = cheapest(far.filter(priced => priced.candidate.isFree));
+		if (farBest && this.#mustSpill(request, nearBest, farBest)) {
+			return this.#sample(far);
+		}
+
+		return nearBest?.candidate.isFree ? this.#sample(near) : undefined;
+	}
+
+	#mustSpill(request: RouteRequest, near: Priced | undefined, far: Priced): boolean {
+		if (!near) {
+			return true;
+		}
+
+		const budgetMs = request.work.deadlineMs - request.now - request.laterMs;
+		const missesNear = near.timeMs > budgetMs;
+		return (missesNear && far.timeMs < near.timeMs) || far.cost + spillMarginMs < near.cost;
+	}
+
+	/** The cheaper of two random free candidates of nearly the lowest cost. */
+	#sample(priced: readonly Priced[]): Target | undefined {
+		const free = priced.filter(({candidate}) => candidate.isFree);
+		const best = cheapest(free);
+		if (!best) {
+			return undefined;
+		}
+
+		const bound = best.cost + equalMs + (Math.abs(best.timeMs) * equalFactor);
+		const equal = free.filter(({cost}) => cost <= bound);
+		const first = this.random.pick(equal);
+		const second = this.random.pick(equal);
+		return (second.cost < first.cost ? second : first).candidate.target;
+	}
+
+	#price(request: RouteRequest, candidate: RouteCandidate): Priced {
+		const {work} = request;
+		const {target} = candidate;
+		const {serviceMs} = estimateService(target.pool, work.stage, {
+			uncachedTokens: target.pool.type === 'engine' ? this.index.uncachedTokens(target.name, request.prefixes) : 0,
+			maxTokens: work.maxTokens,
+			batch: candidate.limit,
+		});
+		const expectedMs = serviceMs * request.correction * candidate.slowdown;
+		const queueMs = candidate.isFree ? this.#queueMs(candidate, expectedMs) : request.waitMs;
+		const crowdingMs = expectedMs * crowdingFactor * Math.min(1, candidate.calls / candidate.limit);
+		const path = this.#path(target.region);
+		const timeMs = queueMs + expectedMs + (2 * path.latencyMs);
+		const {attainment_weight: timeWeight, cost_weight: costWeight} = this.config.current().declarations.policy();
+		const money = path.costPerGb * bytesOf(request) / bytesPerGb;
+		const penaltyMs = target.state === 'suspect' ? suspectMs : 0;
+		return {candidate, timeMs, cost: ((timeMs + crowdingMs + penaltyMs) * timeWeight) + (money * msPerCostUnit * costWeight)};
+	}
+
+	/** Time in the target's own queue when calls of others already fill it. */
+	#queueMs(candidate: RouteCandidate, expectedMs: Ms): Ms {
+		return Math.max(0, candidate.calls + 1 - candidate.limit) * expectedMs / candidate.limit;
+	}
+
+	#path(region: string): PathCost {
+		let path = this.#paths.get(region);
+		if (!path) {
+			const {declarations} = this.config.current();
+			const own = declarations.zone(this.zone)?.region;
+			const declared = own === undefined || own === region ? undefined : declarations.path(own, region);
+			path = {latencyMs: declared?.latency_ms ?? 0, costPerGb: declared?.cost_per_gb ?? 0};
+			this.#paths.set(region, path);
+		}
+
+		return path;
+	}
+}
+
+function bytesOf(request: RouteRequest): number {
+	let tokens = request.work.stage.kind === 'generate' ? request.work.maxTokens : 0;
+	for (const prefix of request.prefixes) {
+		tokens += prefix.tokens;
+	}
+
+	return tokens * bytesPerToken;
+}
+
+function cheapest(priced: readonly Priced[]): Priced | undefined {
+	let best: Priced | undefined;
+	for (const other of priced) {
+		if (!best || other.cost < best.cost) {
+			best = other;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/src/routing/prefix-index.ts
@@ -0,0 +1,174 @@
+import type {CacheEvent, TargetView} from '../targets/index.js';
+import type {Prefix} from './prefix-names.js';
+
+/** Prefixes remembered per engine; the oldest are forgotten first. */
+const defaultCapacity = 4096;
+/** Part of a doubtful entry that counts as cached: it may have been evicted unseen. */
+const doubtfulFactor = 0.5;
+
+/** The engine that an entry belongs to. */
+type EngineId = Pick<TargetView, 'name' | 'pool'>;
+
+/** Prefixes of one engine with the epoch of their entry. Entries of an epoch before the present one are doubtful. */
+type EngineEntries = {pool: string; startId: string | undefined; sequence: number | undefined; epoch: number; entries: Map<string, number>};
+
+/**
+ * What each engine's prefix cache is thought to hold, learned from own dispatches and corrected by cache events.
+ *
+ * @example
+ * const index = PrefixIndex.create();
+ * index.dispatched(target, prefixes);
+ * index.uncachedTokens(target.name, prefixes); // 0
+ */
+export class PrefixIndex {
+	/** Creates an index of at most `capacity` prefixes per engine. */
+	static create({capacity = defaultCapacity}: {capacity?: number} = {}): PrefixIndex {
+		return new PrefixIndex(capacity);
+	}
+
+	readonly #engines = new Map<string, EngineEntries>();
+	/** Number of engines that hold a prefix, by pool. */
+	readonly #holders = new Map<string, Map<string, number>>();
+
+	private constructor(private readonly capacity: number) {}
+
+	/** Records that a prompt was sent to an engine, which then caches it. */
+	dispatched(target: EngineId & Pick<TargetView, 'startId'>, prefixes: readonly Prefix[]): void {
+		const engine = this.#engine(target, target.startId);
+		for (const prefix of prefixes) {
+			this.#store(engine, prefix.name);
+		}
+	}
+
+	/**
+	 * Applies events of an engine in order of sequence; repeated ones are ignored. A gap makes all present entries
+	 * doubtful, a new start id clears them.
+	 */
+	apply(target: EngineId, startId: string, events: readonly CacheEvent[]): void {
+		const engine = this.#engine(target, startId);
+		for (const event of events) {
+			if (engine.sequence !== undefined && event.sequence <= engine.sequence) {
+				continue;
+			}
+
+			if (event.sequence > (engine.sequence ?? 0) + 1) {
+				engine.epoch++;
+			}
+
+			engine.sequence = event.sequence;
+			if (event.type === 'stored') {
+				this.#store(engine, event.prefix);
+			} else {
+				this.#drop(engine, event.prefix);
+			}
+		}
+	}
+
+	/** Sequence after which to ask an engine for events; 0 before the first. */
+	lastSequence(target: string): number {
+		return this.#engines.get(target)?.sequence ?? 0;
+	}
+
+	/** Tokens of a prompt that the engine has to prefill; doubtful prefixes count in part. */
+	uncachedTokens(target: string, prefixes: readonly Prefix[]): number {
+		const engine = this.#engines.get(target);
+		let uncached = 0;
+		let isHeld = engine !== undefined;
+		for (const prefix of prefixes) {
+			const epoch = isHeld ? engine!.entries.get(prefix.name) : undefined;
+			isHeld = epoch !== undefined;
+			if (epoch === undefined) {
+				uncached += prefix.tokens;
+			} else if (epoch < engine!.epoch) {
+				uncached += prefix.tokens * (1 - doubtfulFactor);
+			}
+		}
+
+		return uncached;
+	}
+
+	/** Tokens of a prompt that no engine of the pool holds; the estimate before an engine is chosen. */
+	leastUncachedTokens(pool: string, prefixes: readonly Prefix[]): number {
+		const holders = this.#holders.get(pool);
+		let uncached = 0;
+		let isHeld = true;
+		for (const prefix of prefixes) {
+			isHeld &&= holders?.has(prefix.name) ?? false;
+			uncached += isHeld ? 0 : prefix.tokens;
+		}
+
+		return uncached;
+	}
+
+	/** Prefixes held for an engine. */
+	size(target: string): number {
+		return this.#engines.get(target)?.entries.size ?? 0;
+	}
+
+	/** Forgets the engines that `isKnown` denies. */
+	retain(isKnown: (target: string) => boolean): void {
+		for (const target of this.#engines.keys()) {
+			if (!isKnown(target)) {
+				this.forget(target);
+			}
+		}
+	}
+
+	/** Forgets an engine. */
+	forget(target: string): void {
+		const engine = this.#engines.get(target);
+		if (!engine) {
+			return;
+		}
+
+		for (const name of engine.entries.keys()) {
+			this.#drop(engine, name);
+		}
+
+		this.#engines.delete(target);
+	}
+
+	#engine(target: EngineId, startId: string | undefined): EngineEntries {
+		const known = this.#engines.get(target.name);
+		if (known && (startId === undefined || known.startId === undefined || known.startId === startId)) {
+			known.startId ??= startId;
+			return known;
+		}
+
+		this.forget(target.name);
+		const engine: EngineEntries = {
+			pool: target.pool.name, startId, sequence: undefined, epoch: 0, entries: new Map(),
+		};
+		this.#engines.set(target.name, engine);
+		return engine;
+	}
+
+	#store(engine: EngineEntries, name: string): void {
+		const isNew = !engine.entries.delete(name);
+		engine.entries.set(name, engine.epoch);
+		if (!isNew) {
+			return;
+		}
+
+		const holders = this.#holders.get(engine.pool) ?? new Map<string, number>();
+		this.#holders.set(engine.pool, holders);
+		holders.set(name, (holders.get(name) ?? 0) + 1);
+		if (engine.entries.size > this.capacity) {
+			this.#drop(engine, engine.entries.keys().next().value!);
+		}
+	}
+
+	#drop(engine: EngineEntries, name: string): void {
+		if (!engine.entries.delete(name)) {
+			return;
+		}
+
+		const holders = this.#holders.get(engine.pool)!;
+		const count = holders.get(name)! - 1;
+		if (count > 0) {
+			holders.set(name, count);
+		} else {
+			holders.delete(name);
+		}
+	}
+}
