Add a fair scheduler with admission control, shares and a retry budget

Cause: the first-come-first-served baseline admits everything and lets a large team fill the queue of every pool.

Change: FairScheduler queues by team (start-time fair queueing), admits by predicted wait and service time over all stages, classifies attempts as within or above the team's share of the zone, revokes above-share idempotent attempts, and bounds retries by a budget.

--- a/src/index.ts
+++ b/src/index.ts
@@ -6,5 +6,6 @@
 export * from './events/index.js';
 export * from './platform/index.js';
 export * from './requests/index.js';
+export * from './routing/index.js';
 export * from './targets/index.js';
 export * from './teams/index.js';
--- a/src/teams/index.ts
+++ b/src/teams/index.ts
@@ -1,4 +1,7 @@
 export {AcquireError} from './acquire-error.js';
+export {Admission, type PoolLoad, type StageForecast} from './admission.js';
+export {FairQueue, type QueuedItem} from './fair-queue.js';
+export {FairScheduler, type FairSchedulerOptions} from './fair-scheduler.js';
 export {FcfsScheduler} from './fcfs-scheduler.js';
 export {
 	emptyZoneView, type TeamWork, type ZoneDigest, type ZoneView,
@@ -6,3 +9,7 @@
 export type {
 	AcquireFailure, AdmissionDecision, AttemptResult, Grant, RequestEstimate, Scheduler, StageWork,
 } from './scheduler.js';
+export {RetryBudget} from './retry-budget.js';
+export {ServiceTimes, type PoolTimes} from './service-times.js';
+export {TeamShares} from './team-shares.js';
+export {ZoneLoad, type OthersWork} from './zone-load.js';
--- /dev/null
+++ b/src/teams/pool-targets.ts
@@ -0,0 +1,104 @@
+import type {Ms} from '../clock/index.js';
+import {TargetSpeed, type RouteCandidate} from '../routing/index.js';
+import type {
+	Target, TargetLoad, TargetRegistry, TargetView,
+} from '../targets/index.js';
+import type {ZoneLoad} from './zone-load.js';
+
+/** A load report older than this says nothing of the present. */
+const maxLoadAgeMs: Ms = 3000;
+
+/** What is remembered of a target between decisions. */
+type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; callsAtLoad: number; callsAtPreviousLoad: number};
+
+/** Summary of a pool's targets that may receive work. */
+export interface PoolSummary {
+	readonly candidates: readonly RouteCandidate[];
+	/** Slots of the targets in this zone, or of all targets when the zone has none. */
+	readonly slots: number;
+	/** Slots without a known call, over all zones. */
+	readonly freeSlots: number;
+}
+
+/**
+ * Combines the targets of a registry with the load that other entry VMs put on them and their measured speed.
+ *
+ * @example
+ * const targets = PoolTargets.create({registry, zone: 'riga-a', zoneLoad});
+ * targets.summary('engines', clock.now());
+ */
+export class PoolTargets {
+	static create(options: {registry: TargetRegistry; zone: string; zoneLoad: ZoneLoad}): PoolTargets {
+		return new PoolTargets(options.registry, options.zone, options.zoneLoad);
+	}
+
+	readonly #memories = new WeakMap<TargetView, Memory>();
+
+	private constructor(private readonly registry: TargetRegistry, private readonly zone: string, private readonly zoneLoad: ZoneLoad) {}
+
+	/** Targets of a pool that may receive work now. */
+	summary(pool: string, now: Ms): PoolSummary {
+		const candidates: RouteCandidate[] = [];
+		let zoneSlots = 0;
+		let allSlots = 0;
+		let freeSlots = 0;
+		for (const target of this.registry.pool(pool)) {
+			if (!target.dispatchable) {
+				continue;
+			}
+
+			const candidate = this.#candidate(target, now);
+			candidates.push(candidate);
+			allSlots += candidate.limit;
+			zoneSlots += target.zone === this.zone ? candidate.limit : 0;
+			freeSlots += Math.max(0, candidate.limit - candidate.calls);
+		}
+
+		return {candidates, slots: zoneSlots || allSlots, freeSlots};
+	}
+
+	/** Measured speed of a target. */
+	speed(target: TargetView): TargetSpeed {
+		return this.#memory(target).speed;
+	}
+
+	#candidate(target: Target, now: Ms): RouteCandidate {
+		const memory = this.#memory(target);
+		const calls = target.inFlight + Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target, memory));
+		const {limit} = memory.speed;
+		return {
+			target, calls, limit, slowdown: memory.speed.slowdown(now), isFree: calls < limit,
+		};
+	}
+
+	/**
+	 * Calls of others according to the target's load report. The report is late, so the own calls that it counted may
+	 * have ended: the larger of the own counts at the last two reports and now is subtracted.
+	 */
+	#othersByReport(target: Target, memory: Memory): number {
+		const {load} = target;
+		if (!load || load.ageMs > maxLoadAgeMs) {
+			return 0;
+		}
+
+		if (load !== memory.load) {
+			memory.callsAtPreviousLoad = memory.callsAtLoad;
+			memory.callsAtLoad = target.inFlight;
+			memory.load = load;
+		}
+
+		return Math.max(0, load.inFlight + load.queued - Math.max(memory.callsAtPreviousLoad, memory.callsAtLoad, target.inFlight));
+	}
+
+	#memory(target: TargetView): Memory {
+		let memory = this.#memories.get(target);
+		if (!memory) {
+			memory = {
+				speed: TargetSpeed.create(target.declaration.slots), load: undefined, callsAtLoad: 0, callsAtPreviousLoad: 0,
+			};
+			this.#memories.set(target, memory);
+		}
+
+		return memory;
+	}
+}
--- a/src/teams/scheduler.ts
+++ b/src/teams/scheduler.ts
@@ -30,6 +30,8 @@
 	readonly maxTokens: number;
 	/** Absolute deadline on the clock's monotonic time. */
 	readonly deadlineMs: Ms;
+	/** False when the attempt must not be revoked; the stage's declaration when absent. */
+	readonly idempotent?: boolean;
 	/** Target of the previous attempt, never chosen again directly. */
 	readonly previousTarget: string | undefined;
 }
