Run entry VMs with the fair scheduler

Cause: the daemon used the first-come-first-served baseline, and a revoked attempt counted as a failed one.

--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import {SystemClock} from '../clock/index.js';
-import {EntryVm} from '../entry-vm/index.js';
+import {EntryVm, policyNames} from '../entry-vm/index.js';
 import {createLoggerFactory, logLevels} from '../logs/index.js';
 import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
 import {
@@ -26,6 +26,9 @@
 	eventCapacity: {
 		flag: 'event-capacity', help: 'Events kept for the time line.', fallback: '20000', schema: numberSchema(100, 1_000_000),
 	},
+	policy: {
+		flag: 'policy', help: `Queueing and routing of requests: ${policyNames.join(', ')}.`, fallback: 'fair', schema: z.enum(policyNames),
+	},
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,4 +1,4 @@
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import {MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import {ConfigFollower} from '../config/index.js';
@@ -6,14 +6,25 @@
 import {sendJson, type ListenAddress} from '../http/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
+import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
 import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
-import {FcfsScheduler} from '../teams/index.js';
+import {
+	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneView,
+} from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
 import {Metrics} from './metrics.js';
 import {OperatorServer} from './operator-server.js';
 
+/** Names of the scheduling policies. */
+export const policyNames = ['fair', 'fcfs'] as const;
+
+/** Name of a scheduling policy. */
+export type PolicyName = typeof policyNames[number];
+
+const maxSeed = 0x7F_FF_FF_FF;
+
 /** Settings and ports of an entry VM. */
 export interface EntryVmOptions {
 	readonly name: string;
@@ -26,6 +37,10 @@
 	readonly log: PlatformLog;
 	readonly vmList: VmList;
 	readonly createLogger: LoggerFactory;
+	/** Queueing and routing; `fcfs` is the baseline. */
+	readonly policy?: PolicyName;
+	/** Digests of the zone's other entry VMs; none when absent. */
+	readonly zoneView?: ZoneView;
 	readonly ports?: PortFactory;
 }
 
@@ -52,6 +67,7 @@
 	readonly events: EventRing;
 	readonly config: ConfigFollower;
 	readonly targets: DeclaredTargets;
+	readonly scheduler: Scheduler;
 	readonly runner: RequestRunner;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
@@ -66,10 +82,11 @@
 			clock, log, events: this.events, logger: createLogger('config'),
 		});
 		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.scheduler = this.#createScheduler();
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
-			scheduler: FcfsScheduler.create({clock, targets: this.targets}),
+			scheduler: this.scheduler,
 			claims: MintedClaims.create({clock, incarnation: this.incarnation}),
 			events: this.events,
 		});
@@ -149,6 +166,16 @@
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
 	}
 
+	#createScheduler(): Scheduler {
+		const {clock, zone, policy = 'fair', zoneView = emptyZoneView} = this.options;
+		// Entry VMs that drew the same random numbers would choose the same targets.
+		return policy === 'fcfs'
+			? FcfsScheduler.create({clock, targets: this.targets})
+			: FairScheduler.create({
+				clock, config: this.config, targets: this.targets, zone, zoneView, random: Random.create(randomInt(maxSeed)), events: this.events,
+			});
+	}
+
 	#targetCounts(): Record<string, number> {
 		const counts: Record<string, number> = {};
 		for (const target of this.targets.all()) {
--- a/src/entry-vm/index.ts
+++ b/src/entry-vm/index.ts
@@ -1,2 +1,4 @@
-export {EntryVm, type EntryVmOptions} from './entry-vm.js';
+export {
+	EntryVm, policyNames, type PolicyName, type EntryVmOptions,
+} from './entry-vm.js';
 export {metricNames} from './metrics.js';
--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -53,6 +53,7 @@
 		const startedAt = this.clock.now();
 		let previousTarget: string | undefined;
 		let waitMs = 0;
+		let revocations = 0;
 		for (let attempt = 1; ; attempt++) {
 			const work = this.#work(context, stage, {attempt, input, previousTarget});
 			const queuedAt = this.clock.now();
@@ -71,7 +72,11 @@
 					},
 				};
 			} catch (err) {
-				this.#checkRetry(context, work, err);
+				if (this.#isRevoked(context, work, grant)) {
+					revocations++;
+				} else {
+					this.#checkRetry(context, work, {err, revocations});
+				}
 			}
 		}
 	}
@@ -86,6 +91,7 @@
 			prompt: options.input === '' ? context.prompt : [...context.prompt, {id: 'context', text: options.input}],
 			maxTokens: Math.min(context.body.max_tokens, stage.max_tokens ?? context.body.max_tokens),
 			deadlineMs: context.deadlineMs,
+			idempotent: !isNonIdempotent(context, stage),
 			previousTarget: options.previousTarget,
 		};
 	}
@@ -228,8 +234,13 @@
 		});
 	}
 
+	/** True when the scheduler took the slot back: the attempt is queued again and costs no retry. */
+	#isRevoked(context: RequestContext, work: StageWork, grant: Grant): boolean {
+		return grant.revoked.aborted && !isNonIdempotent(context, work.stage) && !context.signal.aborted && this.clock.now() < context.deadlineMs;
+	}
+
 	/** Returns when the stage may be tried again; throws the request's end otherwise. */
-	#checkRetry(context: RequestContext, work: StageWork, err: unknown): void {
+	#checkRetry(context: RequestContext, work: StageWork, {err, revocations}: {err: unknown; revocations: number}): void {
 		if (err instanceof RequestError) {
 			throw err;
 		}
@@ -249,7 +260,7 @@
 			throw RequestError.create('target_failed', `Cannot finish stage ${work.stage.name}: ${errorMessage(err)}`, err);
 		}
 
-		if (work.attempt >= maxAttempts || remaining < minRetryBudgetMs || !this.scheduler.spendRetry(work.team, work.stage.pool)) {
+		if (work.attempt - revocations >= maxAttempts || remaining < minRetryBudgetMs || !this.scheduler.spendRetry(work.team, work.stage.pool)) {
 			throw RequestError.create(failure === 'mismatch' ? 'answer_mismatch' : 'target_failed', `Cannot finish stage ${work.stage.name} after ${work.attempt} attempts: ${errorMessage(err)}`, err);
 		}
 	}
