Divide each target's slots among the entry VMs by their part of the work

Cause: entry VMs know the calls of others only from digests that are up to 1 s old. A router that preferred to wait for a cheap full target left half of the slots idle at a single entry VM. Admission counted on the whole pool while other teams held part of it.

Change: an entry VM fills at most its part of each target's slots, by published work. The router waits only when no target in its zone is free. Admission uses the rate that other teams leave. Waiting attempts that would probably be late are dropped.

--- a/src/routing/cost-router.ts
+++ b/src/routing/cost-router.ts
@@ -14,7 +14,7 @@
 const bytesPerGb = 1_000_000_000;
 const bytesPerToken = 4;
 /** Costs within this part of the service time and these ms count as equal: estimates are no better than that. */
-const equalFactor = 0.05;
+const equalFactor = 0.15;
 const equalMs: Ms = 2;
 /** Part of its service time that a call gains from an empty target over a full one. */
 const crowdingFactor = 0.25;
@@ -56,13 +56,13 @@
 			(candidate.target.zone === this.zone ? near : far).push(this.#price(request, candidate));
 		}
 
-		const nearBest = cheapest(near);
-		const farBest = cheapest(far.filter(priced => priced.candidate.isFree));
-		if (farBest && this.#mustSpill(request, nearBest, farBest)) {
+		const nearFree = cheapest(near.filter(priced => priced.candidate.isFree));
+		const farFree = cheapest(far.filter(priced => priced.candidate.isFree));
+		if (farFree && this.#mustSpill(request, nearFree ?? cheapest(near), farFree)) {
 			return this.#sample(far);
 		}
 
-		return nearBest?.candidate.isFree ? this.#sample(near) : undefined;
+		return this.#sample(near);
 	}
 
 	#mustSpill(request: RouteRequest, near: Priced | undefined, far: Priced): boolean {
--- a/src/teams/admission.ts
+++ b/src/teams/admission.ts
@@ -37,18 +37,19 @@
 	private constructor() {}
 
 	/**
-	 * Predicted wait of a team's next call. A team waits for its own queue at the rate of its share, whatever other
-	 * teams have queued, and for less when the pool would be empty before that.
+	 * Predicted wait of a team's next call. A team waits for its own queue only, whatever other teams have queued. It
+	 * is served at the rate of its share, or faster when the other teams hold less than theirs.
 	 */
 	waitMs(team: string, shares: TeamShares, load: PoolLoad): Ms {
-		const excessMs = shares.queuedMs - (load.freeSlots * load.meanServiceMs);
-		if (load.freeSlots > 0 && excessMs <= 0) {
+		const excessMs = Math.max(0, shares.queuedMs - (load.freeSlots * load.meanServiceMs));
+		if (load.freeSlots > 0 && excessMs === 0) {
 			return 0;
 		}
 
 		const slots = Math.max(1, load.slots);
-		const ownTurnMs = shares.teamQueuedMs(team) / (shares.share(team) * slots);
-		return load.nextSlotMs + Math.min(ownTurnMs, excessMs / slots);
+		const othersSlots = (shares.inFlightMs - shares.teamInFlightMs(team)) / Math.max(1, load.meanServiceMs);
+		const rate = Math.max(shares.share(team) * slots, slots - othersSlots);
+		return load.nextSlotMs + (Math.min(shares.teamQueuedMs(team), excessMs) / rate);
 	}
 
 	/** Decides by the remaining budget. An `undefined` forecast is a stage whose pool has no target. */
--- a/src/teams/fair-scheduler.ts
+++ b/src/teams/fair-scheduler.ts
@@ -85,6 +85,7 @@
 			index: this.index,
 			times: this.#times,
 			retries: this.#retries,
+			contenders: pool => this.#zoneLoad.contenders(pool),
 			refresh: () => {
 				this.#refresh();
 			},
--- a/src/teams/pool-queue.ts
+++ b/src/teams/pool-queue.ts
@@ -50,6 +50,8 @@
 	readonly index: PrefixIndex;
 	readonly times: ServiceTimes;
 	readonly retries: RetryBudget;
+	/** Other entry VMs with work in a pool, as of their latest digests. */
+	readonly contenders: (pool: string) => number;
 	/** Brings what is known of other entry VMs up to date. */
 	readonly refresh: () => void;
 	readonly events?: EventRecorder;
@@ -77,7 +79,7 @@
 
 	/** Load of the pool for admission control; `undefined` when no target may receive work. */
 	load(serviceMs: Ms): PoolLoad | undefined {
-		const summary = this.parts.targets.summary(this.pool, this.parts.clock.now());
+		const summary = this.#summary();
 		return summary.candidates.length === 0
 			? undefined
 			: {
@@ -124,7 +126,7 @@
 		this.parts.refresh();
 		const refused = new Set<string>();
 		while (this.#queue.size > 0 && refused.size < maxRefusals) {
-			const summary = this.parts.targets.summary(this.pool, this.parts.clock.now());
+			const summary = this.#summary();
 			const next = this.#next(summary, refused);
 			if (!next) {
 				return;
@@ -149,6 +151,11 @@
 		return calls;
 	}
 
+	#summary(): PoolSummary {
+		const {clock, targets, contenders} = this.parts;
+		return targets.summary(this.pool, {now: clock.now(), part: this.shares.part(contenders(this.pool))});
+	}
+
 	#enqueue(waiter: Waiter, signal: AbortSignal): AcquireFailure | undefined {
 		const {work, weight, serviceMs} = waiter;
 		if (this.parts.registry.pool(this.pool).length === 0) {
@@ -159,7 +166,8 @@
 			return 'aborted';
 		}
 
-		if (this.parts.clock.now() > this.#latestStart(waiter)) {
+		const {low, mean} = this.parts.times.of(this.pool);
+		if (this.parts.clock.now() > work.deadlineMs - waiter.laterMs - (serviceMs * low / mean)) {
 			return 'deadline';
 		}
 
@@ -172,10 +180,12 @@
 		return undefined;
 	}
 
-	/** Time after which even a fast target could not meet the deadline. */
+	/**
+	 * Time after which an attempt would probably be late. An attempt waits only while others want the slot, which it
+	 * would then take from one that can still be in time.
+	 */
 	#latestStart(waiter: Candidacy): Ms {
-		const {low, mean} = this.parts.times.of(this.pool);
-		return waiter.work.deadlineMs - waiter.laterMs - (waiter.serviceMs * low / mean);
+		return waiter.work.deadlineMs - waiter.laterMs - waiter.serviceMs;
 	}
 
 	/** The next attempt in fair order that a target could take: any one while a target is free, else one within its team's share. */
@@ -309,8 +319,8 @@
 
 	/** Takes a slot from a team above its share when an attempt within its team's share would miss its deadline by waiting. */
 	#revokeFor(waiter: Waiter): void {
-		const {clock, targets, events} = this.parts;
-		const summary = targets.summary(this.pool, clock.now());
+		const {clock, events} = this.parts;
+		const summary = this.#summary();
 		const meetsDeadline = clock.now() + this.#nextSlotMs(summary) <= waiter.work.deadlineMs - waiter.laterMs - waiter.serviceMs;
 		if (waiter.isUrgent || meetsDeadline || this.shares.classify(waiter.work.team, summary.slots) === 'above') {
 			return;
--- a/src/teams/pool-targets.ts
+++ b/src/teams/pool-targets.ts
@@ -16,7 +16,7 @@
 	readonly candidates: readonly RouteCandidate[];
 	/** Slots of the targets in this zone, or of all targets when the zone has none. */
 	readonly slots: number;
-	/** Slots without a known call, over all zones. */
+	/** Slots that this entry VM may take now, over all zones. */
 	readonly freeSlots: number;
 }
 
@@ -36,8 +36,11 @@
 
 	private constructor(private readonly registry: TargetRegistry, private readonly zone: string, private readonly zoneLoad: ZoneLoad) {}
 
-	/** Targets of a pool that may receive work now. */
-	summary(pool: string, now: Ms): PoolSummary {
+	/**
+	 * Targets of a pool that may receive work now. `part` in (0, 1] is the part of each target's slots that this entry
+	 * VM may fill: what the others send in the time between two digests is unknown, so they share the slots beforehand.
+	 */
+	summary(pool: string, {now, part}: {now: Ms; part: number}): PoolSummary {
 		const candidates: RouteCandidate[] = [];
 		let zoneSlots = 0;
 		let allSlots = 0;
@@ -47,11 +50,11 @@
 				continue;
 			}
 
-			const candidate = this.#candidate(target, now);
+			const candidate = this.#candidate(target, now, part);
 			candidates.push(candidate);
 			allSlots += candidate.limit;
 			zoneSlots += target.zone === this.zone ? candidate.limit : 0;
-			freeSlots += Math.max(0, candidate.limit - candidate.calls);
+			freeSlots += candidate.isFree ? Math.min(candidate.limit - candidate.calls, ownLimit(candidate.limit, part) - target.inFlight) : 0;
 		}
 
 		return {candidates, slots: zoneSlots || allSlots, freeSlots};
@@ -62,12 +65,12 @@
 		return this.#memory(target).speed;
 	}
 
-	#candidate(target: Target, now: Ms): RouteCandidate {
+	#candidate(target: Target, now: Ms, part: number): RouteCandidate {
 		const memory = this.#memory(target);
 		const calls = target.inFlight + Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target, memory));
 		const {limit} = memory.speed;
 		return {
-			target, calls, limit, slowdown: memory.speed.slowdown(now), isFree: calls < limit,
+			target, calls, limit, slowdown: memory.speed.slowdown(now), isFree: calls < limit && target.inFlight < ownLimit(limit, part),
 		};
 	}
 
@@ -102,3 +105,8 @@
 		return memory;
 	}
 }
+
+/** Slots of a target that an entry VM may fill; at least one, or a small part would never be served. */
+function ownLimit(limit: number, part: number): number {
+	return Math.max(1, Math.round(limit * part));
+}
--- a/src/teams/team-shares.ts
+++ b/src/teams/team-shares.ts
@@ -30,6 +30,9 @@
 	#peers = 0;
 	#activeWeight = 0;
 	#queuedMs: Ms = 0;
+	#inFlightMs: Ms = 0;
+	#publishedMs: Ms = 0;
+	#othersMs: Ms = 0;
 
 	private constructor(private readonly pool: string, private readonly weightOf: (team: string) => number) {}
 
@@ -38,6 +41,11 @@
 		return Math.max(0, this.#queuedMs);
 	}
 
+	/** Service time in flight of all teams over the zone. */
+	get inFlightMs(): Ms {
+		return Math.max(0, this.#inFlightMs);
+	}
+
 	/** Adds queued service time of this entry VM; negative when it leaves the queue. */
 	queued(team: string, ms: Ms): void {
 		this.#change(team, state => {
@@ -94,6 +102,11 @@
 		return Math.max(1, Math.round(slots * this.share(team) * this.#part(team)));
 	}
 
+	/** Part in (0, 1] of the pool that falls to this entry VM by its part of the work; at least an equal part. */
+	part(contenders: number): number {
+		return partOf(this.#publishedMs, this.#othersMs, 1 / (contenders + 1));
+	}
+
 	/** Class of a team's next call in a pool of the given slots. */
 	classify(team: string, slots: number): ShareClass {
 		return this.calls(team) < this.allotment(team, slots) ? 'within' : 'above';
@@ -110,12 +123,20 @@
 		return state ? Math.max(0, state.queuedMs + state.othersQueuedMs) : 0;
 	}
 
+	/** Service time in flight of a team over the zone. */
+	teamInFlightMs(team: string): Ms {
+		const state = this.#teams.get(team);
+		return state ? Math.max(0, state.inFlightMs + state.othersInFlightMs) : 0;
+	}
+
 	/** Returns the own work by team for a digest, and remembers it as published. */
 	publish(): TeamWork[] {
 		const work: TeamWork[] = [];
+		this.#publishedMs = 0;
 		for (const [team, state] of this.#teams) {
 			state.publishedMs = state.inFlightMs + state.queuedMs;
 			if (state.publishedMs > epsilonMs) {
+				this.#publishedMs += state.publishedMs;
 				work.push({
 					team, pool: this.pool, inFlightMs: Math.max(0, state.inFlightMs), queuedMs: Math.max(0, state.queuedMs),
 				});
@@ -133,12 +154,7 @@
 	#part(team: string): number {
 		const equal = 1 / (this.#peers + 1);
 		const state = this.#teams.get(team);
-		if (!state) {
-			return equal;
-		}
-
-		const all = state.publishedMs + state.othersInFlightMs + state.othersQueuedMs;
-		return all > epsilonMs ? Math.max(equal, state.publishedMs / all) : equal;
+		return state ? partOf(state.publishedMs, state.othersInFlightMs + state.othersQueuedMs, equal) : equal;
 	}
 
 	#change(team: string, apply: (state: TeamState) => void): void {
@@ -146,8 +162,12 @@
 			weight: this.weightOf(team), calls: 0, inFlightMs: 0, queuedMs: 0, publishedMs: 0, othersInFlightMs: 0, othersQueuedMs: 0, isActive: false,
 		};
 		this.#queuedMs -= state.queuedMs + state.othersQueuedMs;
+		this.#inFlightMs -= state.inFlightMs + state.othersInFlightMs;
+		this.#othersMs -= state.othersInFlightMs + state.othersQueuedMs;
 		apply(state);
 		this.#queuedMs += state.queuedMs + state.othersQueuedMs;
+		this.#inFlightMs += state.inFlightMs + state.othersInFlightMs;
+		this.#othersMs += state.othersInFlightMs + state.othersQueuedMs;
 		const isActive = state.calls > 0 || state.queuedMs + state.othersQueuedMs + state.inFlightMs + state.othersInFlightMs > epsilonMs;
 		if (isActive !== state.isActive) {
 			this.#activeWeight += isActive ? state.weight : -state.weight;
@@ -164,6 +184,14 @@
 			// Without teams the sums hold only rounding errors.
 			this.#activeWeight = 0;
 			this.#queuedMs = 0;
+			this.#inFlightMs = 0;
+			this.#othersMs = 0;
 		}
 	}
 }
+
+/** Own part of work, at least `equal`. */
+function partOf(ownMs: Ms, othersMs: Ms, equal: number): number {
+	const allMs = ownMs + Math.max(0, othersMs);
+	return allMs > epsilonMs ? Math.max(equal, ownMs / allMs) : equal;
+}
--- a/src/teams/zone-load.ts
+++ b/src/teams/zone-load.ts
@@ -28,6 +28,8 @@
 	readonly #known = new Map<string, ZoneDigest>();
 	readonly #work = new Map<string, Map<string, OthersWork>>();
 	readonly #calls = new Map<string, number>();
+	/** Number of other entry VMs with work in a pool. */
+	readonly #contenders = new Map<string, number>();
 	#refreshedAt: Ms = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly clock: Clock, private readonly zoneView: ZoneView) {}
@@ -63,6 +65,11 @@
 		return this.#known.size;
 	}
 
+	/** Number of other entry VMs that have work in a pool. */
+	contenders(pool: string): number {
+		return this.#contenders.get(pool) ?? 0;
+	}
+
 	/** Calls of the other entry VMs at a target. */
 	calls(target: string): number {
 		return this.#calls.get(target) ?? 0;
@@ -88,6 +95,10 @@
 			}
 		}
 
+		for (const pool of new Set(digest.work.map(work => work.pool))) {
+			this.#contenders.set(pool, this.contenders(pool) + sign);
+		}
+
 		for (const {target, calls} of digest.inFlight) {
 			this.#calls.set(target, (this.#calls.get(target) ?? 0) + (sign * calls));
 		}
