Let a revoked attempt return to its target

Cause: a revoked attempt was treated like a failed one, so it could not go back to the sound target that it had been taken from, and a free slot stayed idle.

Change: a revocation keeps the previous target of the attempt.

--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -59,7 +59,6 @@
 			const queuedAt = this.clock.now();
 			const grant = await this.#acquire(work, context);
 			waitMs += this.clock.now() - queuedAt;
-			previousTarget = grant.target.name;
 			try {
 				const output = stage.kind === 'generate'
 					? await this.#generate(context, work, grant, {assembler, isLast})
@@ -73,9 +72,11 @@
 				};
 			} catch (err) {
 				if (this.#isRevoked(context, work, grant)) {
+					// The target is sound, so the attempt may go back to it.
 					revocations++;
 				} else {
 					this.#checkRetry(context, work, {err, revocations});
+					previousTarget = grant.target.name;
 				}
 			}
 		}
