Bound the work of a scheduling decision

Cause: each decision read every target of the pool several times and classified every waiting team.

Change: the summary of a pool's targets is kept for 10 ms, while own calls are brought up to date with each call; the chosen target is checked again for being dispatchable. The router prices at most 48 targets of a zone, among them up to 16 that hold the longest cached prefix. Without a free slot, only the team that changed is looked at; the poll every 20 ms looks at all. The prefix index is bounded over all engines together. Calls in flight and shared parts moved to files of their own.

--- a/src/routing/cost-router.ts
+++ b/src/routing/cost-router.ts
@@ -1,5 +1,5 @@
 import type {Ms} from '../clock/index.js';
-import type {ConfigView} from '../config/index.js';
+import type {ConfigView, Policy} from '../config/index.js';
 import type {Random} from '../random/index.js';
 import type {Target} from '../targets/index.js';
 import type {PrefixIndex} from './prefix-index.js';
@@ -20,6 +20,10 @@
 const crowdingFactor = 0.25;
 /** A target of another zone must be cheaper by this much, since its load is known later. */
 const spillMarginMs: Ms = 10;
+/** Targets of a zone that are priced for one decision: the gain of more random choices is small, their cost is not. */
+const maxPriced = 48;
+/** Engines with a long cached prefix that are priced in any case. */
+const maxHolders = 16;
 /** A suspect target is chosen only when every other one costs more than this. */
 const suspectMs: Ms = 5000;
 
@@ -51,12 +55,7 @@
 	private constructor(private readonly config: ConfigView, private readonly zone: string, private readonly random: Random, private readonly index: PrefixIndex) {}
 
 	choose(request: RouteRequest, candidates: readonly RouteCandidate[]): Target | undefined {
-		const near: Priced[] = [];
-		const far: Priced[] = [];
-		for (const candidate of candidates) {
-			(candidate.target.zone === this.zone ? near : far).push(this.#price(request, candidate));
-		}
-
+		const {near, far} = this.#divide(request, candidates);
 		const nearFree = cheapest(near.filter(priced => priced.candidate.isFree));
 		const farFree = cheapest(far.filter(priced => priced.candidate.isFree));
 		if (farFree && this.#mustSpill(request, nearFree ?? cheapest(near), farFree)) {
@@ -66,6 +65,43 @@
 		return this.#sample(near);
 	}
 
+	/** Prices candidates of this zone and of others; the free ones where there are any, since only they can be chosen. */
+	#divide(request: RouteRequest, candidates: readonly RouteCandidate[]): {near: Priced[]; far: Priced[]} {
+		const near: RouteCandidate[] = [];
+		const far: RouteCandidate[] = [];
+		const full: RouteCandidate[] = [];
+		for (const candidate of candidates) {
+			const isNear = candidate.target.zone === this.zone;
+			if (candidate.isFree) {
+				(isNear ? near : far).push(candidate);
+			} else if (isNear) {
+				full.push(candidate);
+			}
+		}
+
+		return {near: this.#priceSome(request, near.length > 0 ? near : full), far: this.#priceSome(request, far)};
+	}
+
+	#priceSome(request: RouteRequest, candidates: readonly RouteCandidate[]): Priced[] {
+		const common = {weights: this.config.current().declarations.policy(), bytes: bytesOf(request)};
+		if (candidates.length <= maxPriced) {
+			return candidates.map(candidate => this.#price(request, candidate, common));
+		}
+
+		const chosen = new Set(Array.from({length: maxPriced - maxHolders}, () => this.random.pick(candidates)));
+		const holders = this.index.longestHolders(request.work.stage.pool, request.prefixes);
+		// Entry VMs that all began with the first holder would crowd it.
+		const offset = this.random.integer(0, candidates.length - 1);
+		for (let step = 0; holders.size > 0 && step < candidates.length && chosen.size < maxPriced; step++) {
+			const candidate = candidates[(offset + step) % candidates.length]!;
+			if (holders.has(candidate.target.name)) {
+				chosen.add(candidate);
+			}
+		}
+
+		return [...chosen].map(candidate => this.#price(request, candidate, common));
+	}
+
 	#mustSpill(request: RouteRequest, near: Priced | undefined, far: Priced): boolean {
 		if (!near) {
 			return true;
@@ -91,7 +127,7 @@
 		return (second.ranking < first.ranking ? second : first).candidate.target;
 	}
 
-	#price(request: RouteRequest, candidate: RouteCandidate): Priced {
+	#price(request: RouteRequest, candidate: RouteCandidate, {weights, bytes}: {weights: Policy; bytes: number}): Priced {
 		const {work} = request;
 		const {target} = candidate;
 		const {serviceMs} = estimateService(target.pool, work.stage, {
@@ -104,8 +140,8 @@
 		const crowdingMs = expectedMs * crowdingFactor * Math.min(1, candidate.calls / candidate.limit);
 		const path = this.#path(target.region);
 		const timeMs = queueMs + expectedMs + (2 * path.latencyMs);
-		const {attainment_weight: timeWeight, cost_weight: costWeight} = this.config.current().declarations.policy();
-		const money = path.costPerGb * bytesOf(request) / bytesPerGb;
+		const {attainment_weight: timeWeight, cost_weight: costWeight} = weights;
+		const money = path.costPerGb * bytes / bytesPerGb;
 		const penaltyMs = target.state === 'suspect' ? suspectMs : 0;
 		const cost = ((timeMs + penaltyMs) * timeWeight) + (money * msPerCostUnit * costWeight);
 		return {
--- a/src/routing/prefix-index.ts
+++ b/src/routing/prefix-index.ts
@@ -3,6 +3,8 @@
 
 /** Prefixes remembered per engine; the oldest are forgotten first. */
 const defaultCapacity = 4096;
+/** Prefixes remembered of all engines together: about 20 MB. */
+const defaultTotalCapacity = 100_000;
 /** Part of a doubtful entry that counts as cached: it may have been evicted unseen. */
 const doubtfulFactor = 0.5;
 
@@ -10,7 +12,7 @@
 type EngineId = Pick<TargetView, 'name' | 'pool'>;
 
 /** Prefixes of one engine with the epoch of their entry. Entries of an epoch before the present one are doubtful. */
-type EngineEntries = {pool: string; startId: string | undefined; sequence: number | undefined; epoch: number; entries: Map<string, number>};
+type EngineEntries = {name: string; pool: string; startId: string | undefined; sequence: number | undefined; epoch: number; entries: Map<string, number>};
 
 /**
  * What each engine's prefix cache is thought to hold, learned from own dispatches and corrected by cache events.
@@ -21,16 +23,17 @@
  * index.uncachedTokens(target.name, prefixes); // 0
  */
 export class PrefixIndex {
-	/** Creates an index of at most `capacity` prefixes per engine. */
-	static create({capacity = defaultCapacity}: {capacity?: number} = {}): PrefixIndex {
-		return new PrefixIndex(capacity);
+	/** Creates an index of at most `capacity` prefixes per engine and `totalCapacity` of all engines together. */
+	static create({capacity = defaultCapacity, totalCapacity = defaultTotalCapacity}: {capacity?: number; totalCapacity?: number} = {}): PrefixIndex {
+		return new PrefixIndex(capacity, totalCapacity);
 	}
 
 	readonly #engines = new Map<string, EngineEntries>();
-	/** Number of engines that hold a prefix, by pool. */
-	readonly #holders = new Map<string, Map<string, number>>();
+	/** Names of the engines that hold a prefix, by pool. */
+	readonly #holders = new Map<string, Map<string, Set<string>>>();
+	#total = 0;
 
-	private constructor(private readonly capacity: number) {}
+	private constructor(private readonly capacity: number, private readonly totalCapacity: number) {}
 
 	/** Records that a prompt was sent to an engine, which then caches it. */
 	dispatched(target: EngineId & Pick<TargetView, 'startId'>, prefixes: readonly Prefix[]): void {
@@ -100,6 +103,22 @@
 		return uncached;
 	}
 
+	/** Engines of the pool that hold the longest prefix of a prompt that any of them holds. */
+	longestHolders(pool: string, prefixes: readonly Prefix[]): ReadonlySet<string> {
+		const holders = this.#holders.get(pool);
+		let longest: ReadonlySet<string> = new Set();
+		for (const prefix of prefixes) {
+			const names = holders?.get(prefix.name);
+			if (!names) {
+				break;
+			}
+
+			longest = names;
+		}
+
+		return longest;
+	}
+
 	/** Prefixes held for an engine. */
 	size(target: string): number {
 		return this.#engines.get(target)?.entries.size ?? 0;
@@ -137,7 +156,7 @@
 
 		this.forget(target.name);
 		const engine: EngineEntries = {
-			pool: target.pool.name, startId, sequence: undefined, epoch: 0, entries: new Map(),
+			name: target.name, pool: target.pool.name, startId, sequence: undefined, epoch: 0, entries: new Map(),
 		};
 		this.#engines.set(target.name, engine);
 		return engine;
@@ -150,10 +169,13 @@
 			return;
 		}
 
-		const holders = this.#holders.get(engine.pool) ?? new Map<string, number>();
+		const holders = this.#holders.get(engine.pool) ?? new Map<string, Set<string>>();
 		this.#holders.set(engine.pool, holders);
-		holders.set(name, (holders.get(name) ?? 0) + 1);
-		if (engine.entries.size > this.capacity) {
+		const names = holders.get(name) ?? new Set<string>();
+		holders.set(name, names);
+		names.add(engine.name);
+		this.#total++;
+		if (engine.entries.size > this.capacity || this.#total > this.totalCapacity) {
 			this.#drop(engine, engine.entries.keys().next().value!);
 		}
 	}
@@ -163,11 +185,11 @@
 			return;
 		}
 
+		this.#total--;
 		const holders = this.#holders.get(engine.pool)!;
-		const count = holders.get(name)! - 1;
-		if (count > 0) {
-			holders.set(name, count);
-		} else {
+		const names = holders.get(name)!;
+		names.delete(engine.name);
+		if (names.size === 0) {
 			holders.delete(name);
 		}
 	}
--- a/src/routing/target-speed.ts
+++ b/src/routing/target-speed.ts
@@ -40,7 +40,7 @@
 
 	/** Measured service time relative to the expected one; returns to 1 while nothing is measured. */
 	slowdown(now: Ms): number {
-		return 1 + ((this.#ratio - 1) * Math.exp(-Math.max(0, now - this.#measuredAt) / forgetMs));
+		return this.#ratio === 1 ? 1 : 1 + ((this.#ratio - 1) * Math.exp(-Math.max(0, now - this.#measuredAt) / forgetMs));
 	}
 
 	/** Takes the service time of a call; `expectedMs` is the estimate for an average target of the pool. */
--- a/src/teams/fair-queue.ts
+++ b/src/teams/fair-queue.ts
@@ -80,6 +80,11 @@
 		return best && {team: bestTeam, item: best.entries[0]!.item};
 	}
 
+	/** First item of a team. */
+	head(team: string): T | undefined {
+		return this.#backlogged.get(team)?.entries[0]!.item;
+	}
+
 	/** First item of each waiting team. */
 	heads(): Array<QueuedItem<T>> {
 		return [...this.#backlogged].map(([team, queue]) => ({team, item: queue.entries[0]!.item}));
--- a/src/teams/fair-scheduler.ts
+++ b/src/teams/fair-scheduler.ts
@@ -8,7 +8,8 @@
 import type {TargetRegistry} from '../targets/index.js';
 import {AcquireError} from './acquire-error.js';
 import {Admission, type StageForecast} from './admission.js';
-import {PoolQueue, type PoolQueueParts} from './pool-queue.js';
+import type {PoolQueueParts} from './pool-queue-parts.js';
+import {PoolQueue} from './pool-queue.js';
 import {PoolTargets} from './pool-targets.js';
 import {Reservations, type ReservedWork} from './reservations.js';
 import {RetryBudget} from './retry-budget.js';
--- a/src/teams/pool-queue.ts
+++ b/src/teams/pool-queue.ts
@@ -1,18 +1,17 @@
-import type {CancelTimer, Clock, Ms} from '../clock/index.js';
-import type {EventRecorder} from '../events/index.js';
+import type {CancelTimer, Ms} from '../clock/index.js';
 import {
-	estimateService, type Prefix, type PrefixIndex, type RouteCandidate, type Router, type ServiceEstimate,
+	estimateService, type RouteCandidate,
 } from '../routing/index.js';
-import type {ShareClass, Target, TargetRegistry} from '../targets/index.js';
+import type {ShareClass, Target} from '../targets/index.js';
 import {AcquireError} from './acquire-error.js';
 import type {PoolLoad} from './admission.js';
+import {CallsInFlight, type Call} from './calls-in-flight.js';
 import {FairQueue} from './fair-queue.js';
-import type {PoolSummary, PoolTargets} from './pool-targets.js';
-import type {RetryBudget} from './retry-budget.js';
+import type {Candidacy, PoolQueueParts} from './pool-queue-parts.js';
+import type {PoolSummary} from './pool-targets.js';
 import type {
 	AcquireFailure, AttemptResult, Grant, StageWork,
 } from './scheduler.js';
-import type {ServiceTimes} from './service-times.js';
 import type {TeamShares} from './team-shares.js';
 
 /** Waiting attempts of one team. A longer queue could not be served within any usual deadline. */
@@ -23,43 +22,8 @@
 const lastChanceMs: Ms = 2 * pollMs;
 /** Heads that may decline the targets on offer before the search ends; it bounds the time of a decision. */
 const maxRefusals = 4;
-/** Attempts after this one are not revoked, so that a request above its share still ends. */
-const maxRevocableAttempt = 3;
-/** Weight of the newest call in the mean service time. */
-const smoothing = 0.1;
-
-/** An attempt with its estimates. */
-export interface Candidacy {
-	readonly work: StageWork;
-	readonly weight: number;
-	readonly prefixes: readonly Prefix[];
-	/** Estimated service time before a target is chosen. */
-	readonly serviceMs: Ms;
-	/** Least time that the later stages need. */
-	readonly laterMs: Ms;
-}
 
 type Waiter = Candidacy & {isUrgent: boolean; readonly end: (result: Grant | AcquireFailure) => void};
-type Call = {
-	readonly work: StageWork; readonly target: Target; readonly estimate: ServiceEstimate; readonly expectedMs: Ms; readonly sentAt: Ms; readonly revoked: AbortController;
-};
-
-/** Parts that the queues of all pools share. */
-export interface PoolQueueParts {
-	readonly clock: Clock;
-	readonly registry: TargetRegistry;
-	readonly zone: string;
-	readonly targets: PoolTargets;
-	readonly router: Router;
-	readonly index: PrefixIndex;
-	readonly times: ServiceTimes;
-	readonly retries: RetryBudget;
-	/** Other entry VMs with work in a pool, as of their latest digests. */
-	readonly contenders: (pool: string) => number;
-	/** Brings what is known of other entry VMs up to date. */
-	readonly refresh: () => void;
-	readonly events?: EventRecorder;
-}
 
 /**
  * Queue in front of one pool: grants targets in fair order and takes slots back from teams above their share.
@@ -74,9 +38,7 @@
 	readonly #queue = FairQueue.create<Waiter>({capacityPerTeam: maxQueuedPerTeam});
 	readonly #waiters = new Set<Waiter>();
 	readonly #urgent = new Set<Waiter>();
-	/** Calls in flight, the oldest first. */
-	readonly #calls = new Set<Call>();
-	#meanServiceMs: Ms = 0;
+	readonly #calls = CallsInFlight.create();
 	#cancelPoll: CancelTimer | undefined;
 
 	private constructor(private readonly pool: string, readonly shares: TeamShares, private readonly parts: PoolQueueParts) {}
@@ -84,10 +46,10 @@
 	/** Load of the pool for admission control; `undefined` when no target may receive work. */
 	load(serviceMs: Ms): PoolLoad | undefined {
 		const summary = this.#summary();
-		return summary.candidates.length === 0
+		return summary.candidates.every(({target}) => !target.dispatchable)
 			? undefined
 			: {
-				slots: summary.slots, freeSlots: summary.freeSlots, meanServiceMs: this.#meanServiceMs || serviceMs, nextSlotMs: this.#nextSlotMs(summary),
+				slots: summary.slots, freeSlots: summary.freeSlots, meanServiceMs: this.#calls.meanServiceMs || serviceMs, nextSlotMs: this.#nextSlotMs(summary),
 			};
 	}
 
@@ -117,7 +79,7 @@
 			}
 
 			signal.addEventListener('abort', onAbort, {once: true});
-			this.pump();
+			this.pump(waiter.work.team);
 			if (this.#waiters.has(waiter)) {
 				this.#revokeFor(waiter);
 				this.#schedulePoll();
@@ -125,19 +87,24 @@
 		});
 	}
 
-	/** Grants targets to waiting attempts while any may be sent. */
-	pump(): void {
+	/**
+	 * Grants targets to waiting attempts while any may be sent. After a change of one team, the others are looked at only
+	 * when a slot is free: nothing else has changed for them.
+	 */
+	pump(changedTeam?: string): void {
 		this.parts.refresh();
 		const refused = new Set<string>();
 		while (this.#queue.size > 0 && refused.size < maxRefusals) {
 			const summary = this.#summary();
-			const next = this.#next(summary, refused);
+			const next = this.#next(summary, {refused, changedTeam});
 			if (!next) {
 				return;
 			}
 
 			const target = this.#route(next, summary);
-			if (target) {
+			if (target && !target.dispatchable) {
+				this.parts.targets.expire(this.pool);
+			} else if (target) {
 				this.#grant(next, target, summary);
 			} else {
 				refused.add(next.work.team);
@@ -147,12 +114,7 @@
 
 	/** Calls in flight by target. */
 	callsByTarget(): Map<string, number> {
-		const calls = new Map<string, number>();
-		for (const {target} of this.#calls) {
-			calls.set(target.name, (calls.get(target.name) ?? 0) + 1);
-		}
-
-		return calls;
+		return this.#calls.byTarget();
 	}
 
 	#summary(): PoolSummary {
@@ -193,7 +155,7 @@
 	}
 
 	/** The next attempt in fair order that a target could take: any one while a target is free, else one within its team's share. */
-	#next(summary: PoolSummary, refused: ReadonlySet<string>): Waiter | undefined {
+	#next(summary: PoolSummary, {refused, changedTeam}: {refused: ReadonlySet<string>; changedTeam: string | undefined}): Waiter | undefined {
 		const isEligible = (team: string) => !refused.has(team) && (summary.freeSlots > 0 || this.shares.classify(team, summary.slots) === 'within');
 		for (const waiter of this.#urgent) {
 			if (isEligible(waiter.work.team)) {
@@ -201,6 +163,10 @@
 			}
 		}
 
+		if (summary.freeSlots <= 0 && changedTeam !== undefined) {
+			return isEligible(changedTeam) ? this.#queue.head(changedTeam) : undefined;
+		}
+
 		return this.#queue.next(isEligible)?.item;
 	}
 
@@ -250,6 +216,7 @@
 		this.shares.started(work.team, call.expectedMs);
 		this.#calls.add(call);
 		registry.callStarted(target.name);
+		targets.changed(target, clock.now());
 		if (isEngine) {
 			index.dispatched(target, prefixes);
 		}
@@ -278,7 +245,7 @@
 		this.#queue.settle(team, call.estimate.workMs * ((result.serviceMs / Math.max(1, call.estimate.serviceMs)) - 1));
 		const speed = targets.speed(call.target);
 		if (result.outcome === 'ok') {
-			this.#meanServiceMs += (result.serviceMs - this.#meanServiceMs) * (this.#meanServiceMs === 0 ? 1 : smoothing);
+			this.#calls.completed(result.serviceMs);
 			speed.succeeded(clock.now(), {expectedMs: call.expectedMs, measuredMs: result.serviceMs});
 			times.add(this.pool, {estimatedMs: call.estimate.serviceMs, measuredMs: result.serviceMs});
 			retries.earn(team, this.pool);
@@ -286,14 +253,12 @@
 			speed.failed(clock.now(), result.serviceMs);
 		}
 
-		this.pump();
+		targets.changed(call.target, clock.now());
+		this.pump(team);
 	}
 
-	/** Predicted time until a slot is free: the rest of the oldest call, or the mean gap between two ends. */
 	#nextSlotMs(summary: PoolSummary): Ms {
-		const [oldest] = this.#calls;
-		const restMs = oldest ? oldest.sentAt + oldest.expectedMs - this.parts.clock.now() : 0;
-		return Math.max(restMs, this.#meanServiceMs / Math.max(1, summary.slots));
+		return this.#calls.nextSlotMs(this.parts.clock.now(), summary.slots);
 	}
 
 	#schedulePoll(): void {
@@ -332,7 +297,7 @@
 			return;
 		}
 
-		const call = this.#newestAboveShare(waiter, summary);
+		const call = this.#calls.newestAboveShare(waiter.work, this.shares, summary.slots);
 		if (!call) {
 			return;
 		}
@@ -345,20 +310,6 @@
 		call.revoked.abort();
 	}
 
-	/** The newest call has done the least work, so taking its slot wastes least. */
-	#newestAboveShare(waiter: Waiter, summary: PoolSummary): Call | undefined {
-		let newest: Call | undefined;
-		for (const call of this.#calls) {
-			const {team, idempotent, stage, attempt} = call.work;
-			const isRevocable = (idempotent ?? stage.idempotent) && attempt <= maxRevocableAttempt && !call.revoked.signal.aborted && call.target.name !== waiter.work.previousTarget;
-			if (isRevocable && team !== waiter.work.team && this.shares.calls(team) > this.shares.allotment(team, summary.slots)) {
-				newest = call;
-			}
-		}
-
-		return newest;
-	}
-
 	#reject(waiter: Waiter, failure: AcquireFailure): void {
 		if (this.#queue.remove(waiter.work.team, waiter)) {
 			this.#dequeued(waiter);
--- a/src/teams/pool-targets.ts
+++ b/src/teams/pool-targets.ts
@@ -7,10 +7,17 @@
 
 /** A load report older than this says nothing of the present. */
 const maxLoadAgeMs: Ms = 3000;
+/** Loads of others and health change by messages; reading those of every target for each decision costs too much. */
+const refreshMs: Ms = 10;
 
 /** What is remembered of a target between decisions. */
 type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; callsAtLoad: number; callsAtPreviousLoad: number};
 
+/** A candidate with the calls of others, so that own calls can be brought up to date alone. */
+type Entry = {-readonly [key in keyof RouteCandidate]: RouteCandidate[key]} & {others: number};
+
+type Summary = {candidates: Entry[]; slots: number; freeSlots: number; part: number; builtAt: Ms; byName: Map<string, Entry>};
+
 /** Summary of a pool's targets that may receive work. */
 export interface PoolSummary {
 	readonly candidates: readonly RouteCandidate[];
@@ -25,7 +32,7 @@
  *
  * @example
  * const targets = PoolTargets.create({registry, zone: 'riga-a', zoneLoad});
- * targets.summary('engines', clock.now());
+ * targets.summary('engines', {now: clock.now(), part: 1});
  */
 export class PoolTargets {
 	static create(options: {registry: TargetRegistry; zone: string; zoneLoad: ZoneLoad}): PoolTargets {
@@ -33,31 +40,40 @@
 	}
 
 	readonly #memories = new WeakMap<TargetView, Memory>();
+	readonly #summaries = new Map<string, Summary>();
 
 	private constructor(private readonly registry: TargetRegistry, private readonly zone: string, private readonly zoneLoad: ZoneLoad) {}
 
 	/**
-	 * Targets of a pool that may receive work now. `part` in (0, 1] is the part of each target's slots that this entry
-	 * VM may fill: what the others send in the time between two digests is unknown, so they share the slots beforehand.
+	 * Targets of a pool that may receive work. `part` in (0, 1] is the part of each target's slots that this entry VM may
+	 * fill: what the others send in the time between two digests is unknown, so they share the slots beforehand.
+	 * Own calls are exact. The rest is up to 10 ms old, so a chosen target must still be checked for `dispatchable`.
 	 */
 	summary(pool: string, {now, part}: {now: Ms; part: number}): PoolSummary {
-		const candidates: RouteCandidate[] = [];
-		let zoneSlots = 0;
-		let allSlots = 0;
-		let freeSlots = 0;
-		for (const target of this.registry.pool(pool)) {
-			if (!target.dispatchable) {
-				continue;
-			}
+		const known = this.#summaries.get(pool);
+		if (known?.part === part && now - known.builtAt < refreshMs) {
+			return known;
+		}
+
+		const summary = this.#build(pool, {now, part});
+		this.#summaries.set(pool, summary);
+		return summary;
+	}
 
-			const candidate = this.#candidate(target, now, part);
-			candidates.push(candidate);
-			allSlots += candidate.limit;
-			zoneSlots += target.zone === this.zone ? candidate.limit : 0;
-			freeSlots += candidate.isFree ? Math.min(candidate.limit - candidate.calls, ownLimit(candidate.limit, part) - target.inFlight) : 0;
+	/** Takes the changed own calls and speed of a target. */
+	changed(target: TargetView, now: Ms): void {
+		const summary = this.#summaries.get(target.pool.name);
+		const entry = summary?.byName.get(target.name);
+		if (summary && entry) {
+			const before = freeSlots(entry, summary.part);
+			this.#update(entry, {now, part: summary.part});
+			summary.freeSlots += freeSlots(entry, summary.part) - before;
 		}
+	}
 
-		return {candidates, slots: zoneSlots || allSlots, freeSlots};
+	/** Forgets what is known of a pool's targets, so that the next summary is fresh. */
+	expire(pool: string): void {
+		this.#summaries.delete(pool);
 	}
 
 	/** Measured speed of a target. */
@@ -65,25 +81,50 @@
 		return this.#memory(target).speed;
 	}
 
-	#candidate(target: Target, now: Ms, part: number): RouteCandidate {
-		const memory = this.#memory(target);
-		const calls = target.inFlight + Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target, memory));
-		const {limit} = memory.speed;
-		return {
-			target, calls, limit, slowdown: memory.speed.slowdown(now), isFree: calls < limit && target.inFlight < ownLimit(limit, part),
+	#build(pool: string, {now, part}: {now: Ms; part: number}): Summary {
+		const summary: Summary = {
+			candidates: [], slots: 0, freeSlots: 0, part, builtAt: now, byName: new Map(),
 		};
+		let zoneSlots = 0;
+		for (const target of this.registry.pool(pool)) {
+			if (!target.dispatchable) {
+				continue;
+			}
+
+			const entry: Entry = {
+				target, others: Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target)), calls: 0, limit: 0, slowdown: 1, isFree: false,
+			};
+			this.#update(entry, {now, part});
+			summary.candidates.push(entry);
+			summary.byName.set(target.name, entry);
+			summary.slots += entry.limit;
+			summary.freeSlots += freeSlots(entry, part);
+			zoneSlots += target.zone === this.zone ? entry.limit : 0;
+		}
+
+		summary.slots = zoneSlots || summary.slots;
+		return summary;
+	}
+
+	#update(entry: Entry, {now, part}: {now: Ms; part: number}): void {
+		const {speed} = this.#memory(entry.target);
+		entry.limit = speed.limit;
+		entry.slowdown = speed.slowdown(now);
+		entry.calls = entry.target.inFlight + entry.others;
+		entry.isFree = freeSlots(entry, part) > 0;
 	}
 
 	/**
 	 * Calls of others according to the target's load report. The report is late, so the own calls that it counted may
 	 * have ended: the larger of the own counts at the last two reports and now is subtracted.
 	 */
-	#othersByReport(target: Target, memory: Memory): number {
+	#othersByReport(target: Target): number {
 		const {load} = target;
 		if (!load || load.ageMs > maxLoadAgeMs) {
 			return 0;
 		}
 
+		const memory = this.#memory(target);
 		if (load !== memory.load) {
 			memory.callsAtPreviousLoad = memory.callsAtLoad;
 			memory.callsAtLoad = target.inFlight;
@@ -106,7 +147,10 @@
 	}
 }
 
-/** Slots of a target that an entry VM may fill; at least one, or a small part would never be served. */
-function ownLimit(limit: number, part: number): number {
-	return Math.max(1, Math.round(limit * part));
+/**
+ * Slots of a target that this entry VM may take now. It may fill one slot of a target at least, or a small part would
+ * never be served.
+ */
+function freeSlots({limit, calls, target}: Entry, part: number): number {
+	return Math.max(0, Math.min(limit - calls, Math.max(1, Math.round(limit * part)) - target.inFlight));
 }
