Count free slots by each call and expire load reports

Cause: a test showed that the number of free slots was not lowered by an own call before the next refresh, so several calls could be sent within 10 ms where one was allowed. A load report that is not renewed kept its target full. A trial mutation that let an idle team save up service passed the tests.

Change: the free slots of each target are kept with the summary; a report counts for 3 s after it was first seen; the fair queue's test covers a team that returns while its call is in service. EntryVm.localDigest() gives the links the parts of the digest.

Conclusion: limits hold between two refreshes.

--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -10,7 +10,7 @@
 import {RequestRunner} from '../requests/index.js';
 import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
 import {
-	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneView,
+	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneDigest, type ZoneView,
 } from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
@@ -110,6 +110,11 @@
 		return this.#operators!.port;
 	}
 
+	/** Work and calls in flight for the digest that goes to the zone; call it once for each digest that is sent. */
+	localDigest(): Pick<ZoneDigest, 'work' | 'inFlight'> {
+		return this.scheduler instanceof FairScheduler ? this.scheduler.localDigest() : {work: [], inFlight: []};
+	}
+
 	/** Drains and stops; a second call waits for the first. */
 	async shutdown(): Promise<void> {
 		this.#shutdown ??= this.#drain();
--- a/src/teams/fair-queue.test.ts
+++ b/src/teams/fair-queue.test.ts
@@ -43,6 +43,8 @@
 		return team;
 	};
 
+	queue.push('small', 'long', {weight: 1});
+	serve();
 	for (let index = 0; index < 100; index++) {
 		queue.push('large', `large-${index}`, {weight: 1});
 	}
--- /dev/null
+++ b/src/teams/pool-targets.test.ts
@@ -0,0 +1,39 @@
+import {expect, test} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import {DeclarationSet} from '../config/index.js';
+import {FakeTargets} from '../../test/support/fake-targets.js';
+import {policyDeclarations} from '../../test/support/policy-declarations.js';
+import {PoolTargets} from './pool-targets.js';
+import {ZoneLoad} from './zone-load.js';
+import {emptyZoneView} from './zone-view.js';
+
+function setup() {
+	const registry = FakeTargets.create(DeclarationSet.create(policyDeclarations({teams: {}, targets: {here: 2, there: 1}, slots: 8})));
+	const zoneLoad = ZoneLoad.create({clock: ManualClock.create(), zoneView: emptyZoneView});
+	return {registry, targets: PoolTargets.create({registry, zone: 'here', zoneLoad}), target: registry.get('here-1')!};
+}
+
+// Guards against entry VMs that each fill a whole target.
+test('an entry VM takes its part of each target, and one slot at least', () => {
+	const {targets, registry, target} = setup();
+	expect(targets.summary('pool', {now: 0, part: 1})).toMatchObject({slots: 16, freeSlots: 24});
+	expect(targets.summary('pool', {now: 0, part: 1 / 9}).freeSlots).toBe(3);
+	registry.callStarted('here-1');
+	targets.changed(target, 0);
+	expect(targets.summary('pool', {now: 0, part: 1 / 9}).freeSlots).toBe(2);
+	expect(targets.summary('pool', {now: 0, part: 1 / 9}).candidates.find(candidate => candidate.target === target)?.isFree).toBe(false);
+});
+
+// Guards against own calls that a late report counts as those of others, and against reports that never expire.
+test('a load report shows the calls of others while it is recent', () => {
+	const {targets, target} = setup();
+	const calls = (now: number) => targets.summary('pool', {now, part: 1}).candidates.find(candidate => candidate.target === target)!.calls;
+	target.inFlight = 5;
+	target.load = {
+		inFlight: 7, queued: 1, slots: 8, ageMs: 0,
+	};
+	expect(calls(0)).toBe(8);
+	target.inFlight = 0;
+	expect(calls(100)).toBe(3);
+	expect(calls(4000)).toBe(0);
+});
--- a/src/teams/pool-targets.ts
+++ b/src/teams/pool-targets.ts
@@ -11,10 +11,10 @@
 const refreshMs: Ms = 10;
 
 /** What is remembered of a target between decisions. */
-type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; callsAtLoad: number; callsAtPreviousLoad: number};
+type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; loadSeenAt: Ms; callsAtLoad: number; callsAtPreviousLoad: number};
 
 /** A candidate with the calls of others, so that own calls can be brought up to date alone. */
-type Entry = {-readonly [key in keyof RouteCandidate]: RouteCandidate[key]} & {others: number};
+type Entry = {-readonly [key in keyof RouteCandidate]: RouteCandidate[key]} & {others: number; freeSlots: number};
 
 type Summary = {candidates: Entry[]; slots: number; freeSlots: number; part: number; builtAt: Ms; byName: Map<string, Entry>};
 
@@ -65,9 +65,9 @@
 		const summary = this.#summaries.get(target.pool.name);
 		const entry = summary?.byName.get(target.name);
 		if (summary && entry) {
-			const before = freeSlots(entry, summary.part);
+			summary.freeSlots -= entry.freeSlots;
 			this.#update(entry, {now, part: summary.part});
-			summary.freeSlots += freeSlots(entry, summary.part) - before;
+			summary.freeSlots += entry.freeSlots;
 		}
 	}
 
@@ -92,13 +92,13 @@
 			}
 
 			const entry: Entry = {
-				target, others: Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target)), calls: 0, limit: 0, slowdown: 1, isFree: false,
+				target, others: Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target, now)), calls: 0, limit: 0, slowdown: 1, isFree: false, freeSlots: 0,
 			};
 			this.#update(entry, {now, part});
 			summary.candidates.push(entry);
 			summary.byName.set(target.name, entry);
 			summary.slots += entry.limit;
-			summary.freeSlots += freeSlots(entry, part);
+			summary.freeSlots += entry.freeSlots;
 			zoneSlots += target.zone === this.zone ? entry.limit : 0;
 		}
 
@@ -111,16 +111,17 @@
 		entry.limit = speed.limit;
 		entry.slowdown = speed.slowdown(now);
 		entry.calls = entry.target.inFlight + entry.others;
-		entry.isFree = freeSlots(entry, part) > 0;
+		entry.freeSlots = freeSlots(entry, part);
+		entry.isFree = entry.freeSlots > 0;
 	}
 
 	/**
 	 * Calls of others according to the target's load report. The report is late, so the own calls that it counted may
 	 * have ended: the larger of the own counts at the last two reports and now is subtracted.
 	 */
-	#othersByReport(target: Target): number {
+	#othersByReport(target: Target, now: Ms): number {
 		const {load} = target;
-		if (!load || load.ageMs > maxLoadAgeMs) {
+		if (!load) {
 			return 0;
 		}
 
@@ -129,16 +130,20 @@
 			memory.callsAtPreviousLoad = memory.callsAtLoad;
 			memory.callsAtLoad = target.inFlight;
 			memory.load = load;
+			memory.loadSeenAt = now;
 		}
 
-		return Math.max(0, load.inFlight + load.queued - Math.max(memory.callsAtPreviousLoad, memory.callsAtLoad, target.inFlight));
+		// A report that is not renewed would keep a target full for ever.
+		return now - memory.loadSeenAt + load.ageMs > maxLoadAgeMs
+			? 0
+			: Math.max(0, load.inFlight + load.queued - Math.max(memory.callsAtPreviousLoad, memory.callsAtLoad, target.inFlight));
 	}
 
 	#memory(target: TargetView): Memory {
 		let memory = this.#memories.get(target);
 		if (!memory) {
 			memory = {
-				speed: TargetSpeed.create(target.declaration.slots), load: undefined, callsAtLoad: 0, callsAtPreviousLoad: 0,
+				speed: TargetSpeed.create(target.declaration.slots), load: undefined, loadSeenAt: 0, callsAtLoad: 0, callsAtPreviousLoad: 0,
 			};
 			this.#memories.set(target, memory);
 		}
