Poll cache events of the zone's engines

Cause: without cache events, the prefix index counts prefixes as held that an engine has evicted.

Change: an entry VM with the fair policy asks up to four engines a second in turn, those that it holds prefixes of, and applies their events.

Conclusion: the index follows evictions. The first answer of an engine can be long, since the port has no limit on events.

--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -8,6 +8,7 @@
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
+import {CacheEventPoller} from '../routing/index.js';
 import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
 import {
 	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneDigest, type ZoneView,
@@ -71,6 +72,7 @@
 	readonly runner: RequestRunner;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
+	#cacheEvents: CacheEventPoller | undefined;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -124,6 +126,7 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		this.config.start();
+		this.#pollCacheEvents();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -147,6 +150,16 @@
 		options.createLogger('entry-vm').info('Listening.', {callers: this.callerPort, operators: this.operatorPort, zone: options.zone});
 	}
 
+	/** Corrects the scheduler's prefix index by the cache events of the zone's engines. */
+	#pollCacheEvents(): void {
+		if (this.scheduler instanceof FairScheduler) {
+			this.#cacheEvents = CacheEventPoller.create({
+				clock: this.options.clock, index: this.scheduler.index, engines: () => this.targets.all().filter(target => target.zone === this.options.zone && target.dispatchable),
+			});
+			this.#cacheEvents.start();
+		}
+	}
+
 	#isReady(): boolean {
 		return this.#lifecycle.state === 'serving' && this.config.current().revision >= 0;
 	}
@@ -166,6 +179,7 @@
 
 		this.#lifecycle.send({type: 'IDLE'});
 		this.config.stop();
+		this.#cacheEvents?.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
--- /dev/null
+++ b/src/routing/cache-event-poller.test.ts
@@ -0,0 +1,48 @@
+import {expect, test} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import {DeclarationSet} from '../config/index.js';
+import type {CacheEvent, Target} from '../targets/index.js';
+import {FakeTargets} from '../../test/support/fake-targets.js';
+import {policyDeclarations} from '../../test/support/policy-declarations.js';
+import {CacheEventPoller} from './cache-event-poller.js';
+import {PrefixIndex} from './prefix-index.js';
+
+// Guards against evictions that the index never learns, against one dead engine that ends the polling, and against
+// traffic that grows with the number of engines.
+test('engines with known prefixes are asked in turn', async () => {
+	const clock = ManualClock.create();
+	const index = PrefixIndex.create();
+	const engines = FakeTargets.create(DeclarationSet.create(policyDeclarations({teams: {}, targets: {here: 8}, slots: 8}))).pool('pool');
+	const asked: string[] = [];
+	for (const target of engines) {
+		target.engine = {
+			async cacheEvents(after: number): Promise<{startId: string; events: CacheEvent[]}> {
+				asked.push(target.name);
+				if (target.name === 'here-1') {
+					throw new Error('Cannot ask: the engine is dead');
+				}
+
+				return {
+					startId: 's1', events: after > 0
+						? []
+						: [{
+							sequence: 1, type: 'evicted', prefix: 'prefix', tokens: 1,
+						}],
+				};
+			},
+		} as unknown as Target['engine'];
+	}
+
+	for (const target of engines.slice(0, 6)) {
+		index.dispatched(target, [{name: 'prefix', tokens: 1}, {name: 'longer', tokens: 1}]);
+	}
+
+	const poller = CacheEventPoller.create({clock, index, engines: () => engines});
+	poller.start();
+	await clock.advance(2500);
+	expect(asked).toEqual(['here-1', 'here-2', 'here-3', 'here-4', 'here-5', 'here-6', 'here-1', 'here-2']);
+	expect(engines.map(({name}) => index.size(name))).toEqual([2, 1, 1, 1, 1, 1, 0, 0]);
+	poller.stop();
+	await clock.advance(10_000);
+	expect(asked).toHaveLength(8);
+});
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,3 +1,4 @@
+export {CacheEventPoller, type CacheEventPollerOptions} from './cache-event-poller.js';
 export {CostRouter} from './cost-router.js';
 export {LeastInFlightRouter} from './least-in-flight-router.js';
 export {PrefixAffinityRouter} from './prefix-affinity-router.js';
