Test that admission counts later stages

Cause: no test covered the reservation of work in the pools of later stages.

Change: a burst of requests with two stages is admitted only as far as the pool can serve both.

--- a/src/teams/fair-scheduler.test.ts
+++ b/src/teams/fair-scheduler.test.ts
@@ -1,7 +1,12 @@
 import {expect, test} from 'vitest';
 import {ManualClock} from '../clock/index.js';
-import {policyDeclarations, type PolicySetup} from '../../test/support/policy-declarations.js';
+import {DeclarationSet, StaticConfigView} from '../config/index.js';
+import {Random} from '../random/index.js';
+import {FakeTargets} from '../../test/support/fake-targets.js';
+import {pipelineOf, policyDeclarations, type PolicySetup} from '../../test/support/policy-declarations.js';
 import {ZoneSimulation, type SimulatedEnd, type SimulatedRequest} from '../../test/support/zone-simulation.js';
+import {FairScheduler} from './fair-scheduler.js';
+import {emptyZoneView} from './zone-view.js';
 
 const base: PolicySetup = {
 	teams: {large: 1, small: 1}, targets: {here: 2}, slots: 4, serviceMs: 100,
@@ -144,3 +149,18 @@
 	expect(mostAtTargets).toBeLessThanOrEqual(96);
 	expect((await Promise.all(large)).filter(end => end.outcome === 'ok').length).toBeGreaterThan(700);
 });
+
+// Guards against a burst that is admitted while it passes the first stage, since the queue of the last is still empty.
+test('admitted requests count in the pools of their later stages', () => {
+	const declarations = policyDeclarations(base);
+	const scheduler = FairScheduler.create({
+		clock: ManualClock.create(), config: StaticConfigView.create(declarations), targets: FakeTargets.create(DeclarationSet.create(declarations)), zone: 'here', zoneView: emptyZoneView, random: Random.create(3),
+	});
+	const {stages, ...pipeline} = pipelineOf(declarations);
+	const admitted = Array.from({length: 1000}, (_, index) => scheduler.admit({
+		requestId: `request-${index}`, team: 'large', pipeline: {...pipeline, stages: [{...stages[0]!, name: 'first'}, ...stages]}, prompt: [], maxTokens: 1, remainingMs: 2000,
+	})).filter(decision => decision.admitted).length;
+	// 8 slots complete 160 calls of 100 ms within 2 s. Both stages use the pool, so 80 requests are the least bound.
+	expect(admitted).toBeGreaterThanOrEqual(80);
+	expect(admitted).toBeLessThanOrEqual(160);
+});
