--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {z} from 'zod';
 import {SystemClock} from '../clock/index.js';
-import {EntryVm} from '../entry-vm/index.js';
+import {EntryVm, policyNames} from '../entry-vm/index.js';
 import {createLoggerFactory, logLevels} from '../logs/index.js';
 import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
 import {
@@ -37,6 +37,9 @@
 	claimMaxLifeMs: {
 		flag: 'claim-max-life-ms', help: 'Longest time to a key\'s not-after time, in ms; at most half of the log\'s retention.', fallback: '900000', schema: numberSchema(1000, 86_400_000),
 	},
+	policy: {
+		flag: 'policy', help: `Queueing and routing of requests: ${policyNames.join(', ')}.`, fallback: 'fair', schema: z.enum(policyNames),
+	},
 	logLevel: {
 		flag: 'log-level', help: `Least severe log lines: ${logLevels.join(', ')}.`, fallback: 'info', schema: z.enum(logLevels),
 	},
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -4,22 +4,33 @@
 import {ConfigFollower, ConfigWriter} from '../config/index.js';
 import {EventRing, HybridClock} from '../events/index.js';
 import type {ListenAddress} from '../http/index.js';
-import {LinkMesh, WorkTracker, type LinkSettings} from '../links/index.js';
+import {LinkMesh, type LinkSettings} from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import {LeaseService, OrderGiver, WeightBudget} from '../orders/index.js';
 import {createOperatorHandler} from '../operators/index.js';
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
+import {CacheEventPoller} from '../routing/index.js';
 import {
 	DeclaredTargets, httpPortFactory, TargetProber, VmWatcher, type PortFactory,
 } from '../targets/index.js';
-import {FcfsScheduler} from '../teams/index.js';
+import {
+	FairScheduler, FcfsScheduler, type Scheduler, type ZoneDigest,
+} from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
 import {Metrics} from './metrics.js';
 import {OperatorServer, type HttpHandler} from './operator-server.js';
 
+/** Names of the scheduling policies. */
+export const policyNames = ['fair', 'fcfs'] as const;
+
+/** Name of a scheduling policy. */
+export type PolicyName = typeof policyNames[number];
+
+const maxSeed = 0x7F_FF_FF_FF;
+
 /** Settings and ports of an entry VM. */
 export interface EntryVmOptions {
 	readonly name: string;
@@ -34,6 +45,8 @@
 	readonly log: PlatformLog;
 	readonly vmList: VmList;
 	readonly createLogger: LoggerFactory;
+	/** Queueing and routing; `fcfs` is the baseline. */
+	readonly policy?: PolicyName;
 	readonly ports?: PortFactory;
 	/** Links to other entry VMs; without it this entry VM works alone. */
 	readonly links?: LinkSettings | undefined;
@@ -74,6 +87,7 @@
 	readonly events: EventRing;
 	readonly config: ConfigFollower;
 	readonly targets: DeclaredTargets;
+	readonly scheduler: Scheduler;
 	readonly runner: RequestRunner;
 	readonly claims: LogClaimService;
 	readonly #lifecycle = EntryVmLifecycle.create();
@@ -83,8 +97,8 @@
 	readonly #lease: LeaseService;
 	readonly #orders: OrderGiver;
 	readonly #hybrid: HybridClock;
-	readonly #work: WorkTracker;
 	#mesh: LinkMesh | undefined;
+	#cacheEvents: CacheEventPoller | undefined;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -131,11 +145,11 @@
 		this.claims = LogClaimService.create({
 			clock, log, events: this.events, logger: createLogger('claims'), incarnation: this.incarnation, maxLifeMs: options.claimMaxLifeMs ?? defaultClaimMaxLifeMs,
 		});
-		this.#work = WorkTracker.create({scheduler: FcfsScheduler.create({clock, targets: this.targets}), targets: this.targets});
+		this.scheduler = this.#createScheduler();
 		this.runner = RequestRunner.create({
 			clock,
 			config: this.config,
-			scheduler: this.#work,
+			scheduler: this.scheduler,
 			claims: ClaimRouter.create({minted: MintedClaims.create({clock, incarnation: this.incarnation}), logged: this.claims}),
 			forwarding: {incarnation: this.incarnation, forwarder: {forward: async (...args) => this.#mesh ? this.#mesh.forward(...args) : 'gone'}},
 			events: this.events,
@@ -171,6 +185,11 @@
 		return this.#stopping.signal;
 	}
 
+	/** Work and calls in flight for the digest that goes to the zone; call it once for each digest that is sent. */
+	localDigest(): Pick<ZoneDigest, 'work' | 'inFlight'> {
+		return this.scheduler instanceof FairScheduler ? this.scheduler.localDigest() : {work: [], inFlight: []};
+	}
+
 	/** Drains and stops; a second call waits for the first. */
 	async shutdown(): Promise<void> {
 		this.#stopping.abort();
@@ -187,6 +206,7 @@
 		this.#orders.start();
 		this.claims.start();
 		this.#mesh = options.links && await this.#link(options.links);
+		this.#pollCacheEvents();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -229,6 +249,16 @@
 		});
 	}
 
+	/** Corrects the scheduler's prefix index by the cache events of the zone's engines. */
+	#pollCacheEvents(): void {
+		if (this.scheduler instanceof FairScheduler) {
+			this.#cacheEvents = CacheEventPoller.create({
+				clock: this.options.clock, index: this.scheduler.index, engines: () => this.targets.all().filter(target => target.zone === this.options.zone && target.dispatchable),
+			});
+			this.#cacheEvents.start();
+		}
+	}
+
 	#isReady(): boolean {
 		return this.#lifecycle.state === 'serving' && this.config.current().revision >= 0;
 	}
@@ -252,6 +282,7 @@
 		this.#vmWatcher.stop();
 		this.#orders.stop();
 		this.#lease.stop();
+		this.#cacheEvents?.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
 		await this.#mesh?.close();
@@ -275,8 +306,7 @@
 			config: this.config,
 			configOffset: () => this.config.current().offset,
 			digest: {
-				work: () => this.#work.work(),
-				inFlight: () => this.targets.all().filter(target => target.inFlight > 0).map(target => ({target: target.name, calls: target.inFlight})),
+				local: () => this.localDigest(),
 				draining: () => this.targets.all().filter(target => target.state === 'draining').map(target => ({target: target.name, startId: target.startId!})),
 			},
 		});
@@ -286,6 +316,16 @@
 		return mesh;
 	}
 
+	#createScheduler(): Scheduler {
+		const {clock, zone, policy = 'fair'} = this.options;
+		// Entry VMs that drew the same random numbers would choose the same targets.
+		return policy === 'fcfs'
+			? FcfsScheduler.create({clock, targets: this.targets})
+			: FairScheduler.create({
+				clock, config: this.config, targets: this.targets, zone, zoneView: {others: () => this.#mesh?.others() ?? []}, random: Random.create(randomInt(maxSeed)), events: this.events,
+			});
+	}
+
 	#targetCounts(): Record<string, number> {
 		const counts: Record<string, number> = {};
 		for (const target of this.targets.all()) {
--- a/src/index.ts
+++ b/src/index.ts
@@ -8,5 +8,6 @@
 export * from './operators/index.js';
 export * from './platform/index.js';
 export * from './requests/index.js';
+export * from './routing/index.js';
 export * from './targets/index.js';
 export * from './teams/index.js';
--- a/src/links/digest-exchange.ts
+++ b/src/links/digest-exchange.ts
@@ -17,10 +17,8 @@
 
 /** Where an entry VM's digest comes from. */
 export interface DigestSource {
-	/** Estimated work by team and pool; only teams with work. */
-	work(): readonly TeamWork[];
-	/** Calls in flight by target; only targets with calls. */
-	inFlight(): ZoneDigest['inFlight'];
+	/** Estimated work by team and pool, and calls in flight by target. Called once for each digest that is sent. */
+	local(): Pick<ZoneDigest, 'work' | 'inFlight'>;
 	draining(): ZoneDigest['draining'];
 }
 
@@ -105,7 +103,7 @@
 	#own(): OwnDigest {
 		const {links, source, offset} = this.options;
 		return {
-			process: links.self.name, incarnation: links.self.incarnation, work: source.work(), inFlight: source.inFlight(), draining: source.draining(), configOffset: offset(),
+			process: links.self.name, incarnation: links.self.incarnation, ...source.local(), draining: source.draining(), configOffset: offset(),
 		};
 	}
 
--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -11,4 +11,3 @@
 } from './membership.js';
 export type {MemberState} from './member-lifecycle.js';
 export {rankByRendezvous} from './rendezvous.js';
-export {WorkTracker} from './work-tracker.js';
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -11,6 +11,6 @@
 export type {
 	Target, TargetRegistry, TargetState, TargetView,
 } from './target.js';
-export {TargetProber, type CacheEventListener, type TargetProberOptions} from './target-prober.js';
+export {TargetProber, type TargetProberOptions} from './target-prober.js';
 export {VmWatcher} from './vm-watcher.js';
 export {TargetError, type TargetFailure} from './target-error.js';
--- a/src/targets/target-prober.ts
+++ b/src/targets/target-prober.ts
@@ -3,7 +3,6 @@
 import type {Random} from '../random/index.js';
 import type {DeclaredTarget} from './declared-target.js';
 import type {DeclaredTargets} from './declared-targets.js';
-import type {CacheEvent} from './engine-port.js';
 
 /** Time between probes of one target; draining is then known well within 3 s. */
 const defaultIntervalMs: Ms = 1000;
@@ -11,9 +10,6 @@
 const maxFailedProbes = 2;
 const probeTimeoutMs: Ms = 1000;
 
-/** Told the cache events of an engine, in sequence order. */
-export type CacheEventListener = (target: string, startId: string, events: readonly CacheEvent[]) => void;
-
 /** Parts of a prober. */
 export interface TargetProberOptions {
 	readonly clock: Clock;
@@ -22,11 +18,10 @@
 	readonly intervalMs?: Ms;
 	/** True for targets that this entry VM probes itself; the default probes every target. */
 	readonly isWatched?: (target: string) => boolean;
-	readonly onCacheEvents?: CacheEventListener;
 }
 
 /**
- * Probes health, load and cache events of the targets.
+ * Probes health and load of the targets.
  *
  * @example
  * const prober = TargetProber.create({clock, random, targets});
@@ -40,7 +35,6 @@
 	readonly #stopped = new AbortController();
 	readonly #failedProbes = new WeakMap<DeclaredTarget, number>();
 	readonly #busy = new WeakSet<DeclaredTarget>();
-	readonly #cacheSequences = new WeakMap<DeclaredTarget, {startId: string; sequence: number}>();
 
 	private constructor(private readonly options: TargetProberOptions) {}
 
@@ -91,9 +85,6 @@
 			await this.#inTime(port.health());
 			this.#failedProbes.delete(target);
 			target.load = await this.#inTime(port.load());
-			if (target.engine && this.options.onCacheEvents) {
-				await this.#readCacheEvents(target);
-			}
 		} catch (err) {
 			const failed = (this.#failedProbes.get(target) ?? 0) + 1;
 			this.#failedProbes.set(target, failed);
@@ -105,15 +96,6 @@
 		}
 	}
 
-	async #readCacheEvents(target: DeclaredTarget): Promise<void> {
-		const known = this.#cacheSequences.get(target);
-		const {startId, events} = await this.#inTime(target.engine!.cacheEvents(known?.startId === target.startId ? known?.sequence ?? 0 : 0));
-		if (events.length > 0) {
-			this.#cacheSequences.set(target, {startId, sequence: events.at(-1)!.sequence});
-			this.options.onCacheEvents!(target.name, startId, events);
-		}
-	}
-
 	async #inTime<T>(reply: Promise<T>): Promise<T> {
 		let cancel: CancelTimer = () => undefined;
 		const timeout = new Promise<never>((_resolve, reject) => {
