--- a/src/claims/claim-protocol.test.ts
+++ b/src/claims/claim-protocol.test.ts
@@ -3,10 +3,10 @@
 
 // Guards against an order of steps of three entry VMs in which a key is sent twice.
 test.each([
-	['three entry VMs with one claim each', [0, 1, 2]],
-	['an entry VM with two claims and another', [0, 0, 1]],
-])('no interleaving sends a key twice: %s', (_name, claims) => {
-	const result = exploreClaims({claims});
+	['three entry VMs with one claim each', {claims: [0, 1, 2]}],
+	['an entry VM with two claims and another, releases repeated', {claims: [0, 0, 1], withRepeatedReleases: true}],
+])('no interleaving sends a key twice: %s', (_name, options) => {
+	const result = exploreClaims(options);
 	expect(result.doubleRun).toBeUndefined();
 	expect(result).toMatchObject({complete: true, maxSent: 1});
 });
--- a/src/claims/log-claim-service.test.ts
+++ b/src/claims/log-claim-service.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import {GateLog, type GatePoint} from '../../test/support/gate-log.js';
-import {ManualClock} from '../clock/index.js';
+import {ManualClock, type Clock} from '../clock/index.js';
 import {EventRing} from '../events/index.js';
 import {silentLoggerFactory} from '../logs/index.js';
 import {MemoryPlatformLog} from '../platform/index.js';
@@ -13,10 +13,10 @@
 	readonly log = MemoryPlatformLog.create({clock: this.clock});
 	readonly sent: string[] = [];
 
-	async vm(incarnation: string): Promise<{claims: LogClaimService; gate: GateLog}> {
+	async vm(incarnation: string, clock: Clock = this.clock): Promise<{claims: LogClaimService; gate: GateLog}> {
 		const gate = GateLog.create(this.log);
 		const claims = LogClaimService.create({
-			clock: this.clock, log: gate, events: EventRing.create({process: incarnation, clock: this.clock}), logger: silentLoggerFactory('claims'), incarnation, maxLifeMs: 900_000,
+			clock, log: gate, events: EventRing.create({process: incarnation, clock: this.clock}), logger: silentLoggerFactory('claims'), incarnation, maxLifeMs: 900_000,
 		});
 		claims.start();
 		await this.clock.advance(10);
@@ -189,6 +189,25 @@
 	expect(world.sent).toHaveLength(2);
 });
 
+// Guards against a call that is sent after its deadline when the process was paused and its timers run late.
+test('a claim that is read back after its deadline is released', async () => {
+	const world = new World();
+	let pauseMs = 0;
+	const paused: Clock = {
+		now: () => world.clock.now() + pauseMs,
+		wall: () => world.clock.wall(),
+		after: (delay, fn) => world.clock.after(delay, fn),
+		sleep: async (delay, signal) => world.clock.sleep(delay, signal),
+	};
+	const [first, second] = [await world.vm('a', paused), await world.vm('b')];
+	const key = world.key();
+	const held = world.book(first.claims, key);
+	pauseMs = 2000;
+	await expect(world.decide(held, 500)).resolves.toEqual({type: 'not_run', reason: 'deadline'});
+	await expect(world.decide(world.book(second.claims, {...key, attempt: 2}))).resolves.toMatchObject({type: 'won'});
+	expect(world.sent).toHaveLength(1);
+});
+
 // Guards against another body under a used key, and against keys that outlive the log.
 test('a key with another body or a far not-after time is not run', async () => {
 	const world = new World();
--- a/test/support/claim-model.ts
+++ b/test/support/claim-model.ts
@@ -24,6 +24,8 @@
 export interface ModelOptions {
 	/** Entry VM of each claim. */
 	readonly claims: readonly number[];
+	/** A release whose answer was lost is appended again; this multiplies the states. */
+	readonly withRepeatedReleases?: boolean;
 	/** Sends as soon as the log has answered the append, without reading back. */
 	readonly withoutReadBack?: boolean;
 	/** Judges claims without regard to their place: a claim wins when it is in the log. */
@@ -115,7 +117,13 @@
 		}
 
 		case 'won': {
-			return [[`send claim${claim}`, {...to('sent'), sent: state.sent + 1}], ...appends(`release${claim}`, 'closed')];
+			const release = `release${claim}`;
+			const twice = land({...to('closed'), flying: [...state.flying, release].sort()}, release);
+			return [
+				[`send claim${claim}`, {...to('sent'), sent: state.sent + 1}],
+				...appends(release, 'closed'),
+				...(options.withRepeatedReleases ? [[`append ${release} twice`, twice] as [string, ModelState]] : []),
+			];
 		}
 
 		case 'sent': {
