--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -7,7 +7,7 @@
 import {sampleDeclarations} from '../src/cli/sample.js';
 import {Handshake} from '../src/links/handshake.js';
 import {LinkKey} from '../src/links/index.js';
-import type {Daemon} from './support/daemon.js';
+import {Daemon} from './support/daemon.js';
 import {
 	Fleet, get, linkPort, peersOf, pipelineUrl, post, rpc, until,
 } from './support/fleet.js';
@@ -195,6 +195,10 @@
 		expect(result.body.outcome).toBe('done');
 	}
 
+	const traced = await Daemon.start(['trace', '--json', '--team', 'apprentices', '--vm', `http://127.0.0.1:${riga[0]!.ports.operators}`]);
+	expect((traced.hello.events as Array<{team: string}>).every(event => event.team === 'apprentices')).toBe(true);
+	expect(traced.hello.events).not.toEqual([]);
+
 	limon[2]!.pause();
 	for (const vm of riga) {
 		await until(async () => (await processes(vm)).missing.includes('limon-3'), 'the paused process among the silent ones');
