Let the retry budget cover the calls of a lost target

Deadlines and suspicion were ruled out: the rejections came with seconds left. Change: the floor of the budget is twice the slots of the pool's largest target, at most 50, and refills within 6 s. Conclusion: a sick pool still sees a bounded number of retries.

--- a/src/teams/fair-scheduler.ts
+++ b/src/teams/fair-scheduler.ts
@@ -70,7 +70,7 @@
 		const {clock, config, targets, zone, zoneView, random} = options;
 		this.index = options.index ?? PrefixIndex.create();
 		this.#times = ServiceTimes.create(clock);
-		this.#retries = RetryBudget.create({clock, ratio: () => config.current().declarations.policy().retry_ratio});
+		this.#retries = RetryBudget.create({clock, ratio: () => config.current().declarations.policy().retry_ratio, floor: pool => this.#retryFloor(pool)});
 		this.#zoneLoad = ZoneLoad.create({clock, zoneView});
 		this.#reservations = Reservations.create(clock, ({pool, team, serviceMs}) => {
 			this.#pool(pool).shares.queued(team, -serviceMs);
@@ -208,6 +208,11 @@
 		}
 	}
 
+	/** Twice the calls of one target: a target can be lost while another is still suspect. */
+	#retryFloor(pool: string): number {
+		return 2 * Math.max(0, ...this.options.targets.pool(pool).map(target => target.declaration.slots));
+	}
+
 	#applyConfig(): void {
 		for (const pool of this.#pools.values()) {
 			pool.shares.reweigh();
--- a/src/teams/retry-budget.test.ts
+++ b/src/teams/retry-budget.test.ts
@@ -39,3 +39,9 @@
 
 	expect(spendAll(budget, 'small')).toBe(50);
 });
+
+// Guards against requests lost with a target because the budget of a quiet team does not cover the target's calls.
+test('the floor covers the calls of a lost target', () => {
+	const budget = RetryBudget.create({clock: ManualClock.create(), ratio: () => 0.1, floor: () => 16});
+	expect(spendAll(budget, 'small')).toBe(16);
+});
--- a/src/teams/retry-budget.ts
+++ b/src/teams/retry-budget.ts
@@ -2,8 +2,8 @@
 
 /** Retries that a team with little traffic can make at once. */
 const floorRetries = 3;
-/** Time in which the floor refills by one retry. */
-const floorRefillMs: Ms = 2000;
+/** Time in which an empty budget refills to its floor. */
+const floorRefillMs: Ms = 6000;
 /** Most retries saved up, so that a long quiet time does not allow a storm. */
 const maxRetries = 50;
 
@@ -17,13 +17,17 @@
  * budget.spend('engravers', 'engines');
  */
 export class RetryBudget {
-	static create(options: {clock: Clock; ratio: () => number}): RetryBudget {
-		return new RetryBudget(options.clock, options.ratio);
+	/**
+	 * `floor` is the number of retries that a team can make at once in a pool without earlier successes. It must cover
+	 * the calls that one lost target takes with it, or their requests are lost although another target could finish them.
+	 */
+	static create(options: {clock: Clock; ratio: () => number; floor?: (pool: string) => number}): RetryBudget {
+		return new RetryBudget(options.clock, options.ratio, options.floor ?? (() => floorRetries));
 	}
 
 	readonly #balances = new Map<string, Map<string, Balance>>();
 
-	private constructor(private readonly clock: Clock, private readonly ratio: () => number) {}
+	private constructor(private readonly clock: Clock, private readonly ratio: () => number, private readonly floor: (pool: string) => number) {}
 
 	/** A call succeeded. */
 	earn(team: string, pool: string): void {
@@ -50,14 +54,15 @@
 		}
 
 		const now = this.clock.now();
+		const floor = Math.min(maxRetries, Math.max(floorRetries, this.floor(pool)));
 		let balance = pools.get(pool);
 		if (!balance) {
-			balance = {retries: floorRetries, at: now};
+			balance = {retries: floor, at: now};
 			pools.set(pool, balance);
 		}
 
-		if (balance.retries < floorRetries) {
-			balance.retries = Math.min(floorRetries, balance.retries + ((now - balance.at) / floorRefillMs));
+		if (balance.retries < floor) {
+			balance.retries = Math.min(floor, balance.retries + (floor * (now - balance.at) / floorRefillMs));
 		}
 
 		balance.at = now;
