--- /dev/null
+++ b/bench/policies.ts
@@ -0,0 +1,21 @@
+import type {ReplayPolicy} from '../src/replay/index.js';
+import {FcfsScheduler} from '../src/teams/index.js';
+import {
+	BaselineScheduler, leastInFlight, prefixAffinity, roundRobin,
+} from './baseline-scheduler.js';
+
+/** Policies of the benchmark, the measured one first. */
+export const policies: readonly ReplayPolicy[] = [
+	{
+		name: 'fcfs+least', create: ({clock, targets, random}) => ({scheduler: new BaselineScheduler(clock, targets, leastInFlight(random))}),
+	},
+	{
+		name: 'round-robin', create: ({clock, targets, random}) => ({scheduler: new BaselineScheduler(clock, targets, roundRobin(random))}),
+	},
+	{
+		name: 'prefix', create: ({clock, targets}) => ({scheduler: new BaselineScheduler(clock, targets, prefixAffinity())}),
+	},
+	{
+		name: 'fcfs-scheduler', create: ({clock, targets}) => ({scheduler: FcfsScheduler.create({clock, targets})}),
+	},
+];
--- /dev/null
+++ b/src/replay/deployment.ts
@@ -0,0 +1,196 @@
+import type {Ms} from '../clock/index.js';
+import {declarationSchema, type Declaration} from '../config/index.js';
+import type {DeploymentName} from './trace.js';
+
+/** An entry VM of a deployment. */
+export interface EntryVmPlace {
+	readonly name: string;
+	readonly zone: string;
+}
+
+/** Teams of a deployment by the role they have in the traces. */
+export interface TeamRoles {
+	readonly small: string;
+	/** Teams of usual size. */
+	readonly middle: readonly string[];
+	/** Large teams; the first one sends the burst. */
+	readonly large: readonly string[];
+}
+
+/** A deployment as traces and replays need it. */
+export interface Deployment {
+	readonly name: DeploymentName;
+	readonly declarations: readonly Declaration[];
+	readonly entryVms: readonly EntryVmPlace[];
+	readonly roles: TeamRoles;
+	/** One-way latency to callers. */
+	readonly clientMs: Ms;
+	/** Pipelines of idempotent stages. */
+	readonly adviceLike: readonly string[];
+	/** Pipeline with a stage that may run at most once. */
+	readonly booking: string;
+	/** Pool of the main generation stage. */
+	readonly mainPool: string;
+	/** Service pool that slows down in the trace `slow-stage`. */
+	readonly slowPool: string;
+}
+
+type PoolPlan = {name: string; type: 'engine' | 'service'; count: number; slots: number; serviceMs?: Ms; costPerSecond: number; lookup?: boolean};
+
+type Plan = {
+	zones: Record<string, string>;
+	teams: Record<string, number>;
+	pools: PoolPlan[];
+	pipelines: Record<string, string[]>;
+	costPerGb: number;
+	attainmentWeight: number;
+	costWeight: number;
+};
+
+/** One-way latency between regions and between zones of one region. */
+export const regionMs: Ms = 20;
+export const zoneMs: Ms = 1;
+const deadlineMs: Ms = 9000;
+const vmsPerZone = 3;
+const prefillMsPerToken = 0.15;
+const decodeMsPerToken = 12;
+
+const plans: Record<DeploymentName, Plan> = {
+	'die-works': {
+		zones: {'riga-a': 'Riga', 'liepaja-a': 'Kurzeme', 'daugavpils-a': 'Latgale'},
+		teams: {
+			engravers: 4, press: 4, sales: 2, archive: 2, apprentices: 1,
+		},
+		pools: [
+			{
+				name: 'engraving', type: 'engine', count: 8, slots: 8, costPerSecond: 4,
+			},
+			{
+				name: 'order-desk', type: 'engine', count: 3, slots: 8, costPerSecond: 2,
+			},
+			{
+				name: 'die-archive', type: 'service', count: 4, slots: 6, serviceMs: 40, costPerSecond: 0.2,
+			},
+			{
+				name: 'press-scheduling', type: 'service', count: 4, slots: 6, serviceMs: 60, costPerSecond: 0.2, lookup: true,
+			},
+			{
+				name: 'assay-records', type: 'service', count: 4, slots: 6, serviceMs: 30, costPerSecond: 0.2,
+			},
+		],
+		pipelines: {
+			'engraving-advice': ['find:retrieve:die-archive', 'rank:rerank:assay-records', 'engrave:generate:engraving'],
+			'assay-report': ['encode:encode:assay-records', 'find:retrieve:die-archive', 'rank:rerank:assay-records', 'draft:generate:order-desk', 'engrave:generate:engraving'],
+			'strike-booking': ['find:retrieve:die-archive', 'draft:generate:order-desk', 'book!:call:press-scheduling'],
+		},
+		costPerGb: 0.02,
+		attainmentWeight: 1,
+		costWeight: 0.1,
+	},
+	fundacion: {
+		zones: {'heredia-a': 'Meseta Central', 'liberia-a': 'Guanacaste', 'limon-a': 'Caribe Sur'},
+		teams: {
+			carvers: 4, joiners: 4, commissions: 3, mentors: 2, stipends: 1,
+		},
+		pools: [
+			{
+				name: 'guild', type: 'engine', count: 13, slots: 6, costPerSecond: 3,
+			},
+			{
+				name: 'commission', type: 'engine', count: 3, slots: 8, costPerSecond: 2,
+			},
+			{
+				name: 'hardwood-ledger', type: 'service', count: 4, slots: 6, serviceMs: 40, costPerSecond: 0.2,
+			},
+			{
+				name: 'mentor-scheduling', type: 'service', count: 4, slots: 6, serviceMs: 60, costPerSecond: 0.2, lookup: true,
+			},
+			{
+				name: 'shipping', type: 'service', count: 4, slots: 6, serviceMs: 30, costPerSecond: 0.2,
+			},
+		],
+		pipelines: {
+			'guild-advice': ['find:retrieve:hardwood-ledger', 'rank:rerank:shipping', 'advise:generate:guild'],
+			'commission-quote': ['encode:encode:shipping', 'find:retrieve:hardwood-ledger', 'rank:rerank:shipping', 'draft:generate:commission', 'advise:generate:guild'],
+			'commission-order': ['find:retrieve:hardwood-ledger', 'draft:generate:commission', 'order!:call:mentor-scheduling'],
+		},
+		costPerGb: 0.12,
+		attainmentWeight: 0.6,
+		costWeight: 0.6,
+	},
+};
+
+/**
+ * Returns a deployment of section 1.3 of the design page at today's size.
+ *
+ * @example
+ * const {declarations, entryVms} = createDeployment('die-works');
+ */
+export function createDeployment(name: DeploymentName): Deployment {
+	const plan = plans[name];
+	const teams = Object.keys(plan.teams);
+	const pipelines = Object.keys(plan.pipelines);
+	return {
+		name,
+		declarations: declare(plan),
+		entryVms: Object.keys(plan.zones).flatMap(zone => Array.from({length: vmsPerZone}, (_, index) => ({name: `${zone.split('-', 1)[0]!}-${index + 1}`, zone}))),
+		roles: {small: teams[4]!, middle: teams.slice(2, 4), large: teams.slice(0, 2)},
+		clientMs: name === 'die-works' ? 3 : 1,
+		adviceLike: pipelines.slice(0, 2),
+		booking: pipelines[2]!,
+		mainPool: plan.pools[0]!.name,
+		slowPool: plan.pools[2]!.name,
+	};
+}
+
+function declare(plan: Plan): Declaration[] {
+	const regions = Object.values(plan.zones);
+	const zones = Object.keys(plan.zones);
+	const raw: unknown[] = [
+		...Object.entries(plan.zones).map(([zone, region]) => ({kind: 'zone', name: zone, region})),
+		...regions.flatMap((from, index) => regions.slice(index + 1).map(to => ({
+			kind: 'path', name: `${slug(from)}-${slug(to)}`, from, to, latency_ms: regionMs, cost_per_gb: plan.costPerGb,
+		}))),
+		...Object.entries(plan.teams).map(([team, weight]) => ({
+			kind: 'team', name: team, weight, deadline_ms: deadlineMs,
+		})),
+		...plan.pools.flatMap(pool => declarePool(pool, zones)),
+		...Object.entries(plan.pipelines).map(([pipeline, stages]) => ({
+			kind: 'pipeline', name: pipeline, deadline_ms: deadlineMs, stages: stages.map(stage => declareStage(stage)),
+		})),
+		{
+			kind: 'policy', name: 'default', attainment_weight: plan.attainmentWeight, cost_weight: plan.costWeight,
+		},
+	];
+	return raw.map(entry => declarationSchema.parse(entry));
+}
+
+function declarePool(pool: PoolPlan, zones: readonly string[]): unknown[] {
+	return [
+		{
+			kind: 'pool',
+			name: pool.name,
+			type: pool.type,
+			prefill_ms_per_token: prefillMsPerToken,
+			decode_ms_per_token: decodeMsPerToken,
+			service_ms: pool.serviceMs ?? 0,
+			cost_per_second: pool.costPerSecond,
+			lookup: pool.lookup ?? false,
+		},
+		...Array.from({length: pool.count}, (_, index) => ({
+			kind: 'target', name: `${pool.name}-${index + 1}`, zone: zones[index % zones.length], pool: pool.name, address: 'http://127.0.0.1:1', slots: pool.slots,
+		})),
+	];
+}
+
+/** Reads `name:kind:pool`; a name that ends in "!" is a call that may run at most once. */
+function declareStage(text: string): unknown {
+	const [name, kind, pool] = text.split(':') as [string, string, string];
+	return {
+		name: name.replace('!', ''), kind, pool, idempotent: !name.endsWith('!'),
+	};
+}
+
+function slug(text: string): string {
+	return text.toLowerCase().replaceAll(' ', '-');
+}
--- /dev/null
+++ b/src/replay/expected-text.ts
@@ -0,0 +1,10 @@
+import type {Pipeline} from '../config/index.js';
+import {expectedAnswer} from '../stand-ins/index.js';
+import {segmentText} from './segment-text.js';
+import type {TraceRequest} from './trace.js';
+
+/** The answer that fakes and stand-ins give to a request of a trace. @internal */
+export function expectedText(request: TraceRequest, pipeline: Pipeline): string {
+	const stages = pipeline.stages.map(stage => ({kind: stage.kind, maxTokens: Math.min(request.max_tokens, stage.max_tokens ?? request.max_tokens)}));
+	return expectedAnswer(stages, request.segments.map(segment => segmentText(segment)));
+}
--- /dev/null
+++ b/src/replay/replay-policy.ts
@@ -0,0 +1,32 @@
+import type {Clock} from '../clock/index.js';
+import type {ConfigView} from '../config/index.js';
+import type {Random} from '../random/index.js';
+import type {CacheEvent, DeclaredTargets} from '../targets/index.js';
+import type {Scheduler, TeamWork, ZoneView} from '../teams/index.js';
+
+/** What a policy is built from at one entry VM of a replay. */
+export interface PolicyParts {
+	readonly clock: Clock;
+	readonly config: ConfigView;
+	readonly targets: DeclaredTargets;
+	/** Name of the entry VM. */
+	readonly process: string;
+	readonly zone: string;
+	readonly zoneView: ZoneView;
+	readonly random: Random;
+}
+
+/** The policy of one entry VM. */
+export interface ReplayScheduler {
+	readonly scheduler: Scheduler;
+	/** Work for the digest to the other entry VMs of the zone. */
+	readonly work?: () => readonly TeamWork[];
+	/** Takes cache events of a target, in the order in which they were read. */
+	readonly onCacheEvents?: (target: string, startId: string, events: readonly CacheEvent[]) => void;
+}
+
+/** A named policy; `create` is called once for each entry VM. */
+export interface ReplayPolicy {
+	readonly name: string;
+	create(parts: PolicyParts): ReplayScheduler;
+}
--- /dev/null
+++ b/src/replay/replay-vm.ts
@@ -0,0 +1,144 @@
+import type {ClaimService} from '../claims/index.js';
+import type {Clock, Ms} from '../clock/index.js';
+import type {ConfigView} from '../config/index.js';
+import type {EventRecorder} from '../events/index.js';
+import type {Random} from '../random/index.js';
+import {RequestRunner} from '../requests/index.js';
+import {DeclaredTargets, type TargetLoad, type TargetState} from '../targets/index.js';
+import type {ZoneDigest, ZoneView} from '../teams/index.js';
+import type {EntryVmPlace} from './deployment.js';
+import type {FakeFleet} from './fake-fleet.js';
+import {fakePorts} from './fake-ports.js';
+import type {ReplayPolicy, ReplayScheduler} from './replay-policy.js';
+
+/** Options of an entry VM of a replay. @internal */
+export type ReplayVmOptions = {
+	readonly place: EntryVmPlace;
+	readonly clock: Clock;
+	readonly config: ConfigView;
+	readonly fleet: FakeFleet;
+	readonly claims: ClaimService;
+	readonly events: EventRecorder;
+	readonly policy: ReplayPolicy;
+	readonly random: Random;
+};
+
+const probeMs: Ms = 500;
+const digestMs: Ms = 1000;
+const digestLifeMs: Ms = 3 * digestMs;
+const failuresToSuspect = 2;
+
+type Received = {at: Ms; digest: ZoneDigest};
+/** Fields of a declared target that its probes write. */
+type Probed = {state: TargetState; load: TargetLoad | undefined};
+
+/** The decision modules of one entry VM over the fake fleet, with its probes and digests. @internal */
+export class ReplayVm implements ZoneView {
+	readonly targets: DeclaredTargets;
+	readonly runner: RequestRunner;
+	readonly #policy: ReplayScheduler;
+	readonly #received = new Map<string, Received>();
+	readonly #failures = new Map<string, number>();
+	readonly #cacheOffsets = new Map<string, {startId: string; sequence: number}>();
+	#sequence = 0;
+
+	constructor(private readonly options: ReplayVmOptions) {
+		const {
+			clock, config, fleet, place, events,
+		} = options;
+		this.targets = DeclaredTargets.create({config, events, ports: fakePorts(fleet, place.zone)});
+		this.#policy = options.policy.create({
+			clock, config, targets: this.targets, process: place.name, zone: place.zone, zoneView: this, random: options.random,
+		});
+		this.runner = RequestRunner.create({
+			clock, config, scheduler: this.#policy.scheduler, claims: options.claims, events,
+		});
+	}
+
+	get place(): EntryVmPlace {
+		return this.options.place;
+	}
+
+	others(): readonly ZoneDigest[] {
+		const oldest = this.options.clock.now() - digestLifeMs;
+		return [...this.#received.values()].filter(entry => entry.at >= oldest).map(entry => entry.digest);
+	}
+
+	receive(digest: ZoneDigest): void {
+		this.#received.set(digest.process, {at: this.options.clock.now(), digest});
+		for (const {target, startId} of digest.draining) {
+			this.targets.markDraining(target, startId, digest.process);
+		}
+	}
+
+	/** Probes targets and exchanges digests until `untilMs`. */
+	start(peers: readonly ReplayVm[], untilMs: Ms): void {
+		const {clock, random} = this.options;
+		const repeat = (every: Ms, act: () => void) => {
+			const next = () => {
+				act();
+				if (clock.now() + every < untilMs) {
+					clock.after(every, next);
+				}
+			};
+
+			clock.after(random.float() * every, next);
+		};
+
+		repeat(probeMs, () => {
+			for (const target of this.targets.all()) {
+				void this.#probe(target.name);
+			}
+		});
+		repeat(digestMs, () => {
+			const digest = this.#digest();
+			for (const peer of peers) {
+				peer.receive(digest);
+			}
+		});
+	}
+
+	async #probe(name: string): Promise<void> {
+		const target = this.targets.get(name)!;
+		const probed = target as unknown as Probed;
+		const port = target.engine ?? target.service!;
+		try {
+			await port.health();
+			probed.load = await port.load();
+			this.#failures.set(name, 0);
+			if (target.state === 'suspect') {
+				probed.state = 'healthy';
+			}
+		} catch {
+			const failures = (this.#failures.get(name) ?? 0) + 1;
+			this.#failures.set(name, failures);
+			if (failures >= failuresToSuspect && target.state !== 'draining') {
+				probed.state = 'suspect';
+			}
+
+			return;
+		}
+
+		if (target.engine && this.#policy.onCacheEvents) {
+			const known = this.#cacheOffsets.get(name);
+			const {startId, events} = await target.engine.cacheEvents(known?.startId === target.startId ? known!.sequence : 0);
+			this.#cacheOffsets.set(name, {startId, sequence: events.at(-1)?.sequence ?? (known?.startId === startId ? known.sequence : 0)});
+			if (events.length > 0) {
+				this.#policy.onCacheEvents(name, startId, events);
+			}
+		}
+	}
+
+	#digest(): ZoneDigest {
+		const all = this.targets.all();
+		return {
+			process: this.place.name,
+			incarnation: `${this.place.name}-1`,
+			sequence: this.#sequence++,
+			work: this.#policy.work?.() ?? [],
+			inFlight: all.filter(target => target.inFlight > 0).map(target => ({target: target.name, calls: target.inFlight})),
+			draining: all.filter(target => target.state === 'draining').map(target => ({target: target.name, startId: target.startId!})),
+			configOffset: 0,
+		};
+	}
+}
