Replay traces over HTTP and from the command line

Change: guavamill trace-make and replay, replay over the callers' protocol, text report, waits until the target starts, claims seen per entry VM, a reference trace for late load reports, higher rates. Conclusion: waits are comparable between policies that queue at the entry VM and policies that queue at the target.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,15 +6,19 @@
 import {errorMessage, FindingsError} from '../errors/index.js';
 import {variableOf} from '../settings/index.js';
 import {exitCodes, type Command, type CommandInput} from './command.js';
+import {replayCommand} from './replay-command.js';
 import {sampleCommand} from './sample-command.js';
 import {serveCommand} from './serve-command.js';
 import {standInCommand} from './stand-in-command.js';
+import {traceMakeCommand} from './trace-make-command.js';
 
 /** Every subcommand. */
 export const commands: readonly Command[] = [
 	serveCommand,
 	standInCommand,
 	sampleCommand,
+	traceMakeCommand,
+	replayCommand,
 ];
 
 /**
--- /dev/null
+++ b/src/cli/replay-command.ts
@@ -0,0 +1,77 @@
+import {readFile} from 'node:fs/promises';
+import {z} from 'zod';
+import {SystemClock} from '../clock/index.js';
+import {errorMessage, FindingsError} from '../errors/index.js';
+import {
+	formatReport, parseTrace, replayOverHttp, replayPolicies, replayTrace, type ReplayReport, type Trace,
+} from '../replay/index.js';
+import {
+	numberSchema, originSchema, resolveSettings, switchSchema,
+} from '../settings/index.js';
+import {exitCodes, type Command, type CommandInput} from './command.js';
+
+const policyNames = replayPolicies.map(policy => policy.name);
+
+/** Settings of `guavamill replay`. */
+export const replaySettings = {
+	entryVms: {
+		flag: 'entry-vms',
+		help: 'Origins of running entry VMs, separated by commas; in virtual time when empty.',
+		fallback: '',
+		schema: z.string().transform(text => text.split(',').filter(part => part !== '')).pipe(z.array(originSchema)),
+	},
+	policy: {
+		flag: 'policy', help: `Policy in virtual time: ${policyNames.join(', ')}.`, fallback: policyNames[0]!, schema: z.enum(policyNames),
+	},
+	connections: {
+		flag: 'connections', help: 'Open requests per entry VM.', fallback: '256', schema: numberSchema(1, 4096),
+	},
+	json: {
+		flag: 'json', help: 'Prints the report as JSON.', fallback: 'false', schema: switchSchema, isSwitch: true,
+	},
+};
+
+/** `guavamill replay`: replays a trace and checks its stated outcomes. */
+export const replayCommand: Command = {
+	name: 'replay',
+	usage: 'guavamill replay TRACE [--policy fcfs] [--entry-vms http://127.0.0.1:7000] [--json]',
+	summary: 'Replays a trace in virtual time or against running entry VMs and prints the report.',
+	settings: replaySettings,
+	async run(input) {
+		const settings = resolveSettings(replaySettings, input);
+		const report = await replay(await readTrace(input), settings, input);
+		input.print(settings.json ? JSON.stringify(report) : formatReport(report));
+		return report.outcomes.every(check => check.held) ? exitCodes.ok : exitCodes.failed;
+	},
+};
+
+async function readTrace(input: CommandInput): Promise<Trace> {
+	const [file] = input.args;
+	if (file === undefined) {
+		throw FindingsError.create('replay', [{place: 'argument 1', message: 'is missing; it names a file of JSON lines'}]);
+	}
+
+	let text: string;
+	try {
+		text = await readFile(file, 'utf8');
+	} catch (err) {
+		throw FindingsError.create('replay', [{place: 'argument 1', message: errorMessage(err)}]);
+	}
+
+	return parseTrace(text);
+}
+
+async function replay(trace: Trace, settings: {entryVms: string[]; policy: string; connections: number}, input: CommandInput): Promise<ReplayReport> {
+	if (settings.entryVms.length === 0) {
+		const {report} = await replayTrace(trace, {policy: replayPolicies.find(policy => policy.name === settings.policy)!});
+		return report;
+	}
+
+	const stop = new AbortController();
+	void input.stopped.then(() => {
+		stop.abort();
+	});
+	return replayOverHttp(trace, {
+		clock: SystemClock.create(), entryVms: settings.entryVms, connections: settings.connections, signal: stop.signal,
+	});
+}
--- a/src/replay/deployment.ts
+++ b/src/replay/deployment.ts
@@ -80,8 +80,8 @@
 		],
 		pipelines: {
 			'engraving-advice': ['find:retrieve:die-archive', 'rank:rerank:assay-records', 'engrave:generate:engraving'],
-			'assay-report': ['encode:encode:assay-records', 'find:retrieve:die-archive', 'rank:rerank:assay-records', 'draft:generate:order-desk', 'engrave:generate:engraving'],
-			'strike-booking': ['find:retrieve:die-archive', 'draft:generate:order-desk', 'book!:call:press-scheduling'],
+			'assay-report': ['encode:encode:assay-records', 'find:retrieve:die-archive', 'rank:rerank:assay-records', 'draft:generate:order-desk:32', 'engrave:generate:engraving'],
+			'strike-booking': ['find:retrieve:die-archive', 'draft:generate:order-desk:32', 'book!:call:press-scheduling'],
 		},
 		costPerGb: 0.02,
 		attainmentWeight: 1,
@@ -111,8 +111,8 @@
 		],
 		pipelines: {
 			'guild-advice': ['find:retrieve:hardwood-ledger', 'rank:rerank:shipping', 'advise:generate:guild'],
-			'commission-quote': ['encode:encode:shipping', 'find:retrieve:hardwood-ledger', 'rank:rerank:shipping', 'draft:generate:commission', 'advise:generate:guild'],
-			'commission-order': ['find:retrieve:hardwood-ledger', 'draft:generate:commission', 'order!:call:mentor-scheduling'],
+			'commission-quote': ['encode:encode:shipping', 'find:retrieve:hardwood-ledger', 'rank:rerank:shipping', 'draft:generate:commission:32', 'advise:generate:guild'],
+			'commission-order': ['find:retrieve:hardwood-ledger', 'draft:generate:commission:32', 'order!:call:mentor-scheduling'],
 		},
 		costPerGb: 0.12,
 		attainmentWeight: 0.6,
@@ -183,11 +183,11 @@
 	];
 }
 
-/** Reads `name:kind:pool`; a name that ends in "!" is a call that may run at most once. */
+/** Reads `name:kind:pool` with an optional bound of tokens; a name that ends in "!" is a call that may run at most once. */
 function declareStage(text: string): unknown {
-	const [name, kind, pool] = text.split(':') as [string, string, string];
+	const [name, kind, pool, maxTokens] = text.split(':') as [string, string, string, string?];
 	return {
-		name: name.replace('!', ''), kind, pool, idempotent: !name.endsWith('!'),
+		name: name.replace('!', ''), kind, pool, idempotent: !name.endsWith('!'), ...(maxTokens === undefined ? {} : {max_tokens: Number(maxTokens)}),
 	};
 }
 
--- a/src/replay/expected-text.ts
+++ b/src/replay/expected-text.ts
@@ -1,10 +1,15 @@
-import type {Pipeline} from '../config/index.js';
+import type {DeclarationSet} from '../config/index.js';
 import {expectedAnswer} from '../stand-ins/index.js';
 import {segmentText} from './segment-text.js';
 import type {TraceRequest} from './trace.js';
 
-/** The answer that fakes and stand-ins give to a request of a trace. @internal */
-export function expectedText(request: TraceRequest, pipeline: Pipeline): string {
+/** The answer that fakes and stand-ins give to a request of a trace; `undefined` for a pipeline that is not declared. @internal */
+export function expectedText(request: TraceRequest, declarations: DeclarationSet): string | undefined {
+	const pipeline = declarations.pipeline(request.pipeline);
+	if (!pipeline) {
+		return undefined;
+	}
+
 	const stages = pipeline.stages.map(stage => ({kind: stage.kind, maxTokens: Math.min(request.max_tokens, stage.max_tokens ?? request.max_tokens)}));
 	return expectedAnswer(stages, request.segments.map(segment => segmentText(segment)));
 }
--- a/src/replay/fake-engine.ts
+++ b/src/replay/fake-engine.ts
@@ -142,6 +142,7 @@
 			this.#events.splice(0, keptEvents);
 		}
 
+		ledger.onStart(call.requestId, call.stage);
 		sequence.startedAt = clock.now();
 		this.#running.add(sequence);
 		const prefillMs = ((uncached + call.fromIndex) * pool.prefill_ms_per_token) + this.faults.slowMs;
--- a/src/replay/fake-network.ts
+++ b/src/replay/fake-network.ts
@@ -48,6 +48,11 @@
 		return from !== to && (this.#cutZones.has(from) || this.#cutZones.has(to));
 	}
 
+	/** True when a zone reaches no other zone and no service of the platform. */
+	isCutOff(zone: string): boolean {
+		return this.#cutZones.has(zone);
+	}
+
 	#latencyOf(from: string, to: string): Ms {
 		if (from === to) {
 			return sameZoneMs;
--- a/src/replay/fake-service.ts
+++ b/src/replay/fake-service.ts
@@ -87,6 +87,7 @@
 		const {call} = job;
 		const start = this.starts;
 		this.#running++;
+		ledger.onStart(call.requestId, call.stage);
 		ledger.ran({
 			requestId: call.requestId, stage: call.stage, team: call.team, isIdempotent: call.idempotent, ...(call.idempotencyKey === undefined ? {} : {key: call.idempotencyKey}),
 		});
--- a/src/replay/index.ts
+++ b/src/replay/index.ts
@@ -1,9 +1,12 @@
 export {
 	createDeployment, type Deployment, type EntryVmPlace, type TeamRoles,
 } from './deployment.js';
+export {formatReport} from './format-report.js';
 export {
 	makeTrace, traceNames, type MakeTraceOptions, type TraceName,
 } from './make-trace.js';
+export {replayOverHttp, type HttpReplayOptions} from './replay-over-http.js';
+export {replayPolicies} from './replay-policies.js';
 export type {PolicyParts, ReplayPolicy, ReplayScheduler} from './replay-policy.js';
 export {replayTrace, type ReplayOptions, type ReplayResult} from './replay-trace.js';
 export type {
--- a/src/replay/make-trace.ts
+++ b/src/replay/make-trace.ts
@@ -7,7 +7,7 @@
 
 /** Names of the traces that `makeTrace` makes. */
 export const traceNames = [
-	'steady', 'burst', 'alone', 'slow-stage', 'engine-dies', 'engine-freezes', 'engine-drains', 'zone-cut', 'stale-load', 'cache-gaps', 'shared-prefix', 'cross-region',
+	'steady', 'burst', 'alone', 'slow-stage', 'engine-dies', 'engine-freezes', 'engine-drains', 'zone-cut', 'fresh-load', 'stale-load', 'cache-gaps', 'shared-prefix', 'cross-region',
 ] as const;
 
 export type TraceName = typeof traceNames[number];
@@ -25,13 +25,15 @@
 
 type Flow = {team: string; perSecond: number; fromMs: Ms; untilMs: Ms; zones?: readonly string[]};
 
-const defaultDurationMs: Ms = 60_000;
+const defaultDurationMs: Ms = 48_000;
 const deadlineMs: Ms = 9000;
 const smallPerSecond = 4;
-const middlePerSecond = 3;
-const largePerSecond = 7;
+const middlePerSecond = 4;
+const largePerSecond = 11;
 const burstFactor = 10;
-const pressureFactor = 2.5;
+/** Arrivals relative to `steady` where all come in at one zone, and where load reports matter. */
+const oneZoneFactor = 1;
+const highLoadFactor = 1.5;
 /** Share of requests that book, and of those that their caller sends a second time at another entry VM. */
 const bookingShare = 0.1;
 const repeatShare = 0.2;
@@ -71,7 +73,7 @@
 	};
 }
 
-/** The small team's flow comes first and has the same arrivals in `alone` and `burst`. */
+/** The small team's flow comes first and has the same arrivals in `alone` and `burst`; `fresh-load` is the reference of `stale-load`. */
 function flowsOf(name: TraceName, deployment: Deployment, durationMs: Ms): Flow[] {
 	const {small, middle, large} = deployment.roles;
 	const span = {fromMs: 0, untilMs: durationMs};
@@ -93,7 +95,11 @@
 
 	if (name === 'cross-region') {
 		const zones = [deployment.entryVms[0]!.zone];
-		return flows.map(flow => ({...flow, zones, perSecond: flow.team === small ? flow.perSecond : flow.perSecond * pressureFactor / 2}));
+		return flows.map(flow => ({...flow, zones, perSecond: flow.perSecond * (flow.team === small ? 1 : oneZoneFactor)}));
+	}
+
+	if (name === 'fresh-load' || name === 'stale-load') {
+		return flows.map(flow => ({...flow, perSecond: flow.perSecond * (flow.team === small ? 1 : highLoadFactor)}));
 	}
 
 	return flows;
@@ -119,7 +125,7 @@
 			segments: segments(flow.team, id, context),
 			max_tokens: random.integer(32, 112),
 			deadline_ms: deadlineMs,
-			...(isBooking ? {key: `${context.name}-${context.seed}-${id}`} : {}),
+			...(isBooking ? {key: `${context.prefix}-${context.seed}-${id}`} : {}),
 			expect: context.name === 'burst' && flow.team !== deployment.roles.small ? 'any' : 'answer',
 		});
 		requests.push(request);
--- a/src/replay/memory-claims.ts
+++ b/src/replay/memory-claims.ts
@@ -9,15 +9,28 @@
 const claimMs: Ms = 6;
 
 /** Claims of all entry VMs of a replay, in one total order as through the platform's log. @internal */
-export class MemoryClaims implements ClaimService {
+export class MemoryClaims {
 	readonly #entries = new Map<string, Entry>();
 	#next = 0;
 
-	constructor(private readonly clock: Clock, private readonly isLogDown: () => boolean) {}
+	constructor(private readonly clock: Clock) {}
 
-	async acquire(key: BookingKey, deadlineMs: Ms): Promise<ClaimDecision> {
+	/** The service as one entry VM sees it; `isLogDown` tells whether that entry VM reaches the log. */
+	view(isLogDown: () => boolean): ClaimService {
+		return {
+			acquire: (key, deadlineMs) => this.#acquire(key, deadlineMs, isLogDown()),
+			settle: (claim, outcome) => {
+				this.#settle(claim, outcome);
+			},
+			release: claim => {
+				this.#release(claim);
+			},
+		};
+	}
+
+	async #acquire(key: BookingKey, deadlineMs: Ms, isLogDown: boolean): Promise<ClaimDecision> {
 		const keyHash = JSON.stringify([key.team, key.pipeline, key.key, key.notAfterMs]);
-		if (this.isLogDown()) {
+		if (isLogDown) {
 			return key.attempt > 1 || this.#entries.has(keyHash)
 				? {type: 'unknown', reason: 'earlier_attempt_unknown'}
 				: {type: 'not_run', reason: 'log_unavailable'};
@@ -34,7 +47,7 @@
 		return {type: 'won', claim};
 	}
 
-	settle(claim: Claim, outcome: BookingOutcome): void {
+	#settle(claim: Claim, outcome: BookingOutcome): void {
 		const entry = this.#entries.get(claim.keyHash);
 		if (entry?.claimId === claim.claimId) {
 			entry.outcome = outcome;
@@ -42,7 +55,7 @@
 		}
 	}
 
-	release(claim: Claim): void {
+	#release(claim: Claim): void {
 		const entry = this.#entries.get(claim.keyHash);
 		if (entry?.claimId === claim.claimId) {
 			this.#entries.delete(claim.keyHash);
--- a/src/replay/replay-trace.ts
+++ b/src/replay/replay-trace.ts
@@ -50,11 +50,15 @@
 	const clock = VirtualClock.create();
 	const fleet = FakeFleet.create({clock, declarations, trace});
 	const events = new StageRecorder(clock, options.tracedRequest);
+	fleet.ledger.onStart = (requestId, stage) => {
+		events.started(requestId, stage);
+	};
+
 	const random = Random.create(options.seed ?? trace.header.seed);
-	const claims = new MemoryClaims(clock, () => fleet.isLogDown);
+	const claims = new MemoryClaims(clock);
 	const endMs = trace.header.duration_ms + tailMs;
 	const vms = deployment.entryVms.map(place => new ReplayVm({
-		place, clock, config, fleet, claims, events, policy: options.policy, random: Random.create(random.integer(1, 1_000_000_000)),
+		place, clock, config, fleet, claims: claims.view(() => fleet.isLogDown || fleet.network.isCutOff(place.zone)), events, policy: options.policy, random: Random.create(random.integer(1, 1_000_000_000)),
 	}));
 	for (const vm of vms) {
 		vm.start(vms.filter(other => other !== vm && other.place.zone === vm.place.zone), endMs);
@@ -72,7 +76,7 @@
 				meter.add(texts.length, clock.now());
 			},
 		});
-		const expected = expectedText(request, declarations.pipeline(request.pipeline)!);
+		const expected = expectedText(request, declarations);
 		records.push({
 			request,
 			result,
--- a/src/replay/report.ts
+++ b/src/replay/report.ts
@@ -26,6 +26,7 @@
 	/** Share of the requests that reached the stage and completed it. */
 	readonly completed: number;
 	readonly attempts: number;
+	/** Waits last from the queue of the entry VM until the target starts on the call. */
 	readonly waitP50: Ms;
 	readonly waitP95: Ms;
 	readonly serviceP95: Ms;
--- a/src/replay/run-ledger.ts
+++ b/src/replay/run-ledger.ts
@@ -24,6 +24,8 @@
 	/** Prompts in the order in which engines started on them. */
 	readonly prompts: Array<{pool: string; prompt: readonly PromptSegment[]}> = [];
 	promptTokens = 0;
+	/** Told when a target starts on a call, after its queue. */
+	onStart: (requestId: string, stage: string) => void = () => undefined;
 	prefilledTokens = 0;
 
 	arrived(call: SeenCall): void {
--- a/src/replay/stage-recorder.ts
+++ b/src/replay/stage-recorder.ts
@@ -35,6 +35,14 @@
 		}
 	}
 
+	/** Called when a target starts on the present attempt of a stage: the wait at entry VM and target together ends. */
+	started(requestId: string, stage: string): void {
+		const open = this.#open.get(`${requestId} ${stage}`);
+		if (open) {
+			this.#stage(stage).waits.push(this.clock.now() - open.queuedAt);
+		}
+	}
+
 	#recordAttempt(event: EventInput, stage: string, at: Ms): void {
 		const id = `${event.requestId} ${stage}`;
 		const times = this.#stage(stage);
@@ -44,7 +52,6 @@
 			this.#open.set(id, {queuedAt: at, sentAt: at});
 		} else if (event.kind === 'attempt_sent' && open) {
 			times.attempts++;
-			times.waits.push(at - open.queuedAt);
 			open.sentAt = at;
 		} else if (event.kind === 'attempt_settled' && open && event.detail === 'ok') {
 			times.done++;
