--- a/bench/policies.ts
+++ b/bench/policies.ts
@@ -1,11 +1,11 @@
-import type {ReplayPolicy} from '../src/replay/index.js';
-import {FcfsScheduler} from '../src/teams/index.js';
+import {replayPolicies, type ReplayPolicy} from '../src/replay/index.js';
 import {
 	BaselineScheduler, leastInFlight, prefixAffinity, roundRobin,
 } from './baseline-scheduler.js';
 
 /** Policies of the benchmark, the measured one first. */
 export const policies: readonly ReplayPolicy[] = [
+	replayPolicies[0]!,
 	{
 		name: 'fcfs+least', create: ({clock, targets, random}) => ({scheduler: new BaselineScheduler(clock, targets, leastInFlight(random))}),
 	},
@@ -15,7 +15,4 @@
 	{
 		name: 'prefix', create: ({clock, targets}) => ({scheduler: new BaselineScheduler(clock, targets, prefixAffinity())}),
 	},
-	{
-		name: 'fcfs-scheduler', create: ({clock, targets}) => ({scheduler: FcfsScheduler.create({clock, targets})}),
-	},
 ];
--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,10 +1,12 @@
-// `npm run bench:policy [-- --seed 1 --deployment die-works --trace burst --policy fcfs+least]`: every trace under every policy, in virtual time.
+// `npm run bench:policy [-- --seed 1 --deployment die-works --trace burst --policy fair --workers 3]`:
+// every trace under every policy in virtual time, as one table, and the aims of the policy.
 import process from 'node:process';
 import {parseArgs} from 'node:util';
-import {
-	deploymentNames, makeTrace, replayTrace, traceNames, type ReplayReport,
-} from '../src/replay/index.js';
+import {Worker} from 'node:worker_threads';
+import {deploymentNames, traceNames} from '../src/replay/index.js';
 import {policies} from './policies.js';
+import {checkAims} from './policy-aims.js';
+import type {PolicyJob, PolicyOutcome} from './policy-worker.js';
 
 const {values} = parseArgs({
 	options: {
@@ -12,41 +14,96 @@
 		deployment: {type: 'string', multiple: true, default: [...deploymentNames]},
 		trace: {type: 'string', multiple: true, default: [...traceNames]},
 		policy: {type: 'string', multiple: true, default: policies.map(policy => policy.name)},
+		workers: {type: 'string', default: '3'},
 	},
 });
 
-const columns = ['deployment', 'trace', 'policy', 'small', 'all', 'p95', 'first95', 'gap95', 'wait95', 'rej', 'late%', 'false', 'double', 'wrong', 'good', 'xMB', 'money', 'cost', 'prefill%', 'held', 'ms'];
-const widths = [10, 14, 14, 6, 6, 6, 7, 5, 6, 5, 6, 5, 6, 5, 7, 7, 7, 7, 8, 5, 6];
+const deployments = deploymentNames.filter(name => values.deployment.includes(name));
+const traces = traceNames.filter(name => values.trace.includes(name));
+const policyNames = policies.map(policy => policy.name).filter(name => values.policy.includes(name));
+const jobs = deployments.flatMap(deployment => traces.flatMap(name => policyNames.map((policy): PolicyJob => ({
+	name, deployment, seed: Number(values.seed), policy,
+}))));
 
-function row(cells: ReadonlyArray<string | number>): string {
-	return cells.map((cell, index) => index < 3 ? String(cell).padEnd(widths[index]!) : String(cell).padStart(widths[index]!)).join(' ');
+function keyOf(job: Pick<PolicyJob, 'deployment' | 'name' | 'policy'>): string {
+	return `${job.deployment} ${job.name} ${job.policy}`;
 }
 
-function percent(value: number): string {
-	return (value * 100).toFixed(1);
+// Worker threads do not inherit the loader for TypeScript.
+const workerCode = `
+	const {workerData} = require('node:worker_threads');
+	import('tsx/esm/api').then(({register}) => {
+		register();
+		return import(workerData);
+	});
+`;
+
+async function runAll(): Promise<Map<string, PolicyOutcome>> {
+	const outcomes = new Map<string, PolicyOutcome>();
+	const rest = [...jobs];
+	await Promise.all(Array.from({length: Number(values.workers)}, async () => {
+		const worker = new Worker(workerCode, {eval: true, workerData: new URL('policy-worker.ts', import.meta.url).href});
+		for (let job = rest.shift(); job; job = rest.shift()) {
+			const outcome = await new Promise<PolicyOutcome>((resolve, reject) => {
+				worker.once('message', resolve);
+				worker.once('error', reject);
+				worker.postMessage(job);
+			});
+			worker.removeAllListeners('error');
+			outcomes.set(keyOf(job), outcome);
+		}
+
+		await worker.terminate();
+	}));
+	return outcomes;
 }
 
-function cells(report: ReplayReport, small: string, tookMs: number): Array<string | number> {
-	const team = report.teams.find(entry => entry.team === small)!;
-	const fleet = report.fleet!;
-	const rejected = report.rejections.reduce((sum, entry) => sum + entry.count, 0);
-	return [
-		report.deployment, report.trace, report.policy, percent(team.attainment), percent(report.attainment), Math.round(team.latencyP95), Math.round(team.firstTokenP95), Math.round(team.gapP95), Math.round(fleet.waitP95), rejected, (report.late * 100).toFixed(2), fleet.falseNotRun, fleet.doubleRuns, report.wrongAnswers, report.goodput.tokens, (fleet.crossRegionBytes / 1e6).toFixed(1), fleet.bytesCost.toFixed(4), fleet.cost.toFixed(1), percent(fleet.prefill.shareOfBound), `${report.outcomes.filter(check => check.held).length}/${report.outcomes.length}`, Math.round(tookMs),
-	];
+type Column = {readonly title: string; readonly cell: (outcome: PolicyOutcome) => string};
+
+function percent(value: number, digits = 1): string {
+	return (value * 100).toFixed(digits);
 }
 
-const startedAt = Date.now();
-console.log(row(columns));
-for (const deployment of deploymentNames.filter(name => values.deployment.includes(name))) {
-	for (const name of traceNames.filter(candidate => values.trace.includes(candidate))) {
-		const trace = makeTrace({name, deployment, seed: Number(values.seed)});
-		const small = Object.keys(trace.header.outcomes.min_attainment)[0]!;
-		for (const policy of policies.filter(candidate => values.policy.includes(candidate.name))) {
-			const start = Date.now();
-			const {report} = await replayTrace(trace, {policy});
-			console.log(row(cells(report, small, Date.now() - start)));
-		}
+function smallTeam({report, small}: PolicyOutcome) {
+	return report.teams.find(team => team.team === small)!;
+}
+
+const columns: Column[] = [
+	{title: 'deployment', cell: ({report}) => report.deployment},
+	{title: 'trace', cell: ({report}) => report.trace},
+	{title: 'policy', cell: ({report}) => report.policy},
+	{title: 'small %', cell: outcome => percent(smallTeam(outcome).attainment)},
+	{title: 'all %', cell: ({report}) => percent(report.attainment)},
+	{title: 'small p95', cell: outcome => smallTeam(outcome).latencyP95.toFixed(0)},
+	{title: 'first p95', cell: outcome => smallTeam(outcome).firstTokenP95.toFixed(0)},
+	{title: 'gap p95', cell: outcome => smallTeam(outcome).gapP95.toFixed(0)},
+	{title: 'wait p95', cell: ({report}) => report.fleet!.waitP95.toFixed(0)},
+	{title: 'rejected', cell: ({report}) => String(report.rejections.reduce((sum, entry) => sum + entry.count, 0))},
+	{title: 'late %', cell: ({report}) => percent(report.late, 2)},
+	{title: 'false', cell: ({report}) => String(report.fleet!.falseNotRun)},
+	{title: 'double', cell: ({report}) => String(report.fleet!.doubleRuns)},
+	{title: 'wrong', cell: ({report}) => String(report.wrongAnswers)},
+	{title: 'goodput', cell: ({report}) => String(report.goodput.tokens)},
+	{title: 'cross MB', cell: ({report}) => (report.fleet!.crossRegionBytes / 1e6).toFixed(1)},
+	{title: 'cost', cell: ({report}) => report.fleet!.cost.toFixed(0)},
+	{title: 'prefill %', cell: ({report}) => percent(report.fleet!.prefill.shareOfBound)},
+	{title: 'held', cell: ({report}) => `${report.outcomes.filter(check => check.held).length}/${report.outcomes.length}`},
+];
+
+function printTable(rows: ReadonlyArray<readonly string[]>, textColumns: number): void {
+	const widths = rows[0]!.map((_cell, column) => Math.max(...rows.map(row => row[column]!.length)));
+	for (const row of rows) {
+		console.log(`| ${row.map((cell, column) => column < textColumns ? cell.padEnd(widths[column]!) : cell.padStart(widths[column]!)).join(' | ')} |`);
 	}
 }
 
-console.log(`\nseed ${values.seed}, ${((Date.now() - startedAt) / 1000).toFixed(1)} s, node ${process.version}`);
+const startedAt = Date.now();
+const outcomes = await runAll();
+const rows = jobs.map(job => columns.map(column => column.cell(outcomes.get(keyOf(job))!)));
+const rule = columns.map((_column, index) => index < 3 ? '---' : '--:');
+printTable([columns.map(column => column.title), rule, ...rows], 3);
+console.log('');
+const aims = deployments.flatMap(deployment => checkAims(deployment, traces, policyNames, (place, name, policy) => outcomes.get(keyOf({deployment: place, name, policy}))));
+printTable([['deployment', 'aim', 'seen', 'held'], ['---', '---', '---', '---'], ...aims.map(aim => [aim.deployment, aim.aim, aim.seen, aim.held ? 'yes' : 'NO'])], 4);
+console.log(`\nseed ${values.seed}, ${((Date.now() - startedAt) / 1000).toFixed(0)} s, ${aims.filter(aim => !aim.held).length} of ${aims.length} aims not held`);
+process.exit(0);
