--- a/src/teams/pool-queue.ts
+++ b/src/teams/pool-queue.ts
@@ -19,8 +19,12 @@
 const maxQueuedPerTeam = 1000;
 /** Targets become free by events that are not reported here (digests, health), so waiting attempts look again. */
 const pollMs: Ms = 20;
+/** Time before the latest start in which a slot is taken back; it covers a poll and the end of the revoked call. */
+const lastChanceMs: Ms = 2 * pollMs;
 /** Heads that may decline the targets on offer before the search ends; it bounds the time of a decision. */
 const maxRefusals = 4;
+/** Attempts after this one are not revoked, so that a request above its share still ends. */
+const maxRevocableAttempt = 3;
 /** Weight of the newest call in the mean service time. */
 const smoothing = 0.1;
 
@@ -50,6 +54,8 @@
 	readonly index: PrefixIndex;
 	readonly times: ServiceTimes;
 	readonly retries: RetryBudget;
+	/** Other entry VMs with work in a pool, as of their latest digests. */
+	readonly contenders: (pool: string) => number;
 	/** Brings what is known of other entry VMs up to date. */
 	readonly refresh: () => void;
 	readonly events?: EventRecorder;
@@ -77,7 +83,7 @@
 
 	/** Load of the pool for admission control; `undefined` when no target may receive work. */
 	load(serviceMs: Ms): PoolLoad | undefined {
-		const summary = this.parts.targets.summary(this.pool, this.parts.clock.now());
+		const summary = this.#summary();
 		return summary.candidates.length === 0
 			? undefined
 			: {
@@ -124,7 +130,7 @@
 		this.parts.refresh();
 		const refused = new Set<string>();
 		while (this.#queue.size > 0 && refused.size < maxRefusals) {
-			const summary = this.parts.targets.summary(this.pool, this.parts.clock.now());
+			const summary = this.#summary();
 			const next = this.#next(summary, refused);
 			if (!next) {
 				return;
@@ -149,6 +155,11 @@
 		return calls;
 	}
 
+	#summary(): PoolSummary {
+		const {clock, targets, contenders} = this.parts;
+		return targets.summary(this.pool, {now: clock.now(), part: this.shares.part(contenders(this.pool))});
+	}
+
 	#enqueue(waiter: Waiter, signal: AbortSignal): AcquireFailure | undefined {
 		const {work, weight, serviceMs} = waiter;
 		if (this.parts.registry.pool(this.pool).length === 0) {
@@ -159,7 +170,8 @@
 			return 'aborted';
 		}
 
-		if (this.parts.clock.now() > this.#latestStart(waiter)) {
+		const {low, mean} = this.parts.times.of(this.pool);
+		if (this.parts.clock.now() > work.deadlineMs - waiter.laterMs - (serviceMs * low / mean)) {
 			return 'deadline';
 		}
 
@@ -172,10 +184,12 @@
 		return undefined;
 	}
 
-	/** Time after which even a fast target could not meet the deadline. */
+	/**
+	 * Time after which an attempt would probably be late. An attempt waits only while others want the slot, which it
+	 * would then take from one that can still be in time.
+	 */
 	#latestStart(waiter: Candidacy): Ms {
-		const {low, mean} = this.parts.times.of(this.pool);
-		return waiter.work.deadlineMs - waiter.laterMs - (waiter.serviceMs * low / mean);
+		return waiter.work.deadlineMs - waiter.laterMs - waiter.serviceMs;
 	}
 
 	/** The next attempt in fair order that a target could take: any one while a target is free, else one within its team's share. */
@@ -309,9 +323,11 @@
 
 	/** Takes a slot from a team above its share when an attempt within its team's share would miss its deadline by waiting. */
 	#revokeFor(waiter: Waiter): void {
-		const {clock, targets, events} = this.parts;
-		const summary = targets.summary(this.pool, clock.now());
-		const meetsDeadline = clock.now() + this.#nextSlotMs(summary) <= waiter.work.deadlineMs - waiter.laterMs - waiter.serviceMs;
+		const {clock, events} = this.parts;
+		const summary = this.#summary();
+		// A call can take longer than predicted, so the last chance to revoke is taken in any case.
+		const waitMs = Math.max(this.#nextSlotMs(summary), lastChanceMs);
+		const meetsDeadline = clock.now() + waitMs <= this.#latestStart(waiter);
 		if (waiter.isUrgent || meetsDeadline || this.shares.classify(waiter.work.team, summary.slots) === 'above') {
 			return;
 		}
@@ -333,8 +349,8 @@
 	#newestAboveShare(waiter: Waiter, summary: PoolSummary): Call | undefined {
 		let newest: Call | undefined;
 		for (const call of this.#calls) {
-			const {team, idempotent, stage} = call.work;
-			const isRevocable = (idempotent ?? stage.idempotent) && !call.revoked.signal.aborted && call.target.name !== waiter.work.previousTarget;
+			const {team, idempotent, stage, attempt} = call.work;
+			const isRevocable = (idempotent ?? stage.idempotent) && attempt <= maxRevocableAttempt && !call.revoked.signal.aborted && call.target.name !== waiter.work.previousTarget;
 			if (isRevocable && team !== waiter.work.team && this.shares.calls(team) > this.shares.allotment(team, summary.slots)) {
 				newest = call;
 			}
