--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -8,7 +8,9 @@
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
-import {DeclaredTargets, httpPortFactory, type PortFactory} from '../targets/index.js';
+import {
+	DeclaredTargets, httpPortFactory, TargetProber, VmWatcher, type PortFactory,
+} from '../targets/index.js';
 import {
 	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneView,
 } from '../teams/index.js';
@@ -44,7 +46,8 @@
 	readonly ports?: PortFactory;
 }
 
-const defaultDrainMs: Ms = 9000;
+/** Time for the last answers to leave after the latest deadline. */
+const drainSlackMs: Ms = 1000;
 const idlePollMs: Ms = 20;
 
 /**
@@ -71,6 +74,8 @@
 	readonly runner: RequestRunner;
 	readonly #lifecycle = EntryVmLifecycle.create();
 	readonly #metrics: Metrics;
+	readonly #prober: TargetProber;
+	readonly #vmWatcher: VmWatcher;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -81,7 +86,13 @@
 		this.config = ConfigFollower.create({
 			clock, log, events: this.events, logger: createLogger('config'),
 		});
-		this.targets = DeclaredTargets.create({config: this.config, events: this.events, ports: options.ports ?? httpPortFactory});
+		this.targets = DeclaredTargets.create({
+			config: this.config, events: this.events, clock, ports: options.ports ?? httpPortFactory,
+		});
+		this.#prober = TargetProber.create({clock, random: Random.create(randomInt(2 ** 31)), targets: this.targets});
+		this.#vmWatcher = VmWatcher.create({
+			clock, vmList: options.vmList, targets: this.targets, logger: createLogger('targets'),
+		});
 		this.scheduler = this.#createScheduler();
 		this.runner = RequestRunner.create({
 			clock,
@@ -119,6 +130,8 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		this.config.start();
+		this.#prober.start();
+		this.#vmWatcher.start();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -153,14 +166,15 @@
 		this.events.record({kind: 'shutdown', detail: `${this.runner.inFlight} requests in progress`});
 		logger.info('Draining.', {inFlight: this.runner.inFlight});
 		this.#callers!.stopAccepting();
-		const longest = Math.max(this.config.current().declarations.longestDeadlineMs(), defaultDrainMs);
-		const end = clock.now() + longest;
+		const end = Math.max(clock.now(), this.runner.latestDeadlineMs) + drainSlackMs;
 		while (this.#callers!.inFlight > 0 && clock.now() < end) {
 			await clock.sleep(idlePollMs);
 		}
 
 		this.#lifecycle.send({type: 'IDLE'});
 		this.config.stop();
+		this.#prober.stop();
+		this.#vmWatcher.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
--- a/src/replay/fake-ports.ts
+++ b/src/replay/fake-ports.ts
@@ -28,10 +28,15 @@
 			return {
 				generate: (call, signal) => generate(link, call, signal),
 				cancel: async () => undefined,
-				load: async () => reachable(link).load(),
+				// Each call has a connection of its own.
+				renew: () => undefined,
+				async load() {
+					await reach(link);
+					return engine.load();
+				},
 				health: async () => probe(link),
 				async cacheEvents(after) {
-					reachable(link);
+					await reach(link);
 					return engine.cacheEvents(after);
 				},
 				order: async () => 'accepted',
@@ -46,32 +51,46 @@
 			const service = target.process as FakeService;
 			return {
 				call: (call, signal) => callService(link, call, signal),
+				renew: () => undefined,
 				async lookup(key) {
-					reachable(link);
+					await reach(link);
 					return service.lookup(key);
 				},
-				load: async () => reachable(link).load(),
+				async load() {
+					await reach(link);
+					return service.load();
+				},
 				health: async () => probe(link),
 			};
 		},
 	};
 }
 
-function reachable({fleet, target, zone}: Link): FakeTarget['process'] {
-	if (target.process.faults.isDead || fleet.network.isCut(zone, target.zone)) {
-		throw TargetError.create('not_sent', `Cannot reach ${target.name}: no route`);
+/** Rejects for a target that is dead and never resolves for one that is cut off; the reader's time-out ends the wait. */
+async function reach({fleet, target, zone}: Link): Promise<void> {
+	if (fleet.network.isCut(zone, target.zone)) {
+		return silence();
+	}
+
+	if (target.process.faults.isDead) {
+		throw TargetError.create('not_sent', `Cannot reach ${target.name}: connection refused`);
 	}
+}
 
-	return target.process;
+async function silence(): Promise<never> {
+	return new Promise<never>(() => {
+		// Never resolves.
+	});
 }
 
 function healthOf(link: Link): TargetHealth {
 	return {startId: link.target.process.startId, draining: link.target.process.faults.isDraining};
 }
 
-function probe(link: Link): TargetHealth {
-	if (reachable(link).faults.isStuck) {
-		throw TargetError.create('lost', `Cannot read the health of ${link.target.name}: no answer`);
+async function probe(link: Link): Promise<TargetHealth> {
+	await reach(link);
+	if (link.target.process.faults.isStuck) {
+		return silence();
 	}
 
 	const health = healthOf(link);
--- a/src/replay/replay-vm.ts
+++ b/src/replay/replay-vm.ts
@@ -2,9 +2,9 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {ConfigView} from '../config/index.js';
 import type {EventRecorder} from '../events/index.js';
-import type {Random} from '../random/index.js';
+import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
-import {DeclaredTargets, type TargetLoad, type TargetState} from '../targets/index.js';
+import {DeclaredTargets, TargetProber} from '../targets/index.js';
 import type {ZoneDigest, ZoneView} from '../teams/index.js';
 import type {EntryVmPlace} from './deployment.js';
 import type {FakeFleet} from './fake-fleet.js';
@@ -23,14 +23,10 @@
 	readonly random: Random;
 };
 
-const probeMs: Ms = 500;
 const digestMs: Ms = 1000;
 const digestLifeMs: Ms = 3 * digestMs;
-const failuresToSuspect = 2;
 
 type Received = {at: Ms; digest: ZoneDigest};
-/** Fields of a declared target that its probes write. */
-type Probed = {state: TargetState; load: TargetLoad | undefined};
 
 /** The decision modules of one entry VM over the fake fleet, with its probes and digests. @internal */
 export class ReplayVm implements ZoneView {
@@ -38,18 +34,25 @@
 	readonly runner: RequestRunner;
 	readonly #policy: ReplayScheduler;
 	readonly #received = new Map<string, Received>();
-	readonly #failures = new Map<string, number>();
-	readonly #cacheOffsets = new Map<string, {startId: string; sequence: number}>();
+	readonly #prober: TargetProber;
 	#sequence = 0;
 
 	constructor(private readonly options: ReplayVmOptions) {
 		const {
 			clock, config, fleet, place, events,
 		} = options;
-		this.targets = DeclaredTargets.create({config, events, ports: fakePorts(fleet, place.zone)});
+		this.targets = DeclaredTargets.create({
+			config, events, clock, ports: fakePorts(fleet, place.zone),
+		});
 		this.#policy = options.policy.create({
 			clock, config, targets: this.targets, process: place.name, zone: place.zone, zoneView: this, random: options.random,
 		});
+		this.#prober = TargetProber.create({
+			clock,
+			random: Random.create(options.random.integer(1, 1_000_000_000)),
+			targets: this.targets,
+			...(this.#policy.onCacheEvents ? {onCacheEvents: this.#policy.onCacheEvents} : {}),
+		});
 		this.runner = RequestRunner.create({
 			clock, config, scheduler: this.#policy.scheduler, claims: options.claims, events,
 		});
@@ -85,10 +88,9 @@
 			clock.after(random.float() * every, next);
 		};
 
-		repeat(probeMs, () => {
-			for (const target of this.targets.all()) {
-				void this.#probe(target.name);
-			}
+		this.#prober.start();
+		clock.after(untilMs - clock.now(), () => {
+			this.#prober.stop();
 		});
 		repeat(digestMs, () => {
 			const digest = this.#digest();
@@ -98,37 +100,6 @@
 		});
 	}
 
-	async #probe(name: string): Promise<void> {
-		const target = this.targets.get(name)!;
-		const probed = target as unknown as Probed;
-		const port = target.engine ?? target.service!;
-		try {
-			await port.health();
-			probed.load = await port.load();
-			this.#failures.set(name, 0);
-			if (target.state === 'suspect') {
-				probed.state = 'healthy';
-			}
-		} catch {
-			const failures = (this.#failures.get(name) ?? 0) + 1;
-			this.#failures.set(name, failures);
-			if (failures >= failuresToSuspect && target.state !== 'draining') {
-				probed.state = 'suspect';
-			}
-
-			return;
-		}
-
-		if (target.engine && this.#policy.onCacheEvents) {
-			const known = this.#cacheOffsets.get(name);
-			const {startId, events} = await target.engine.cacheEvents(known?.startId === target.startId ? known!.sequence : 0);
-			this.#cacheOffsets.set(name, {startId, sequence: events.at(-1)?.sequence ?? (known?.startId === startId ? known.sequence : 0)});
-			if (events.length > 0) {
-				this.#policy.onCacheEvents(name, startId, events);
-			}
-		}
-	}
-
 	#digest(): ZoneDigest {
 		const all = this.targets.all();
 		return {
--- a/test/support/fake-targets.ts
+++ b/test/support/fake-targets.ts
@@ -26,6 +26,7 @@
 				},
 				engine: undefined,
 				service: undefined,
+				suspected: new AbortController().signal,
 			};
 			registry.byName.set(target.name, target);
 			registry.byPool.set(declaration.pool, [...registry.byPool.get(declaration.pool) ?? [], target]);
@@ -45,6 +46,11 @@
 		return this.byName.get(name);
 	}
 
+	/** States change only between the steps of a test, so nobody is told. */
+	onChange(): void {
+		return undefined;
+	}
+
 	markDraining(name: string): void {
 		this.byName.get(name)!.state = 'draining';
 	}
