--- a/src/teams/admission.test.ts
+++ b/src/teams/admission.test.ts
@@ -5,7 +5,7 @@
 const admission = Admission.create();
 const times = {mean: 1, low: 1, high: 1};
 const busy: PoolLoad = {
-	slots: 10, freeSlots: 0, meanServiceMs: 100, nextSlotMs: 10, part: 1,
+	slots: 10, freeSlots: 0, meanServiceMs: 100, nextSlotMs: 10,
 };
 
 function sharesWithBacklog(): TeamShares {
--- a/src/teams/admission.ts
+++ b/src/teams/admission.ts
@@ -13,8 +13,6 @@
 	readonly meanServiceMs: Ms;
 	/** Predicted time until the next slot is free. */
 	readonly nextSlotMs: Ms;
-	/** Part in (0, 1] of the slots that falls to this entry VM. */
-	readonly part: number;
 }
 
 /** Forecast of one stage. `serviceMs` is the estimate by declared speeds. */
@@ -51,8 +49,7 @@
 		const slots = Math.max(1, load.slots);
 		const othersSlots = (shares.inFlightMs - shares.teamInFlightMs(team)) / Math.max(1, load.meanServiceMs);
 		const rate = Math.max(shares.share(team) * slots, slots - othersSlots);
-		// Queues of one zone differ by entry VM, and a call waits in the queue of its own.
-		return load.nextSlotMs + (Math.min(shares.ownQueuedMs(team) / load.part, excessMs) / rate);
+		return load.nextSlotMs + (Math.min(shares.teamQueuedMs(team), excessMs) / rate);
 	}
 
 	/** Decides by the remaining budget. An `undefined` forecast is a stage whose pool has no target. */
--- a/src/teams/pool-queue.ts
+++ b/src/teams/pool-queue.ts
@@ -87,7 +87,7 @@
 		return summary.candidates.length === 0
 			? undefined
 			: {
-				slots: summary.slots, freeSlots: summary.freeSlots, meanServiceMs: this.#meanServiceMs || serviceMs, nextSlotMs: this.#nextSlotMs(summary), part: this.shares.part(this.parts.contenders(this.pool)),
+				slots: summary.slots, freeSlots: summary.freeSlots, meanServiceMs: this.#meanServiceMs || serviceMs, nextSlotMs: this.#nextSlotMs(summary),
 			};
 	}
 
--- a/src/teams/team-shares.ts
+++ b/src/teams/team-shares.ts
@@ -123,11 +123,6 @@
 		return state ? Math.max(0, state.queuedMs + state.othersQueuedMs) : 0;
 	}
 
-	/** Queued service time of a team at this entry VM. */
-	ownQueuedMs(team: string): Ms {
-		return Math.max(0, this.#teams.get(team)?.queuedMs ?? 0);
-	}
-
 	/** Service time in flight of a team over the zone. */
 	teamInFlightMs(team: string): Ms {
 		const state = this.#teams.get(team);
