Trust load reports of targets less with their age

Change: the calls of others at a target approach the pool's mean with the age of its report, over 1 s, about the time of a call.

--- a/src/teams/pool-targets.ts
+++ b/src/teams/pool-targets.ts
@@ -7,6 +7,11 @@
 
 /** A load report older than this says nothing of the present. */
 const maxLoadAgeMs: Ms = 3000;
+/**
+ * Age at which little of a report's difference from the pool's mean counts: about the time of a call, after which other
+ * calls are in flight. Otherwise every entry VM sends to the target that was empty when the reports were made.
+ */
+const forgetMs: Ms = 1000;
 
 /** What is remembered of a target between decisions. */
 type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; callsAtLoad: number; callsAtPreviousLoad: number};
@@ -45,12 +50,10 @@
 		let zoneSlots = 0;
 		let allSlots = 0;
 		let freeSlots = 0;
-		for (const target of this.registry.pool(pool)) {
-			if (!target.dispatchable) {
-				continue;
-			}
-
-			const candidate = this.#candidate(target, now, part);
+		const targets = this.registry.pool(pool).filter(target => target.dispatchable);
+		const meanOthers = this.#meanOthers(targets);
+		for (const target of targets) {
+			const candidate = this.#candidate(target, {now, part, meanOthers});
 			candidates.push(candidate);
 			allSlots += candidate.limit;
 			zoneSlots += target.zone === this.zone ? candidate.limit : 0;
@@ -65,15 +68,28 @@
 		return this.#memory(target).speed;
 	}
 
-	#candidate(target: Target, now: Ms, part: number): RouteCandidate {
+	#candidate(target: Target, {now, part, meanOthers}: {now: Ms; part: number; meanOthers: number}): RouteCandidate {
 		const memory = this.#memory(target);
-		const calls = target.inFlight + Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target, memory));
+		const reported = this.#othersByReport(target, memory);
+		const trust = Math.exp(-(target.load?.ageMs ?? 0) / forgetMs);
+		const others = meanOthers + ((reported - meanOthers) * trust);
+		const calls = target.inFlight + Math.max(this.zoneLoad.calls(target.name), others);
 		const {limit} = memory.speed;
 		return {
 			target, calls, limit, slowdown: memory.speed.slowdown(now), isFree: calls < limit && target.inFlight < ownLimit(limit, part),
 		};
 	}
 
+	/** Mean calls of others over the pool, per target; it changes less with time than those of one target. */
+	#meanOthers(targets: readonly Target[]): number {
+		let sum = 0;
+		for (const target of targets) {
+			sum += this.#othersByReport(target, this.#memory(target));
+		}
+
+		return sum / Math.max(1, targets.length);
+	}
+
 	/**
 	 * Calls of others according to the target's load report. The report is late, so the own calls that it counted may
 	 * have ended: the larger of the own counts at the last two reports and now is subtracted.
