--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -8,11 +8,12 @@
 import type {PlatformLog, VmList} from '../platform/index.js';
 import {Random} from '../random/index.js';
 import {RequestRunner} from '../requests/index.js';
+import {CacheEventPoller} from '../routing/index.js';
 import {
 	DeclaredTargets, httpPortFactory, TargetProber, VmWatcher, type PortFactory,
 } from '../targets/index.js';
 import {
-	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneView,
+	emptyZoneView, FairScheduler, FcfsScheduler, type Scheduler, type ZoneDigest, type ZoneView,
 } from '../teams/index.js';
 import {CallerServer} from './caller-server.js';
 import {EntryVmLifecycle, type EntryVmState} from './entry-vm-lifecycle.js';
@@ -76,6 +77,7 @@
 	readonly #metrics: Metrics;
 	readonly #prober: TargetProber;
 	readonly #vmWatcher: VmWatcher;
+	#cacheEvents: CacheEventPoller | undefined;
 	#callers: CallerServer | undefined;
 	#operators: OperatorServer | undefined;
 	#shutdown: Promise<void> | undefined;
@@ -121,6 +123,11 @@
 		return this.#operators!.port;
 	}
 
+	/** Work and calls in flight for the digest that goes to the zone; call it once for each digest that is sent. */
+	localDigest(): Pick<ZoneDigest, 'work' | 'inFlight'> {
+		return this.scheduler instanceof FairScheduler ? this.scheduler.localDigest() : {work: [], inFlight: []};
+	}
+
 	/** Drains and stops; a second call waits for the first. */
 	async shutdown(): Promise<void> {
 		this.#shutdown ??= this.#drain();
@@ -132,6 +139,7 @@
 		this.config.start();
 		this.#prober.start();
 		this.#vmWatcher.start();
+		this.#pollCacheEvents();
 		this.#operators = await OperatorServer.create({
 			listen: options.operators,
 			metrics: this.#metrics,
@@ -155,6 +163,16 @@
 		options.createLogger('entry-vm').info('Listening.', {callers: this.callerPort, operators: this.operatorPort, zone: options.zone});
 	}
 
+	/** Corrects the scheduler's prefix index by the cache events of the zone's engines. */
+	#pollCacheEvents(): void {
+		if (this.scheduler instanceof FairScheduler) {
+			this.#cacheEvents = CacheEventPoller.create({
+				clock: this.options.clock, index: this.scheduler.index, engines: () => this.targets.all().filter(target => target.zone === this.options.zone && target.dispatchable),
+			});
+			this.#cacheEvents.start();
+		}
+	}
+
 	#isReady(): boolean {
 		return this.#lifecycle.state === 'serving' && this.config.current().revision >= 0;
 	}
@@ -175,6 +193,7 @@
 		this.config.stop();
 		this.#prober.stop();
 		this.#vmWatcher.stop();
+		this.#cacheEvents?.stop();
 		await this.#callers!.close();
 		await this.#operators!.close();
 		logger.info('Stopped.', {cutOff: this.#callers!.inFlight});
--- a/src/teams/pool-targets.test.ts
+++ b/src/teams/pool-targets.test.ts
@@ -1,28 +1,56 @@
 import {expect, test} from 'vitest';
 import {ManualClock} from '../clock/index.js';
 import {DeclarationSet} from '../config/index.js';
-import {createDeployment} from '../replay/index.js';
 import {FakeTargets} from '../../test/support/fake-targets.js';
+import {policyDeclarations} from '../../test/support/policy-declarations.js';
 import {PoolTargets} from './pool-targets.js';
 import {ZoneLoad} from './zone-load.js';
 import {emptyZoneView} from './zone-view.js';
 
+function setup() {
+	const registry = FakeTargets.create(DeclarationSet.create(policyDeclarations({teams: {}, targets: {here: 2, there: 1}, slots: 8})));
+	const zoneLoad = ZoneLoad.create({clock: ManualClock.create(), zoneView: emptyZoneView});
+	return {registry, targets: PoolTargets.create({registry, zone: 'here', zoneLoad}), target: registry.get('here-1')!};
+}
+
+// Guards against entry VMs that each fill a whole target.
+test('an entry VM takes its part of each target, and one slot at least', () => {
+	const {targets, registry, target} = setup();
+	expect(targets.summary('pool', {now: 0, part: 1})).toMatchObject({slots: 16, freeSlots: 24});
+	expect(targets.summary('pool', {now: 0, part: 1 / 9}).freeSlots).toBe(3);
+	registry.callStarted('here-1');
+	targets.changed(target, 0);
+	expect(targets.summary('pool', {now: 0, part: 1 / 9}).freeSlots).toBe(2);
+	expect(targets.summary('pool', {now: 0, part: 1 / 9}).candidates.find(candidate => candidate.target === target)?.isFree).toBe(false);
+});
+
+// Guards against own calls that a late report counts as those of others, and against reports that never expire.
+test('a load report shows the calls of others while it is recent', () => {
+	const {targets, target} = setup();
+	const calls = (now: number) => targets.summary('pool', {now, part: 1}).candidates.find(candidate => candidate.target === target)!.calls;
+	target.inFlight = 5;
+	target.load = {
+		inFlight: 7, queued: 1, slots: 8, ageMs: 0,
+	};
+	expect(calls(0)).toBe(8);
+	target.inFlight = 0;
+	expect(calls(100)).toBe(3);
+	expect(calls(4000)).toBe(0);
+});
+
 // Guards against entry VMs that all send to the target that was empty when late reports were made.
 test.each([
-	{ageMs: 0, differs: true},
-	{ageMs: 2000, differs: false},
-])('the difference between reports counts less with their age of $ageMs ms', ({ageMs, differs}) => {
-	const registry = FakeTargets.create(DeclarationSet.create(createDeployment('die-works').declarations));
-	const pool = registry.pool('order-desk');
-	for (const [index, target] of pool.entries()) {
+	{ageMs: 0, difference: 6},
+	{ageMs: 2000, difference: 6 * Math.exp(-2)},
+])('reports of an age of $ageMs ms differ by $difference calls', ({ageMs, difference}) => {
+	const {registry, targets} = setup();
+	for (const target of registry.pool('pool')) {
 		target.load = {
-			inFlight: index === 0 ? 0 : 6, queued: 0, slots: 8, ageMs,
+			inFlight: target.name === 'here-1' ? 0 : 6, queued: 0, slots: 8, ageMs,
 		};
 	}
 
-	const zoneLoad = ZoneLoad.create({clock: ManualClock.create(), zoneView: emptyZoneView});
-	const {candidates} = PoolTargets.create({registry, zone: 'riga-a', zoneLoad}).summary('order-desk', {now: 0, part: 1});
-	const calls = candidates.map(candidate => candidate.calls);
+	const calls = targets.summary('pool', {now: 0, part: 1}).candidates.map(candidate => candidate.calls);
 	expect(calls.reduce((sum, value) => sum + value, 0)).toBeCloseTo(12, 5);
-	expect(calls.at(-1)! - calls[0]! > 3).toBe(differs);
+	expect(Math.max(...calls) - Math.min(...calls)).toBeCloseTo(difference, 5);
 });
--- a/src/teams/pool-targets.ts
+++ b/src/teams/pool-targets.ts
@@ -12,9 +12,16 @@
  * calls are in flight. Otherwise every entry VM sends to the target that was empty when the reports were made.
  */
 const forgetMs: Ms = 1000;
+/** Loads of others and health change by messages; reading those of every target for each decision costs too much. */
+const refreshMs: Ms = 10;
 
 /** What is remembered of a target between decisions. */
-type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; callsAtLoad: number; callsAtPreviousLoad: number};
+type Memory = {speed: TargetSpeed; load: TargetLoad | undefined; loadSeenAt: Ms; callsAtLoad: number; callsAtPreviousLoad: number};
+
+/** A candidate with the calls of others, so that own calls can be brought up to date alone. */
+type Entry = {-readonly [key in keyof RouteCandidate]: RouteCandidate[key]} & {others: number; freeSlots: number};
+
+type Summary = {candidates: Entry[]; slots: number; freeSlots: number; part: number; builtAt: Ms; byName: Map<string, Entry>};
 
 /** Summary of a pool's targets that may receive work. */
 export interface PoolSummary {
@@ -30,7 +37,7 @@
  *
  * @example
  * const targets = PoolTargets.create({registry, zone: 'riga-a', zoneLoad});
- * targets.summary('engines', clock.now());
+ * targets.summary('engines', {now: clock.now(), part: 1});
  */
 export class PoolTargets {
 	static create(options: {registry: TargetRegistry; zone: string; zoneLoad: ZoneLoad}): PoolTargets {
@@ -38,29 +45,40 @@
 	}
 
 	readonly #memories = new WeakMap<TargetView, Memory>();
+	readonly #summaries = new Map<string, Summary>();
 
 	private constructor(private readonly registry: TargetRegistry, private readonly zone: string, private readonly zoneLoad: ZoneLoad) {}
 
 	/**
-	 * Targets of a pool that may receive work now. `part` in (0, 1] is the part of each target's slots that this entry
-	 * VM may fill: what the others send in the time between two digests is unknown, so they share the slots beforehand.
+	 * Targets of a pool that may receive work. `part` in (0, 1] is the part of each target's slots that this entry VM may
+	 * fill: what the others send in the time between two digests is unknown, so they share the slots beforehand.
+	 * Own calls are exact. The rest is up to 10 ms old, so a chosen target must still be checked for `dispatchable`.
 	 */
 	summary(pool: string, {now, part}: {now: Ms; part: number}): PoolSummary {
-		const candidates: RouteCandidate[] = [];
-		let zoneSlots = 0;
-		let allSlots = 0;
-		let freeSlots = 0;
-		const targets = this.registry.pool(pool).filter(target => target.dispatchable);
-		const meanOthers = this.#meanOthers(targets);
-		for (const target of targets) {
-			const candidate = this.#candidate(target, {now, part, meanOthers});
-			candidates.push(candidate);
-			allSlots += candidate.limit;
-			zoneSlots += target.zone === this.zone ? candidate.limit : 0;
-			freeSlots += candidate.isFree ? Math.min(candidate.limit - candidate.calls, ownLimit(candidate.limit, part) - target.inFlight) : 0;
+		const known = this.#summaries.get(pool);
+		if (known?.part === part && now - known.builtAt < refreshMs) {
+			return known;
 		}
 
-		return {candidates, slots: zoneSlots || allSlots, freeSlots};
+		const summary = this.#build(pool, {now, part});
+		this.#summaries.set(pool, summary);
+		return summary;
+	}
+
+	/** Takes the changed own calls and speed of a target. */
+	changed(target: TargetView, now: Ms): void {
+		const summary = this.#summaries.get(target.pool.name);
+		const entry = summary?.byName.get(target.name);
+		if (summary && entry) {
+			summary.freeSlots -= entry.freeSlots;
+			this.#update(entry, {now, part: summary.part});
+			summary.freeSlots += entry.freeSlots;
+		}
+	}
+
+	/** Forgets what is known of a pool's targets, so that the next summary is fresh. */
+	expire(pool: string): void {
+		this.#summaries.delete(pool);
 	}
 
 	/** Measured speed of a target. */
@@ -68,52 +86,83 @@
 		return this.#memory(target).speed;
 	}
 
-	#candidate(target: Target, {now, part, meanOthers}: {now: Ms; part: number; meanOthers: number}): RouteCandidate {
-		const memory = this.#memory(target);
-		const reported = this.#othersByReport(target, memory);
-		const trust = Math.exp(-(target.load?.ageMs ?? 0) / forgetMs);
-		const others = meanOthers + ((reported - meanOthers) * trust);
-		const calls = target.inFlight + Math.max(this.zoneLoad.calls(target.name), others);
-		const {limit} = memory.speed;
-		return {
-			target, calls, limit, slowdown: memory.speed.slowdown(now), isFree: calls < limit && target.inFlight < ownLimit(limit, part),
+	#build(pool: string, {now, part}: {now: Ms; part: number}): Summary {
+		const summary: Summary = {
+			candidates: [], slots: 0, freeSlots: 0, part, builtAt: now, byName: new Map(),
 		};
+		let zoneSlots = 0;
+		const targets = this.registry.pool(pool).filter(target => target.dispatchable);
+		const meanOthers = this.#meanOthers(targets, now);
+		for (const target of targets) {
+			const entry: Entry = {
+				target, others: Math.max(this.zoneLoad.calls(target.name), this.#others(target, now, meanOthers)), calls: 0, limit: 0, slowdown: 1, isFree: false, freeSlots: 0,
+			};
+			this.#update(entry, {now, part});
+			summary.candidates.push(entry);
+			summary.byName.set(target.name, entry);
+			summary.slots += entry.limit;
+			summary.freeSlots += entry.freeSlots;
+			zoneSlots += target.zone === this.zone ? entry.limit : 0;
+		}
+
+		summary.slots = zoneSlots || summary.slots;
+		return summary;
+	}
+
+	#update(entry: Entry, {now, part}: {now: Ms; part: number}): void {
+		const {speed} = this.#memory(entry.target);
+		entry.limit = speed.limit;
+		entry.slowdown = speed.slowdown(now);
+		entry.calls = entry.target.inFlight + entry.others;
+		entry.freeSlots = freeSlots(entry, part);
+		entry.isFree = entry.freeSlots > 0;
 	}
 
 	/** Mean calls of others over the pool, per target; it changes less with time than those of one target. */
-	#meanOthers(targets: readonly Target[]): number {
+	#meanOthers(targets: readonly Target[], now: Ms): number {
 		let sum = 0;
 		for (const target of targets) {
-			sum += this.#othersByReport(target, this.#memory(target));
+			sum += this.#othersByReport(target, now);
 		}
 
 		return sum / Math.max(1, targets.length);
 	}
 
+	/** Calls of others at a target: the older its report, the closer to the mean. */
+	#others(target: Target, now: Ms, meanOthers: number): number {
+		const trust = Math.exp(-(target.load?.ageMs ?? 0) / forgetMs);
+		return meanOthers + ((this.#othersByReport(target, now) - meanOthers) * trust);
+	}
+
 	/**
 	 * Calls of others according to the target's load report. The report is late, so the own calls that it counted may
 	 * have ended: the larger of the own counts at the last two reports and now is subtracted.
 	 */
-	#othersByReport(target: Target, memory: Memory): number {
+	#othersByReport(target: Target, now: Ms): number {
 		const {load} = target;
-		if (!load || load.ageMs > maxLoadAgeMs) {
+		if (!load) {
 			return 0;
 		}
 
+		const memory = this.#memory(target);
 		if (load !== memory.load) {
 			memory.callsAtPreviousLoad = memory.callsAtLoad;
 			memory.callsAtLoad = target.inFlight;
 			memory.load = load;
+			memory.loadSeenAt = now;
 		}
 
-		return Math.max(0, load.inFlight + load.queued - Math.max(memory.callsAtPreviousLoad, memory.callsAtLoad, target.inFlight));
+		// A report that is not renewed would keep a target full for ever.
+		return now - memory.loadSeenAt + load.ageMs > maxLoadAgeMs
+			? 0
+			: Math.max(0, load.inFlight + load.queued - Math.max(memory.callsAtPreviousLoad, memory.callsAtLoad, target.inFlight));
 	}
 
 	#memory(target: TargetView): Memory {
 		let memory = this.#memories.get(target);
 		if (!memory) {
 			memory = {
-				speed: TargetSpeed.create(target.declaration.slots), load: undefined, callsAtLoad: 0, callsAtPreviousLoad: 0,
+				speed: TargetSpeed.create(target.declaration.slots), load: undefined, loadSeenAt: 0, callsAtLoad: 0, callsAtPreviousLoad: 0,
 			};
 			this.#memories.set(target, memory);
 		}
@@ -122,7 +171,10 @@
 	}
 }
 
-/** Slots of a target that an entry VM may fill; at least one, or a small part would never be served. */
-function ownLimit(limit: number, part: number): number {
-	return Math.max(1, Math.round(limit * part));
+/**
+ * Slots of a target that this entry VM may take now. It may fill one slot of a target at least, or a small part would
+ * never be served.
+ */
+function freeSlots({limit, calls, target}: Entry, part: number): number {
+	return Math.max(0, Math.min(limit - calls, Math.max(1, Math.round(limit * part)) - target.inFlight));
 }
