Let a team retry the calls of a target that died

Cause: the floor of 3 retries per team and pool is less than the calls that one target holds. When it died or a zone was cut off, requests beyond the third ended as target_failed after one attempt; with the fair scheduler 3 tests of test/targets.test.ts failed for this. Change: the floor is 16, two targets of the default 8 slots.

--- a/src/teams/retry-budget.ts
+++ b/src/teams/retry-budget.ts
@@ -1,7 +1,10 @@
 import type {Clock, Ms} from '../clock/index.js';
 
-/** Retries that a team with little traffic can make at once. */
-const floorRetries = 3;
+/**
+ * Retries that a team with little traffic can make at once: a target that dies ends the calls in all its slots, 8 by
+ * default, and the one that takes them over can be gone as well when a zone is cut off.
+ */
+const floorRetries = 16;
 /** Time in which the floor refills by one retry. */
 const floorRefillMs: Ms = 2000;
 /** Most retries saved up, so that a long quiet time does not allow a storm. */
