--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,11 +10,13 @@
 import {drainCommand} from './drain-command.js';
 import {getCommand} from './get-command.js';
 import {planCommand} from './plan-command.js';
+import {replayCommand} from './replay-command.js';
 import {sampleCommand} from './sample-command.js';
 import {serveCommand} from './serve-command.js';
 import {standInCommand} from './stand-in-command.js';
 import {statusCommand} from './status-command.js';
 import {traceCommand} from './trace-command.js';
+import {traceMakeCommand} from './trace-make-command.js';
 
 /** Every subcommand. */
 export const commands: readonly Command[] = [
@@ -27,6 +29,8 @@
 	statusCommand,
 	drainCommand,
 	traceCommand,
+	traceMakeCommand,
+	replayCommand,
 ];
 
 /**
--- a/src/random/random.ts
+++ b/src/random/random.ts
@@ -1,5 +1,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
+/** The first outputs of xoroshiro128+ follow the seed closely: for small seeds they all lie near 0. */
+const warmUpSteps = 16;
+
 /**
  * Seeded source of randomness (pure-rand). The same seed gives the same sequence.
  *
@@ -16,7 +19,10 @@
 	readonly #generator: ReturnType<typeof xoroshiro128plus>;
 
 	private constructor(readonly seed: number) {
-		this.#generator = xoroshiro128plus(seed);
+		this.#generator = xoroshiro128plus(mixSeed(seed));
+		for (let step = 0; step < warmUpSteps; step++) {
+			this.#generator.next();
+		}
 	}
 
 	/** A number in [0, 1). */
@@ -44,3 +50,11 @@
 		return -mean * Math.log(1 - this.float());
 	}
 }
+
+/** Spreads neighbouring seeds over all 32 bits (finalizer of MurmurHash3). */
+function mixSeed(seed: number): number {
+	let mixed = seed | 0;
+	mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85_EB_CA_6B);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), 0xC2_B2_AE_35);
+	return mixed ^ (mixed >>> 16);
+}
--- a/src/targets/declared-target.ts
+++ b/src/targets/declared-target.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Clock, Ms} from '../clock/index.js';
 import type {Pool, TargetDeclaration} from '../config/index.js';
 import type {EventRecorder} from '../events/index.js';
@@ -31,7 +32,7 @@
 	#failedInRow = 0;
 	#ejections = 0;
 	#ejectedUntil: Ms = 0;
-	#suspected = new AbortController();
+	#suspected = createSignal();
 
 	constructor(
 		readonly declaration: TargetDeclaration,
@@ -140,10 +141,17 @@
 		this.parts.events.record({kind: next === 'draining' ? 'target_draining' : 'target_state', target: this.name, detail: next === 'draining' ? detail : `${next}: ${detail}`});
 		if (next === 'suspect' || next === 'gone') {
 			const old = this.#suspected;
-			this.#suspected = new AbortController();
+			this.#suspected = createSignal();
 			old.abort();
 		}
 
 		this.parts.onState();
 	}
 }
+
+/** Every call in flight listens, so the usual limit of 10 listeners does not apply. */
+function createSignal(): AbortController {
+	const controller = new AbortController();
+	setMaxListeners(0, controller.signal);
+	return controller;
+}
--- a/src/teams/fcfs-scheduler.ts
+++ b/src/teams/fcfs-scheduler.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Clock} from '../clock/index.js';
 import type {Target, TargetRegistry} from '../targets/index.js';
 import {AcquireError} from './acquire-error.js';
@@ -6,6 +7,7 @@
 } from './scheduler.js';
 
 const neverRevoked = new AbortController().signal;
+setMaxListeners(0, neverRevoked);
 
 type Waiter = {work: StageWork; resolve: (grant: Grant) => void};
 
--- a/src/teams/pool-targets.test.ts
+++ b/src/teams/pool-targets.test.ts
@@ -37,3 +37,20 @@
 	expect(calls(100)).toBe(3);
 	expect(calls(4000)).toBe(0);
 });
+
+// Guards against entry VMs that all send to the target that was empty when late reports were made.
+test.each([
+	{ageMs: 0, difference: 6},
+	{ageMs: 2000, difference: 6 * Math.exp(-2)},
+])('reports of an age of $ageMs ms differ by $difference calls', ({ageMs, difference}) => {
+	const {registry, targets} = setup();
+	for (const target of registry.pool('pool')) {
+		target.load = {
+			inFlight: target.name === 'here-1' ? 0 : 6, queued: 0, slots: 8, ageMs,
+		};
+	}
+
+	const calls = targets.summary('pool', {now: 0, part: 1}).candidates.map(candidate => candidate.calls);
+	expect(calls.reduce((sum, value) => sum + value, 0)).toBeCloseTo(12, 5);
+	expect(Math.max(...calls) - Math.min(...calls)).toBeCloseTo(difference, 5);
+});
--- a/src/teams/pool-targets.ts
+++ b/src/teams/pool-targets.ts
@@ -7,6 +7,11 @@
 
 /** A load report older than this says nothing of the present. */
 const maxLoadAgeMs: Ms = 3000;
+/**
+ * Age at which little of a report's difference from the pool's mean counts: about the time of a call, after which other
+ * calls are in flight. Otherwise every entry VM sends to the target that was empty when the reports were made.
+ */
+const forgetMs: Ms = 1000;
 /** Loads of others and health change by messages; reading those of every target for each decision costs too much. */
 const refreshMs: Ms = 10;
 
@@ -86,13 +91,11 @@
 			candidates: [], slots: 0, freeSlots: 0, part, builtAt: now, byName: new Map(),
 		};
 		let zoneSlots = 0;
-		for (const target of this.registry.pool(pool)) {
-			if (!target.dispatchable) {
-				continue;
-			}
-
+		const targets = this.registry.pool(pool).filter(target => target.dispatchable);
+		const meanOthers = this.#meanOthers(targets, now);
+		for (const target of targets) {
 			const entry: Entry = {
-				target, others: Math.max(this.zoneLoad.calls(target.name), this.#othersByReport(target, now)), calls: 0, limit: 0, slowdown: 1, isFree: false, freeSlots: 0,
+				target, others: Math.max(this.zoneLoad.calls(target.name), this.#others(target, now, meanOthers)), calls: 0, limit: 0, slowdown: 1, isFree: false, freeSlots: 0,
 			};
 			this.#update(entry, {now, part});
 			summary.candidates.push(entry);
@@ -115,6 +118,22 @@
 		entry.isFree = entry.freeSlots > 0;
 	}
 
+	/** Mean calls of others over the pool, per target; it changes less with time than those of one target. */
+	#meanOthers(targets: readonly Target[], now: Ms): number {
+		let sum = 0;
+		for (const target of targets) {
+			sum += this.#othersByReport(target, now);
+		}
+
+		return sum / Math.max(1, targets.length);
+	}
+
+	/** Calls of others at a target: the older its report, the closer to the mean. */
+	#others(target: Target, now: Ms, meanOthers: number): number {
+		const trust = Math.exp(-(target.load?.ageMs ?? 0) / forgetMs);
+		return meanOthers + ((this.#othersByReport(target, now) - meanOthers) * trust);
+	}
+
 	/**
 	 * Calls of others according to the target's load report. The report is late, so the own calls that it counted may
 	 * have ended: the larger of the own counts at the last two reports and now is subtracted.
