Divide probes of a zone's targets among its entry VMs

Change: three entry VMs of its zone watch each target (rendezvous hashing over linked peers); targets of other zones are left to their watchers while any member of that zone is known; suspect targets are always probed. Draining news travels over the links as before.

--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -125,7 +125,9 @@
 		this.targets.onDraining((name, startId) => {
 			this.#mesh?.publish(name, startId);
 		});
-		this.#prober = TargetProber.create({clock, random: Random.create(randomInt(2 ** 31)), targets: this.targets});
+		this.#prober = TargetProber.create({
+			clock, random: Random.create(randomInt(2 ** 31)), targets: this.targets, isWatched: (name, targetZone) => this.#mesh?.isWatcher(name, targetZone) ?? true,
+		});
 		this.#vmWatcher = VmWatcher.create({
 			clock, vmList: options.vmList, targets: this.targets, logger: createLogger('targets'),
 		});
--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -27,6 +27,7 @@
 import type {MeshLinks} from './mesh-links.js';
 import {PeerLinks} from './peer-links.js';
 import {Roster} from './roster.js';
+import {TargetWatchers} from './target-watchers.js';
 import {VmListFollower} from './vm-list-follower.js';
 import {wsLinkSocket} from './ws-link-socket.js';
 
@@ -79,6 +80,7 @@
 	readonly #roster: Roster;
 	readonly #draining: DrainingGossip;
 	readonly #config: ConfigTransfer;
+	readonly #watchers: TargetWatchers;
 	readonly #digests: DigestExchange;
 	readonly #forwards: ForwardService;
 	readonly #collector: EventCollector;
@@ -112,6 +114,7 @@
 		this.#roster = Roster.create(links);
 		this.#draining = DrainingGossip.create(links);
 		this.#config = ConfigTransfer.create(links, options.config);
+		this.#watchers = TargetWatchers.create(options.self.name);
 		this.#digests = DigestExchange.create({
 			clock, links, source: options.digest, config: this.#config, offset: options.configOffset, draining: this.#draining,
 		});
@@ -140,6 +143,16 @@
 		return this.#membership.members();
 	}
 
+	/** True when this entry VM is one of the few that watch a target. */
+	isWatcher(target: string, zone: string): boolean {
+		const {self} = this.options;
+		if (zone !== self.zone) {
+			return !this.members().some(member => member.zone === zone && member.state !== 'suspect');
+		}
+
+		return this.#watchers.isWatcher(target, this.#links.up().filter(link => link.peer.zone === zone).map(link => link.peer.name));
+	}
+
 	/** Names of the peers with a link. */
 	linked(): readonly string[] {
 		return this.#links.up().map(link => link.peer.name);
--- a/src/targets/target-prober.ts
+++ b/src/targets/target-prober.ts
@@ -16,8 +16,8 @@
 	readonly random: Random;
 	readonly targets: DeclaredTargets;
 	readonly intervalMs?: Ms;
-	/** True for targets that this entry VM probes itself; the default probes every target. */
-	readonly isWatched?: (target: string) => boolean;
+	/** True for targets that this entry VM probes itself; the default probes every target. Suspect ones are always probed. */
+	readonly isWatched?: (target: string, zone: string) => boolean;
 }
 
 /**
@@ -55,7 +55,7 @@
 					this.#resolveDoubt(target);
 				};
 
-				if (!this.#busy.has(target) && (this.options.isWatched?.(target.name) ?? true)) {
+				if (!this.#busy.has(target) && this.#isDue(target)) {
 					// Probes are spread over the interval, so that entry VMs started together do not probe together.
 					clock.after(random.float() * intervalMs / 2, () => {
 						void this.#probe(target);
@@ -67,6 +67,10 @@
 		}
 	}
 
+	#isDue(target: DeclaredTarget): boolean {
+		return target.state === 'suspect' || (this.options.isWatched?.(target.name, target.zone) ?? true);
+	}
+
 	/** After a lost call, the first failed probe is enough. */
 	#resolveDoubt(target: DeclaredTarget): void {
 		(target.engine ?? target.service)?.renew();
