Read loads, the VM list and leases from fewer places

Cause: after the division of probes, 25 entry VMs still wrote 2.1 KB/s and read 8.8 KB/s each for control: two calls for each probe, the whole VM list each second at each entry VM, the lease stream at each. Change: one call for each probe (the reply's headers carry start id and draining flag); only the gateways of a zone read the VM list each second and compete for the lease, the others read the list each 15 s.

--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -143,6 +143,11 @@
 		return this.#membership.members();
 	}
 
+	/** True when this entry VM is one of the few that act for their zone. */
+	get isGateway(): boolean {
+		return this.#membership.isGateway;
+	}
+
 	/** True when this entry VM is one of the few that watch a target. */
 	isWatcher(target: string, zone: string): boolean {
 		const {self} = this.options;
--- a/src/orders/lease-service.ts
+++ b/src/orders/lease-service.ts
@@ -24,6 +24,8 @@
 	readonly holder: string;
 	readonly scope: string;
 	readonly ttlMs?: Ms;
+	/** False where others compete instead; a holder goes on. */
+	readonly isCandidate?: () => boolean;
 	/** Longest time that an order of an earlier holder may still take effect. */
 	readonly settleMs: Ms;
 }
@@ -90,6 +92,11 @@
 	async #follow(): Promise<void> {
 		const {clock, log, logger} = this.options;
 		while (!this.#stopped.signal.aborted) {
+			if (this.#state === 'idle' && this.options.isCandidate?.() === false) {
+				await clock.sleep(readWaitMs, this.#stopped.signal);
+				continue;
+			}
+
 			try {
 				const page = await log.read('leases', this.#next, {waitMs: Math.min(readWaitMs, this.#ttlMs / 6), signal: this.#stopped.signal});
 				for (const record of page.records) {
--- a/src/stand-ins/engine-stand-in.ts
+++ b/src/stand-ins/engine-stand-in.ts
@@ -72,7 +72,7 @@
 					standIn.#generate(body as WireCall, req, res);
 				}],
 				['POST', /^\/v1\/cancel$/, ({body}) => standIn.#cancel(body as WireCall)],
-				['GET', /^\/v1\/load$/, () => standIn.#load()],
+				['GET', /^\/v1\/load$/, () => standIn.faults.stuck ? undefined : standIn.#load()],
 				['GET', /^\/v1\/health$/, ({res}) => {
 					standIn.#health(res);
 				}],
--- a/src/stand-ins/service-stand-in.ts
+++ b/src/stand-ins/service-stand-in.ts
@@ -35,9 +35,11 @@
 			routes: [
 				['POST', /^\/v1\/call$/, async ({body, req, res}) => standIn.#call(body as WireCall, req, res)],
 				['GET', /^\/v1\/lookup$/, ({query}) => standIn.#lookup(query.get('key') ?? '')],
-				['GET', /^\/v1\/load$/, () => ({
-					inFlight: standIn.#inFlight, queued: 0, slots: options.slots ?? 8, ageMs: standIn.faults.load_lag_ms,
-				})],
+				['GET', /^\/v1\/load$/, () => standIn.faults.stuck
+					? undefined
+					: ({
+						inFlight: standIn.#inFlight, queued: 0, slots: options.slots ?? 8, ageMs: standIn.faults.load_lag_ms,
+					})],
 				['GET', /^\/v1\/health$/, async ({res}) => standIn.#health(res)],
 				['POST', /^\/faults$/, ({body}) => {
 					standIn.setFaults(body);
--- a/src/targets/http-engine.ts
+++ b/src/targets/http-engine.ts
@@ -113,6 +113,7 @@
 	async #control(options: Dispatcher.RequestOptions): Promise<unknown> {
 		try {
 			const res = await this.#pool.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
+			this.onHealth(readHealthHeaders(res.headers));
 			return await res.body.json();
 		} catch (err) {
 			throw new GuavamillError(`Cannot reach the engine at ${this.origin}: ${errorMessage(err)}`, {cause: err});
--- a/src/targets/http-service.ts
+++ b/src/targets/http-service.ts
@@ -124,6 +124,7 @@
 			const res = await (options.dispatcher ?? this.#pool).request({
 				origin: this.origin, method: 'GET', path, signal: controller.signal,
 			});
+			this.onHealth(readHealthHeaders(res.headers));
 			return await res.body.json();
 		} catch (err) {
 			throw new GuavamillError(`Cannot reach the service at ${this.origin}: ${errorMessage(err)}`, {cause: err});
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -12,5 +12,5 @@
 	Target, TargetRegistry, TargetState, TargetView,
 } from './target.js';
 export {TargetProber, type TargetProberOptions} from './target-prober.js';
-export {VmWatcher} from './vm-watcher.js';
+export {VmWatcher, type VmWatcherOptions} from './vm-watcher.js';
 export {TargetError, type TargetFailure} from './target-error.js';
--- a/src/targets/target-prober.ts
+++ b/src/targets/target-prober.ts
@@ -86,9 +86,9 @@
 
 		this.#busy.add(target);
 		try {
-			await this.#inTime(port.health());
-			this.#failedProbes.delete(target);
+			// The reply to a load report carries start id and draining flag as well.
 			target.load = await this.#inTime(port.load());
+			this.#failedProbes.delete(target);
 		} catch (err) {
 			const failed = (this.#failedProbes.get(target) ?? 0) + 1;
 			this.#failedProbes.set(target, failed);
--- a/src/targets/vm-watcher.ts
+++ b/src/targets/vm-watcher.ts
@@ -4,7 +4,19 @@
 import type {VmList, VmSnapshot} from '../platform/index.js';
 import type {DeclaredTargets} from './declared-targets.js';
 
-const intervalMs: Ms = 1000;
+/** Interval of the few that tell the others over the links, and of an entry VM without links. */
+const eagerIntervalMs: Ms = 1000;
+/** Interval of the others: the list grows with the fleet, and so would the bytes of everyone reading it each second. */
+const idleIntervalMs: Ms = 15_000;
+
+/** Parts of a watcher. `isEager` is false where others of the zone read the list and spread its news. */
+export interface VmWatcherOptions {
+	readonly clock: Clock;
+	readonly vmList: VmList;
+	readonly targets: DeclaredTargets;
+	readonly logger: PartLogger;
+	readonly isEager?: () => boolean;
+}
 
 /**
  * Reads the platform's VM list and marks leaving targets as draining. The list lags, so a target that is missing from
@@ -15,7 +27,7 @@
  * watcher.start();
  */
 export class VmWatcher {
-	static create(parts: {clock: Clock; vmList: VmList; targets: DeclaredTargets; logger: PartLogger}): VmWatcher {
+	static create(parts: VmWatcherOptions): VmWatcher {
 		return new VmWatcher(parts);
 	}
 
@@ -23,7 +35,7 @@
 	#last: VmSnapshot | undefined;
 	#reachable = true;
 
-	private constructor(private readonly parts: {clock: Clock; vmList: VmList; targets: DeclaredTargets; logger: PartLogger}) {}
+	private constructor(private readonly parts: VmWatcherOptions) {}
 
 	/** The last list that was read; `undefined` before the first. */
 	get last(): VmSnapshot | undefined {
@@ -57,10 +69,19 @@
 				this.#reachable = false;
 			}
 
-			await this.parts.clock.sleep(intervalMs, this.#stopped.signal);
+			await this.#waitForTurn();
 		}
 	}
 
+	/** A watcher that becomes eager reads at once. */
+	async #waitForTurn(): Promise<void> {
+		const {clock, isEager} = this.parts;
+		const startedAt = clock.now();
+		do {
+			await clock.sleep(eagerIntervalMs, this.#stopped.signal);
+		} while (!this.#stopped.signal.aborted && isEager?.() === false && clock.now() - startedAt < idleIntervalMs);
+	}
+
 	#apply(snapshot: VmSnapshot): void {
 		const leaving = new Map(snapshot.vms.filter(vm => vm.role === 'target' && vm.state === 'leaving').map(vm => [vm.address, vm]));
 		for (const target of this.parts.targets.all()) {
