--- a/src/targets/http-engine.ts
+++ b/src/targets/http-engine.ts
@@ -20,11 +20,9 @@
 		return new HttpEngine(origin, options.connections, options.onHealth ?? (() => undefined));
 	}
 
-	#pool: Pool;
+	#pool: Pool | undefined;
 
-	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {
-		this.#pool = createPool(origin, connections);
-	}
+	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {}
 
 	async * generate(call: GenerateCall, signal: AbortSignal): AsyncIterable<readonly Chunk[]> {
 		const res = await this.#send(call, signal);
@@ -66,18 +64,24 @@
 
 	renew(): void {
 		const old = this.#pool;
-		this.#pool = createPool(this.origin, this.connections);
-		void old.close();
+		this.#pool = undefined;
+		void old?.close();
+	}
+
+	/** A pool takes about 20 KB, and most entry VMs never call most targets. */
+	get #connected(): Pool {
+		this.#pool ??= createPool(this.origin, this.connections);
+		return this.#pool;
 	}
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		await this.#pool?.destroy();
 	}
 
 	async #send(call: GenerateCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
 		try {
-			return await this.#pool.request({
+			return await this.#connected.request({
 				method: 'POST',
 				path: '/v1/generate',
 				headers: {'content-type': 'application/json'},
@@ -112,7 +116,7 @@
 
 	async #control(options: Dispatcher.RequestOptions): Promise<unknown> {
 		try {
-			const res = await this.#pool.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
+			const res = await this.#connected.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
 			this.onHealth(readHealthHeaders(res.headers));
 			return await res.body.json();
 		} catch (err) {
--- a/src/targets/http-service.ts
+++ b/src/targets/http-service.ts
@@ -26,15 +26,13 @@
 		return new HttpService(origin, options.connections, options.onHealth ?? (() => undefined));
 	}
 
-	#pool: Pool;
+	#pool: Pool | undefined;
 
-	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {
-		this.#pool = createPool(origin, connections);
-	}
+	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {}
 
 	async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
 		if (call.idempotent) {
-			return this.#callOn(this.#pool, call, signal);
+			return this.#callOn(this.#connected, call, signal);
 		}
 
 		const client = new Client(this.origin, {headersTimeout: 0, bodyTimeout: 0});
@@ -68,13 +66,19 @@
 
 	renew(): void {
 		const old = this.#pool;
-		this.#pool = createPool(this.origin, this.connections);
-		void old.close();
+		this.#pool = undefined;
+		void old?.close();
+	}
+
+	/** A pool takes about 20 KB, and most entry VMs never call most targets. */
+	get #connected(): Pool {
+		this.#pool ??= createPool(this.origin, this.connections);
+		return this.#pool;
 	}
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool.destroy();
+		await this.#pool?.destroy();
 	}
 
 	async #callOn(dispatcher: Dispatcher, call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
@@ -121,7 +125,7 @@
 		const timeout = AbortSignal.timeout(controlTimeoutMs);
 		const {controller, unlink} = linkController(options.signal ? [options.signal, timeout] : [timeout]);
 		try {
-			const res = await (options.dispatcher ?? this.#pool).request({
+			const res = await (options.dispatcher ?? this.#connected).request({
 				origin: this.origin, method: 'GET', path, signal: controller.signal,
 			});
 			this.onHealth(readHealthHeaders(res.headers));
