Show operators which parts of an entry VM are stale

Cause: Status named neither the reachability of the VM list, the age of the claims, the lease, when a peer was last heard, nor which part was stale; a trace was printed without columns.

--- a/src/cli/sample-command.ts
+++ b/src/cli/sample-command.ts
@@ -3,7 +3,7 @@
 import {request} from 'undici';
 import {SystemClock} from '../clock/index.js';
 import {EntryVm} from '../entry-vm/index.js';
-import type {TimelineEvent} from '../events/index.js';
+import {formatTimeline} from '../events/index.js';
 import {createLoggerFactory} from '../logs/index.js';
 import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
 import type {Answer} from '../requests/index.js';
@@ -98,8 +98,8 @@
 	print(`Status ${res.statusCode}, answer:`);
 	print(JSON.stringify(answer, undefined, 2));
 	print('Time line:');
-	for (const event of vm.events.select({requestId: answer.request_id})) {
-		print(`  ${formatEvent(event)}`);
+	for (const line of formatTimeline(vm.events.select({requestId: answer.request_id}))) {
+		print(`  ${line}`);
 	}
 
 	const expected = expectedAnswer([{kind: 'encode'}, {kind: 'retrieve'}, {kind: 'rerank'}, {kind: 'generate', maxTokens: sampleTokens}], [sampleText]);
@@ -107,9 +107,3 @@
 	print(isGood ? 'The answer is whole and correct.' : 'The answer is wrong.');
 	return isGood;
 }
-
-function formatEvent(event: TimelineEvent): string {
-	const time = new Date(event.wallMs).toISOString().slice(11, 23);
-	const parts = [event.stage, event.attempt === undefined ? undefined : `attempt ${event.attempt}`, event.target, event.detail];
-	return `${time} ${event.process} #${event.sequence} ${event.kind} ${parts.filter(part => part !== undefined).join(' ')}`.trimEnd();
-}
--- a/src/cli/trace-command.test.ts
+++ b/src/cli/trace-command.test.ts
@@ -4,7 +4,7 @@
 import {formatTrace} from './trace-command.js';
 
 // Guards against a printed timeline that hides what an event concerns, or that processes are missing.
-test('a timeline shows each event on a line and names the processes without an answer', () => {
+test('a timeline shows each event on a line of aligned columns and names the processes without an answer', () => {
 	const answer = create(TraceResponseSchema, {
 		events: [
 			{
@@ -17,8 +17,10 @@
 		missingProcesses: ['limon-1', 'limon-2'],
 	});
 	expect(formatTrace(answer)).toEqual([
-		'22:13:20.120 riga-1 #7 attempt_sent request r1 team apprentices encode attempt 2 encoders-1',
-		'22:13:20.121 riga-2 #1 of_a_newer_version x',
+		'time          process    event               request  team         stage   attempt  target      detail',
+		'22:13:20.120  riga-1 #7  attempt_sent        r1       apprentices  encode  2        encoders-1',
+		'22:13:20.121  riga-2 #1  of_a_newer_version                                                     x',
 		'No answer from: limon-1, limon-2',
 	]);
+	expect(formatTrace(create(TraceResponseSchema, {missingProcesses: ['limon-1']}))).toEqual(['No event matches.', 'No answer from: limon-1']);
 });
--- a/src/cli/trace-command.ts
+++ b/src/cli/trace-command.ts
@@ -1,5 +1,5 @@
 import {toJsonString} from '@bufbuild/protobuf';
-import {formatEvent, type PrintableEvent} from '../events/index.js';
+import {formatTimeline, type PrintableEvent} from '../events/index.js';
 import {TraceResponseSchema, type TraceResponse} from '../gen/guavamill/v1/operator_pb.js';
 import {numberSchema, resolveSettings, textSchema} from '../settings/index.js';
 import {exitCodes, type Command} from './command.js';
@@ -54,7 +54,7 @@
 
 /** Lines of a timeline, with the processes whose events are missing last. */
 export function formatTrace(answer: TraceResponse): string[] {
-	const lines = answer.events.map(event => formatEvent(toEvent(event)));
+	const lines = answer.events.length === 0 ? ['No event matches.'] : formatTimeline(answer.events.map(event => toEvent(event)));
 	return answer.missingProcesses.length === 0 ? lines : [...lines, `No answer from: ${answer.missingProcesses.join(', ')}`];
 }
 
--- a/src/config/config-follower.ts
+++ b/src/config/config-follower.ts
@@ -49,6 +49,7 @@
 	#isStopped = false;
 	/** Monotonic times: last answer of the log, last time the state was known to be current, last request and hint. */
 	#unreachableSince: Ms | undefined;
+	#reachableSince: Ms | undefined;
 	#currentAt: Ms | undefined;
 	#requestedAt = Number.NEGATIVE_INFINITY;
 	#hintedAt = Number.NEGATIVE_INFINITY;
@@ -74,6 +75,11 @@
 		return this.#unreachableSince === undefined ? 0 : this.parts.clock.now() - this.#unreachableSince;
 	}
 
+	/** Time since when the log has answered, in ms; 0 while it does not. */
+	get reachableMs(): Ms {
+		return this.#unreachableSince === undefined ? this.parts.clock.now() - this.#reachableSince! : 0;
+	}
+
 	/** Age of the configuration knowledge in ms; `undefined` before the first. */
 	get ageMs(): Ms | undefined {
 		return this.#currentAt === undefined ? undefined : this.parts.clock.now() - this.#currentAt;
@@ -189,6 +195,7 @@
 		// After a failure or a gap the first read does not wait, so that the state is known at once.
 		const waitMs = this.state === 'following' ? pollWaitMs : 0;
 		const page = await log.read('config', this.#config.offset + 1, {waitMs, signal});
+		this.#reachableSince = this.#unreachableSince === undefined ? this.#reachableSince : clock.now();
 		this.#unreachableSince = undefined;
 		if (page.earliest > this.#config.offset + 1) {
 			await this.#recover(signal);
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -1,4 +1,5 @@
 import {randomBytes, randomInt} from 'node:crypto';
+import type {Registry} from 'prom-client';
 import {ClaimRouter, LogClaimService, MintedClaims} from '../claims/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import {ConfigFollower, ConfigWriter} from '../config/index.js';
@@ -180,6 +181,11 @@
 		return this.#mesh;
 	}
 
+	/** Every metric of this entry VM. */
+	get registry(): Registry {
+		return this.#metrics.registry;
+	}
+
 	/** Aborts when a shutdown begins, whoever asked for it. */
 	get stopping(): AbortSignal {
 		return this.#stopping.signal;
@@ -236,6 +242,9 @@
 			events,
 			targets,
 			writer: ConfigWriter.create({clock: options.clock, log: options.log, follower: config}),
+			claims: this.claims.follower,
+			vmList: this.#vmWatcher,
+			lease: this.#lease,
 			peerEvents: this.#mesh,
 			peerStatus: () => this.#mesh?.peerStates() ?? [],
 			logger: options.createLogger('operators'),
--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -11,3 +11,4 @@
 } from './membership.js';
 export type {MemberState} from './member-lifecycle.js';
 export {rankByRendezvous} from './rendezvous.js';
+export type {PeerState} from './peer-state.js';
--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -26,6 +26,7 @@
 import {Membership, type Member, type PeerAddress} from './membership.js';
 import type {MeshLinks} from './mesh-links.js';
 import {PeerLinks} from './peer-links.js';
+import type {PeerState} from './peer-state.js';
 import {Roster} from './roster.js';
 import {VmListFollower} from './vm-list-follower.js';
 import {wsLinkSocket} from './ws-link-socket.js';
@@ -176,9 +177,9 @@
 	}
 
 	/** State of the peers, for the operators' status. */
-	peerStates(): Array<{name: string; zone: string; state: string; offset: number}> {
+	peerStates(): PeerState[] {
 		return this.members().map(({name, zone, state}) => ({
-			name, zone: zone ?? '', state, offset: this.#config.offsetOf(name),
+			name, zone: zone ?? '', state, offset: this.#config.offsetOf(name), linked: this.#links.byName(name) !== undefined, lastHeardMs: this.#links.silentMs(name), linkMissingMs: this.#links.missingMs(name),
 		}));
 	}
 
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -90,6 +90,11 @@
 		return this.#peer!;
 	}
 
+	/** Monotonic time of the last frame, or of the end of the handshake. */
+	get lastReceivedMs(): Ms {
+		return this.#lastReceivedMs;
+	}
+
 	get isUp(): boolean {
 		return this.#lifecycle.state === 'up';
 	}
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -40,7 +40,8 @@
 	readonly onDropped: (link: Link, cause: LinkMessageType) => void;
 }
 
-type Dial = {wantedSinceMs: Ms; attempt: number; dueMs: Ms; link: Link | undefined};
+/** `heardMs` is the time of the last frame on the link that was lost. */
+type Dial = {wantedSinceMs: Ms; attempt: number; dueMs: Ms; link: Link | undefined; heardMs?: Ms};
 
 /**
  * The links of an entry VM: one for each peer of its zone, and for gateways one for each gateway of other zones.
@@ -85,6 +86,18 @@
 		return this.up().find(link => link.peer.incarnation === incarnation);
 	}
 
+	/** Time since the last frame of a peer, in ms; `undefined` where none arrived on a present or lost link. */
+	silentMs(name: string): Ms | undefined {
+		const heardMs = this.#links.get(name)?.lastReceivedMs ?? this.#dials.get(name)?.heardMs;
+		return heardMs === undefined ? undefined : this.options.clock.now() - heardMs;
+	}
+
+	/** Time for which a needed link has been missing, in ms; 0 while there is one or none is needed. */
+	missingMs(name: string): Ms {
+		const dial = this.#dials.get(name);
+		return dial && !this.#links.has(name) ? this.options.clock.now() - dial.wantedSinceMs : 0;
+	}
+
 	/** Takes a connection of another process. */
 	accept(socket: LinkSocket): Link {
 		return this.#link(socket, 'server');
@@ -252,17 +265,17 @@
 
 		onClosed(link);
 		if (!this.#isClosed && reason !== 'not_needed') {
-			this.#redial(name);
+			this.#redial(name, link.lastReceivedMs);
 		}
 	}
 
 	/** Replaces a lost link without waiting for the next tick. */
-	#redial(name: string): void {
+	#redial(name: string, heardMs: Ms): void {
 		const {clock, random} = this.options;
 		const now = clock.now();
 		const delay = backoffMs(0, random);
 		this.#dials.set(name, {
-			wantedSinceMs: now, attempt: 1, dueMs: now + delay, link: undefined,
+			wantedSinceMs: now, attempt: 1, dueMs: now + delay, link: undefined, heardMs,
 		});
 		clock.after(delay, () => {
 			this.#dialDue(clock.now());
--- a/src/logs/index.ts
+++ b/src/logs/index.ts
@@ -1,3 +1,3 @@
 export {
-	createLoggerFactory, logLevels, silentLoggerFactory, type LoggerFactory, type LogLevel, type LogPart, type PartLogger,
+	createLoggerFactory, logLevels, logParts, silentLoggerFactory, type LoggerFactory, type LogLevel, type LogPart, type PartLogger,
 } from './logger.js';
--- a/src/logs/logger.ts
+++ b/src/logs/logger.ts
@@ -7,8 +7,11 @@
 /** Severity below which lines are not written. */
 export type LogLevel = typeof logLevels[number];
 
-/** Parts that write logs; each line starts with its part. */
-export type LogPart = 'entry-vm' | 'config' | 'claims' | 'targets' | 'links' | 'orders' | 'requests' | 'operators' | 'stand-in' | 'cli';
+/** Parts that may write logs; each line names its part. */
+export const logParts = ['entry-vm', 'config', 'claims', 'targets', 'links', 'orders', 'requests', 'operators', 'stand-in', 'cli'] as const;
+
+/** Part that writes logs. */
+export type LogPart = typeof logParts[number];
 
 /** Logger of one part. Sentences are short; facts go into the second argument. */
 export interface PartLogger {
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -1,4 +1,4 @@
 export {createOperatorHandler} from './operator-handler.js';
 export type {
-	OperatorParts, PeerState, PeerStatusSource, VmFacts,
+	OperatorParts, PeerStatusSource, VmFacts,
 } from './operator-parts.js';
--- a/src/operators/operator-handler.ts
+++ b/src/operators/operator-handler.ts
@@ -4,7 +4,8 @@
 import {sendJson} from '../http/index.js';
 import {apply, get, plan} from './change-calls.js';
 import type {OperatorParts} from './operator-parts.js';
-import {drain, status, trace} from './vm-calls.js';
+import {drain, trace} from './vm-calls.js';
+import {status} from './vm-status.js';
 
 /** Largest request. The configuration at the target size is well below 1 MiB. */
 const maxRequestBytes = 8 * 1024 * 1024;
--- a/src/operators/operator-parts.ts
+++ b/src/operators/operator-parts.ts
@@ -1,16 +1,11 @@
+import type {ClaimsFollower} from '../claims/index.js';
 import type {Clock} from '../clock/index.js';
 import type {ConfigFollower, ConfigWriter} from '../config/index.js';
 import type {EventRing, PeerEvents} from '../events/index.js';
+import type {PeerState} from '../links/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {TargetRegistry} from '../targets/index.js';
-
-/** Another entry VM as this one sees it. */
-export interface PeerState {
-	readonly name: string;
-	readonly zone: string;
-	readonly state: string;
-	readonly offset: number;
-}
+import type {LeaseService} from '../orders/index.js';
+import type {TargetRegistry, VmWatcher} from '../targets/index.js';
 
 /** Supplies the state of the peers for Status. */
 export type PeerStatusSource = () => readonly PeerState[];
@@ -29,6 +24,9 @@
 	readonly clock: Clock;
 	readonly config: ConfigFollower;
 	readonly writer: ConfigWriter;
+	readonly claims: Pick<ClaimsFollower, 'state' | 'ageMs'>;
+	readonly vmList: Pick<VmWatcher, 'reachable' | 'sinceMs' | 'ageMs' | 'last'>;
+	readonly lease: Pick<LeaseService, 'state' | 'fencing'>;
 	readonly events: EventRing;
 	readonly targets: TargetRegistry;
 	readonly logger: PartLogger;
--- a/src/operators/vm-calls.ts
+++ b/src/operators/vm-calls.ts
@@ -3,7 +3,7 @@
 import type {Ms} from '../clock/index.js';
 import {mergeEvents, noPeerEvents, type EventFilter} from '../events/index.js';
 import type {
-	DrainRequest, DrainResponseSchema, StatusResponseSchema, TraceRequest, TraceResponseSchema,
+	DrainRequest, DrainResponseSchema, TraceRequest, TraceResponseSchema,
 } from '../gen/guavamill/v1/operator_pb.js';
 import type {OperatorParts} from './operator-parts.js';
 
@@ -14,27 +14,6 @@
 /** Time for the answer to reach the operator before this entry VM begins to shut down. */
 const drainDelayMs: Ms = 50;
 
-/** Serves Status. @internal */
-export function status(parts: OperatorParts): MessageInitShape<typeof StatusResponseSchema> {
-	const {config} = parts;
-	const vm = parts.vm();
-	const {revision, offset} = config.current();
-	return {
-		name: vm.name,
-		zone: vm.zone,
-		incarnation: vm.incarnation,
-		state: vm.state,
-		configState: config.state,
-		revision: BigInt(revision),
-		offset: BigInt(offset),
-		logUnreachableMs: config.unreachableMs,
-		...(config.ageMs === undefined ? {} : {configAgeMs: config.ageMs}),
-		targets: {...parts.targetCounts()},
-		requestsInProgress: vm.inFlight,
-		peers: (parts.peerStatus?.() ?? []).map(peer => ({...peer, offset: BigInt(peer.offset)})),
-	};
-}
-
 /** Serves Trace: merges the local events with those of the peers. @internal */
 export async function trace(parts: OperatorParts, req: TraceRequest): Promise<MessageInitShape<typeof TraceResponseSchema>> {
 	if (req.limit > maxTraceEvents) {
--- a/src/targets/vm-watcher.ts
+++ b/src/targets/vm-watcher.ts
@@ -21,9 +21,14 @@
 
 	readonly #stopped = new AbortController();
 	#last: VmSnapshot | undefined;
+	#lastAt: Ms | undefined;
 	#reachable = true;
+	/** When the present reachability began. */
+	#changedAt: Ms;
 
-	private constructor(private readonly parts: {clock: Clock; vmList: VmList; targets: DeclaredTargets; logger: PartLogger}) {}
+	private constructor(private readonly parts: {clock: Clock; vmList: VmList; targets: DeclaredTargets; logger: PartLogger}) {
+		this.#changedAt = parts.clock.now();
+	}
 
 	/** The last list that was read; `undefined` before the first. */
 	get last(): VmSnapshot | undefined {
@@ -35,6 +40,16 @@
 		return this.#reachable;
 	}
 
+	/** Time for which the list has been reachable, or unreachable, in ms. */
+	get sinceMs(): Ms {
+		return this.parts.clock.now() - this.#changedAt;
+	}
+
+	/** Time since the last answer, in ms; `undefined` before the first. */
+	get ageMs(): Ms | undefined {
+		return this.#lastAt === undefined ? undefined : this.parts.clock.now() - this.#lastAt;
+	}
+
 	start(): void {
 		void this.#loop();
 	}
@@ -48,19 +63,27 @@
 			try {
 				this.#last = await this.parts.vmList.list();
 				this.#apply(this.#last);
-				this.#reachable = true;
+				this.#lastAt = this.parts.clock.now();
+				this.#setReachable(true);
 			} catch (err) {
 				if (this.#reachable) {
 					this.parts.logger.warn('Cannot read the VM list. The last one stays in use.', {error: errorMessage(err)});
 				}
 
-				this.#reachable = false;
+				this.#setReachable(false);
 			}
 
 			await this.parts.clock.sleep(intervalMs, this.#stopped.signal);
 		}
 	}
 
+	#setReachable(reachable: boolean): void {
+		if (reachable !== this.#reachable) {
+			this.#reachable = reachable;
+			this.#changedAt = this.parts.clock.now();
+		}
+	}
+
 	#apply(snapshot: VmSnapshot): void {
 		const leaving = new Map(snapshot.vms.filter(vm => vm.role === 'target' && vm.state === 'leaving').map(vm => [vm.address, vm]));
 		for (const target of this.parts.targets.all()) {
