--- a/src/cli/apply-command.ts
+++ b/src/cli/apply-command.ts
@@ -1,14 +1,17 @@
 import {randomUUID} from 'node:crypto';
-import {toJsonString} from '@bufbuild/protobuf';
+import {create, toJsonString} from '@bufbuild/protobuf';
 import {
 	ApplyResponseSchema, PlanStep_Action, type ApplyResponse, type PlanResponse,
 } from '../gen/guavamill/v1/operator_pb.js';
-import {FindingsError} from '../errors/index.js';
+import {formatDeclarationFinding} from '../config/index.js';
+import {errorMessage, FindingsError} from '../errors/index.js';
 import {resolveSettings, textSchema} from '../settings/index.js';
 import {changeSettings, removedKeys} from './change-settings.js';
-import {exitCodes, type Command} from './command.js';
+import {exitCodes, printLines, type Command} from './command.js';
 import {createOperatorClient} from './operator-client.js';
-import {formatRpcFinding, loadChange, toSet} from './read-declarations.js';
+import {
+	formatRpcFinding, hasErrors, loadChange, toFileFindings, toSet,
+} from './read-declarations.js';
 
 const applySettings = {
 	...changeSettings,
@@ -29,18 +32,28 @@
 	usage: 'guavamill apply examples/die-works --vm http://127.0.0.1:7001 --author liga',
 	summary: 'Applies declaration files. Exit code 1 unless the change was accepted.',
 	settings: applySettings,
+	maxArgs: Number.POSITIVE_INFINITY,
 	async run(input) {
 		const settings = resolveSettings(applySettings, input);
 		const givenBase = baseRevision(settings.base);
-		const loaded = await loadChange(input.args, {isComplete: settings.prune, print: input.print});
-		if (!loaded) {
+		const remove = removedKeys(settings.remove);
+		const loaded = await loadChange(input.args, {isComplete: settings.prune, remove});
+		if (!settings.json) {
+			printLines(input, loaded.findings.map(finding => formatDeclarationFinding(finding)));
+		}
+
+		if (hasErrors(loaded)) {
+			if (settings.json) {
+				input.print(toJson(create(ApplyResponseSchema, {result: {case: 'invalid', value: {findings: toFileFindings(loaded)}}})));
+			}
+
 			return exitCodes.failed;
 		}
 
 		const client = createOperatorClient(settings);
 		const set = toSet(loaded);
 		const changeId = settings.changeId === '' ? randomUUID() : settings.changeId;
-		const plan = await client.plan({set, remove: removedKeys(settings.remove), prune: settings.prune});
+		const plan = await client.plan({set, remove, prune: settings.prune});
 		if (plan.steps.length === 0 && settings.changeId === '') {
 			input.print(settings.json ? '{}' : `No change: revision ${plan.revision} holds these declarations.`);
 			return exitCodes.ok;
@@ -49,11 +62,8 @@
 		const base = givenBase ?? plan.revision;
 		const answer = await client.apply({
 			baseRevision: base, set, remove: keysToRemove(plan), author: settings.author, changeId,
-		});
-		for (const line of settings.json ? [toJsonString(ApplyResponseSchema, answer, {alwaysEmitImplicit: true})] : formatAnswer(answer, {changeId, base})) {
-			input.print(line);
-		}
-
+		}).catch((err: unknown) => create(ApplyResponseSchema, {result: {case: 'unknown', value: {message: errorMessage(err)}}}));
+		printLines(input, settings.json ? [toJson(withHint(answer, {changeId, base}))] : formatAnswer(withHint(answer, {changeId, base})));
 		return answer.result.case === 'accepted' ? exitCodes.ok : exitCodes.failed;
 	},
 };
@@ -74,7 +84,18 @@
 	return plan.steps.filter(step => step.action === PlanStep_Action.REMOVE).map(step => step.key);
 }
 
-function formatAnswer(answer: ApplyResponse, {changeId, base}: {changeId: string; base: bigint}): string[] {
+/** Without the change id an operator could not settle an unknown result. */
+function withHint(answer: ApplyResponse, {changeId, base}: {changeId: string; base: bigint}): ApplyResponse {
+	return answer.result.case === 'unknown'
+		? create(ApplyResponseSchema, {result: {case: 'unknown', value: {message: `${answer.result.value.message}. Settle it with the same files and --change-id ${changeId} --base ${base}.`}}})
+		: answer;
+}
+
+function toJson(answer: ApplyResponse): string {
+	return toJsonString(ApplyResponseSchema, answer, {alwaysEmitImplicit: true});
+}
+
+function formatAnswer(answer: ApplyResponse): string[] {
 	const {result} = answer;
 	switch (result.case) {
 		case 'accepted': {
@@ -94,7 +115,7 @@
 		}
 
 		default: {
-			return [`${result.value?.message ?? 'Cannot read the answer'}. Settle it with the same files and --change-id ${changeId} --base ${base}.`];
+			return [result.value?.message ?? 'Cannot read the answer'];
 		}
 	}
 }
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -22,6 +22,15 @@
 	readonly usage: string;
 	readonly summary: string;
 	readonly settings: SettingTable;
+	/** Most arguments besides flags; more are wrong usage. */
+	readonly maxArgs: number;
 	/** Runs the command; returns the exit code. Throws `FindingsError` for wrong usage. */
 	run(input: CommandInput): Promise<number>;
 }
+
+/** Prints lines one by one. */
+export function printLines(input: Pick<CommandInput, 'print'>, lines: readonly string[]): void {
+	for (const line of lines) {
+		input.print(line);
+	}
+}
--- a/src/cli/drain-command.ts
+++ b/src/cli/drain-command.ts
@@ -24,6 +24,7 @@
 	usage: 'guavamill drain engines-1 | --self --vm http://127.0.0.1:7001',
 	summary: 'Drains a target, or the entry VM itself with --self.',
 	settings: drainSettings,
+	maxArgs: 1,
 	async run(input) {
 		const settings = resolveSettings(drainSettings, input);
 		const [target] = input.args;
--- a/src/cli/get-command.ts
+++ b/src/cli/get-command.ts
@@ -11,6 +11,7 @@
 	usage: 'guavamill get [kind/name …] --vm http://127.0.0.1:7001',
 	summary: 'Prints the configuration in force at an entry VM, all of it or by key. Exit code 1 when a key is not declared.',
 	settings: operatorSettings,
+	maxArgs: Number.POSITIVE_INFINITY,
 	async run(input) {
 		const settings = resolveSettings(operatorSettings, input);
 		const config = await createOperatorClient(settings).get({keys: [...input.args]});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -58,7 +58,7 @@
 
 	try {
 		return await command.run({
-			...parse(command, rest), env: process.env, print, stopped: stopSignal(),
+			...checkArgs(command, parse(command, rest)), env: process.env, print, stopped: stopSignal(),
 		});
 	} catch (err) {
 		process.stderr.write(`${errorMessage(err)}\n`);
@@ -88,6 +88,15 @@
 	return {flags, args: cli.input};
 }
 
+function checkArgs(command: Command, parsed: Pick<CommandInput, 'flags' | 'args'>): Pick<CommandInput, 'flags' | 'args'> {
+	const extra = parsed.args.slice(command.maxArgs);
+	if (extra.length > 0) {
+		throw FindingsError.create(`run ${command.name}`, extra.map(value => ({place: 'arguments', message: `has more than ${command.maxArgs}`, value})));
+	}
+
+	return parsed;
+}
+
 /** meow throws for a flag that is given twice; that is wrong usage. */
 function readFlags<T>(read: () => T): T {
 	try {
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -1,6 +1,9 @@
-import {createClient, type Client} from '@connectrpc/connect';
+import {
+	Code, ConnectError, createClient, type Client,
+} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import type {Ms} from '../clock/index.js';
+import {GuavamillError} from '../errors/index.js';
 import {OperatorService} from '../gen/guavamill/v1/operator_pb.js';
 import {
 	numberSchema, originSchema, switchSchema, type SettingTable,
@@ -23,13 +26,42 @@
 } satisfies SettingTable;
 
 /**
- * Creates a client of an entry VM's operators' service.
+ * Creates a client of an entry VM's operators' service. Its calls throw `GuavamillError`.
  *
  * @example
  * const status = await createOperatorClient({vm: 'http://127.0.0.1:7001', timeoutMs: 5000}).status({});
  */
 export function createOperatorClient(options: {vm: string; timeoutMs: Ms}): Client<typeof OperatorService> {
-	return createClient(OperatorService, createConnectTransport({
+	const client = createClient(OperatorService, createConnectTransport({
 		baseUrl: options.vm, httpVersion: '1.1', useBinaryFormat: false, defaultTimeoutMs: options.timeoutMs,
 	}));
+	return Object.fromEntries(Object.entries(client).map(([name, call]) => [name, async (...args: unknown[]) => {
+		try {
+			return await (call as (...args: unknown[]) => Promise<unknown>)(...args);
+		} catch (err) {
+			throw toCallError(err, options);
+		}
+	}])) as unknown as Client<typeof OperatorService>;
+}
+
+/** Names the entry VM where the fault lies on the way to it; its own messages stay as they are. */
+function toCallError(err: unknown, {vm, timeoutMs}: {vm: string; timeoutMs: Ms}): GuavamillError {
+	const {code, rawMessage} = ConnectError.from(err);
+	switch (code) {
+		case Code.Unavailable: {
+			return new GuavamillError(`Cannot reach the entry VM at ${vm}: ${rawMessage}`);
+		}
+
+		case Code.DeadlineExceeded: {
+			return new GuavamillError(`Cannot wait for the entry VM at ${vm}: no answer within ${timeoutMs} ms`);
+		}
+
+		case Code.Unimplemented: {
+			return new GuavamillError(`Cannot call the entry VM at ${vm}: this is not an operators' port of this version`);
+		}
+
+		default: {
+			return new GuavamillError(rawMessage.startsWith('Cannot ') ? rawMessage : `Cannot call the entry VM at ${vm}: ${rawMessage}`);
+		}
+	}
 }
--- a/src/cli/plan-command.ts
+++ b/src/cli/plan-command.ts
@@ -1,10 +1,13 @@
-import {toJsonString} from '@bufbuild/protobuf';
+import {create, toJsonString} from '@bufbuild/protobuf';
 import {PlanResponseSchema, PlanStep_Action, type PlanStep} from '../gen/guavamill/v1/operator_pb.js';
+import {formatDeclarationFinding} from '../config/index.js';
 import {resolveSettings} from '../settings/index.js';
 import {changeSettings, removedKeys} from './change-settings.js';
-import {exitCodes, type Command} from './command.js';
+import {exitCodes, printLines, type Command} from './command.js';
 import {createOperatorClient} from './operator-client.js';
-import {formatRpcFinding, loadChange, toSet} from './read-declarations.js';
+import {
+	formatRpcFinding, hasErrors, loadChange, toFileFindings, toSet,
+} from './read-declarations.js';
 
 const signs: Record<PlanStep_Action, string> = {
 	[PlanStep_Action.UNSPECIFIED]: '?', [PlanStep_Action.CREATE]: '+', [PlanStep_Action.CHANGE]: '~', [PlanStep_Action.REMOVE]: '-',
@@ -16,20 +19,28 @@
 	usage: 'guavamill plan examples/die-works --vm http://127.0.0.1:7001',
 	summary: 'Compares declaration files with the configuration in force. Exit code 1 when a finding is an error.',
 	settings: changeSettings,
+	maxArgs: Number.POSITIVE_INFINITY,
 	async run(input) {
 		const settings = resolveSettings(changeSettings, input);
-		const loaded = await loadChange(input.args, {isComplete: settings.prune, print: input.print});
-		if (!loaded) {
+		const remove = removedKeys(settings.remove);
+		const loaded = await loadChange(input.args, {isComplete: settings.prune, remove});
+		if (!settings.json) {
+			printLines(input, loaded.findings.map(finding => formatDeclarationFinding(finding)));
+		}
+
+		if (hasErrors(loaded)) {
+			if (settings.json) {
+				input.print(toJsonString(PlanResponseSchema, create(PlanResponseSchema, {findings: toFileFindings(loaded)}), {alwaysEmitImplicit: true}));
+			}
+
 			return exitCodes.failed;
 		}
 
-		const plan = await createOperatorClient(settings).plan({set: toSet(loaded), remove: removedKeys(settings.remove), prune: settings.prune});
+		const plan = await createOperatorClient(settings).plan({set: toSet(loaded), remove, prune: settings.prune});
 		const lines = settings.json
 			? [toJsonString(PlanResponseSchema, plan, {alwaysEmitImplicit: true})]
 			: [...plan.steps.map(step => formatStep(step)), ...plan.findings.map(finding => formatRpcFinding(finding)), `${plan.steps.length} steps on revision ${plan.revision}`];
-		for (const line of lines) {
-			input.print(line);
-		}
+		printLines(input, lines);
 
 		return plan.findings.some(finding => formatRpcFinding(finding).startsWith('error')) ? exitCodes.failed : exitCodes.ok;
 	},
--- a/src/cli/read-declarations.ts
+++ b/src/cli/read-declarations.ts
@@ -5,6 +5,7 @@
 	formatDeclarationFinding, loadDeclarations, type DeclarationFinding, type DeclarationFile, type LoadedDeclarations,
 } from '../config/index.js';
 import {errorMessage, FindingsError} from '../errors/index.js';
+import {toRpcFinding, type RpcFinding} from '../operators/index.js';
 import {Finding_Severity, type Finding} from '../gen/guavamill/v1/operator_pb.js';
 
 /** Reads declaration files; a folder stands for every `.yaml` file in it. Throws `FindingsError` for paths that cannot be read. */
@@ -27,14 +28,26 @@
 	return files;
 }
 
-/** Loads declarations and prints their findings; `undefined` when one of them is an error. */
-export async function loadChange(paths: readonly string[], options: {isComplete: boolean; print: (line: string) => void}): Promise<LoadedDeclarations | undefined> {
+/**
+ * Loads declarations. Throws `FindingsError` where there is none: with `--prune`, an empty file would remove everything.
+ * A change that only removes needs no files.
+ */
+export async function loadChange(paths: readonly string[], options: {isComplete: boolean; remove: readonly string[]}): Promise<LoadedDeclarations> {
+	if (paths.length === 0 && options.remove.length > 0 && !options.isComplete) {
+		return {declarations: [], findings: []};
+	}
+
 	const loaded = loadDeclarations(await readDeclarationFiles(paths), {checkReferences: options.isComplete});
-	for (const finding of loaded.findings) {
-		options.print(formatDeclarationFinding(finding));
+	if (loaded.declarations.length === 0 && loaded.findings.length === 0) {
+		throw FindingsError.create('read declarations', paths.map(place => ({place, message: 'holds no declaration'})));
 	}
 
-	return loaded.findings.some(finding => finding.severity === 'error') ? undefined : loaded;
+	return loaded;
+}
+
+/** True when a finding is an error. */
+export function hasErrors(loaded: LoadedDeclarations): boolean {
+	return loaded.findings.some(finding => finding.severity === 'error');
 }
 
 /** Turns loaded declarations into the JSON of a request. */
@@ -42,6 +55,14 @@
 	return loaded.declarations.map(declaration => declaration as unknown as JsonObject);
 }
 
+/** Findings of files as a message on the wire, which has no fields for file and line. */
+export function toFileFindings(loaded: LoadedDeclarations): RpcFinding[] {
+	return loaded.findings.map(finding => {
+		const place = finding.file === undefined ? '' : ` (${finding.file}${finding.line === undefined ? '' : `:${finding.line}`})`;
+		return toRpcFinding({...finding, message: `${finding.message}${place}`});
+	});
+}
+
 /** Formats a finding of an answer. */
 export function formatRpcFinding(finding: Finding): string {
 	const {key, path: fieldPath, message} = finding;
--- a/src/cli/replay-command.ts
+++ b/src/cli/replay-command.ts
@@ -37,6 +37,7 @@
 	usage: 'guavamill replay TRACE [--policy fcfs] [--entry-vms http://127.0.0.1:7000] [--json]',
 	summary: 'Replays a trace in virtual time or against running entry VMs and prints the report.',
 	settings: replaySettings,
+	maxArgs: 1,
 	async run(input) {
 		const settings = resolveSettings(replaySettings, input);
 		const report = await replay(await readTrace(input), settings, input);
--- a/src/cli/sample-command.ts
+++ b/src/cli/sample-command.ts
@@ -35,6 +35,7 @@
 	usage: 'guavamill sample [--exit]',
 	summary: 'Serves a sample pipeline on embedded stand-ins, sends one request and prints its answer and time line.',
 	settings: sampleSettings,
+	maxArgs: 0,
 	async run(input) {
 		const settings = resolveSettings(sampleSettings, input);
 		const clock = SystemClock.create();
--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -55,6 +55,7 @@
 	usage: 'guavamill serve --name riga-1 --zone riga-a --log http://127.0.0.1:7100 --vms http://127.0.0.1:7101',
 	summary: 'Runs an entry VM until SIGTERM or SIGINT, then drains.',
 	settings: serveSettings,
+	maxArgs: 0,
 	async run(input) {
 		const settings = resolveSettings(serveSettings, input);
 		const clock = SystemClock.create({skew: settings.wallSkewMs});
--- a/src/cli/stand-in-command.ts
+++ b/src/cli/stand-in-command.ts
@@ -52,6 +52,7 @@
 	usage: 'guavamill stand-in engine|service|log|platform --listen 127.0.0.1:7201',
 	summary: 'Runs a stand-in for an engine, a service, the log or the VM list. POST /faults asks for faults.',
 	settings: standInSettings,
+	maxArgs: 1,
 	async run(input) {
 		const settings = resolveSettings(standInSettings, input);
 		const clock = SystemClock.create();
--- a/src/cli/status-command.ts
+++ b/src/cli/status-command.ts
@@ -1,7 +1,7 @@
 import {toJsonString} from '@bufbuild/protobuf';
 import {StatusResponseSchema} from '../gen/guavamill/v1/operator_pb.js';
 import {resolveSettings} from '../settings/index.js';
-import {exitCodes, type Command} from './command.js';
+import {exitCodes, printLines, type Command} from './command.js';
 import {formatStatus} from './format-status.js';
 import {createOperatorClient, operatorSettings} from './operator-client.js';
 
@@ -11,13 +11,11 @@
 	usage: 'guavamill status --vm http://127.0.0.1:7001',
 	summary: 'Prints the state of an entry VM and what it knows of the others. Exit code 1 when a part is stale beyond 4 s.',
 	settings: operatorSettings,
+	maxArgs: 0,
 	async run(input) {
 		const settings = resolveSettings(operatorSettings, input);
 		const status = await createOperatorClient(settings).status({});
-		const lines = settings.json ? [toJsonString(StatusResponseSchema, status, {alwaysEmitImplicit: true})] : formatStatus(status, Date.now());
-		for (const line of lines) {
-			input.print(line);
-		}
+		printLines(input, settings.json ? [toJsonString(StatusResponseSchema, status, {alwaysEmitImplicit: true})] : formatStatus(status, Date.now()));
 
 		return status.stale.length === 0 ? exitCodes.ok : exitCodes.failed;
 	},
--- a/src/cli/trace-command.ts
+++ b/src/cli/trace-command.ts
@@ -30,6 +30,7 @@
 	usage: 'guavamill trace --request 6f0c… --vm http://127.0.0.1:7001',
 	summary: 'Prints the timeline merged over all entry VMs, and names those that did not answer.',
 	settings: traceSettings,
+	maxArgs: 0,
 	async run(input) {
 		const settings = resolveSettings(traceSettings, input);
 		const answer = await createOperatorClient(settings).trace({
--- a/src/cli/trace-make-command.ts
+++ b/src/cli/trace-make-command.ts
@@ -28,6 +28,7 @@
 	usage: 'guavamill trace-make --trace burst --deployment die-works --seed 1 > burst.jsonl',
 	summary: 'Prints a seeded trace of requests and faults as JSON lines.',
 	settings: traceMakeSettings,
+	maxArgs: 0,
 	async run(input) {
 		const settings = resolveSettings(traceMakeSettings, input);
 		const {trace, ...options} = settings;
