--- a/test/support/fake-targets.ts
+++ b/test/support/fake-targets.ts
@@ -35,6 +35,7 @@
 		return registry;
 	}
 
+	listeners = 0;
 	readonly byName = new Map<string, FakeTarget>();
 	readonly byPool = new Map<string, FakeTarget[]>();
 
@@ -47,7 +48,9 @@
 	}
 
 	/** Tests change states without telling anyone. */
-	onChange(): void {}
+	onChange(): void {
+		this.listeners++;
+	}
 
 	markDraining(name: string): void {
 		this.byName.get(name)!.state = 'draining';
