--- a/src/cli/trace-command.ts
+++ b/src/cli/trace-command.ts
@@ -1,5 +1,5 @@
 import {toJsonString} from '@bufbuild/protobuf';
-import {formatEvent, type PrintableEvent} from '../events/index.js';
+import {formatTimeline, type PrintableEvent} from '../events/index.js';
 import {TraceResponseSchema, type TraceResponse} from '../gen/guavamill/v1/operator_pb.js';
 import {numberSchema, resolveSettings, textSchema} from '../settings/index.js';
 import {exitCodes, type Command} from './command.js';
@@ -30,6 +30,7 @@
 	usage: 'guavamill trace --request 6f0c… --vm http://127.0.0.1:7001',
 	summary: 'Prints the timeline merged over all entry VMs, and names those that did not answer.',
 	settings: traceSettings,
+	maxArgs: 0,
 	async run(input) {
 		const settings = resolveSettings(traceSettings, input);
 		const answer = await createOperatorClient(settings).trace({
@@ -54,7 +55,7 @@
 
 /** Lines of a timeline, with the processes whose events are missing last. */
 export function formatTrace(answer: TraceResponse): string[] {
-	const lines = answer.events.map(event => formatEvent(toEvent(event)));
+	const lines = answer.events.length === 0 ? ['No event matches.'] : formatTimeline(answer.events.map(event => toEvent(event)));
 	return answer.missingProcesses.length === 0 ? lines : [...lines, `No answer from: ${answer.missingProcesses.join(', ')}`];
 }
 
--- a/src/targets/vm-watcher.ts
+++ b/src/targets/vm-watcher.ts
@@ -33,9 +33,14 @@
 
 	readonly #stopped = new AbortController();
 	#last: VmSnapshot | undefined;
+	#lastAt: Ms | undefined;
 	#reachable = true;
+	/** When the present reachability began. */
+	#changedAt: Ms;
 
-	private constructor(private readonly parts: VmWatcherOptions) {}
+	private constructor(private readonly parts: VmWatcherOptions) {
+		this.#changedAt = parts.clock.now();
+	}
 
 	/** The last list that was read; `undefined` before the first. */
 	get last(): VmSnapshot | undefined {
@@ -47,6 +52,21 @@
 		return this.#reachable;
 	}
 
+	/** Time by which reads are further apart here than at those that tell the others, in ms. */
+	get extraIntervalMs(): Ms {
+		return this.parts.isEager?.() === false ? idleIntervalMs - eagerIntervalMs : 0;
+	}
+
+	/** Time for which the list has been reachable, or unreachable, in ms. */
+	get sinceMs(): Ms {
+		return this.parts.clock.now() - this.#changedAt;
+	}
+
+	/** Time since the last answer, in ms; `undefined` before the first. */
+	get ageMs(): Ms | undefined {
+		return this.#lastAt === undefined ? undefined : this.parts.clock.now() - this.#lastAt;
+	}
+
 	start(): void {
 		void this.#loop();
 	}
@@ -60,13 +80,14 @@
 			try {
 				this.#last = await this.parts.vmList.list();
 				this.#apply(this.#last);
-				this.#reachable = true;
+				this.#lastAt = this.parts.clock.now();
+				this.#setReachable(true);
 			} catch (err) {
 				if (this.#reachable) {
 					this.parts.logger.warn('Cannot read the VM list. The last one stays in use.', {error: errorMessage(err)});
 				}
 
-				this.#reachable = false;
+				this.#setReachable(false);
 			}
 
 			await this.#waitForTurn();
@@ -82,6 +103,13 @@
 		} while (!this.#stopped.signal.aborted && isEager?.() === false && clock.now() - startedAt < idleIntervalMs);
 	}
 
+	#setReachable(reachable: boolean): void {
+		if (reachable !== this.#reachable) {
+			this.#reachable = reachable;
+			this.#changedAt = this.parts.clock.now();
+		}
+	}
+
 	#apply(snapshot: VmSnapshot): void {
 		const leaving = new Map(snapshot.vms.filter(vm => vm.role === 'target' && vm.state === 'leaving').map(vm => [vm.address, vm]));
 		for (const target of this.parts.targets.all()) {
