Let replays correct the prefix index by cache events again

Cause: the merge of the policy moved the reading of cache events from the target prober to CacheEventPoller. Replays still handed a callback to the prober, which ignored it, so their prefix index knew only own dispatches. Change: an entry VM of a replay runs the poller over the engines of its zone, as the daemon does.

--- a/src/replay/replay-policies.ts
+++ b/src/replay/replay-policies.ts
@@ -10,9 +10,7 @@
 			return {
 				scheduler,
 				work: () => scheduler.localDigest().work,
-				onCacheEvents(target, startId, events) {
-					scheduler.index.apply(parts.targets.get(target)!, startId, events);
-				},
+				index: scheduler.index,
 			};
 		},
 	},
--- a/src/replay/replay-policy.ts
+++ b/src/replay/replay-policy.ts
@@ -1,7 +1,8 @@
 import type {Clock} from '../clock/index.js';
 import type {ConfigView} from '../config/index.js';
 import type {Random} from '../random/index.js';
-import type {CacheEvent, DeclaredTargets} from '../targets/index.js';
+import type {PrefixIndex} from '../routing/index.js';
+import type {DeclaredTargets} from '../targets/index.js';
 import type {Scheduler, TeamWork, ZoneView} from '../teams/index.js';
 
 /** What a policy is built from at one entry VM of a replay. */
@@ -21,8 +22,8 @@
 	readonly scheduler: Scheduler;
 	/** Work for the digest to the other entry VMs of the zone. */
 	readonly work?: () => readonly TeamWork[];
-	/** Takes cache events of a target, in the order in which they were read. */
-	readonly onCacheEvents?: (target: string, startId: string, events: readonly CacheEvent[]) => void;
+	/** Index that the cache events of the engines correct. */
+	readonly index?: PrefixIndex;
 }
 
 /** A named policy; `create` is called once for each entry VM. */
--- a/src/replay/replay-vm.ts
+++ b/src/replay/replay-vm.ts
@@ -3,6 +3,7 @@
 import type {ConfigView} from '../config/index.js';
 import type {EventRecorder} from '../events/index.js';
 import {Random} from '../random/index.js';
+import {CacheEventPoller} from '../routing/index.js';
 import {RequestRunner} from '../requests/index.js';
 import {DeclaredTargets, TargetProber} from '../targets/index.js';
 import type {ZoneDigest, ZoneView} from '../teams/index.js';
@@ -35,6 +36,8 @@
 	readonly #policy: ReplayScheduler;
 	readonly #received = new Map<string, Received>();
 	readonly #prober: TargetProber;
+	/** Corrects the prefix index, as in the daemon. */
+	readonly #poller: CacheEventPoller | undefined;
 	#sequence = 0;
 
 	constructor(private readonly options: ReplayVmOptions) {
@@ -51,7 +54,10 @@
 			clock,
 			random: Random.create(options.random.integer(1, 1_000_000_000)),
 			targets: this.targets,
-			...(this.#policy.onCacheEvents ? {onCacheEvents: this.#policy.onCacheEvents} : {}),
+		});
+		const {index} = this.#policy;
+		this.#poller = index && CacheEventPoller.create({
+			clock, index, engines: () => this.targets.all().filter(target => target.zone === place.zone && target.dispatchable),
 		});
 		this.runner = RequestRunner.create({
 			clock, config, scheduler: this.#policy.scheduler, claims: options.claims, events,
@@ -89,8 +95,10 @@
 		};
 
 		this.#prober.start();
+		this.#poller?.start();
 		clock.after(untilMs - clock.now(), () => {
 			this.#prober.stop();
+			this.#poller?.stop();
 		});
 		repeat(digestMs, () => {
 			const digest = this.#digest();
