Weigh doubtful prefixes by the number of lost cache events

Cause: any gap in the sequence of cache events made every entry of the engine count half, and with 20 % of the events lost all entries stayed so. Change: an entry counts by the probability that none of the events lost since its last confirmation (a dispatch or an event that names it) evicted it: half of the lost events are evictions, and each meets any entry alike. The test that expected one half now expects the exact probability after one and after 101 lost events.

--- a/src/routing/prefix-index.test.ts
+++ b/src/routing/prefix-index.test.ts
@@ -49,7 +49,11 @@
 	expect(index.uncachedTokens('engine-1', prefixes.slice(0, 2))).toBe(0);
 	index.apply(engine, 's1', [stored(4, 2)]);
 	expect(index.lastSequence('engine-1')).toBe(4);
-	expect(index.uncachedTokens('engine-1', prefixes)).toBe((prefixes[0]!.tokens + prefixes[1]!.tokens) / 2);
+	// One lost event, an eviction in half of the cases, that met one of three entries.
+	const doubtful = prefixes[0]!.tokens + prefixes[1]!.tokens;
+	expect(index.uncachedTokens('engine-1', prefixes)).toBeCloseTo(doubtful / 6);
+	index.apply(engine, 's1', [stored(105, 2)]);
+	expect(index.uncachedTokens('engine-1', prefixes)).toBeCloseTo(doubtful, 1);
 	index.apply(engine, 's1', [{...stored(2, 0), type: 'evicted'}]);
 	index.dispatched(engine, prefixes);
 	expect(index.uncachedTokens('engine-1', prefixes)).toBe(0);
--- a/src/routing/prefix-index.ts
+++ b/src/routing/prefix-index.ts
@@ -5,14 +5,17 @@
 const defaultCapacity = 4096;
 /** Prefixes remembered of all engines together: about 20 MB. */
 const defaultTotalCapacity = 100_000;
-/** Part of a doubtful entry that counts as cached: it may have been evicted unseen. */
-const doubtfulFactor = 0.5;
+/** Part of the lost events that were evictions: a full cache evicts about one entry for each that it stores. */
+const evictedPart = 0.5;
 
 /** The engine that an entry belongs to. */
 type EngineId = Pick<TargetView, 'name' | 'pool'>;
 
-/** Prefixes of one engine with the epoch of their entry. Entries of an epoch before the present one are doubtful. */
-type EngineEntries = {name: string; pool: string; startId: string | undefined; sequence: number | undefined; epoch: number; entries: Map<string, number>};
+/**
+ * Prefixes of one engine with the number of events that had been lost when the entry was last confirmed. Entries
+ * confirmed before the latest loss are doubtful.
+ */
+type EngineEntries = {name: string; pool: string; startId: string | undefined; sequence: number | undefined; lost: number; entries: Map<string, number>};
 
 /**
  * What each engine's prefix cache is thought to hold, learned from own dispatches and corrected by cache events.
@@ -45,7 +48,8 @@
 
 	/**
 	 * Applies events of an engine in order of sequence; repeated ones are ignored. A gap makes all present entries
-	 * doubtful, a new start id clears them.
+	 * doubtful by the number of lost events, a new start id clears them. Events before the first known one are older than
+	 * the entries, so they do not count as lost.
 	 */
 	apply(target: EngineId, startId: string, events: readonly CacheEvent[]): void {
 		const engine = this.#engine(target, startId);
@@ -54,10 +58,7 @@
 				continue;
 			}
 
-			if (event.sequence > (engine.sequence ?? 0) + 1) {
-				engine.epoch++;
-			}
-
+			engine.lost += event.sequence - (engine.sequence ?? event.sequence - 1) - 1;
 			engine.sequence = event.sequence;
 			if (event.type === 'stored') {
 				this.#store(engine, event.prefix);
@@ -72,19 +73,15 @@
 		return this.#engines.get(target)?.sequence ?? 0;
 	}
 
-	/** Tokens of a prompt that the engine has to prefill; doubtful prefixes count in part. */
+	/** Tokens of a prompt that the engine has to prefill; doubtful prefixes count by the probability that they were evicted. */
 	uncachedTokens(target: string, prefixes: readonly Prefix[]): number {
 		const engine = this.#engines.get(target);
 		let uncached = 0;
 		let isHeld = engine !== undefined;
 		for (const prefix of prefixes) {
-			const epoch = isHeld ? engine!.entries.get(prefix.name) : undefined;
-			isHeld = epoch !== undefined;
-			if (epoch === undefined) {
-				uncached += prefix.tokens;
-			} else if (epoch < engine!.epoch) {
-				uncached += prefix.tokens * (1 - doubtfulFactor);
-			}
+			const lostBefore = isHeld ? engine!.entries.get(prefix.name) : undefined;
+			isHeld = lostBefore !== undefined;
+			uncached += lostBefore === undefined ? prefix.tokens : prefix.tokens * evictionChance(engine!, lostBefore);
 		}
 
 		return uncached;
@@ -156,7 +153,7 @@
 
 		this.forget(target.name);
 		const engine: EngineEntries = {
-			name: target.name, pool: target.pool.name, startId, sequence: undefined, epoch: 0, entries: new Map(),
+			name: target.name, pool: target.pool.name, startId, sequence: undefined, lost: 0, entries: new Map(),
 		};
 		this.#engines.set(target.name, engine);
 		return engine;
@@ -164,7 +161,7 @@
 
 	#store(engine: EngineEntries, name: string): void {
 		const isNew = !engine.entries.delete(name);
-		engine.entries.set(name, engine.epoch);
+		engine.entries.set(name, engine.lost);
 		if (!isNew) {
 			return;
 		}
@@ -194,3 +191,8 @@
 		}
 	}
 }
+
+/** Probability that one of the events lost since an entry was confirmed evicted it, when each entry is as likely. */
+function evictionChance({lost, entries}: EngineEntries, lostBefore: number): number {
+	return lost === lostBefore ? 0 : 1 - ((1 - (evictedPart / entries.size)) ** (lost - lostBefore));
+}
