Place long prefixes on engines by rendezvous hashing

Cause: entry VMs that knew nothing of each other filled several caches with the same prefix, so the caches of a zone held fewer of them than they have room for. Change: the longest prefix that ends in a segment of at least 512 tokens ranks the engines of its pool. Among engines of nearly equal cost the one that holds most of the prompt is chosen, then the first in this order; the home of a prefix that is not known to be cached counts half of it as cached, also in another zone. Prompts without a long segment keep the two random choices.

--- a/src/routing/cost-router.ts
+++ b/src/routing/cost-router.ts
@@ -3,6 +3,8 @@
 import type {Random} from '../random/index.js';
 import type {Target} from '../targets/index.js';
 import type {PrefixIndex} from './prefix-index.js';
+import type {Prefix} from './prefix-names.js';
+import {PrefixPlacement, type PlacedPrefix} from './prefix-placement.js';
 import type {RouteCandidate, Router, RouteRequest} from './router.js';
 import {estimateService} from './service-estimate.js';
 
@@ -16,6 +18,8 @@
 /** Costs within this part of the service time and these ms count as equal: estimates are no better than that. */
 const equalFactor = 0.15;
 const equalMs: Ms = 2;
+/** Part of a prefix that counts as cached at its home while nothing is known: in half of the cases others sent it there. */
+const homeFactor = 0.5;
 /** Part of its service time that a call gains from an empty target over a full one. */
 const crowdingFactor = 0.25;
 /** A target of another zone must be cheaper by this much, since its load is known later. */
@@ -28,7 +32,10 @@
 const suspectMs: Ms = 5000;
 
 /** `cost` decides between zones; `ranking` adds the crowding of the target and decides within a zone. */
-type Priced = {candidate: RouteCandidate; cost: number; ranking: number; timeMs: Ms};
+type Priced = {candidate: RouteCandidate; uncached: number; cost: number; ranking: number; timeMs: Ms};
+
+/** What all candidates of one decision have in common. */
+type Common = {weights: Policy; bytes: number; placed: PlacedPrefix | undefined};
 
 /** Network path to a region, seen from this entry VM. */
 type PathCost = {latencyMs: Ms; costPerGb: number};
@@ -51,22 +58,26 @@
 
 	/** Paths by region; the look-up in the declarations is linear. */
 	readonly #paths = new Map<string, PathCost>();
+	readonly #placement = PrefixPlacement.create();
 
 	private constructor(private readonly config: ConfigView, private readonly zone: string, private readonly random: Random, private readonly index: PrefixIndex) {}
 
 	choose(request: RouteRequest, candidates: readonly RouteCandidate[]): Target | undefined {
-		const {near, far} = this.#divide(request, candidates);
+		const isEngine = candidates[0]?.target.pool.type === 'engine';
+		const placed = isEngine ? this.#placement.of(request.prefixes, candidates.map(({target}) => target.name)) : undefined;
+		const common: Common = {weights: this.config.current().declarations.policy(), bytes: bytesOf(request), placed};
+		const {near, far} = this.#divide(request, candidates, common);
 		const nearFree = cheapest(near.filter(priced => priced.candidate.isFree));
 		const farFree = cheapest(far.filter(priced => priced.candidate.isFree));
 		if (farFree && this.#mustSpill(request, nearFree ?? cheapest(near), farFree)) {
-			return this.#sample(far);
+			return this.#select(far, placed);
 		}
 
-		return this.#sample(near);
+		return this.#select(near, placed);
 	}
 
 	/** Prices candidates of this zone and of others; the free ones where there are any, since only they can be chosen. */
-	#divide(request: RouteRequest, candidates: readonly RouteCandidate[]): {near: Priced[]; far: Priced[]} {
+	#divide(request: RouteRequest, candidates: readonly RouteCandidate[], common: Common): {near: Priced[]; far: Priced[]} {
 		const near: RouteCandidate[] = [];
 		const far: RouteCandidate[] = [];
 		const full: RouteCandidate[] = [];
@@ -79,11 +90,10 @@
 			}
 		}
 
-		return {near: this.#priceSome(request, near.length > 0 ? near : full), far: this.#priceSome(request, far)};
+		return {near: this.#priceSome(request, near.length > 0 ? near : full, common), far: this.#priceSome(request, far, common)};
 	}
 
-	#priceSome(request: RouteRequest, candidates: readonly RouteCandidate[]): Priced[] {
-		const common = {weights: this.config.current().declarations.policy(), bytes: bytesOf(request)};
+	#priceSome(request: RouteRequest, candidates: readonly RouteCandidate[], common: Common): Priced[] {
 		if (candidates.length <= maxPriced) {
 			return candidates.map(candidate => this.#price(request, candidate, common));
 		}
@@ -112,8 +122,11 @@
 		return (missesNear && far.timeMs < near.timeMs) || far.cost + spillMarginMs < near.cost;
 	}
 
-	/** The cheaper of two random free candidates of nearly the lowest cost. */
-	#sample(priced: readonly Priced[]): Target | undefined {
+	/**
+	 * A free candidate of nearly the lowest cost: the one that holds most of the prompt, then the first in the order of its
+	 * prefix; the cheaper of two random ones when the prompt shares nothing.
+	 */
+	#select(priced: readonly Priced[], placed: PlacedPrefix | undefined): Target | undefined {
 		const free = priced.filter(({candidate}) => candidate.isFree);
 		const best = cheapest(free);
 		if (!best) {
@@ -122,16 +135,22 @@
 
 		const bound = best.ranking + equalMs + (Math.abs(best.timeMs) * equalFactor);
 		const equal = free.filter(({ranking}) => ranking <= bound);
+		if (placed) {
+			const rank = ({candidate}: Priced) => placed.rank.get(candidate.target.name)!;
+			return equal.toSorted((left, right) => left.uncached - right.uncached || rank(left) - rank(right))[0]!.candidate.target;
+		}
+
 		const first = this.random.pick(equal);
 		const second = this.random.pick(equal);
 		return (second.ranking < first.ranking ? second : first).candidate.target;
 	}
 
-	#price(request: RouteRequest, candidate: RouteCandidate, {weights, bytes}: {weights: Policy; bytes: number}): Priced {
+	#price(request: RouteRequest, candidate: RouteCandidate, {weights, bytes, placed}: Common): Priced {
 		const {work} = request;
 		const {target} = candidate;
+		const uncached = target.pool.type === 'engine' ? this.#uncachedTokens(target, request.prefixes, placed) : 0;
 		const {serviceMs} = estimateService(target.pool, work.stage, {
-			uncachedTokens: target.pool.type === 'engine' ? this.index.uncachedTokens(target.name, request.prefixes) : 0,
+			uncachedTokens: uncached,
 			maxTokens: work.maxTokens,
 			batch: candidate.limit,
 		});
@@ -145,10 +164,26 @@
 		const penaltyMs = target.state === 'suspect' ? suspectMs : 0;
 		const cost = ((timeMs + penaltyMs) * timeWeight) + (money * msPerCostUnit * costWeight);
 		return {
-			candidate, timeMs, cost, ranking: cost + (crowdingMs * timeWeight),
+			candidate, uncached, timeMs, cost, ranking: cost + (crowdingMs * timeWeight),
 		};
 	}
 
+	/** Tokens to prefill. Other entry VMs may have sent a prefix to its home, which this one learns late or never. */
+	#uncachedTokens(target: Target, prefixes: readonly Prefix[], placed: PlacedPrefix | undefined): number {
+		const uncached = this.index.uncachedTokens(target.name, prefixes);
+		if (placed?.rank.get(target.name) !== 0) {
+			return uncached;
+		}
+
+		let tokens = 0;
+		for (const prefix of prefixes) {
+			tokens += prefix.tokens;
+		}
+
+		const unshared = tokens - placed.tokens;
+		return Math.min(uncached, unshared + (Math.max(0, uncached - unshared) * (1 - homeFactor)));
+	}
+
 	/** Time in the target's own queue when calls of others already fill it. */
 	#queueMs(candidate: RouteCandidate, expectedMs: Ms): Ms {
 		return Math.max(0, candidate.calls + 1 - candidate.limit) * expectedMs / candidate.limit;
