--- a/src/routing/cost-router.ts
+++ b/src/routing/cost-router.ts
@@ -22,11 +22,8 @@
 const homeFactor = 0.5;
 /** Part of its service time that a call gains from an empty target over a full one. */
 const crowdingFactor = 0.25;
-/**
- * A target of another zone must be cheaper by this much, since its load and cache are known later. It is the time to
- * prefill a few hundred tokens: bytes between regions for less gain are not worth their price.
- */
-const spillMarginMs: Ms = 40;
+/** A target of another zone must be cheaper by this much, since its load is known later. */
+const spillMarginMs: Ms = 10;
 /** Targets of a zone that are priced for one decision: the gain of more random choices is small, their cost is not. */
 const maxPriced = 48;
 /** Engines with a long cached prefix that are priced in any case. */
