Raise the price of cross-region bytes

Change: one unit of cost counts 4 * 10^7 ms instead of 10^7, so that each deployment's weights decide.

--- a/src/routing/cost-router.ts
+++ b/src/routing/cost-router.ts
@@ -10,9 +10,9 @@
 
 /**
  * Worth of one unit of money in ms of latency at equal weights: at 0.1 per GB, the 10 KB of an ordinary call count
- * 10 ms, about half of the latency between regions.
+ * 40 ms, the time to a region and back. With less, work left the region for small gains where bytes matter most.
  */
-const msPerCostUnit = 10_000_000;
+const msPerCostUnit = 40_000_000;
 const bytesPerGb = 1_000_000_000;
 const bytesPerToken = 4;
 /** Costs within this part of the service time and these ms count as equal: estimates are no better than that. */
