--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -49,9 +49,13 @@
 
 	readonly targets = new Map<string, Daemon>();
 	readonly entryVms: Daemon[] = [];
+	/** Origins that entry VMs get for the log and the VM list; a test puts proxies in front. */
+	origins: {log: string; vms: string};
 	#revision = -1;
 
-	private constructor(readonly log: Daemon, readonly platform: Daemon) {}
+	private constructor(readonly log: Daemon, readonly platform: Daemon) {
+		this.origins = {log: log.origin, vms: platform.origin};
+	}
 
 	/** Starts a target stand-in with flags. */
 	async target(name: string, kind: 'engine' | 'service', flags: readonly string[] = []): Promise<Daemon> {
@@ -61,8 +65,8 @@
 	}
 
 	/** Starts an entry VM. */
-	async entryVm(name: string, zone: string, flags: readonly string[] = []): Promise<Daemon> {
-		const daemon = await Daemon.start(['serve', '--name', name, '--zone', zone, '--callers', '127.0.0.1:0', '--operators', '127.0.0.1:0', '--log', this.log.origin, '--vms', this.platform.origin, ...flags], {GUAVAMILL_LOG_LEVEL: 'warn'});
+	async entryVm(name: string, zone: string, flags: readonly string[] = [], env: Record<string, string> = {}): Promise<Daemon> {
+		const daemon = await Daemon.start(['serve', '--name', name, '--zone', zone, '--callers', '127.0.0.1:0', '--operators', '127.0.0.1:0', '--log', this.origins.log, '--vms', this.origins.vms, ...flags], {GUAVAMILL_LOG_LEVEL: 'warn', ...env});
 		this.entryVms.push(daemon);
 		return daemon;
 	}
@@ -94,8 +98,8 @@
 	}
 
 	/** Starts an entry VM with links and puts it on the VM list; `address` stands for its own where a proxy is in front. */
-	async linkedVm(name: string, zone: string, options: {flags?: readonly string[]; proxy?: (port: number) => Promise<number>; isListed?: boolean; key?: string} = {}): Promise<Daemon> {
-		const vm = await this.entryVm(name, zone, ['--links', '127.0.0.1:0', '--link-key', options.key ?? linkKey, ...options.flags ?? []]);
+	async linkedVm(name: string, zone: string, options: {flags?: readonly string[]; proxy?: (port: number) => Promise<number>; isListed?: boolean; key?: string; env?: Record<string, string>} = {}): Promise<Daemon> {
+		const vm = await this.entryVm(name, zone, ['--links', '127.0.0.1:0', '--link-key', options.key ?? linkKey, ...options.flags ?? []], options.env);
 		const port = linkPort(vm);
 		if (options.isListed ?? true) {
 			await this.list(name, zone, {port: await options.proxy?.(port) ?? port, startId: vm.hello.incarnation as string});
--- a/test/support/tcp-proxy.ts
+++ b/test/support/tcp-proxy.ts
@@ -22,7 +22,8 @@
 		this.#connect(socket);
 	});
 
-	readonly #pairs = new Set<{sockets: net.Socket[]; isSilent: boolean}>();
+	readonly #pairs = new Set<{sockets: net.Socket[]; from: string; isSilent: boolean}>();
+	readonly #modes = new Map<string, ProxyMode>();
 	#mode: ProxyMode = 'forward';
 
 	private constructor(private readonly targetPort: number) {}
@@ -38,10 +39,22 @@
 		}
 	}
 
-	/** Sets the mode of all connections, open and new; `cut` closes them, `forward` closes silent ones, which lack bytes. */
-	setMode(mode: ProxyMode): void {
-		this.#mode = mode;
+	/**
+	 * Sets the mode of all connections, open and new, or of those from one address; `cut` closes them, `forward` closes
+	 * silent ones, which lack bytes.
+	 */
+	setMode(mode: ProxyMode, from?: string): void {
+		if (from === undefined) {
+			this.#mode = mode;
+		} else {
+			this.#modes.set(from, mode);
+		}
+
 		for (const pair of this.#pairs) {
+			if (from !== undefined && pair.from !== from) {
+				continue;
+			}
+
 			if (mode === 'silence') {
 				pair.isSilent = true;
 			} else if (mode === 'cut' || pair.isSilent) {
@@ -61,25 +74,27 @@
 
 	#connect(near: net.Socket): void {
 		this.accepted++;
-		if (this.#mode === 'cut') {
+		const from = near.remoteAddress ?? '';
+		const mode = this.#modes.get(from) ?? this.#mode;
+		if (mode === 'cut') {
 			near.on('error', () => undefined);
 			near.destroy();
 			return;
 		}
 
 		const far = net.connect(this.targetPort, '127.0.0.1');
-		const pair = {sockets: [near, far], isSilent: this.#mode === 'silence'};
+		const pair = {sockets: [near, far], from, isSilent: mode === 'silence'};
 		this.#pairs.add(pair);
-		for (const [from, to] of [[near, far], [far, near]] as const) {
-			from.on('data', bytes => {
+		for (const [source, to] of [[near, far], [far, near]] as const) {
+			source.on('data', bytes => {
 				if (!pair.isSilent) {
 					setTimeout(() => {
 						to.write(bytes);
 					}, this.delayMs);
 				}
 			});
-			from.on('error', () => undefined);
-			from.on('close', () => {
+			source.on('error', () => undefined);
+			source.on('close', () => {
 				if (!pair.isSilent) {
 					this.#destroy(pair.sockets);
 				}
