Wait before the second and later retries of a stage

Cause: refused connections fail within about 10 ms. When two zones were lost at once, a stage spent its 4 attempts on their targets in turn within 80 ms, before a probe had marked them as suspect, and never reached its own zone's target. The events of a failing request showed attempts at the two foreign targets only. Change: the second retry waits 100 ms, the third 300 ms, each at most a tenth of what is left of the deadline. Targets that nobody probes yet still cost attempts.

--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -21,6 +21,11 @@
 const maxAttempts = 4;
 /** A retry is not worth its cost with less than this left of the deadline. */
 const minRetryBudgetMs: Ms = 20;
+/**
+ * Waits before the second and later retries. A refused connection fails within milliseconds, so without them every
+ * attempt could be spent on lost targets before a probe has taken those out.
+ */
+const retryDelaysMs: readonly Ms[] = [0, 100, 300];
 /** Bounds of the silence after which a stream is taken for half open. */
 const minStallMs: Ms = 1000;
 const stallGapFactor = 20;
@@ -86,6 +91,7 @@
 				} else {
 					this.#checkRetry(context, work, {err, revocations});
 					previousTarget = grant.target.name;
+					await this.#delayRetry(context, attempt - revocations);
 				}
 			}
 		}
@@ -307,6 +313,15 @@
 		}
 	}
 
+	/** Waits before a retry, a small part of what is left of the deadline at most. */
+	async #delayRetry(context: RequestContext, attempts: number): Promise<void> {
+		const remaining = context.deadlineMs - this.clock.now();
+		const delayMs = Math.min(retryDelaysMs[attempts - 1] ?? 0, remaining / 10);
+		if (delayMs > 0) {
+			await this.clock.sleep(delayMs, context.signal);
+		}
+	}
+
 	#record(kind: 'attempt_queued' | 'attempt_sent' | 'attempt_settled' | 'attempt_resumed', work: StageWork, target?: string, detail?: string): void {
 		this.events.record({
 			kind,
