Drop answers of bookings in the storm and read rejected streams

Change: a fault drops answers of the booking services; a JSON rejection is read as the stream's error; the lists of the encoders judge not_run answers of idempotent requests. Conclusion: the storm finds bookings that are sent twice after a lost answer.

--- a/test/storm.test.ts
+++ b/test/storm.test.ts
@@ -24,7 +24,10 @@
 let fleet: ZoneFleet;
 let results: LoadResult[] = [];
 let changes: OperatorChange[] = [];
+/** Runs of the booking services. */
 let runs: Run[] = [];
+/** Runs of the first stage of idempotent requests; encoders are never killed, so their lists are whole. */
+let encodings: Run[] = [];
 const record: StormRecord = {killed: new Set(), lateRuns: []};
 /** Revisions that each incarnation has shown, in order of polling. */
 const seen = new Map<string, number[]>();
@@ -49,7 +52,8 @@
 	results = (await Promise.all(load)).flat();
 	changes = (await Promise.all(operators)).flat();
 	await untilCalm(fleet, callVm);
-	runs = (await Promise.all([...fleet.targets('strike-'), ...fleet.targets('commission-')].map(async ([, target]) => (await get(`${target.origin}/runs`)).runs as Run[]))).flat();
+	runs = [...await runsOf('strike-'), ...await runsOf('commission-')];
+	encodings = await runsOf('encoders-');
 	await until(async () => (await statuses()).every(status => Number(status.revision) === Math.max(...[...seen.values()].flat())), 'one revision everywhere', 60_000);
 	calmed.abort();
 	await polling;
@@ -60,6 +64,10 @@
 	await fleet.close();
 });
 
+async function runsOf(prefix: string): Promise<Run[]> {
+	return (await Promise.all(fleet.targets(prefix).map(async ([, target]) => (await get(`${target.origin}/runs`)).runs as Run[]))).flat();
+}
+
 /** Calls an entry VM by name; a paused one answers once it goes on. */
 async function callVm(name: string, method: string, body: unknown): Promise<any> {
 	return rpc(fleet.vms.get(name)!, method, body);
@@ -124,7 +132,7 @@
 
 // Guards against a rejection that says not run although its booking ran.
 test('every not_run answer is true', () => {
-	const ran = new Set(runs.map(run => run.request_id));
+	const ran = new Set([...runs, ...encodings].map(run => run.request_id));
 	expect(results.filter(({kind}) => kind !== 'stream' && kind !== 'plain').some(({outcome}) => outcome === 'not_run')).toBe(true);
 	expect(results.filter(({outcome, requestId}) => outcome === 'not_run' && ran.has(requestId!))).toEqual([]);
 });
--- a/test/support/event-stream.ts
+++ b/test/support/event-stream.ts
@@ -10,6 +10,11 @@
 export async function streamEvents(url: string, body: Record<string, unknown>, onEvent: (event: StreamEvent) => void = () => undefined): Promise<StreamEvent[]> {
 	const res = await request(url, {method: 'POST', body: JSON.stringify({...body, stream: true}), bodyTimeout: 60_000});
 	const events: StreamEvent[] = [];
+	if (res.statusCode !== 200) {
+		// A request that is rejected before its stream begins is answered in JSON, with its status.
+		return [{event: 'error', data: await res.body.json()}];
+	}
+
 	let rest = '';
 	for await (const bytes of res.body.setEncoding('utf8')) {
 		const parts = (rest + String(bytes)).split('\n\n');
--- a/test/support/storm-faults.ts
+++ b/test/support/storm-faults.ts
@@ -14,7 +14,7 @@
 }
 
 const kinds = [
-	'kill vm', 'pause vm', 'log outage', 'lost appends', 'late appends', 'half-open target', 'slow target', 'draining target', 'kill engine', 'cut zone', 'silence zone', 'silent links',
+	'kill vm', 'pause vm', 'log outage', 'lost appends', 'late appends', 'half-open target', 'slow target', 'draining target', 'dropped answers', 'kill engine', 'cut zone', 'silence zone', 'silent links',
 ] as const;
 
 /** Kinds of fault of a storm. */
@@ -66,6 +66,10 @@
 			return fleet.targets('engines-').map(([name]) => name);
 		}
 
+		case 'dropped answers': {
+			return [...fleet.targets('strike-'), ...fleet.targets('commission-')].map(([name]) => name);
+		}
+
 		case 'half-open target':
 		case 'slow target': {
 			return [...fleet.fleet.targets.keys()];
@@ -133,6 +137,10 @@
 			return faults(target!.origin, {slow_ms: 300});
 		}
 
+		case 'dropped answers': {
+			return faults(target!.origin, {drop_answers: 8});
+		}
+
 		case 'draining target': {
 			return drainEngine(fleet, fault, record);
 		}
--- a/test/support/storm-load.ts
+++ b/test/support/storm-load.ts
@@ -98,9 +98,10 @@
 	try {
 		const url = pipelineUrl(vm, pipeline);
 		if (kind === 'stream') {
-			await streamEvents(url, body, event => {
+			const all = await streamEvents(url, body, event => {
 				events.push(event);
 			});
+			events.push(...all.slice(events.length));
 		}
 
 		const answer = kind === 'stream' ? events.at(-1)?.data : (await post(url, body)).body;
