Share the connections of targets and tell unready entry VMs' retries apart

Cause: the read-through found the pool of connections written twice, an event caller_left that nothing recorded, and the failure tests found that an entry VM without configuration answered not_run, reason shutting_down, also to a declared retry whose earlier try may have run.

--- a/src/entry-vm/caller-server.ts
+++ b/src/entry-vm/caller-server.ts
@@ -9,7 +9,7 @@
 	BodyError, closeServer, listen, readJsonBody, sendJson, type ListenAddress,
 } from '../http/index.js';
 import {
-	isRejection, statusOf, type RejectionReason, type RequestResult, type RequestRunner,
+	callerRequestSchema, isRejection, statusOf, type RejectionOutcome, type RejectionReason, type RequestResult, type RequestRunner,
 } from '../requests/index.js';
 import {EventStream} from './event-stream.js';
 
@@ -29,6 +29,8 @@
 	readonly maxBodyBytes: number;
 	/** True while new requests are taken. */
 	readonly isReady: () => boolean;
+	/** True once a configuration was applied. */
+	readonly isConfigured: () => boolean;
 	/** Told each result, for metrics. */
 	readonly onResult?: (pipeline: string, team: string, result: RequestResult, tookMs: Ms) => void;
 }
@@ -136,11 +138,6 @@
 	}
 
 	async #answer(req: IncomingMessage, res: ServerResponse, pipeline: string, requestId: string): Promise<void> {
-		if (!this.options.isReady()) {
-			this.#reject(res, requestId, 'shutting_down', 'Cannot take the request: this entry VM is not ready');
-			return;
-		}
-
 		let body: unknown;
 		try {
 			body = await readJsonBody(req, this.options.maxBodyBytes);
@@ -150,6 +147,11 @@
 			return;
 		}
 
+		if (!this.options.isReady()) {
+			this.#rejectUnready(res, requestId, body);
+			return;
+		}
+
 		const startedAt = this.options.clock.now();
 		const left = new AbortController();
 		res.once('close', () => {
@@ -183,9 +185,20 @@
 		this.options.onResult?.(pipeline, isTeamKnown ? (body as {team: string}).team : '', result, this.options.clock.now() - startedAt);
 	}
 
-	#reject(res: ServerResponse, requestId: string, reason: RejectionReason, message: string): void {
+	/** An entry VM that has just started or drains runs nothing, yet an earlier try of a declared retry may have run. */
+	#rejectUnready(res: ServerResponse, requestId: string, body: unknown): void {
+		if (isDeclaredRetry(body)) {
+			this.#reject(res, requestId, 'earlier_attempt_unknown', 'Cannot take the request: this attempt was not run, earlier attempts are unknown', 'unknown');
+			return;
+		}
+
+		const reason = this.options.isConfigured() ? 'shutting_down' : 'not_configured';
+		this.#reject(res, requestId, reason, 'Cannot take the request: this entry VM is not ready');
+	}
+
+	#reject(res: ServerResponse, requestId: string, reason: RejectionReason, message: string, outcome: RejectionOutcome = 'not_run'): void {
 		const result: RequestResult = {
-			request_id: requestId, outcome: 'not_run', reason, message,
+			request_id: requestId, outcome, reason, message,
 		};
 		sendJson(res, statusOf(result), result, {connection: 'close'});
 	}
@@ -194,3 +207,8 @@
 function isStreamWanted(body: unknown): boolean {
 	return typeof body === 'object' && body !== null && 'stream' in body && body.stream === true;
 }
+
+function isDeclaredRetry(body: unknown): boolean {
+	const parsed = callerRequestSchema.safeParse(body);
+	return (parsed.data?.idempotency?.attempt ?? 1) > 1;
+}
--- a/src/entry-vm/entry-vm.ts
+++ b/src/entry-vm/entry-vm.ts
@@ -228,6 +228,7 @@
 			listen: options.callers,
 			maxBodyBytes: options.maxBodyBytes,
 			isReady: () => this.#isReady(),
+			isConfigured: () => this.config.current().revision >= 0,
 			onResult: (pipeline, team, result, tookMs) => {
 				this.#metrics.observe(pipeline, team, result, tookMs);
 			},
--- a/src/replay/deployment.ts
+++ b/src/replay/deployment.ts
@@ -85,7 +85,7 @@
 		},
 		costPerGb: 0.02,
 		attainmentWeight: 1,
-		costWeight: 0.1,
+		costWeight: 0.025,
 	},
 	fundacion: {
 		zones: {'heredia-a': 'Meseta Central', 'liberia-a': 'Guanacaste', 'limon-a': 'Caribe Sur'},
--- a/src/requests/request-runner.ts
+++ b/src/requests/request-runner.ts
@@ -105,7 +105,7 @@
 	}
 
 	async #runChecked(requestId: string, pipeline: Pipeline, body: CallerRequest, options: RequestOptions): Promise<RequestResult> {
-		const {clock} = this.parts;
+		const {clock, events} = this.parts;
 		const isKeyed = body.idempotency !== undefined && hasNonIdempotentStage(body, pipeline);
 		const budgetMs = body.deadline_ms ?? pipeline.deadline_ms;
 		this.#latestDeadlineMs = Math.max(this.#latestDeadlineMs, clock.now() + budgetMs);
@@ -116,8 +116,14 @@
 		};
 
 		// A keyed request runs to its end even when its caller leaves, so that a retry finds its outcome.
-		const callerSignal = isKeyed ? undefined : options.signal;
-		callerSignal?.addEventListener('abort', end, {once: true});
+		const onCallerLeft = () => {
+			events.record({kind: 'caller_left', requestId, team: body.team});
+			if (!isKeyed) {
+				end();
+			}
+		};
+
+		options.signal?.addEventListener('abort', onCallerLeft, {once: true});
 		const cancelDeadline = clock.after(budgetMs, () => {
 			deadline.abort();
 			ended.abort();
@@ -136,7 +142,7 @@
 			}, {isKeyed, budgetMs, ...options.onAdmitted ? {onAdmitted: options.onAdmitted} : {}});
 		} finally {
 			cancelDeadline();
-			callerSignal?.removeEventListener('abort', end);
+			options.signal?.removeEventListener('abort', onCallerLeft);
 		}
 	}
 
--- a/src/targets/http-engine.ts
+++ b/src/targets/http-engine.ts
@@ -1,11 +1,10 @@
-import type {Dispatcher, Pool} from 'undici';
-import {errorMessage, GuavamillError} from '../errors/index.js';
+import type {Dispatcher} from 'undici';
+import {errorMessage} from '../errors/index.js';
 import type {
 	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, TargetHealth, TargetLoad,
 } from './engine-port.js';
-import {
-	callFailure, controlTimeoutMs, createPool, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
-} from './http-common.js';
+import {callFailure, readHealthHeaders, type HealthListener} from './http-common.js';
+import {TargetConnections} from './target-connections.js';
 import {TargetError} from './target-error.js';
 
 /**
@@ -17,71 +16,59 @@
 export class HttpEngine implements EnginePort {
 	/** Creates a client; `onHealth` is told the start id and draining flag of every reply. */
 	static create(origin: string, options: {connections: number; onHealth?: HealthListener}): HttpEngine {
-		return new HttpEngine(origin, options.connections, options.onHealth ?? (() => undefined));
+		return new HttpEngine(TargetConnections.create(origin, options));
 	}
 
-	#pool: Pool | undefined;
-
-	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {}
+	private constructor(private readonly target: TargetConnections) {}
 
 	async * generate(call: GenerateCall, signal: AbortSignal): AsyncIterable<readonly Chunk[]> {
 		const res = await this.#send(call, signal);
-		this.onHealth(readHealthHeaders(res.headers));
+		this.target.onHealth(readHealthHeaders(res.headers));
 		if (res.statusCode !== 200) {
 			await res.body.dump();
-			throw TargetError.create(res.statusCode === 503 ? 'refused' : 'failed', `Cannot generate at ${this.origin}: the engine answered ${res.statusCode}`);
+			throw TargetError.create(res.statusCode === 503 ? 'refused' : 'failed', `Cannot generate at ${this.target.origin}: the engine answered ${res.statusCode}`);
 		}
 
-		yield * readChunks(res.body, this.origin);
+		yield * readChunks(res.body, this.target.origin);
 	}
 
 	async cancel(call: Pick<GenerateCall, 'requestId' | 'stage' | 'attempt'>): Promise<void> {
-		await this.#post('/v1/cancel', {request_id: call.requestId, stage: call.stage, attempt: call.attempt});
+		await this.target.control({method: 'POST', path: '/v1/cancel', body: {request_id: call.requestId, stage: call.stage, attempt: call.attempt}});
 	}
 
 	async load(): Promise<TargetLoad> {
-		return loadSchema.parse(await this.#get('/v1/load'));
+		return this.target.load();
 	}
 
 	async health(): Promise<TargetHealth> {
-		const health = healthSchema.parse(await this.#get('/v1/health'));
-		this.onHealth(health);
-		return health;
+		return this.target.health();
 	}
 
 	async cacheEvents(after: number): Promise<{startId: string; events: readonly CacheEvent[]}> {
-		return await this.#get(`/v1/cache-events?after=${after}`) as {startId: string; events: CacheEvent[]};
+		return await this.target.control({method: 'GET', path: `/v1/cache-events?after=${after}`}) as {startId: string; events: CacheEvent[]};
 	}
 
 	async order(order: EngineOrder): Promise<OrderResult> {
-		const reply = await this.#post('/v1/orders', order) as {result: OrderResult};
+		const reply = await this.target.control({method: 'POST', path: '/v1/orders', body: order}) as {result: OrderResult};
 		return reply.result;
 	}
 
 	async state(): Promise<EngineState> {
-		return await this.#get('/v1/state') as EngineState;
+		return await this.target.control({method: 'GET', path: '/v1/state'}) as EngineState;
 	}
 
 	renew(): void {
-		const old = this.#pool;
-		this.#pool = undefined;
-		void old?.close();
-	}
-
-	/** A pool takes about 20 KB, and most entry VMs never call most targets. */
-	get #connected(): Pool {
-		this.#pool ??= createPool(this.origin, this.connections);
-		return this.#pool;
+		this.target.renew();
 	}
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool?.destroy();
+		await this.target.close();
 	}
 
 	async #send(call: GenerateCall, signal: AbortSignal): Promise<Dispatcher.ResponseData> {
 		try {
-			return await this.#connected.request({
+			return await this.target.pool.request({
 				method: 'POST',
 				path: '/v1/generate',
 				headers: {'content-type': 'application/json'},
@@ -100,27 +87,7 @@
 				signal,
 			});
 		} catch (err) {
-			throw TargetError.create(callFailure(err), `Cannot generate at ${this.origin}: ${errorMessage(err)}`, err);
-		}
-	}
-
-	async #get(path: string): Promise<unknown> {
-		return this.#control({method: 'GET', path});
-	}
-
-	async #post(path: string, body: unknown): Promise<unknown> {
-		return this.#control({
-			method: 'POST', path, headers: {'content-type': 'application/json'}, body: JSON.stringify(body),
-		});
-	}
-
-	async #control(options: Dispatcher.RequestOptions): Promise<unknown> {
-		try {
-			const res = await this.#connected.request({...options, signal: AbortSignal.timeout(controlTimeoutMs)});
-			this.onHealth(readHealthHeaders(res.headers));
-			return await res.body.json();
-		} catch (err) {
-			throw new GuavamillError(`Cannot reach the engine at ${this.origin}: ${errorMessage(err)}`, {cause: err});
+			throw TargetError.create(callFailure(err), `Cannot generate at ${this.target.origin}: ${errorMessage(err)}`, err);
 		}
 	}
 }
--- a/src/targets/http-service.ts
+++ b/src/targets/http-service.ts
@@ -1,12 +1,10 @@
-import {Client, type Dispatcher, type Pool} from 'undici';
+import {Client, type Dispatcher} from 'undici';
 import {z} from 'zod';
-import {errorMessage, GuavamillError} from '../errors/index.js';
-import {linkController} from '../signals/index.js';
+import {errorMessage} from '../errors/index.js';
 import type {TargetHealth, TargetLoad} from './engine-port.js';
-import {
-	callFailure, controlTimeoutMs, createPool, healthSchema, loadSchema, readHealthHeaders, type HealthListener,
-} from './http-common.js';
+import {callFailure, readHealthHeaders, type HealthListener} from './http-common.js';
 import type {ServiceCall, ServicePort, ServiceReply} from './service-port.js';
+import {TargetConnections} from './target-connections.js';
 import {TargetError} from './target-error.js';
 
 const replySchema = z.object({
@@ -23,19 +21,17 @@
 export class HttpService implements ServicePort {
 	/** Creates a client; `onHealth` is told the start id and draining flag of every reply. */
 	static create(origin: string, options: {connections: number; onHealth?: HealthListener}): HttpService {
-		return new HttpService(origin, options.connections, options.onHealth ?? (() => undefined));
+		return new HttpService(TargetConnections.create(origin, options));
 	}
 
-	#pool: Pool | undefined;
-
-	private constructor(private readonly origin: string, private readonly connections: number, private readonly onHealth: HealthListener) {}
+	private constructor(private readonly target: TargetConnections) {}
 
 	async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
 		if (call.idempotent) {
-			return this.#callOn(this.#connected, call, signal);
+			return this.#callOn(this.target.pool, call, signal);
 		}
 
-		const client = new Client(this.origin, {headersTimeout: 0, bodyTimeout: 0});
+		const client = new Client(this.target.origin, {headersTimeout: 0, bodyTimeout: 0});
 		try {
 			return await this.#callOn(client, call, signal);
 		} finally {
@@ -45,9 +41,11 @@
 
 	/** Opens a fresh connection: the call that is looked up may have been lost on a half-open one. */
 	async lookup(key: string, signal?: AbortSignal): Promise<ServiceReply | undefined> {
-		const client = new Client(this.origin);
+		const client = new Client(this.target.origin);
 		try {
-			const reply = await this.#get(`/v1/lookup?key=${encodeURIComponent(key)}`, {dispatcher: client, signal}) as {found: boolean; reply?: unknown};
+			const reply = await this.target.control({
+				method: 'GET', path: `/v1/lookup?key=${encodeURIComponent(key)}`, dispatcher: client, signal,
+			}) as {found: boolean; reply?: unknown};
 			return reply.found ? toReply(replySchema.parse(reply.reply)) : undefined;
 		} finally {
 			void client.destroy();
@@ -55,30 +53,20 @@
 	}
 
 	async load(): Promise<TargetLoad> {
-		return loadSchema.parse(await this.#get('/v1/load'));
+		return this.target.load();
 	}
 
 	async health(): Promise<TargetHealth> {
-		const health = healthSchema.parse(await this.#get('/v1/health'));
-		this.onHealth(health);
-		return health;
+		return this.target.health();
 	}
 
 	renew(): void {
-		const old = this.#pool;
-		this.#pool = undefined;
-		void old?.close();
-	}
-
-	/** A pool takes about 20 KB, and most entry VMs never call most targets. */
-	get #connected(): Pool {
-		this.#pool ??= createPool(this.origin, this.connections);
-		return this.#pool;
+		this.target.renew();
 	}
 
 	/** Closes the connections. */
 	async close(): Promise<void> {
-		await this.#pool?.destroy();
+		await this.target.close();
 	}
 
 	async #callOn(dispatcher: Dispatcher, call: ServiceCall, signal: AbortSignal): Promise<ServiceReply> {
@@ -102,40 +90,24 @@
 				}),
 				signal,
 			});
-			this.onHealth(readHealthHeaders(res.headers));
+			this.target.onHealth(readHealthHeaders(res.headers));
 			status = res.statusCode;
 			body = await res.body.json();
 		} catch (err) {
-			throw TargetError.create(callFailure(err), `Cannot call ${this.origin}: ${errorMessage(err)}`, err);
+			throw TargetError.create(callFailure(err), `Cannot call ${this.target.origin}: ${errorMessage(err)}`, err);
 		}
 
 		if (status !== 200) {
-			throw TargetError.create(status === 503 ? 'refused' : 'failed', `Cannot call ${this.origin}: the service answered ${status}`);
+			throw TargetError.create(status === 503 ? 'refused' : 'failed', `Cannot call ${this.target.origin}: the service answered ${status}`);
 		}
 
 		const reply = replySchema.safeParse(body);
 		if (!reply.success) {
-			throw TargetError.create('failed', `Cannot call ${this.origin}: the reply is malformed`, reply.error);
+			throw TargetError.create('failed', `Cannot call ${this.target.origin}: the reply is malformed`, reply.error);
 		}
 
 		return toReply(reply.data);
 	}
-
-	async #get(path: string, options: {dispatcher?: Dispatcher; signal?: AbortSignal | undefined} = {}): Promise<unknown> {
-		const timeout = AbortSignal.timeout(controlTimeoutMs);
-		const {controller, unlink} = linkController(options.signal ? [options.signal, timeout] : [timeout]);
-		try {
-			const res = await (options.dispatcher ?? this.#connected).request({
-				origin: this.origin, method: 'GET', path, signal: controller.signal,
-			});
-			this.onHealth(readHealthHeaders(res.headers));
-			return await res.body.json();
-		} catch (err) {
-			throw new GuavamillError(`Cannot reach the service at ${this.origin}: ${errorMessage(err)}`, {cause: err});
-		} finally {
-			unlink();
-		}
-	}
 }
 
 function toReply(wire: z.infer<typeof replySchema>): ServiceReply {
--- a/test/callers.test.ts
+++ b/test/callers.test.ts
@@ -4,7 +4,7 @@
 	afterAll, beforeAll, expect, test,
 } from 'vitest';
 import {
-	type Fleet,
+	Fleet,
 	get, pipelineUrl, post, until,
 } from './support/fleet.js';
 import {sampleAnswer, startSampleFleet} from './support/sample-fleet.js';
@@ -80,3 +80,18 @@
 	}, 'engines are idle after their callers left');
 	await expectServing();
 });
+
+// Guards against a true "not run" that a caller takes for its earlier try, and against a misleading reason.
+test('an entry VM without configuration tells first tries from declared retries', async () => {
+	const empty = await Fleet.start();
+	try {
+		const vm = await empty.entryVm('vm-1', 'sample-a');
+		const send = async (attempt: number) => post(pipelineUrl(vm, 'advice'), {
+			team: 'apprentices', input: {text: 'x'}, non_idempotent: true, idempotency: {key: 'k', not_after_ms: 1, attempt},
+		});
+		expect((await send(1)).body).toMatchObject({outcome: 'not_run', reason: 'not_configured'});
+		expect((await send(2)).body).toMatchObject({outcome: 'unknown', reason: 'earlier_attempt_unknown'});
+	} finally {
+		await empty.close();
+	}
+});
