--- a/bench/path.ts
+++ b/bench/path.ts
@@ -46,9 +46,9 @@
 	const wide: Declaration[] = sampleDeclarations({
 		encoder: services[0]!.origin, retriever: services[1]!.origin, reranker: services[2]!.origin, engine: engines[0]!.origin,
 	}).map(declaration => declaration.kind === 'target' ? {...declaration, slots: 500} : declaration);
-	for (const [index, engine] of engines.entries()) {
+	for (const [index, engine] of engines.slice(1).entries()) {
 		wide.push({
-			kind: 'target', name: `engines-${index + 1}`, zone: 'sample-a', pool: 'engines', address: engine.origin, slots: 500, checks_fencing: false,
+			kind: 'target', name: `engines-${index + 2}`, zone: 'sample-a', pool: 'engines', address: engine.origin, slots: 500, checks_fencing: false,
 		});
 	}
 
