Lint scripts without rules that need types

Change: typed rules apply to .ts files only; the claims follower's method readNow gets a name of the field.

--- a/src/claims/claims-follower.ts
+++ b/src/claims/claims-follower.ts
@@ -47,7 +47,7 @@
 	readonly #stopped = new AbortController();
 	readonly #foldListeners = new Set<(folded: FoldedClaim) => void>();
 	readonly #stateListeners = new Set<(state: ClaimsFollowerState) => void>();
-	#hurry = new AbortController();
+	#pauseEnd = new AbortController();
 	#untrustedBelow = 0;
 	#freshAt: Ms | undefined;
 
@@ -77,13 +77,13 @@
 	}
 
 	/** Ends a pause between reads: a record is now awaited. */
-	hurry(): void {
-		this.#hurry.abort();
+	readNow(): void {
+		this.#pauseEnd.abort();
 	}
 
 	stop(): void {
 		this.#send({type: 'STOP'});
-		this.hurry();
+		this.readNow();
 		this.#stopped.abort();
 	}
 
@@ -106,8 +106,8 @@
 	async #pause(): Promise<void> {
 		const {clock, isUrgent} = this.parts;
 		if (this.state === 'following' && isUrgent && !isUrgent()) {
-			this.#hurry = new AbortController();
-			await clock.sleep(idlePaceMs, this.#hurry.signal);
+			this.#pauseEnd = new AbortController();
+			await clock.sleep(idlePaceMs, this.#pauseEnd.signal);
 		}
 	}
 
--- a/src/claims/log-claim-service.ts
+++ b/src/claims/log-claim-service.ts
@@ -202,7 +202,7 @@
 				finish('pending');
 			});
 			this.#pending.set(claim.claimId, finish);
-			this.follower.hurry();
+			this.follower.readNow();
 			const append = this.#writer.append(record);
 			this.#record('claim_appended', claim, key.team);
 			void append.result.then(appended => {
--- a/xo.config.js
+++ b/xo.config.js
@@ -11,16 +11,33 @@
 			'unicorn/catch-error-name': ['error', {name: 'err'}],
 			// Wire formats and declarations use snake_case keys.
 			camelcase: 'off',
+			'@stylistic/max-len': 'off',
+			// Protocol loops are sequential on purpose.
+			'no-await-in-loop': 'off',
+			'no-void': ['error', {allowAsStatement: true}],
+			'max-params': ['error', 5],
+			'max-depth': ['error', 5],
+			complexity: ['error', 25],
+			'no-bitwise': 'off',
+			'unicorn/no-process-exit': 'off',
+			'unicorn/prefer-event-target': 'off',
+			'unicorn/no-array-reduce': 'off',
+			'n/prefer-global/process': 'off',
+			'promise/prefer-await-to-then': 'off',
+			'capitalized-comments': 'off',
+		},
+	},
+	{
+		// Rules that need types apply to TypeScript only: a script is in no project.
+		files: ['**/*.ts'],
+		rules: {
 			// A default branch covers the rest.
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {considerDefaultExhaustiveForUnions: true}],
-			'@stylistic/max-len': 'off',
 			// Private constructors stand behind the static `create` methods.
 			'@typescript-eslint/no-empty-function': ['error', {allow: ['private-constructors']}],
 			'@typescript-eslint/member-ordering': 'off',
 			'@typescript-eslint/no-restricted-types': 'off',
 			'@typescript-eslint/naming-convention': 'off',
-			// Protocol loops are sequential on purpose.
-			'no-await-in-loop': 'off',
 			'@typescript-eslint/no-loop-func': 'off',
 			// Interfaces describe the ports that classes implement.
 			'@typescript-eslint/consistent-type-definitions': 'off',
@@ -36,17 +53,6 @@
 			'@typescript-eslint/strict-void-return': 'off',
 			'@typescript-eslint/prefer-readonly-parameter-types': 'off',
 			'@typescript-eslint/no-floating-promises': ['error', {ignoreVoid: true}],
-			'no-void': ['error', {allowAsStatement: true}],
-			'max-params': ['error', 5],
-			'max-depth': ['error', 5],
-			complexity: ['error', 25],
-			'no-bitwise': 'off',
-			'unicorn/no-process-exit': 'off',
-			'unicorn/prefer-event-target': 'off',
-			'unicorn/no-array-reduce': 'off',
-			'n/prefer-global/process': 'off',
-			'promise/prefer-await-to-then': 'off',
-			'capitalized-comments': 'off',
 		},
 	},
 	{
