--- a/src/claims/batch-writer.test.ts
+++ b/src/claims/batch-writer.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import {ManualClock} from '../clock/index.js';
-import type {PlatformLog} from '../platform/index.js';
+import type {PlatformLog} from '../log/index.js';
 import {BatchWriter} from './batch-writer.js';
 
 // Guards against appends without bound at a log that does not answer, and against a cancelled record that is appended.
--- a/src/claims/claim-table.ts
+++ b/src/claims/claim-table.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Ms} from '../clock/index.js';
-import type {LogRecord} from '../platform/index.js';
+import type {LogRecord} from '../log/index.js';
 import {foldClaims, type ClaimEntry, type ClaimFold} from './fold-claims.js';
 
 /** An outcome stays readable this long after its key's not-after time, for callers that retry late. */
--- a/src/claims/log-claim-service.test.ts
+++ b/src/claims/log-claim-service.test.ts
@@ -3,7 +3,7 @@
 import {ManualClock, type Clock} from '../clock/index.js';
 import {EventRing} from '../events/index.js';
 import {silentLoggerFactory} from '../logs/index.js';
-import {MemoryPlatformLog} from '../platform/index.js';
+import {MemoryPlatformLog} from '../log/index.js';
 import type {BookingKey, ClaimDecision} from './claim-service.js';
 import {LogClaimService} from './log-claim-service.js';
 
--- a/src/claims/log-claim-service.ts
+++ b/src/claims/log-claim-service.ts
@@ -3,7 +3,7 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {EventRecorder} from '../events/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {PlatformLog} from '../platform/index.js';
+import type {PlatformLog} from '../log/index.js';
 import {BatchWriter} from './batch-writer.js';
 import type {
 	BookingKey, BookingOutcome, Claim, ClaimDecision, ClaimService,
--- a/src/cli/sample-command.ts
+++ b/src/cli/sample-command.ts
@@ -5,7 +5,8 @@
 import {EntryVm} from '../entry-vm/index.js';
 import {formatTimeline} from '../events/index.js';
 import {createLoggerFactory} from '../logs/index.js';
-import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
+import {HttpPlatformLog} from '../log/index.js';
+import {HttpVmList} from '../vms/index.js';
 import type {Answer} from '../requests/index.js';
 import {listenAddressSchema, resolveSettings, switchSchema} from '../settings/index.js';
 import {
--- a/src/cli/serve-command.ts
+++ b/src/cli/serve-command.ts
@@ -3,7 +3,8 @@
 import {SystemClock} from '../clock/index.js';
 import {EntryVm, policyNames} from '../entry-vm/index.js';
 import {createLoggerFactory, logLevels} from '../logs/index.js';
-import {HttpPlatformLog, HttpVmList} from '../platform/index.js';
+import {HttpPlatformLog} from '../log/index.js';
+import {HttpVmList} from '../vms/index.js';
 import {
 	listenAddressSchema, nameSchema, numberSchema, originSchema, resolveSettings,
 } from '../settings/index.js';
--- a/src/config/config-follower.test.ts
+++ b/src/config/config-follower.test.ts
@@ -4,7 +4,7 @@
 import {ManualClock} from '../clock/index.js';
 import {EventRing} from '../events/index.js';
 import {silentLoggerFactory} from '../logs/index.js';
-import {MemoryPlatformLog, type PlatformLog} from '../platform/index.js';
+import {MemoryPlatformLog, type PlatformLog} from '../log/index.js';
 import {Random} from '../random/index.js';
 import {ConfigFollower} from './config-follower.js';
 import type {ConfigPeers} from './config-peers.js';
--- a/src/config/config-follower.ts
+++ b/src/config/config-follower.ts
@@ -1,6 +1,6 @@
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
-import type {LogRecord} from '../platform/index.js';
+import type {LogRecord} from '../log/index.js';
 import {ConfigLifecycle, type ConfigLifecycleState} from './config-lifecycle.js';
 import type {ConfigFollowerParts} from './config-follower-parts.js';
 import type {ConfigEndpoint} from './config-peers.js';
--- a/src/config/read-stream.ts
+++ b/src/config/read-stream.ts
@@ -1,6 +1,4 @@
-import {
-	type LogRecord, type LogStream, type PlatformLog, LogUnavailableError,
-} from '../platform/index.js';
+import {type LogRecord, type LogStream, type PlatformLog, LogUnavailableError} from '../log/index.js';
 
 /**
  * Reads every readable record of a stream. Throws when records expire while it reads, so that the result has no hole.
--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -7,7 +7,7 @@
 } from '../events/index.js';
 import type {ListenAddress} from '../http/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {VmList} from '../platform/index.js';
+import type {VmList} from '../vms/index.js';
 import type {Random} from '../random/index.js';
 import type {KeyForwarder, RequestResult, RequestRunner} from '../requests/index.js';
 import type {ZoneDigest, ZoneView} from '../teams/index.js';
--- a/src/links/membership.test.ts
+++ b/src/links/membership.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
 import {ManualClock} from '../clock/index.js';
 import {EventRing} from '../events/index.js';
-import type {Vm} from '../platform/index.js';
+import type {Vm} from '../vms/index.js';
 import {Membership} from './membership.js';
 
 const self = {name: 'riga-1', zone: 'riga-a', incarnation: 'i1'};
--- a/src/links/membership.ts
+++ b/src/links/membership.ts
@@ -1,6 +1,6 @@
 import type {EventRecorder} from '../events/index.js';
 import type {ListenAddress} from '../http/index.js';
-import type {VmSnapshot} from '../platform/index.js';
+import type {VmSnapshot} from '../vms/index.js';
 import type {LinkIdentity} from './link-identity.js';
 import {MemberLifecycle, type MemberEvent, type MemberState} from './member-lifecycle.js';
 import {rankByRendezvous} from './rendezvous.js';
--- a/src/links/vm-list-follower.ts
+++ b/src/links/vm-list-follower.ts
@@ -1,7 +1,7 @@
 import type {Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {VmList, VmSnapshot} from '../platform/index.js';
+import type {VmList, VmSnapshot} from '../vms/index.js';
 import type {Random} from '../random/index.js';
 
 /** Interval while the list changes, and before its first answer. */
--- a/src/logs/logger.ts
+++ b/src/logs/logger.ts
@@ -8,7 +8,7 @@
 export type LogLevel = typeof logLevels[number];
 
 /** Parts that may write logs; each line names its part. */
-export const logParts = ['entry-vm', 'config', 'claims', 'targets', 'links', 'orders', 'requests', 'operators', 'stand-in', 'cli'] as const;
+export const logParts = ['entry-vm', 'config', 'claims', 'targets', 'links', 'orders', 'requests', 'operators', 'stand-in', 'cli', 'pools', 'platform'] as const;
 
 /** Part that writes logs. */
 export type LogPart = typeof logParts[number];
--- a/src/orders/lease-fold.ts
+++ b/src/orders/lease-fold.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 import type {Ms} from '../clock/index.js';
-import type {LogRecord} from '../platform/index.js';
+import type {LogRecord} from '../log/index.js';
 
 /** Record of the stream `leases`: takes, renews or releases the lease of a scope. */
 export const leaseRecordSchema = z.discriminatedUnion('kind', [
--- a/src/orders/lease-service.ts
+++ b/src/orders/lease-service.ts
@@ -3,7 +3,7 @@
 import {errorMessage} from '../errors/index.js';
 import type {EventRecorder} from '../events/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {PlatformLog} from '../platform/index.js';
+import type {PlatformLog} from '../log/index.js';
 import type {Random} from '../random/index.js';
 import {foldLeases, type LeaseRecord, type LeaseTable} from './lease-fold.js';
 import {nextLeaseState, type LeaseEvent, type LeaseState} from './lease-lifecycle.js';
--- a/src/orders/orders.test.ts
+++ b/src/orders/orders.test.ts
@@ -4,7 +4,7 @@
 import {StaticConfigView, type Declaration} from '../config/index.js';
 import {EventRing} from '../events/index.js';
 import {silentLoggerFactory} from '../logs/index.js';
-import {MemoryPlatformLog} from '../platform/index.js';
+import {MemoryPlatformLog} from '../log/index.js';
 import {Random} from '../random/index.js';
 import {
 	DeclaredTargets, httpPortFactory, type EngineOrder, type EnginePort, type EngineState,
--- /dev/null
+++ b/src/pools/pool-host.ts
@@ -0,0 +1,159 @@
+import type {CancelTimer, Clock} from '../clock/index.js';
+import type {PartLogger} from '../logs/index.js';
+import type {TargetRegistry} from '../registry/index.js';
+import type {ServiceDeclaration} from '../routes/index.js';
+import {RepeatBudget, type RepeatLimits} from './repeat-budget.js';
+import {ResultReleaser} from './result-releaser.js';
+import type {StageJob, StageOutcome} from './stage-job.js';
+import {StagePool, type StageCall} from './stage-pool.js';
+import type {StagePools} from './stage-pools.js';
+import type {StageTargetPort} from './stage-target-port.js';
+
+/** Parts of a host. */
+export interface PoolHostOptions {
+	readonly clock: Clock;
+	readonly logger: PartLogger;
+	readonly registry: TargetRegistry;
+	readonly port: StageTargetPort;
+	readonly repeats: RepeatLimits;
+	/** The declared service, as of now. */
+	readonly service: (name: string) => ServiceDeclaration | undefined;
+}
+
+type Hosted = {pool: StagePool; cancelWake: CancelTimer | undefined; isPumping: boolean};
+
+/**
+ * Hosts stage pools in this process: takes jobs, sends the calls that each pool decides on, and frees results.
+ *
+ * @example
+ * const outcome = await host.run('archive', job, signal);
+ */
+export class PoolHost implements StagePools {
+	static create(options: PoolHostOptions): PoolHost {
+		return new PoolHost(options);
+	}
+
+	readonly #hosted = new Map<string, Hosted>();
+	readonly #releaser: ResultReleaser;
+
+	private constructor(private readonly options: PoolHostOptions) {
+		const {clock, port, logger} = options;
+		this.#releaser = ResultReleaser.create({
+			clock,
+			port,
+			logger,
+			onFreed: handle => {
+				for (const [service, {pool}] of this.#hosted) {
+					pool.freed(handle);
+					this.#pump(service);
+				}
+			},
+		});
+	}
+
+	async run(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
+		const declared = this.options.service(service);
+		if (!declared?.stagePool || signal.aborted) {
+			return {failure: signal.aborted ? 'cancelled' : 'no_target', retryAfterMs: 0};
+		}
+
+		const {pool} = this.#host(declared);
+		return new Promise(resolve => {
+			const cancel = () => {
+				pool.cancel(job.id);
+			};
+
+			signal.addEventListener('abort', cancel, {once: true});
+			this.#updateTargets(service, pool);
+			pool.submit(job, outcome => {
+				signal.removeEventListener('abort', cancel);
+				resolve(outcome);
+			}, this.options.clock.now());
+			this.#schedulePump(service);
+		});
+	}
+
+	free(_service: string, handles: readonly string[]): void {
+		if (handles.length > 0) {
+			this.#releaser.free(handles);
+		}
+	}
+
+	/** Pieces that wait and calls in progress, by service. */
+	load(): Array<{service: string; backlog: number; calls: number}> {
+		return [...this.#hosted].map(([service, {pool}]) => ({service, backlog: pool.backlog, calls: pool.calls}));
+	}
+
+	#host(declared: ServiceDeclaration): Hosted {
+		let hosted = this.#hosted.get(declared.name);
+		if (hosted) {
+			hosted.pool.setLimits(declared.stagePool!);
+			return hosted;
+		}
+
+		hosted = {
+			pool: StagePool.create({
+				limits: declared.stagePool!,
+				budget: RepeatBudget.create({limits: this.options.repeats, share: () => poolRepeatShare}),
+				onUnused: handle => {
+					this.#releaser.free([handle]);
+				},
+			}),
+			cancelWake: undefined,
+			isPumping: false,
+		};
+		this.#hosted.set(declared.name, hosted);
+		return hosted;
+	}
+
+	#updateTargets(service: string, pool: StagePool): void {
+		pool.setTargets(this.options.registry.open(service).map(({entry}) => ({id: entry.id, address: entry.address, zone: entry.zone})));
+	}
+
+	/** Jobs that arrive in the same turn of the event loop go into the same calls. */
+	#schedulePump(service: string): void {
+		const hosted = this.#hosted.get(service)!;
+		if (!hosted.isPumping) {
+			hosted.isPumping = true;
+			setImmediate(() => {
+				hosted.isPumping = false;
+				this.#pump(service);
+			});
+		}
+	}
+
+	#pump(service: string): void {
+		const hosted = this.#hosted.get(service)!;
+		const {clock} = this.options;
+		this.#updateTargets(service, hosted.pool);
+		for (const call of hosted.pool.next(clock.now())) {
+			void this.#send(service, hosted.pool, call);
+		}
+
+		hosted.cancelWake?.();
+		hosted.cancelWake = undefined;
+		const wakeMs = hosted.pool.wakeAt(clock.now());
+		if (wakeMs !== undefined) {
+			hosted.cancelWake = clock.after(wakeMs - clock.now(), () => {
+				this.#pump(service);
+			});
+		}
+	}
+
+	async #send(service: string, pool: StagePool, call: StageCall): Promise<void> {
+		const {clock, port, logger} = this.options;
+		const startedMs = clock.now();
+		const end = await port.run({...call, now: startedMs});
+		if (end.kind !== 'done') {
+			logger.warn('A stage call ended without results.', {
+				service, target: call.target.id, end: end.kind, pieces: call.pieces.length, ids: call.pieces.slice(0, 4).map(({job}) => job.attemptId), took_ms: Math.round(clock.now() - startedMs),
+			});
+		}
+
+		pool.ended(call.id, end, clock.now());
+		this.#pump(service);
+	}
+}
+
+/** The host of a pool sends nearly all its calls; the rest is kept for a second host during a change of hosts. */
+const poolRepeatShare = 0.6;
--- /dev/null
+++ b/src/pools/stage-pool.ts
@@ -0,0 +1,317 @@
+import type {Ms} from '../clock/index.js';
+import type {StagePoolLimits} from '../routes/index.js';
+import {orderJobs} from './job-order.js';
+import type {RepeatBudget} from './repeat-budget.js';
+import type {
+	PieceResult, StageCallEnd, StageFailure, StageJob, StageOutcome,
+} from './stage-job.js';
+import {StageTargetState, type StageTarget} from './stage-target-state.js';
+
+/** Times that a piece is asked for in all, so that one bad input does not go round for ever. */
+const maxPieceTries = 4;
+/** Answers of a call arrive within this multiple of its expected time and slack, or it is given up. */
+const callTimeoutFactor = 2.5;
+const callTimeoutSlackMs: Ms = 600;
+
+/** One piece of a call. */
+export interface CalledPiece {
+	readonly job: StageJob;
+	readonly piece: number;
+}
+
+/** A call that the pool wants sent now. */
+export interface StageCall {
+	readonly id: number;
+	readonly target: StageTarget;
+	readonly pieces: readonly CalledPiece[];
+	readonly timeoutMs: Ms;
+}
+
+type JobState = {
+	readonly job: StageJob;
+	readonly results: Array<string | undefined>;
+	readonly tries: number[];
+	/** Pieces that wait for a call. */
+	waiting: number[];
+	/** Pieces that are in a call. */
+	calling: number;
+	readonly onEnd: (outcome: StageOutcome) => void;
+};
+
+type RunningCall = {readonly call: StageCall; readonly startedMs: Ms; readonly expectedMs: Ms};
+
+/** Settings of a pool. */
+export interface StagePoolOptions {
+	readonly limits: StagePoolLimits;
+	readonly budget: RepeatBudget;
+	/** Told each result that nobody will use. */
+	readonly onUnused: (handle: string) => void;
+}
+
+/**
+ * The queue in front of all targets of a stage service, and the decision which pieces go to which target in one call.
+ * A target gets its next call when the one before has ended, so that pieces that arrive meanwhile fill it; the most
+ * urgent pieces that can still help their request go first. Needs no network: `next` returns the calls to send.
+ *
+ * @example
+ * pool.submit(job, outcome => reply(outcome), now);
+ * for (const call of pool.next(now)) { … pool.ended(call.id, end, now); }
+ */
+export class StagePool {
+	static create(options: StagePoolOptions): StagePool {
+		return new StagePool(options);
+	}
+
+	readonly #jobs = new Map<string, JobState>();
+	readonly #targets = new Map<string, StageTargetState>();
+	readonly #calls = new Map<number, RunningCall>();
+	#limits: StagePoolLimits;
+	#nextCall = 1;
+
+	private constructor(private readonly options: StagePoolOptions) {
+		this.#limits = options.limits;
+	}
+
+	/** Pieces that wait for a call. */
+	get backlog(): number {
+		let pieces = 0;
+		for (const state of this.#jobs.values()) {
+			pieces += state.waiting.length;
+		}
+
+		return pieces;
+	}
+
+	/** Calls in progress. */
+	get calls(): number {
+		return this.#calls.size;
+	}
+
+	setLimits(limits: StagePoolLimits): void {
+		this.#limits = limits;
+	}
+
+	/** Takes the targets that may get work; calls in progress at others go on. */
+	setTargets(targets: readonly StageTarget[]): void {
+		const listed = new Map(targets.map(target => [target.id, target]));
+		for (const id of this.#targets.keys()) {
+			if (!listed.has(id)) {
+				this.#targets.delete(id);
+			}
+		}
+
+		for (const target of targets) {
+			if (!this.#targets.has(target.id)) {
+				this.#targets.set(target.id, StageTargetState.create(target));
+			}
+		}
+	}
+
+	/** Takes a job; `onEnd` is called once, perhaps at once. */
+	submit(job: StageJob, onEnd: (outcome: StageOutcome) => void, now: Ms): void {
+		this.options.budget.requested(now);
+		if (this.#targets.size === 0) {
+			onEnd({failure: 'no_target', retryAfterMs: this.#limits.callMs});
+			return;
+		}
+
+		const waitMs = this.expectedWaitMs(now, job);
+		if (now + waitMs + this.#limits.callMs > job.deadlineMs) {
+			onEnd({failure: 'overloaded', retryAfterMs: waitMs});
+			return;
+		}
+
+		this.#jobs.set(job.id, {
+			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), waiting: Array.from({length: job.pieces}, (_, piece) => piece), calling: 0, onEnd,
+		});
+	}
+
+	/** Drops a job whose results are not needed; pieces in a call end there and are told as unused. */
+	cancel(id: string): void {
+		const state = this.#jobs.get(id);
+		if (state) {
+			this.#fail(state, 'cancelled');
+		}
+	}
+
+	/** A result was freed or has lapsed at its maker. */
+	freed(handle: string): void {
+		for (const target of this.#targets.values()) {
+			if (target.freed(handle)) {
+				return;
+			}
+		}
+	}
+
+	/** Time until a new job's first piece is likely to start. */
+	expectedWaitMs(now: Ms, job: Pick<StageJob, 'startByMs' | 'priority'>): Ms {
+		const targets = [...this.#targets.values()];
+		const usable = targets.filter(target => target.isUsable(now));
+		if (usable.length === 0) {
+			return this.#limits.callMs;
+		}
+
+		let ahead = 0;
+		for (const state of this.#jobs.values()) {
+			if (state.job.startByMs <= job.startByMs) {
+				ahead += state.waiting.length;
+			}
+		}
+
+		const perCall = this.#limits.callMs + (this.#limits.batch * this.#limits.itemMs);
+		const batches = Math.floor(ahead / this.#limits.batch);
+		return (batches / usable.length) * perCall;
+	}
+
+	/** Returns the calls to send now. */
+	next(now: Ms): StageCall[] {
+		this.#dropLate(now);
+		const calls: StageCall[] = [];
+		const free = [...this.#targets.values()].filter(target => target.calls < this.#limits.slots && target.isUsable(now));
+		// A fast target chooses first.
+		free.sort((a, b) => a.slowness - b.slowness);
+		for (const target of free) {
+			const pieces = this.#choose(target, now);
+			if (pieces.length > 0) {
+				calls.push(this.#start(target, pieces, now));
+			}
+		}
+
+		return calls;
+	}
+
+	/** Takes the end of a call. */
+	ended(callId: number, end: StageCallEnd, now: Ms): void {
+		const running = this.#calls.get(callId);
+		if (!running) {
+			return;
+		}
+
+		this.#calls.delete(callId);
+		const {call, startedMs, expectedMs} = running;
+		const target = this.#targets.get(call.target.id);
+		target?.ended(call.id, {end: end.kind, tookMs: now - startedMs, expectedMs}, now);
+		for (const [index, piece] of call.pieces.entries()) {
+			const result: PieceResult = end.kind === 'done' ? end.results[index] ?? {problem: 'error'} : {problem: 'error'};
+			if ('handle' in result) {
+				target?.made(result.handle, piece.job.resultBytes, now + this.#limits.resultTtlMs);
+			}
+
+			this.#pieceEnded(piece, result, end, now);
+		}
+	}
+
+	/** Time at which `next` should be asked again though nothing happens; `undefined` when there is none. */
+	wakeAt(now: Ms): Ms | undefined {
+		if (this.backlog === 0) {
+			return undefined;
+		}
+
+		const times = [...this.#targets.values()].map(target => target.usableAt(now)).filter(time => time > now);
+		return Math.min(now + (this.#limits.callMs / 2), ...times);
+	}
+
+	#choose(target: StageTargetState, now: Ms): CalledPiece[] {
+		const waiting = [...this.#jobs.values()].filter(state => state.waiting.length > 0);
+		const jobs = orderJobs(waiting.map(state => state.job), {
+			now, zone: target.target.zone, isZoneServed: zone => this.#isZoneServed(zone, now),
+		});
+		if (jobs.length === 0 || this.#isTooSlow(target, now)) {
+			return [];
+		}
+
+		const chosen: CalledPiece[] = [];
+		let roomMb = target.freeRoomMb(this.#limits.roomMb, now);
+		for (const job of jobs) {
+			const state = this.#jobs.get(job.id)!;
+			const pieceMb = job.resultBytes / 1e6;
+			while (state.waiting.length > 0 && chosen.length < this.#limits.batch && roomMb >= pieceMb) {
+				chosen.push({job, piece: state.waiting.shift()!});
+				roomMb -= pieceMb;
+			}
+		}
+
+		return chosen;
+	}
+
+	/** A slow target waits while a fast one would finish sooner. */
+	#isTooSlow(target: StageTargetState, now: Ms): boolean {
+		if (target.slowness < 1.5) {
+			return false;
+		}
+
+		const callMs = this.#limits.callMs + (this.#limits.itemMs * this.#limits.batch);
+		const finish = now + (callMs * target.slowness);
+		return [...this.#targets.values()].some(other => other !== target && other.isUsable(now) && other.freeAt(now) + (callMs * other.slowness) < finish);
+	}
+
+	#isZoneServed(zone: string, now: Ms): boolean {
+		return [...this.#targets.values()].some(target => target.target.zone === zone && target.isUsable(now) && target.slowness < 2);
+	}
+
+	#start(target: StageTargetState, pieces: readonly CalledPiece[], now: Ms): StageCall {
+		const id = this.#nextCall++;
+		const expectedMs = (this.#limits.callMs + (this.#limits.itemMs * pieces.length)) * Math.max(1, target.slowness);
+		const call: StageCall = {
+			id, target: target.target, pieces, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
+		};
+		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowness)});
+		target.started(id, {roomMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs});
+		for (const {job, piece} of pieces) {
+			const state = this.#jobs.get(job.id)!;
+			state.calling++;
+			state.tries[piece]!++;
+		}
+
+		return call;
+	}
+
+	#pieceEnded({job, piece}: CalledPiece, result: PieceResult, end: StageCallEnd, now: Ms): void {
+		const state = this.#jobs.get(job.id);
+		if (!state) {
+			if ('handle' in result) {
+				this.options.onUnused(result.handle);
+			}
+
+			return;
+		}
+
+		state.calling--;
+		if ('handle' in result) {
+			state.results[piece] = result.handle;
+			if (state.results.every(handle => handle !== undefined)) {
+				this.#jobs.delete(job.id);
+				state.onEnd({results: state.results as string[]});
+			}
+
+			return;
+		}
+
+		if (result.problem === 'late' || result.problem === 'gone') {
+			this.#fail(state, result.problem === 'late' ? 'late' : 'input_gone');
+		} else if (state.tries[piece]! >= maxPieceTries || !this.options.budget.spend(now)) {
+			this.#fail(state, end.kind === 'refused' ? 'overloaded' : 'failed');
+		} else {
+			state.waiting.unshift(piece);
+		}
+	}
+
+	#dropLate(now: Ms): void {
+		for (const state of this.#jobs.values()) {
+			if (state.calling === 0 && now + this.#limits.callMs > state.job.deadlineMs) {
+				this.#fail(state, 'late');
+			}
+		}
+	}
+
+	#fail(state: JobState, failure: StageFailure): void {
+		this.#jobs.delete(state.job.id);
+		for (const handle of state.results) {
+			if (handle !== undefined) {
+				this.options.onUnused(handle);
+			}
+		}
+
+		state.onEnd({failure, retryAfterMs: this.#limits.callMs});
+	}
+}
--- /dev/null
+++ b/src/pools/stage-pools.ts
@@ -0,0 +1,9 @@
+import type {StageJob, StageOutcome} from './stage-job.js';
+
+/** Runs stages of requests on the pools of stage targets. */
+export interface StagePools {
+	/** Resolves with the results or the reason why there are none; never rejects. An abort cancels the job. */
+	run(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome>;
+	/** Gives results up. */
+	free(service: string, handles: readonly string[]): void;
+}
--- /dev/null
+++ b/src/pools/stage-target-state.ts
@@ -0,0 +1,100 @@
+import type {Ms} from '../clock/index.js';
+import type {StageCallEnd} from './stage-job.js';
+
+/** A target of a stage pool. */
+export interface StageTarget {
+	readonly id: string;
+	readonly address: string;
+	readonly zone: string;
+}
+
+/** Pause after a target refused a call. */
+const refusedPauseMs: Ms = 150;
+/** Pause after a target could not be reached or gave no answer; doubles up to the maximum. */
+const firstPauseMs: Ms = 400;
+const maxPauseMs: Ms = 4000;
+/** Weight of the latest call in the moving average of the slowness. */
+const smoothing = 0.4;
+
+/**
+ * Calls, room and speed of one target as its pool counts them.
+ *
+ * @internal
+ */
+export class StageTargetState {
+	static create(target: StageTarget): StageTargetState {
+		return new StageTargetState(target);
+	}
+
+	/** Time of calls relative to the expected time. */
+	slowness = 1;
+	readonly #calls = new Map<number, {roomMb: number; endsMs: Ms}>();
+	readonly #results = new Map<string, {mb: number; lapsesMs: Ms}>();
+	#pausedUntilMs: Ms = -Infinity;
+	#pauseMs: Ms = firstPauseMs;
+
+	private constructor(readonly target: StageTarget) {}
+
+	get calls(): number {
+		return this.#calls.size;
+	}
+
+	isUsable(now: Ms): boolean {
+		return now >= this.#pausedUntilMs;
+	}
+
+	/** Time from which it is usable. */
+	usableAt(now: Ms): Ms {
+		return Math.max(now, this.#pausedUntilMs);
+	}
+
+	/** Time at which its calls in progress are expected to have ended. */
+	freeAt(now: Ms): Ms {
+		return Math.max(now, ...[...this.#calls.values()].map(call => call.endsMs));
+	}
+
+	/** Memory that its results and calls in progress leave. */
+	freeRoomMb(roomMb: number, now: Ms): number {
+		let used = 0;
+		for (const call of this.#calls.values()) {
+			used += call.roomMb;
+		}
+
+		for (const [handle, result] of this.#results) {
+			if (result.lapsesMs <= now) {
+				this.#results.delete(handle);
+			} else {
+				used += result.mb;
+			}
+		}
+
+		return roomMb - used;
+	}
+
+	started(callId: number, call: {roomMb: number; endsMs: Ms}): void {
+		this.#calls.set(callId, call);
+	}
+
+	ended(callId: number, call: {end: StageCallEnd['kind']; tookMs: Ms; expectedMs: Ms}, now: Ms): void {
+		this.#calls.delete(callId);
+		if (call.end === 'done') {
+			this.#pauseMs = firstPauseMs;
+			this.slowness += smoothing * (Math.max(0.5, call.tookMs / call.expectedMs) - this.slowness);
+		} else if (call.end === 'refused') {
+			this.#pausedUntilMs = now + refusedPauseMs;
+		} else {
+			this.#pausedUntilMs = now + this.#pauseMs;
+			this.#pauseMs = Math.min(maxPauseMs, this.#pauseMs * 2);
+		}
+	}
+
+	/** A result takes room until it is freed or lapses. */
+	made(handle: string, bytes: number, lapsesMs: Ms): void {
+		this.#results.set(handle, {mb: bytes / 1e6, lapsesMs});
+	}
+
+	/** True when the result was one of this target's. */
+	freed(handle: string): boolean {
+		return this.#results.delete(handle);
+	}
+}
--- /dev/null
+++ b/src/registry/index.ts
@@ -0,0 +1,2 @@
+export {RelayTarget, type CallOutcome, type TargetEntry} from './relay-target.js';
+export {TargetRegistry, type TargetRegistryOptions} from './target-registry.js';
--- /dev/null
+++ b/src/relay-vm/index.ts
@@ -0,0 +1,1 @@
+export {RelayVm, type RelayVmOptions} from './relay-vm.js';
--- /dev/null
+++ b/src/relay-vm/relay-vm.ts
@@ -0,0 +1,274 @@
+import type {Clock, Ms} from '../clock/index.js';
+import type {ListenAddress} from '../http/index.js';
+import {rankByRendezvous} from '../links/index.js';
+import type {LoggerFactory} from '../logs/index.js';
+import {PoolHost, RepeatBudget, type RepeatLimits, type StageTargetPort} from '../pools/index.js';
+import {Random} from '../random/index.js';
+import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
+import {
+	PromptMemory, RelayMetrics, RelayServer, TargetPools, type RelayCodec, type ZoneDistance,
+} from '../relay/index.js';
+import {RouteTable, type RelayDeclarations} from '../routes/index.js';
+import {TopicFollower, type KeyedRecord, type KeyedTopic} from '../topics/index.js';
+import {startControlServer, type ControlServer} from './control-server.js';
+import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
+
+/** Time for which the store holds a read of the configuration back; a half-open connection shows after it. */
+const configWaitMs: Ms = 2000;
+/** Pause between reads of the targets' entries. */
+const targetsPollMs: Ms = 800;
+/** After SIGTERM, requests are taken this long: the balancer sends connections until it has asked twice in vain. */
+const takeAfterTermMs: Ms = 2500;
+/** Earliest end after SIGTERM. */
+const leastDrainMs: Ms = 3000;
+/** Part of the grace time that is left for closing. */
+const graceMarginMs: Ms = 500;
+const drainCheckMs: Ms = 100;
+
+/** Addresses, bounds and ports of a relaying entry VM. */
+export interface RelayVmOptions {
+	readonly name: string;
+	readonly zone: string;
+	readonly regionOf: (zone: string) => string | undefined;
+	readonly callers: ListenAddress;
+	readonly control: ListenAddress;
+	readonly clock: Clock;
+	readonly createLogger: LoggerFactory;
+	readonly seed: number;
+	readonly codec: RelayCodec;
+	readonly stageTargets: StageTargetPort;
+	readonly probe: (target: RelayTarget) => Promise<boolean>;
+	readonly configTopic: KeyedTopic;
+	readonly targetTopic: KeyedTopic;
+	/** Decodes the configuration; `undefined` for a record that holds none. */
+	readonly readDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
+	/** Decodes a target's entry; `undefined` for one that names no target. */
+	readonly readTarget: (record: KeyedRecord) => TargetEntry | undefined;
+	readonly repeats: RepeatLimits;
+	/** Entry VMs that share the budget of repeats. */
+	readonly entryVms: () => number;
+	/** Time between SIGTERM and the end by force. */
+	readonly graceMs: Ms;
+}
+
+/**
+ * A relaying entry VM: follows configuration and targets, serves callers, and drains when told to.
+ *
+ * @example
+ * const vm = await RelayVm.create(options);
+ * await vm.shutdown();
+ */
+export class RelayVm {
+	/** Starts following and listening. Throws when an address cannot be bound. */
+	static async create(options: RelayVmOptions): Promise<RelayVm> {
+		const vm = new RelayVm(options);
+		await vm.#start();
+		return vm;
+	}
+
+	readonly #lifecycle = RelayVmLifecycle.create();
+	readonly #registry: TargetRegistry;
+	readonly #host: PoolHost;
+	readonly #pools = TargetPools.create();
+	readonly #memory = PromptMemory.create();
+	readonly #metrics = RelayMetrics.create();
+	readonly #budgets = new Map<string, RepeatBudget>();
+	readonly #ranks = new Map<string, readonly string[]>();
+	readonly #configFollower: TopicFollower;
+	readonly #targetFollower: TopicFollower;
+	#table: RouteTable | undefined;
+	#hasTargets = false;
+	#server!: RelayServer;
+	#control!: ControlServer;
+
+	private constructor(private readonly options: RelayVmOptions) {
+		const {clock, createLogger} = options;
+		const logger = createLogger('targets');
+		this.#registry = TargetRegistry.create({
+			clock,
+			logger,
+			onClosed: target => {
+				this.#memory.forget(target.id);
+				if (target.isGone) {
+					this.#pools.drop(target.entry.address);
+				}
+			},
+		});
+		this.#host = PoolHost.create({
+			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.repeats, service: name => this.#table?.declarations.services.get(name),
+		});
+		this.#configFollower = TopicFollower.create({
+			name: 'configuration',
+			topic: options.configTopic,
+			clock,
+			logger: createLogger('config'),
+			pollMs: 0,
+			waitMs: configWaitMs,
+			onSnapshot: ({records}) => {
+				this.#configure(records);
+			},
+			onRecords: records => {
+				this.#configure(records);
+			},
+		});
+		this.#targetFollower = TopicFollower.create({
+			name: 'targets',
+			topic: options.targetTopic,
+			clock,
+			logger,
+			pollMs: targetsPollMs,
+			waitMs: 0,
+			onSnapshot: ({records}) => {
+				this.#hasTargets = true;
+				this.#registry.replace(records.flatMap(record => options.readTarget(record) ?? []));
+			},
+			onRecords: records => {
+				this.#updateTargets(records);
+			},
+			onRegained: outageMs => {
+				this.#registry.storeRegained(outageMs);
+			},
+		});
+	}
+
+	/** True while the balancer should send connections. */
+	get isReady(): boolean {
+		return this.#lifecycle.state === 'serving' && this.#hasTargets;
+	}
+
+	/** Ends requests in progress, then closes. Resolves when everything is closed. */
+	async shutdown(): Promise<void> {
+		const {clock, graceMs, createLogger} = this.options;
+		const logger = createLogger('entry-vm');
+		const startedMs = clock.now();
+		this.#lifecycle.send({type: 'SHUTDOWN'});
+		logger.info('Draining.', {in_flight: this.#server.inFlight});
+		while (this.#lifecycle.state !== 'stopped') {
+			await clock.sleep(drainCheckMs);
+			const elapsedMs = clock.now() - startedMs;
+			if (elapsedMs >= takeAfterTermMs) {
+				this.#lifecycle.send({type: 'TURN_AWAY'});
+				this.#server.closeIdle();
+			}
+
+			if ((elapsedMs >= leastDrainMs && this.#server.inFlight === 0) || elapsedMs >= graceMs - graceMarginMs) {
+				this.#lifecycle.send({type: 'IDLE'});
+			}
+		}
+
+		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
+		this.#configFollower.stop();
+		this.#targetFollower.stop();
+		await this.#server.close();
+		await this.#control.close();
+		this.#pools.destroy();
+	}
+
+	async #start(): Promise<void> {
+		const {options} = this;
+		const {clock, createLogger} = options;
+		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
+		this.#server = await RelayServer.create({
+			listen: options.callers,
+			table: () => this.#table,
+			isTurningAway: () => this.#lifecycle.state === 'leaving',
+			parts: {
+				clock,
+				random: Random.create(options.seed),
+				logger: createLogger('requests'),
+				metrics: this.#metrics,
+				codec: options.codec,
+				registry: this.#registry,
+				pools: this.#pools,
+				stages: this.#host,
+				memory: this.#memory,
+				zone: options.zone,
+				distance: zone => this.#distance(zone),
+				rank: (key, names) => this.#rank(key, names),
+				repeats: service => this.#budget(service),
+				probe: options.probe,
+				isClosing,
+			},
+		});
+		this.#control = await startControlServer({listen: options.control, registry: this.#metrics.registry, isReady: () => this.isReady});
+		this.#configFollower.start();
+		this.#targetFollower.start();
+		createLogger('entry-vm').info('Started.', {zone: options.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+	}
+
+	/** Takes the newest version among records; one that is not newer than the one in force is left out. */
+	#configure(records: readonly KeyedRecord[]): void {
+		const logger = this.options.createLogger('config');
+		for (const record of records) {
+			const declarations = this.options.readDeclarations(record);
+			if (!declarations) {
+				continue;
+			}
+
+			const current = this.#table?.version;
+			if (current !== undefined && declarations.version <= current) {
+				logger.info('Left out a version that is not newer.', {version: declarations.version, current});
+				continue;
+			}
+
+			this.#table = RouteTable.create(declarations);
+			this.#server.applyLimits(this.#table);
+			this.#lifecycle.send({type: 'CONFIGURED'});
+			logger.info('Applied a version.', {
+				version: declarations.version, before: current, routes: declarations.routes.length, teams: declarations.teams.length,
+			});
+		}
+	}
+
+	#updateTargets(records: readonly KeyedRecord[]): void {
+		for (const record of records) {
+			const entry = this.options.readTarget(record);
+			if (entry) {
+				this.#registry.put(entry);
+			} else if (record.value === undefined) {
+				this.#registry.remove(record.key);
+			}
+		}
+	}
+
+	#budget(service: string): RepeatBudget {
+		let budget = this.#budgets.get(service);
+		if (!budget) {
+			budget = RepeatBudget.create({limits: this.options.repeats, share: () => repeatShare / Math.max(1, this.options.entryVms())});
+			this.#budgets.set(service, budget);
+		}
+
+		return budget;
+	}
+
+	#distance(zone: string): ZoneDistance {
+		const {zone: own, regionOf} = this.options;
+		if (zone === own) {
+			return 'same_zone';
+		}
+
+		const region = regionOf(own);
+		return region !== undefined && region === regionOf(zone) ? 'same_region' : 'other_region';
+	}
+
+	/** Rankings are remembered: hashing a key with every name costs more than the rest of a choice. */
+	#rank(key: string, names: readonly string[]): readonly string[] {
+		const cacheKey = `${key} ${names.join(' ')}`;
+		let rank = this.#ranks.get(cacheKey);
+		if (!rank) {
+			rank = rankByRendezvous(key, names);
+			if (this.#ranks.size >= maxRanks) {
+				this.#ranks.clear();
+			}
+
+			this.#ranks.set(cacheKey, rank);
+		}
+
+		return rank;
+	}
+}
+
+/** Rankings remembered. */
+const maxRanks = 2000;
+/** Part of the budget of repeats that is spent; the rest covers entry VMs that this one does not know of. */
+const repeatShare = 0.8;
--- /dev/null
+++ b/src/relay/relay-run.ts
@@ -0,0 +1,426 @@
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Ms} from '../clock/index.js';
+import type {RelayTarget} from '../registry/index.js';
+import {pickService, type Route, type RouteTable, type TeamDeclaration} from '../routes/index.js';
+import {chooseEngine} from './choose-engine.js';
+import {chooseTarget} from './choose-target.js';
+import {nextStep, type FailedAttempt} from './next-step.js';
+import type {RelayParts} from './relay-parts.js';
+import type {CallerHead} from './relay-codec.js';
+import type {Rejection, RelayReason} from './rejection.js';
+import {RequestStages, type StagesOutcome} from './request-stages.js';
+import {StreamDelivery} from './stream-delivery.js';
+import {runAttempt, type AttemptEnd, type WholeAnswer} from './target-attempt.js';
+
+/** Least time left for which a request is sent to a target. */
+const leastLeftMs: Ms = 15;
+/** Time for an answer to travel from the target, so that one at the last moment is still delivered. */
+const answerSlackMs: Ms = 40;
+/** Targets tried that could not be reached at all, at most. */
+const maxUnsent = 3;
+/** Time to a first token without waiting, beyond the reading of the prompt. */
+const firstTokenMs: Ms = 60;
+/** Prompt tokens that an engine reads in a ms; measured on the users' engines. */
+const prefillTokensPerMs = 50;
+/** Time beyond the expected one after which an engine without a first token is probed. */
+const probeSlackMs: Ms = 500;
+/** Part of an objective within which a repeatable call has to be answered, so that a second one can still meet it. */
+const firstTryShare = 0.75;
+/** Longest wait for a first token before a repeatable request goes to another engine, as a multiple of its objective. */
+const firstTokenFactor = 2;
+
+/** A request that was read, with its route and team. */
+export interface RelayRequest {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly head: CallerHead;
+	readonly attemptId: string;
+	readonly body: Buffer;
+	readonly route: Route;
+	readonly team: TeamDeclaration | undefined;
+	readonly table: RouteTable;
+	readonly arrivedMs: Ms;
+}
+
+type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string};
+
+/**
+ * One request on its way: stages, attempts at targets, and exactly one answer to the caller.
+ *
+ * @example
+ * await RelayRun.create(parts, request).run();
+ */
+export class RelayRun {
+	static create(parts: RelayParts, request: RelayRequest): RelayRun {
+		return new RelayRun(parts, request);
+	}
+
+	readonly #stop = new AbortController();
+	readonly #deadlineMs: Ms;
+	readonly #objectiveMs: Ms;
+	readonly #service: string;
+	readonly #tried = new Set<RelayTarget>();
+	readonly #attempts: AttemptRecord[] = [];
+	readonly #delivery: StreamDelivery | undefined;
+	readonly #stages: RequestStages | undefined;
+	#sent = 0;
+	#unsent = 0;
+	#mayHaveRun = 0;
+	#hasLeft = false;
+	#isOver = false;
+	#firstByteMs: Ms | undefined;
+	#stagesMs: Ms | undefined;
+	#fallback: WholeAnswer | undefined;
+
+	private constructor(private readonly parts: RelayParts, private readonly request: RelayRequest) {
+		const {route, head, arrivedMs, res, attemptId, table} = request;
+		this.#deadlineMs = arrivedMs + Math.min(head.waitsMs ?? route.timeoutMs, route.timeoutMs);
+		this.#objectiveMs = arrivedMs + route.objectiveMs;
+		this.#service = pickService(route, parts.random.float());
+		this.#delivery = route.kind === 'stream' ? StreamDelivery.create(res, {isClosing: parts.isClosing}) : undefined;
+		this.#stages = route.stages.length === 0 ? undefined : RequestStages.create({
+			clock: parts.clock,
+			pools: parts.stages,
+			route,
+			attemptId,
+			pieces: head.pieces,
+			pieceKey: head.pieceKey,
+			zone: parts.zone,
+			priority: this.#priority,
+			callByMs: this.#objectiveMs - this.#firstTokenMs(),
+			deadlineMs: this.#deadlineMs - this.#firstTokenMs(),
+			service: name => table.declarations.services.get(name),
+		});
+	}
+
+	/** Resolves when the caller has its answer or has left. */
+	async run(): Promise<void> {
+		const {res} = this.request;
+		const onClose = () => {
+			if (!res.writableFinished) {
+				this.#hasLeft = true;
+				this.#stop.abort();
+			}
+		};
+
+		const cancelTimeout = this.parts.clock.after(this.#deadlineMs - this.parts.clock.now(), () => {
+			this.#expire();
+		});
+		res.on('close', onClose);
+		this.parts.repeats(this.#service).requested(this.parts.clock.now());
+		try {
+			await this.#serve();
+		} finally {
+			cancelTimeout();
+			res.off('close', onClose);
+			this.#stages?.release();
+		}
+	}
+
+	async #serve(): Promise<void> {
+		let inputs = await this.#inputs();
+		while (inputs && !this.#stop.signal.aborted) {
+			const target = this.#choose();
+			if (!target) {
+				this.#reject({status: this.#mayHaveRun > 0 ? 502 : 503, reason: 'no_target', retryAfterMs: 300});
+				return;
+			}
+
+			const end = await this.#attempt(target, inputs);
+			if (end.kind === 'answer') {
+				this.#deliver(end.answer);
+				return;
+			}
+
+			if (end.kind === 'streamed') {
+				this.#finish('answered', '', 200);
+				return;
+			}
+
+			if (end.kind === 'aborted' || !this.#continue(end)) {
+				break;
+			}
+
+			// A stage's results may be gone with the attempt that took them.
+			inputs = this.#stages?.isEmpty === false && this.#firstByteMs !== undefined ? await this.#inputs() : inputs;
+		}
+
+		if (this.#hasLeft) {
+			this.#finish('left', '', 0);
+		}
+	}
+
+	/** Runs the stages; `undefined` when the request is over. */
+	async #inputs(): Promise<readonly string[] | undefined> {
+		if (!this.#stages || this.#stages.isEmpty) {
+			return [];
+		}
+
+		const startedMs = this.parts.clock.now();
+		const outcome: StagesOutcome = await this.#stages.run(this.#stop.signal);
+		this.#stagesMs = (this.#stagesMs ?? 0) + this.parts.clock.now() - startedMs;
+		this.parts.metrics.staged(this.parts.clock.now() - startedMs);
+		if ('results' in outcome) {
+			return outcome.results;
+		}
+
+		if (!this.#isOver && !this.#hasLeft) {
+			const reason: RelayReason = outcome.failure === 'late' ? 'stages_late' : (outcome.failure === 'overloaded' ? 'stages_overloaded' : 'stages_failed');
+			this.#reject({status: this.#mayHaveRun > 0 ? 502 : 503, reason, retryAfterMs: outcome.retryAfterMs});
+		}
+
+		return undefined;
+	}
+
+	async #attempt(target: RelayTarget, inputs: readonly string[]): Promise<AttemptEnd> {
+		const {parts, request} = this;
+		const {clock, codec, pools, memory, probe, metrics} = parts;
+		const {head, attemptId, body, req, route, team} = request;
+		const startedMs = clock.now();
+		const {prompt} = head;
+		this.#tried.add(target);
+		if (prompt) {
+			target.pendingTokens += prompt.inputTokens;
+		}
+
+		let isPending = prompt !== undefined;
+		const settlePrompt = () => {
+			if (isPending) {
+				isPending = false;
+				target.pendingTokens -= prompt!.inputTokens;
+			}
+		};
+
+		const isRepeatable = this.#isRepeatable;
+		const end = await runAttempt({
+			clock,
+			pools,
+			codec,
+			target,
+			attemptId,
+			sink: this.#delivery,
+			signal: this.#stop.signal,
+			probe,
+			answerWithinMs: this.#answerWithinMs(startedMs),
+			probeAfterMs: prompt ? this.#firstTokenMs() + (target.pendingTokens / prefillTokensPerMs) + probeSlackMs : undefined,
+			request: {
+				address: target.entry.address,
+				method: req.method!,
+				path: req.url!,
+				body,
+				isFresh: !isRepeatable,
+				headers: codec.writeTarget(head, {
+					targetId: target.id,
+					team: team?.name,
+					leftMs: Math.max(1, this.#deadlineMs - startedMs),
+					urgency: prompt ? Math.min(9, this.#priority * 2) : undefined,
+					inputs,
+					lastEventId: this.#delivery?.lastId === undefined ? head.lastEventId : String(this.#delivery.lastId),
+				}),
+			},
+			onAnswering: () => {
+				this.#firstByteMs ??= clock.now() - request.arrivedMs;
+				settlePrompt();
+				// The engine has fetched its inputs when it answers.
+				this.#stages?.release();
+				if (prompt) {
+					memory.sent(target.id, prompt.parts, clock.now());
+				}
+			},
+		});
+		settlePrompt();
+		this.#record(target, end, startedMs);
+		metrics.attempt(end.kind === 'failed' ? end.attempt : end.kind);
+		if (route.kind === 'stream' && end.kind === 'failed' && end.attempt === 'unsent') {
+			this.#tried.add(target);
+		}
+
+		return end;
+	}
+
+	/** True when the request goes on with another attempt. */
+	#continue(end: AttemptEnd & {kind: 'failed'}): boolean {
+		const {parts, request} = this;
+		const {route} = request;
+		const attempt: FailedAttempt = end.attempt;
+		if (attempt === 'unsent') {
+			this.#unsent++;
+		} else {
+			this.#sent++;
+		}
+
+		if (attempt !== 'unsent' && attempt !== 'refused') {
+			this.#mayHaveRun++;
+		}
+
+		if (attempt === 'error') {
+			this.#fallback = end.answer;
+		}
+
+		const now = parts.clock.now();
+		const next = nextStep({
+			attempt,
+			kind: route.kind,
+			isResumable: route.isResumable,
+			sent: this.#sent,
+			mayHaveRun: this.#mayHaveRun,
+			maxAttempts: route.maxAttempts,
+			hasUntriedTarget: this.#choose() !== undefined && this.#unsent <= maxUnsent,
+			hasTime: this.#deadlineMs - now >= leastLeftMs,
+			spendRepeat: () => parts.repeats(this.#service).spend(now),
+		});
+		if (next.step === 'retry') {
+			parts.logger.info('Sends a request to another target.', {
+				id: request.attemptId, service: this.#service, after: attempt, reason: end.reason, left_ms: Math.round(this.#deadlineMs - now),
+			});
+			return true;
+		}
+
+		if (this.#delivery?.hasHead) {
+			this.#breakOff(end.reason);
+		} else if (this.#fallback && next.step === 'deliver_error') {
+			this.#deliver(this.#fallback);
+		} else {
+			this.#reject(next.step === 'reject' ? next.rejection : {status: 502, reason: 'target_failed'});
+		}
+
+		return false;
+	}
+
+	#choose(): RelayTarget | undefined {
+		const {registry, clock, random, memory, distance, rank} = this.parts;
+		const {prompt} = this.request.head;
+		const targets = registry.open(this.#service);
+		const options = {now: clock.now(), tried: this.#tried, distance};
+		return prompt
+			? chooseEngine(targets, {...options, prompt, memory, rank})
+			: chooseTarget(targets, {...options, point: random.float()});
+	}
+
+	#answerWithinMs(now: Ms): Ms {
+		const {route} = this.request;
+		const leftMs = this.#deadlineMs - now + answerSlackMs;
+		if (!this.#isRepeatable || this.#sent + 1 >= route.maxAttempts) {
+			return leftMs;
+		}
+
+		const withinMs = route.kind === 'stream'
+			? Math.max(this.#objectiveMs - now, 0) + (route.objectiveMs * (firstTokenFactor - 1))
+			: Math.max(route.objectiveMs * firstTryShare, this.#objectiveMs - now - (route.objectiveMs * (1 - firstTryShare)));
+		return Math.min(leftMs, withinMs);
+	}
+
+	get #isRepeatable(): boolean {
+		const {kind, isResumable} = this.request.route;
+		return kind === 'idempotent' || (kind === 'stream' && isResumable);
+	}
+
+	get #priority(): number {
+		return this.request.team?.priority ?? this.request.route.priority;
+	}
+
+	/** Expected time to the first token without waiting, for a prompt that is partly cached. */
+	#firstTokenMs(): Ms {
+		const tokens = this.request.head.prompt?.inputTokens ?? 0;
+		return firstTokenMs + (tokens / prefillTokensPerMs);
+	}
+
+	#deliver({status, head, body}: WholeAnswer): void {
+		const {res} = this.request;
+		if (this.#isOver || res.destroyed) {
+			return;
+		}
+
+		res.writeHead(status, {...head.passed, 'content-length': body.length, ...(this.parts.isClosing() ? {connection: 'close'} : {})});
+		res.end(body);
+		this.#finish('answered', '', status);
+	}
+
+	#reject(rejection: Rejection): void {
+		const {res} = this.request;
+		if (this.#isOver || this.#hasLeft) {
+			return;
+		}
+
+		sendRejection(res, rejection, this.parts.isClosing());
+		this.#finish('rejected', rejection.reason, rejection.status);
+	}
+
+	/** Ends a stream so that the caller sees that it is not complete. */
+	#breakOff(reason: string): void {
+		if (!this.#isOver) {
+			this.#finish('broken_off', reason, 200);
+			this.request.res.destroy();
+		}
+	}
+
+	/** The caller's time or the route's is over. */
+	#expire(): void {
+		if (this.#isOver || this.#hasLeft) {
+			return;
+		}
+
+		if (this.#delivery?.hasHead) {
+			this.#breakOff('the time is over');
+		} else if (this.#attempts.length === 0 && this.#tried.size === 0) {
+			this.#reject({status: 503, reason: 'timeout', retryAfterMs: 0});
+		} else {
+			this.#reject({status: 504, reason: 'timeout'});
+		}
+
+		this.#stop.abort();
+	}
+
+	#record(target: RelayTarget, end: AttemptEnd, startedMs: Ms): void {
+		const now = this.parts.clock.now();
+		this.#attempts.push({
+			target: target.id,
+			end: end.kind === 'failed' ? end.attempt : end.kind,
+			at_ms: Math.round(startedMs - this.request.arrivedMs),
+			took_ms: Math.round(now - startedMs),
+			...(end.kind === 'failed' ? {reason: end.reason} : {}),
+		});
+	}
+
+	#finish(outcome: string, reason: string, status: number): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		const {request, parts} = this;
+		const tookMs = parts.clock.now() - request.arrivedMs;
+		parts.metrics.ended({
+			outcome, reason: outcome === 'rejected' ? reason : '', tookMs, firstByteMs: this.#firstByteMs,
+		});
+		parts.logger.info('Ended a request.', {
+			id: request.attemptId,
+			route: request.route.name,
+			service: this.#service,
+			team: request.team?.name,
+			config: request.table.version,
+			outcome,
+			...(reason === '' ? {} : {reason}),
+			status,
+			took_ms: Math.round(tookMs),
+			time_ms: Math.round(this.#deadlineMs - request.arrivedMs),
+			...(this.#stagesMs === undefined ? {} : {stages_ms: Math.round(this.#stagesMs)}),
+			...(this.#firstByteMs === undefined ? {} : {first_byte_ms: Math.round(this.#firstByteMs)}),
+			...(this.#delivery ? {events: this.#delivery.count} : {}),
+			attempts: this.#attempts,
+		});
+	}
+}
+
+/** Sends an answer of the relay's own. */
+export function sendRejection(res: ServerResponse, rejection: Rejection, isClosing: boolean): void {
+	const body = JSON.stringify({reason: rejection.reason, outcome: rejection.status === 503 ? 'not_run' : 'unknown'});
+	res.writeHead(rejection.status, {
+		'content-type': 'application/json',
+		'content-length': body.length,
+		...(rejection.retryAfterMs === undefined ? {} : {'retry-after': (rejection.retryAfterMs / 1000).toFixed(2)}),
+		...(isClosing ? {connection: 'close'} : {}),
+	});
+	res.end(body);
+}
--- /dev/null
+++ b/src/routes/index.ts
@@ -0,0 +1,5 @@
+export {pickService} from './pick-service.js';
+export type {
+	CallerLimits, RelayDeclarations, RequestKind, Route, RouteStage, ServiceDeclaration, StagePoolLimits, TeamDeclaration, WeightedService,
+} from './relay-declarations.js';
+export {RouteTable} from './route-table.js';
--- a/src/stand-ins/platform-stand-in.ts
+++ b/src/stand-ins/platform-stand-in.ts
@@ -1,7 +1,7 @@
 import {z} from 'zod';
 import type {Clock, Ms} from '../clock/index.js';
 import {sendJson, type ListenAddress} from '../http/index.js';
-import {MemoryVmList} from '../platform/index.js';
+import {MemoryVmList} from '../vms/index.js';
 import {StandInServer} from './stand-in-server.js';
 
 const vmSchema = z.strictObject({
--- a/src/targets/vm-watcher.ts
+++ b/src/targets/vm-watcher.ts
@@ -1,7 +1,7 @@
 import type {Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {VmList, VmSnapshot} from '../platform/index.js';
+import type {VmList, VmSnapshot} from '../vms/index.js';
 import type {DeclaredTargets} from './declared-targets.js';
 
 /** Interval of the few that tell the others over the links, and of an entry VM without links. */
--- /dev/null
+++ b/src/vms/index.ts
@@ -0,0 +1,5 @@
+export {HttpVmList} from './http-vm-list.js';
+export {MemoryVmList} from './memory-vm-list.js';
+export type {
+	Vm, VmList, VmSnapshot, VmState,
+} from './vm-list.js';
--- a/test/support/gate-log.ts
+++ b/test/support/gate-log.ts
@@ -1,6 +1,4 @@
-import type {
-	LogPage, LogStream, PlatformLog, ReadOptions,
-} from '../../src/platform/index.js';
+import type {LogPage, LogStream, PlatformLog, ReadOptions} from '../../src/log/index.js';
 
 /** Point at which an entry VM stops. */
 export type GatePoint = 'before the append' | 'after the append' | 'after the read-back';
