Host each stage pool at one entry VM for all

Change: entry VMs find each other as members of a group of the store, link to the hosts of the pools by rendezvous hashing, and send their stage jobs there; the next one takes over while the host is not linked. The link key is the first record of a topic of the store.

Ruled out: a host for each zone, since large results stay in their zone by the order of the jobs and small ones cost nothing on the way.

--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -1,3 +1,4 @@
+export {agreeOnLinkKey, type LinkKeyStore} from './agree-on-link-key.js';
 export {digestIntervalMs, type DigestSource} from './digest-exchange.js';
 export type {DrainingListener, DrainingNews} from './draining-news.js';
 export {LinkError, type LinkCloseReason} from './link-error.js';
@@ -5,10 +6,12 @@
 export type {LinkIdentity} from './link-identity.js';
 export {LinkKey, minLinkKeyBytes} from './link-key.js';
 export {LinkMesh, type LinkMeshOptions, type LinkSettings} from './link-mesh.js';
-export {pingIntervalMs, silenceMs} from './link.js';
+export type {LinkMessage} from './link-message.js';
+export {pingIntervalMs, silenceMs, type Link} from './link.js';
 export {
 	gatewaysPerZone, Membership, type Member, type PeerAddress,
 } from './membership.js';
 export type {MemberState} from './member-lifecycle.js';
+export {RelayMesh, type RelayMeshOptions} from './relay-mesh.js';
 export {rankByRendezvous} from './rendezvous.js';
 export type {PeerState} from './peer-state.js';
--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -1,5 +1,4 @@
 import type {Registry} from 'prom-client';
-import {WebSocket} from 'ws';
 import type {Clock, Ms} from '../clock/index.js';
 import type {ConfigEndpoint} from '../config/index.js';
 import type {
@@ -22,7 +21,8 @@
 import type {LinkKey} from './link-key.js';
 import {LinkListener} from './link-listener.js';
 import type {LinkMessage, LinkTime} from './link-message.js';
-import {handshakeTimeoutMs, maxFrameBytes, type Link} from './link.js';
+import {dialLink} from './dial-link.js';
+import type {Link} from './link.js';
 import {Membership, type Member, type PeerAddress} from './membership.js';
 import type {MeshLinks} from './mesh-links.js';
 import {PeerLinks} from './peer-links.js';
@@ -30,7 +30,6 @@
 import {Roster} from './roster.js';
 import {TargetWatchers} from './target-watchers.js';
 import {VmListFollower} from './vm-list-follower.js';
-import {wsLinkSocket} from './ws-link-socket.js';
 
 /** Settings of the links of an entry VM. */
 export interface LinkSettings {
@@ -96,7 +95,7 @@
 			...options,
 			membership: this.#membership,
 			bytes: LinkBytes.create(options.registry),
-			connect: address => connect(address),
+			connect: address => dialLink(address),
 			distanceTo: zone => this.#distanceTo(zone),
 			onUp: () => {
 				this.#roster.publish();
@@ -273,6 +272,12 @@
 				break;
 			}
 
+			// Stage pools are shared over the relay's mesh.
+			case 'stage-job':
+			case 'stage-results':
+			case 'stage-failure':
+			case 'stage-cancel':
+			case 'stage-free':
 			case 'ping': {
 				break;
 			}
@@ -321,9 +326,3 @@
 	}
 }
 
-function connect({host, port}: ListenAddress) {
-	const socket = new WebSocket(`ws://${host.includes(':') ? `[${host}]` : host}:${port}/links`, {
-		perMessageDeflate: false, maxPayload: maxFrameBytes, handshakeTimeout: handshakeTimeoutMs,
-	});
-	return wsLinkSocket(socket);
-}
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -6,6 +6,10 @@
 const count = z.number().int().nonnegative();
 const name = z.string().min(1).max(200);
 const id = count;
+/** Pieces of one stage, and results that one message may name; bounds against a faulty peer. */
+const maxPieces = 10_000;
+const maxHandles = 50_000;
+const handle = z.string().min(1).max(200);
 
 /** Digest on the wire: names are indexes into a table that grows with the session. */
 export const wireDigestSchema = z.strictObject({
@@ -63,6 +67,28 @@
 	z.strictObject({
 		type: z.literal('events-reply'), id, events: z.array(eventSchema).max(100_000), answered: z.array(name).max(5000), silent: z.array(name).max(5000),
 	}),
+	// Times are relative, since clocks differ.
+	z.strictObject({
+		type: z.literal('stage-job'),
+		id,
+		service: name,
+		attemptId: name,
+		stage: count,
+		pieces: count.min(1).max(maxPieces),
+		key: z.string().max(1000).optional(),
+		inputs: z.array(handle).max(maxHandles),
+		resultBytes: z.number().nonnegative(),
+		zone: name,
+		priority: z.number(),
+		startInMs: z.number(),
+		deadlineInMs: z.number(),
+	}),
+	z.strictObject({type: z.literal('stage-results'), id, results: z.array(handle).max(maxPieces)}),
+	z.strictObject({
+		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded']), retryAfterMs: z.number().nonnegative(),
+	}),
+	z.strictObject({type: z.literal('stage-cancel'), id}),
+	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -34,6 +34,11 @@
 	readonly logger: PartLogger;
 	readonly connect: (address: ListenAddress) => LinkSocket;
 	readonly distanceTo: (zone: string) => LinkDistance;
+	/**
+	 * Tells which members this entry VM needs a link to, and makes it dial them itself; without it, the members of its
+	 * zone and the gateways of other zones.
+	 */
+	readonly needs?: (name: string) => boolean;
 	readonly onUp: (link: Link) => void;
 	readonly onMessage: (link: Link, message: LinkMessage, time: LinkTime | undefined) => void;
 	readonly onClosed: (link: Link) => void;
@@ -132,7 +137,11 @@
 
 	/** Members that this entry VM should have a link to. A zone not known yet is learned by dialling. */
 	#needed(): Member[] {
-		const {membership, self} = this.options;
+		const {membership, self, needs} = this.options;
+		if (needs) {
+			return membership.members().filter(member => needs(member.name));
+		}
+
 		const {isGateway} = membership;
 		const remote = new Set(isGateway ? membership.otherZones().flatMap(zone => membership.gateways(zone)) : []);
 		return membership.members().filter(member => member.zone === undefined || member.zone === self.zone || remote.has(member.name));
@@ -159,7 +168,7 @@
 				this.#dials.set(member.name, dial);
 			}
 
-			const isDialler = this.options.self.name < member.name || now - this.#startedMs < joinMs || now - dial.wantedSinceMs >= fallbackDialMs;
+			const isDialler = this.options.needs !== undefined || this.options.self.name < member.name || now - this.#startedMs < joinMs || now - dial.wantedSinceMs >= fallbackDialMs;
 			if (isDialler && !dial.link && now >= dial.dueMs) {
 				this.#dial(member.name, member.address, dial);
 			}
--- a/src/links/vm-list-follower.ts
+++ b/src/links/vm-list-follower.ts
@@ -9,6 +9,7 @@
 /** Interval once it has stayed the same: links find lost peers sooner, and the whole list costs bytes each time. */
 const quietPollMs: Ms = 15_000;
 const quietAfterMs: Ms = 20_000;
+const usualIntervals = {busyMs: busyPollMs, quietMs: quietPollMs, quietAfterMs};
 
 /** Parts of a follower of the VM list. */
 export interface VmListFollowerOptions {
@@ -17,6 +18,8 @@
 	readonly vmList: VmList;
 	readonly logger: PartLogger;
 	readonly onList: (snapshot: VmSnapshot) => void;
+	/** Intervals other than the usual ones, where reading the list costs more or less. */
+	readonly intervals?: {readonly busyMs: Ms; readonly quietMs: Ms; readonly quietAfterMs: Ms};
 }
 
 /**
@@ -48,11 +51,11 @@
 	}
 
 	async #follow(): Promise<void> {
-		const {clock, random} = this.options;
+		const {clock, random, intervals = usualIntervals} = this.options;
 		while (!this.#stopped.signal.aborted) {
 			await this.#poll();
-			const isQuiet = this.#isReachable && clock.now() - this.#changedMs >= quietAfterMs;
-			const interval = isQuiet ? quietPollMs : busyPollMs;
+			const isQuiet = this.#isReachable && clock.now() - this.#changedMs >= intervals.quietAfterMs;
+			const interval = isQuiet ? intervals.quietMs : intervals.busyMs;
 			await clock.sleep(interval * (0.75 + (random.float() / 2)), this.#stopped.signal);
 		}
 	}
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,3 +1,4 @@
+export {LinkedPools, poolKey, type StageMessage} from './linked-pools.js';
 export {PoolHost, type PoolHostOptions} from './pool-host.js';
 export {RepeatBudget, type RepeatLimits} from './repeat-budget.js';
 export type {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,8 +1,13 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {ListenAddress} from '../http/index.js';
-import {rankByRendezvous} from '../links/index.js';
+import {EventRing} from '../events/index.js';
+import {
+	agreeOnLinkKey, rankByRendezvous, RelayMesh, type LinkIdentity, type LinkKeyStore,
+} from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
-import {PoolHost, RepeatBudget, type RepeatLimits, type StageTargetPort} from '../pools/index.js';
+import {
+	LinkedPools, PoolHost, poolKey, RepeatBudget, type RepeatLimits, type StageMessage, type StageTargetPort,
+} from '../pools/index.js';
 import {Random} from '../random/index.js';
 import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
 import {
@@ -10,6 +15,7 @@
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {TopicFollower, type KeyedRecord, type KeyedTopic} from '../topics/index.js';
+import type {VmList} from '../vms/index.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 
@@ -24,11 +30,18 @@
 /** Part of the grace time that is left for closing. */
 const graceMarginMs: Ms = 500;
 const drainCheckMs: Ms = 100;
+/** Reads of the list of entry VMs: often while it changes, seldom afterwards, since each one is billed. */
+const vmListIntervals = {busyMs: 1500, quietMs: 6000, quietAfterMs: 8000};
+/** Events kept for links; the relay logs its own. */
+const eventCapacity = 500;
 
 /** Addresses, bounds and ports of a relaying entry VM. */
 export interface RelayVmOptions {
-	readonly name: string;
-	readonly zone: string;
+	readonly self: LinkIdentity;
+	/** Where other entry VMs connect. */
+	readonly links: ListenAddress;
+	readonly vmList: VmList;
+	readonly linkKeyStore: LinkKeyStore;
 	readonly regionOf: (zone: string) => string | undefined;
 	readonly callers: ListenAddress;
 	readonly control: ListenAddress;
@@ -45,8 +58,6 @@
 	/** Decodes a target's entry; `undefined` for one that names no target. */
 	readonly readTarget: (record: KeyedRecord) => TargetEntry | undefined;
 	readonly repeats: RepeatLimits;
-	/** Entry VMs that share the budget of repeats. */
-	readonly entryVms: () => number;
 	/** Time between SIGTERM and the end by force. */
 	readonly graceMs: Ms;
 }
@@ -78,6 +89,8 @@
 	readonly #targetFollower: TopicFollower;
 	#table: RouteTable | undefined;
 	#hasTargets = false;
+	#mesh: RelayMesh | undefined;
+	readonly #linked: LinkedPools;
 	#server!: RelayServer;
 	#control!: ControlServer;
 
@@ -97,6 +110,9 @@
 		this.#host = PoolHost.create({
 			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.repeats, service: name => this.#table?.declarations.services.get(name),
 		});
+		this.#linked = LinkedPools.create({
+			clock, logger: createLogger('pools'), host: this.#host, mesh: () => this.#mesh,
+		});
 		this.#configFollower = TopicFollower.create({
 			name: 'configuration',
 			topic: options.configTopic,
@@ -161,6 +177,7 @@
 		this.#targetFollower.stop();
 		await this.#server.close();
 		await this.#control.close();
+		await this.#mesh?.close();
 		this.#pools.destroy();
 	}
 
@@ -180,9 +197,9 @@
 				codec: options.codec,
 				registry: this.#registry,
 				pools: this.#pools,
-				stages: this.#host,
+				stages: this.#linked,
 				memory: this.#memory,
-				zone: options.zone,
+				zone: options.self.zone,
 				distance: zone => this.#distance(zone),
 				rank: (key, names) => this.#rank(key, names),
 				repeats: service => this.#budget(service),
@@ -193,7 +210,43 @@
 		this.#control = await startControlServer({listen: options.control, registry: this.#metrics.registry, isReady: () => this.isReady});
 		this.#configFollower.start();
 		this.#targetFollower.start();
-		createLogger('entry-vm').info('Started.', {zone: options.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+		void this.#startMesh();
+		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+	}
+
+	async #startMesh(): Promise<void> {
+		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
+		const logger = createLogger('links');
+		this.#mesh = await RelayMesh.create({
+			self,
+			key: await agreeOnLinkKey({store: linkKeyStore, clock, logger}),
+			listen: links,
+			clock,
+			random: Random.create(seed + 1),
+			vmList,
+			intervals: vmListIntervals,
+			registry: this.#metrics.registry,
+			logger,
+			events: EventRing.create({process: self.name, clock, capacity: eventCapacity}),
+			distanceTo: zone => {
+				const distance = this.#distance(zone);
+				return distance === 'same_region' ? 'other_zone' : distance;
+			},
+			onMessage: (link, message) => {
+				if (message.type.startsWith('stage-')) {
+					this.#linked.receive(link, message as StageMessage);
+				}
+			},
+			onLost: link => {
+				this.#linked.linkLost(link);
+			},
+		});
+		this.#setPoolKeys();
+	}
+
+	#setPoolKeys(): void {
+		const services = [...this.#table?.declarations.services.values() ?? []];
+		this.#mesh?.setKeys(services.filter(service => service.stagePool).map(service => poolKey(service.name)));
 	}
 
 	/** Takes the newest version among records; one that is not newer than the one in force is left out. */
@@ -213,6 +266,7 @@
 
 			this.#table = RouteTable.create(declarations);
 			this.#server.applyLimits(this.#table);
+			this.#setPoolKeys();
 			this.#lifecycle.send({type: 'CONFIGURED'});
 			logger.info('Applied a version.', {
 				version: declarations.version, before: current, routes: declarations.routes.length, teams: declarations.teams.length,
@@ -234,7 +288,7 @@
 	#budget(service: string): RepeatBudget {
 		let budget = this.#budgets.get(service);
 		if (!budget) {
-			budget = RepeatBudget.create({limits: this.options.repeats, share: () => repeatShare / Math.max(1, this.options.entryVms())});
+			budget = RepeatBudget.create({limits: this.options.repeats, share: () => repeatShare / (this.#mesh?.size ?? assumedEntryVms)});
 			this.#budgets.set(service, budget);
 		}
 
@@ -242,7 +296,7 @@
 	}
 
 	#distance(zone: string): ZoneDistance {
-		const {zone: own, regionOf} = this.options;
+		const {self: {zone: own}, regionOf} = this.options;
 		if (zone === own) {
 			return 'same_zone';
 		}
@@ -268,6 +322,8 @@
 	}
 }
 
+/** Entry VMs that share a budget while their number is not known yet. */
+const assumedEntryVms = 9;
 /** Rankings remembered. */
 const maxRanks = 2000;
 /** Part of the budget of repeats that is spent; the rest covers entry VMs that this one does not know of. */
