--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -78,7 +78,7 @@
 		key: z.string().max(1000).optional(),
 		inputs: z.array(handle).max(maxHandles),
 		resultBytes: z.number().nonnegative(),
-		zone: name,
+		pulls: z.array(z.strictObject({zone: name, bytes: z.number().nonnegative()})).max(100),
 		priority: z.number(),
 		startInMs: z.number(),
 		deadlineInMs: z.number(),
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -1,9 +1,9 @@
 import type {Ms} from '../clock/index.js';
 import type {StageJob} from './stage-job.js';
 
-/** Results above this size are made in the zone that uses them while there is time: bytes between zones are billed. */
-const largeResultBytes = 256 * 1024;
-/** A job this close to its latest start takes any target, other zones' included. */
+/** A job that would move more bytes than this from or to another zone waits for a nearer target while there is time: they are billed. */
+const fewBytes = 256 * 1024;
+/** A job this close to its latest start takes any target. */
 const anyZoneSlackMs: Ms = 250;
 /** Head start of each rank over the next, in ms of slack. */
 const rankMs: Ms = 150;
@@ -12,27 +12,37 @@
 export interface JobOrderOptions {
 	readonly now: Ms;
 	readonly zone: string;
-	/** True where a zone has a target of the pool that takes work. */
-	readonly isZoneServed: (zone: string) => boolean;
+	/** Zones with a target of the pool that takes work. */
+	readonly servedZones: readonly string[];
 }
 
 /**
  * Orders the jobs that a target may take, most urgent first: jobs that can still meet their objective by their latest
- * start, then the others by their deadline. Jobs with large results stay for the targets of their own zone until they
- * run out of slack.
+ * start, then the others by their deadline. Jobs that would move many bytes between zones stay for nearer targets until
+ * they run out of slack.
  *
  * @example
- * orderJobs(jobs, {now, zone: 'riga-a', isZoneServed: () => true});
+ * orderJobs(jobs, {now, zone: 'riga-a', servedZones: ['riga-a', 'liepaja-a']});
  */
 export function orderJobs(jobs: readonly StageJob[], options: JobOrderOptions): StageJob[] {
-	const {now, zone, isZoneServed} = options;
-	const eligible = jobs.filter(job => job.zone === zone || job.resultBytes < largeResultBytes || !isZoneServed(job.zone) || isShortOfTime(job, now));
-	return eligible
+	const {now, zone, servedZones} = options;
+	return jobs
+		.filter(job => isNear(job, zone, servedZones) || isShortOfTime(job, now))
 		.map(job => ({job, isLate: job.startByMs < now, key: job.startByMs < now ? job.deadlineMs : job.startByMs + (job.priority * rankMs)}))
 		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key)
 		.map(({job}) => job);
 }
 
+/** Bytes that move between zones when a job runs in a zone. */
+function movedBytes(job: StageJob, zone: string): number {
+	return job.pulls.reduce((sum, pull) => sum + (pull.zone === zone ? 0 : pull.bytes), 0);
+}
+
+function isNear(job: StageJob, zone: string, servedZones: readonly string[]): boolean {
+	const least = Math.min(...servedZones.map(other => movedBytes(job, other)));
+	return movedBytes(job, zone) - least < fewBytes;
+}
+
 function isShortOfTime(job: StageJob, now: Ms): boolean {
 	return job.startByMs >= now && job.startByMs - now < anyZoneSlackMs;
 }
--- a/src/pools/linked-pools.ts
+++ b/src/pools/linked-pools.ts
@@ -65,6 +65,10 @@
 		return {failure: 'failed', retryAfterMs: 0};
 	}
 
+	zoneOf(handle: string): string | undefined {
+		return this.host.zoneOf(handle);
+	}
+
 	free(service: string, handles: readonly string[]): void {
 		const link = this.mesh()?.owner(poolKey(service));
 		for (let at = 0; at < handles.length; at += handlesPerMessage) {
@@ -135,7 +139,7 @@
 				...(job.key === undefined ? {} : {key: job.key}),
 				inputs: [...job.inputs],
 				resultBytes: job.resultBytes,
-				zone: job.zone,
+				pulls: job.pulls.map(pull => ({...pull})),
 				priority: job.priority,
 				startInMs: job.startByMs - now,
 				deadlineInMs: job.deadlineMs - now,
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -73,6 +73,10 @@
 		});
 	}
 
+	zoneOf(handle: string): string | undefined {
+		return this.options.registry.zoneAt(this.options.port.makerOf(handle));
+	}
+
 	free(_service: string, handles: readonly string[]): void {
 		if (handles.length > 0) {
 			this.#releaser.free(handles);
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -1,5 +1,11 @@
 import type {Ms} from '../clock/index.js';
 
+/** Bytes that are in a zone, or are wanted there. */
+export interface ZonePull {
+	readonly zone: string;
+	readonly bytes: number;
+}
+
 /** Pieces of one stage of one request, asked of a stage pool together. */
 export interface StageJob {
 	/** Unique among the jobs of a pool. */
@@ -16,8 +22,8 @@
 	readonly inputs: readonly string[];
 	/** Approximate size of one result, in bytes. */
 	readonly resultBytes: number;
-	/** Availability zone in which the results are used. */
-	readonly zone: string;
+	/** Bytes that move between zones unless the job runs in the named one. */
+	readonly pulls: readonly ZonePull[];
 	/** Rank of the request; 0 is the most important. */
 	readonly priority: number;
 	/** Latest start with which the request still meets its objective. */
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -13,6 +13,9 @@
 const callTimeoutFactor = 2.5;
 const callTimeoutSlackMs: Ms = 600;
 
+/** A target this much slower than expected is not waited for. */
+const slowFactor = 2;
+
 /** One piece of a call. */
 export interface CalledPiece {
 	readonly job: StageJob;
@@ -214,7 +217,7 @@
 	#choose(target: StageTargetState, now: Ms): CalledPiece[] {
 		const waiting = [...this.#jobs.values()].filter(state => state.waiting.length > 0);
 		const jobs = orderJobs(waiting.map(state => state.job), {
-			now, zone: target.target.zone, isZoneServed: zone => this.#isZoneServed(zone, now),
+			now, zone: target.target.zone, servedZones: this.#servedZones(now),
 		});
 		if (jobs.length === 0 || this.#isTooSlow(target, now)) {
 			return [];
@@ -245,8 +248,9 @@
 		return [...this.#targets.values()].some(other => other !== target && other.isUsable(now) && other.freeAt(now) + (callMs * other.slowness) < finish);
 	}
 
-	#isZoneServed(zone: string, now: Ms): boolean {
-		return [...this.#targets.values()].some(target => target.target.zone === zone && target.isUsable(now) && target.slowness < 2);
+	#servedZones(now: Ms): string[] {
+		const served = [...this.#targets.values()].filter(target => target.isUsable(now) && target.slowness < slowFactor);
+		return [...new Set(served.map(target => target.target.zone))];
 	}
 
 	#start(target: StageTargetState, pieces: readonly CalledPiece[], now: Ms): StageCall {
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -30,6 +30,8 @@
 
 	readonly #targets = new Map<string, RelayTarget>();
 	readonly #services = new Map<string, RelayTarget[]>();
+	/** Zones by address; an address stays in its zone when another target gets it. */
+	readonly #zones = new Map<string, string>();
 	readonly #removals = new Map<string, CancelTimer>();
 	#graceUntilMs: Ms = 0;
 
@@ -44,6 +46,11 @@
 		return this.#targets.size;
 	}
 
+	/** Availability zone of the target at an address. */
+	zoneAt(address: string): string | undefined {
+		return this.#zones.get(address);
+	}
+
 	/** Every target. */
 	all(): Iterable<RelayTarget> {
 		return this.#targets.values();
@@ -68,6 +75,7 @@
 
 		const target = RelayTarget.create(entry);
 		this.#targets.set(entry.id, target);
+		this.#zones.set(entry.address, entry.zone);
 		this.#services.set(entry.service, [...this.#services.get(entry.service) ?? [], target]);
 		this.options.logger.info('Found a target.', {
 			target: entry.id, service: entry.service, zone: entry.zone, address: entry.address, draining: entry.isDraining,
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -79,6 +79,7 @@
 		this.#objectiveMs = arrivedMs + route.objectiveMs;
 		this.#service = pickService(route, parts.random.float());
 		this.#delivery = route.kind === 'stream' ? StreamDelivery.create(res, {isClosing: parts.isClosing}) : undefined;
+		const planned = route.stages.length === 0 ? undefined : this.#choose();
 		this.#stages = route.stages.length === 0 ? undefined : RequestStages.create({
 			clock: parts.clock,
 			pools: parts.stages,
@@ -86,7 +87,7 @@
 			attemptId,
 			pieces: head.pieces,
 			pieceKey: head.pieceKey,
-			zone: parts.zone,
+			zone: planned?.entry.zone ?? parts.zone,
 			priority: this.#priority,
 			callByMs: this.#objectiveMs - this.#firstTokenMs(),
 			deadlineMs: this.#deadlineMs - this.#firstTokenMs(),
@@ -294,7 +295,9 @@
 		const targets = registry.open(this.#service);
 		const options = {now: clock.now(), tried: this.#tried, distance};
 		return prompt
-			? chooseEngine(targets, {...options, prompt, memory, rank})
+			? chooseEngine(targets, {
+				...options, prompt, bodyBytes: this.request.body.length, results: this.#stages?.resultPulls ?? [], memory, rank,
+			})
 			: chooseTarget(targets, {...options, point: random.float()});
 	}
 
--- a/src/relay/request-stages.ts
+++ b/src/relay/request-stages.ts
@@ -1,5 +1,5 @@
 import type {Clock, Ms} from '../clock/index.js';
-import type {StageFailure, StagePools} from '../pools/index.js';
+import type {StageFailure, StagePools, ZonePull} from '../pools/index.js';
 import type {Route, ServiceDeclaration} from '../routes/index.js';
 
 /** Time for a stage's job and its results to travel between entry VMs and targets. */
@@ -14,6 +14,7 @@
 	/** Pieces of each stage; 0 leaves it out. */
 	readonly pieces: readonly number[];
 	readonly pieceKey: string | undefined;
+	/** Availability zone in which the last call is likely to run. */
 	readonly zone: string;
 	readonly priority: number;
 	/** Time at which the last call has to start so that the objective is met. */
@@ -49,6 +50,12 @@
 		return this.options.route.stages.every((_, stage) => this.#count(stage) === 0);
 	}
 
+	/** Bytes of the results that the last call takes, by zone. */
+	get resultPulls(): ZonePull[] {
+		const {pools, route} = this.options;
+		return route.stages.flatMap((stage, index) => this.#isTaken(index) ? [] : (this.#held.get(index) ?? []).map(handle => ({zone: pools.zoneOf(handle) ?? '', bytes: stage.resultBytes})));
+	}
+
 	/** Runs every stage. A failure of one ends the others. */
 	async run(signal: AbortSignal): Promise<StagesOutcome> {
 		this.release();
@@ -93,7 +100,7 @@
 	}
 
 	async #runStage(stage: number, start: (stage: number) => StageRun, signal: AbortSignal): StageRun {
-		const {pools, route, attemptId, pieceKey, zone, priority, deadlineMs} = this.options;
+		const {pools, route, attemptId, pieceKey, priority, deadlineMs} = this.options;
 		const {after, service, resultBytes} = route.stages[stage]!;
 		const taken = await Promise.all(after.map(async other => start(other)));
 		const failure = taken.find(outcome => 'failure' in outcome);
@@ -115,7 +122,7 @@
 			key: inputs.length === 0 ? pieceKey : undefined,
 			inputs,
 			resultBytes,
-			zone,
+			pulls: this.#pulls(stage, pieces),
 			priority,
 			startByMs: this.options.callByMs - this.#pathMs(stage),
 			deadlineMs: deadlineMs - this.#pathMs(stage) + this.#stageMs(stage),
@@ -134,6 +141,30 @@
 		return outcome;
 	}
 
+	/** Every piece takes all results of the stages before it; results that no stage takes go to the last call. */
+	#pulls(stage: number, pieces: number): ZonePull[] {
+		const {pools, route, zone} = this.options;
+		const {after, resultBytes} = route.stages[stage]!;
+		const bytes = new Map<string, number>();
+		const add = (where: string | undefined, count: number) => {
+			if (where !== undefined) {
+				bytes.set(where, (bytes.get(where) ?? 0) + count);
+			}
+		};
+
+		for (const other of after) {
+			for (const handle of this.#held.get(other) ?? []) {
+				add(pools.zoneOf(handle), route.stages[other]!.resultBytes * pieces);
+			}
+		}
+
+		if (!this.#isTaken(stage)) {
+			add(zone, resultBytes * pieces);
+		}
+
+		return [...bytes].map(([where, count]) => ({zone: where, bytes: count}));
+	}
+
 	/** Frees the results whose every taker has its own results. */
 	#freeTaken(): void {
 		for (const stage of this.#held.keys()) {
