Run the stages of every request at one host, on-time plans first

Under a burst the earliest-deadline order brought every chain to the end just at its objective (median 2,266 of 2,500 ms).

Change: one entry VM hosts all stage pools and runs the whole plan of a request; jobs go whole into calls; a plan that is not likely to meet its objective goes behind the others, one that cannot meet its deadline is rejected at once with the excess as Retry-After; first events are given up when callers have lost patience.

--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -273,7 +273,7 @@
 			}
 
 			// Stage pools are shared over the relay's mesh.
-			case 'stage-job':
+			case 'stage-plan':
 			case 'stage-results':
 			case 'stage-failure':
 			case 'stage-cancel':
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -6,7 +6,8 @@
 const count = z.number().int().nonnegative();
 const name = z.string().min(1).max(200);
 const id = count;
-/** Pieces of one stage, and results that one message may name; bounds against a faulty peer. */
+/** Stages of one plan, pieces of one stage, and results that one message may name; bounds against a faulty peer. */
+const maxStages = 50;
 const maxPieces = 10_000;
 const maxHandles = 50_000;
 const handle = z.string().min(1).max(200);
@@ -69,21 +70,21 @@
 	}),
 	// Times are relative, since clocks differ.
 	z.strictObject({
-		type: z.literal('stage-job'),
+		type: z.literal('stage-plan'),
 		id,
-		service: name,
 		attemptId: name,
-		stage: count,
-		pieces: count.min(1).max(maxPieces),
-		key: z.string().max(1000).optional(),
-		inputs: z.array(handle).max(maxHandles),
-		resultBytes: z.number().nonnegative(),
-		pulls: z.array(z.strictObject({zone: name, bytes: z.number().nonnegative()})).max(100),
+		stages: z.array(z.strictObject({
+			service: name, after: z.array(count).max(maxStages), resultBytes: z.number().nonnegative(), pieces: count.max(maxPieces),
+		})).min(1).max(maxStages),
+		pieceKey: z.string().max(1000).optional(),
+		zone: name,
 		priority: z.number(),
-		startInMs: z.number(),
+		callInMs: z.number(),
 		deadlineInMs: z.number(),
 	}),
-	z.strictObject({type: z.literal('stage-results'), id, results: z.array(handle).max(maxPieces)}),
+	z.strictObject({
+		type: z.literal('stage-results'), id, results: z.array(z.strictObject({handle, zone: z.string().max(200), bytes: z.number()})).max(maxPieces),
+	}),
 	z.strictObject({
 		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded']), retryAfterMs: z.number().nonnegative(),
 	}),
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -28,11 +28,25 @@
 	const {now, zone, servedZones} = options;
 	return jobs
 		.filter(job => isNear(job, zone, servedZones) || isShortOfTime(job, now))
-		.map(job => ({job, isLate: job.startByMs < now, key: job.startByMs < now ? job.deadlineMs : job.startByMs + (job.priority * rankMs)}))
+		.map(job => ({job, isLate: isLate(job, now), key: rankKey(job, now)}))
 		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key)
 		.map(({job}) => job);
 }
 
+/** Waiting pieces of the jobs that go before another one that can still meet its objective. */
+export function piecesAhead(waiting: ReadonlyArray<{job: StageJob; pieces: number}>, next: Pick<StageJob, 'startByMs' | 'priority'>, now: Ms): number {
+	const key = next.startByMs + (next.priority * rankMs);
+	return waiting.reduce((sum, {job, pieces}) => sum + (!isLate(job, now) && rankKey(job, now) <= key ? pieces : 0), 0);
+}
+
+function isLate(job: StageJob, now: Ms): boolean {
+	return job.startByMs < now;
+}
+
+function rankKey(job: StageJob, now: Ms): Ms {
+	return isLate(job, now) ? job.deadlineMs : job.startByMs + (job.priority * rankMs);
+}
+
 /** Bytes that move between zones when a job runs in a zone. */
 function movedBytes(job: StageJob, zone: string): number {
 	return job.pulls.reduce((sum, pull) => sum + (pull.zone === zone ? 0 : pull.bytes), 0);
--- /dev/null
+++ b/src/pools/linked-stages.ts
@@ -0,0 +1,162 @@
+import type {Clock} from '../clock/index.js';
+import {PendingReplies} from '../links/pending-replies.js';
+import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
+import type {PartLogger} from '../logs/index.js';
+import type {PoolHost} from './pool-host.js';
+import type {StagePlan, StageRunner, StagesOutcome} from './stage-plan.js';
+
+/** Hosts asked for one plan, at most; a plan whose host is lost goes to the next one. */
+const maxHosts = 3;
+/** Handles in one message. */
+const handlesPerMessage = 1000;
+
+/** Messages about stages. */
+export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free'};
+
+/** Key by which the entry VM that hosts the stage pools is found. */
+export const stageHostKey = 'stage pools';
+
+/**
+ * Stages shared by all entry VMs: one of them, found by rendezvous hashing, hosts the pools and runs the stages of every
+ * request; the others send it their plans over links. While the host is not linked the next one takes its place.
+ *
+ * @example
+ * const outcome = await stages.run(plan, signal);
+ */
+export class LinkedStages implements StageRunner {
+	static create(options: {clock: Clock; logger: PartLogger; host: PoolHost; mesh: () => RelayMesh | undefined}): LinkedStages {
+		return new LinkedStages(options.clock, options.logger, options.host, options.mesh);
+	}
+
+	readonly #replies: PendingReplies<StagesOutcome>;
+	/** Plans of others that run here, by link and id. */
+	readonly #hosted = new Map<Link, Map<number, AbortController>>();
+
+	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined) {
+		this.#replies = PendingReplies.create(clock);
+	}
+
+	async run(plan: StagePlan, signal: AbortSignal): Promise<StagesOutcome> {
+		for (let tries = 0; tries < maxHosts; tries++) {
+			if (signal.aborted) {
+				return {failure: 'cancelled', retryAfterMs: 0};
+			}
+
+			const link = this.mesh()?.owner(stageHostKey);
+			if (!link) {
+				return this.host.run(plan, signal);
+			}
+
+			const outcome = await this.#ask(link, plan, signal);
+			if (typeof outcome !== 'string') {
+				return outcome;
+			}
+
+			if (outcome === 'timeout') {
+				return {failure: 'late', retryAfterMs: 0};
+			}
+
+			this.logger.warn('Lost the host of the stage pools; asking the next one.', {id: plan.attemptId, host: link.peer.name, cause: outcome});
+		}
+
+		return {failure: 'failed', retryAfterMs: 0};
+	}
+
+	free(handles: readonly string[]): void {
+		const link = this.mesh()?.owner(stageHostKey);
+		for (let at = 0; at < handles.length; at += handlesPerMessage) {
+			const some = handles.slice(at, at + handlesPerMessage);
+			if (!link?.send({type: 'stage-free', handles: some})) {
+				this.host.free(some);
+			}
+		}
+	}
+
+	/** Takes a message of a peer. */
+	receive(link: Link, message: StageMessage): void {
+		switch (message.type) {
+			case 'stage-plan': {
+				void this.#runFor(link, message);
+				break;
+			}
+
+			case 'stage-results': {
+				this.#replies.reply(link, message.id, {results: message.results});
+				break;
+			}
+
+			case 'stage-failure': {
+				this.#replies.reply(link, message.id, {failure: message.failure, retryAfterMs: message.retryAfterMs});
+				break;
+			}
+
+			case 'stage-cancel': {
+				this.#hosted.get(link)?.get(message.id)?.abort();
+				break;
+			}
+
+			case 'stage-free': {
+				this.host.free(message.handles);
+				break;
+			}
+		}
+	}
+
+	/** Drops the plans of a lost peer; its own go on at another host. */
+	linkLost(link: Link): void {
+		this.#replies.linkLost(link);
+		for (const controller of this.#hosted.get(link)?.values() ?? []) {
+			controller.abort();
+		}
+
+		this.#hosted.delete(link);
+	}
+
+	async #ask(link: Link, plan: StagePlan, signal: AbortSignal): Promise<StagesOutcome | 'timeout' | 'link_lost' | 'unsent'> {
+		const now = this.clock.now();
+		const {callByMs, deadlineMs, pieceKey, stages, ...fields} = plan;
+		let planId = 0;
+		const cancel = () => {
+			link.send({type: 'stage-cancel', id: planId});
+		};
+
+		signal.addEventListener('abort', cancel, {once: true});
+		const reply = await this.#replies.request(link, Math.max(1, deadlineMs - now), id => {
+			planId = id;
+			return link.send({
+				type: 'stage-plan',
+				id,
+				...fields,
+				...(pieceKey === undefined ? {} : {pieceKey}),
+				stages: stages.map(stage => ({...stage, after: [...stage.after]})),
+				callInMs: callByMs - now,
+				deadlineInMs: deadlineMs - now,
+			});
+		});
+		signal.removeEventListener('abort', cancel);
+		if (reply === 'timeout') {
+			cancel();
+		}
+
+		return reply;
+	}
+
+	async #runFor(link: Link, message: StageMessage & {type: 'stage-plan'}): Promise<void> {
+		const {id, type, callInMs, deadlineInMs, pieceKey, ...fields} = message;
+		const now = this.clock.now();
+		const controller = new AbortController();
+		const plans = this.#hosted.get(link) ?? new Map<number, AbortController>();
+		this.#hosted.set(link, plans);
+		plans.set(id, controller);
+		const outcome = await this.host.run({
+			...fields, pieceKey, callByMs: now + callInMs, deadlineMs: now + deadlineInMs,
+		}, controller.signal);
+		plans.delete(id);
+		const isSent = 'results' in outcome
+			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
+			: link.send({type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs)});
+		if (!isSent && 'results' in outcome) {
+			this.host.free(outcome.results.map(({handle}) => handle));
+		}
+	}
+}
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -1,12 +1,13 @@
-import type {CancelTimer, Clock} from '../clock/index.js';
+import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logs/index.js';
 import type {TargetRegistry} from '../registry/index.js';
-import type {ServiceDeclaration} from '../routes/index.js';
+import type {ServiceDeclaration, StagePoolLimits} from '../routes/index.js';
 import {RepeatBudget, type RepeatLimits} from './repeat-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageJob, StageOutcome} from './stage-job.js';
+import {StagePlanRun, type PlanHost} from './stage-plan-run.js';
+import type {StagePlan, StageRunner, StagesOutcome} from './stage-plan.js';
 import {StagePool, type StageCall} from './stage-pool.js';
-import type {StagePools} from './stage-pools.js';
 import type {StageTargetPort} from './stage-target-port.js';
 
 /** Parts of a host. */
@@ -23,18 +24,19 @@
 type Hosted = {pool: StagePool; cancelWake: CancelTimer | undefined; isPumping: boolean};
 
 /**
- * Hosts stage pools in this process: takes jobs, sends the calls that each pool decides on, and frees results.
+ * Hosts the stage pools in this process: runs plans, sends the calls that each pool decides on, and frees results.
  *
  * @example
- * const outcome = await host.run('archive', job, signal);
+ * const outcome = await host.run(plan, signal);
  */
-export class PoolHost implements StagePools {
+export class PoolHost implements StageRunner, PlanHost {
 	static create(options: PoolHostOptions): PoolHost {
 		return new PoolHost(options);
 	}
 
 	readonly #hosted = new Map<string, Hosted>();
 	readonly #releaser: ResultReleaser;
+	#plans = 0;
 
 	private constructor(private readonly options: PoolHostOptions) {
 		const {clock, port, logger} = options;
@@ -51,7 +53,24 @@
 		});
 	}
 
-	async run(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
+	async run(plan: StagePlan, signal: AbortSignal): Promise<StagesOutcome> {
+		this.#plans++;
+		return StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#plans}`).run(signal);
+	}
+
+	now(): Ms {
+		return this.options.clock.now();
+	}
+
+	limits(service: string): StagePoolLimits | undefined {
+		return this.options.service(service)?.stagePool;
+	}
+
+	expectedWaitMs(service: string, startByMs: Ms, priority: number): Ms {
+		return this.#hosted.get(service)?.pool.expectedWaitMs(this.now(), {startByMs, priority}) ?? 0;
+	}
+
+	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
 		const declared = this.options.service(service);
 		if (!declared?.stagePool || signal.aborted) {
 			return {failure: signal.aborted ? 'cancelled' : 'no_target', retryAfterMs: 0};
@@ -77,7 +96,7 @@
 		return this.options.registry.zoneAt(this.options.port.makerOf(handle));
 	}
 
-	free(_service: string, handles: readonly string[]): void {
+	free(handles: readonly string[]): void {
 		if (handles.length > 0) {
 			this.#releaser.free(handles);
 		}
@@ -148,12 +167,19 @@
 		const {clock, port, logger} = this.options;
 		const startedMs = clock.now();
 		const end = await port.run({...call, now: startedMs});
-		if (end.kind !== 'done') {
-			logger.warn('A stage call ended without results.', {
-				service, target: call.target.id, end: end.kind, pieces: call.pieces.length, ids: call.pieces.slice(0, 4).map(({job}) => job.attemptId), took_ms: Math.round(clock.now() - startedMs),
-			});
-		}
-
+		const problems = end.kind === 'done' ? end.results.flatMap(result => 'problem' in result ? [result.problem] : []) : [];
+		logger.info('A stage call ended.', {
+			service,
+			target: call.target.id,
+			zone: call.target.zone,
+			end: end.kind,
+			...(problems.length === 0 ? {} : {problems: problems.length, first_problem: problems[0]}),
+			pieces: call.pieces.length,
+			ids: [...new Set(call.pieces.map(({job}) => job.attemptId))],
+			backlog: pool.backlog,
+			took_ms: Math.round(clock.now() - startedMs),
+			expected_ms: Math.round(call.expectedMs),
+		});
 		pool.ended(call.id, end, clock.now());
 		this.#pump(service);
 	}
--- /dev/null
+++ b/src/pools/stage-plan-run.ts
@@ -0,0 +1,191 @@
+import type {Ms} from '../clock/index.js';
+import type {StagePoolLimits} from '../routes/index.js';
+import type {StageJob, StageOutcome, ZonePull} from './stage-job.js';
+import type {PlannedStage, StagePlan, StagesOutcome} from './stage-plan.js';
+
+/** Time for a call and its results to travel between the host and a target, and for the results to be fetched. */
+const stageTransferMs: Ms = 45;
+
+/** What the run of a plan needs of its host. */
+export interface PlanHost {
+	now(): Ms;
+	limits(service: string): StagePoolLimits | undefined;
+	/** Time until a job of a stage is likely to start. */
+	expectedWaitMs(service: string, startByMs: Ms, priority: number): Ms;
+	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome>;
+	zoneOf(handle: string): string | undefined;
+	free(handles: readonly string[]): void;
+}
+
+type StageRun = Promise<StageOutcome>;
+
+/**
+ * Runs the stages of one request in the order of what they take, each as soon as it can start, and frees every result
+ * once all stages that take it have theirs. A plan that is not likely to meet its objective is run behind those that are.
+ *
+ * @example
+ * const outcome = await StagePlanRun.create(host, plan, 'p1').run(signal);
+ */
+export class StagePlanRun {
+	static create(host: PlanHost, plan: StagePlan, id: string): StagePlanRun {
+		return new StagePlanRun(host, plan, id);
+	}
+
+	readonly #held = new Map<number, readonly string[]>();
+	readonly #runs = new Map<number, StageRun>();
+	readonly #isOnTime: boolean;
+
+	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
+		this.#isOnTime = host.now() + this.#predictMs() <= plan.callByMs;
+	}
+
+	/** Runs every stage. A failure of one ends the others. */
+	async run(signal: AbortSignal): Promise<StagesOutcome> {
+		const {plan, host} = this;
+		const excessMs = host.now() + this.#predictMs() - plan.deadlineMs;
+		if (excessMs > 0) {
+			return {failure: 'overloaded', retryAfterMs: excessMs};
+		}
+
+		const failed = new AbortController();
+		const stop = AbortSignal.any([signal, failed.signal]);
+		const outcomes = await Promise.all(plan.stages.map(async (_, stage) => {
+			const outcome = await this.#start(stage, stop);
+			if ('failure' in outcome) {
+				failed.abort();
+			}
+
+			return outcome;
+		}));
+		const failures = outcomes.filter(outcome => 'failure' in outcome);
+		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
+		if (failure) {
+			for (const stage of this.#held.keys()) {
+				this.#free(stage);
+			}
+
+			return failure;
+		}
+
+		return {
+			results: plan.stages.flatMap(({resultBytes}, stage) => this.#isTaken(stage) ? [] : (this.#held.get(stage) ?? []).map(handle => ({handle, zone: host.zoneOf(handle) ?? '', bytes: resultBytes}))),
+		};
+	}
+
+	async #start(stage: number, signal: AbortSignal): StageRun {
+		let run = this.#runs.get(stage);
+		if (!run) {
+			run = this.#runStage(stage, signal);
+			this.#runs.set(stage, run);
+		}
+
+		return run;
+	}
+
+	async #runStage(stage: number, signal: AbortSignal): StageRun {
+		const {attemptId, pieceKey, priority, callByMs, deadlineMs} = this.plan;
+		const {after, service, resultBytes, pieces} = this.#stage(stage);
+		const taken = await Promise.all(after.map(async other => this.#start(other, signal)));
+		const failure = taken.find(outcome => 'failure' in outcome);
+		if (failure || pieces === 0) {
+			return failure ?? {results: []};
+		}
+
+		const inputs = after.flatMap(other => this.#held.get(other) ?? []);
+		const pathMs = this.#pathMs(stage);
+		const outcome = await this.host.runJob(service, {
+			id: `${this.id}/${stage}`,
+			attemptId,
+			stage,
+			pieces,
+			key: inputs.length === 0 ? pieceKey : undefined,
+			inputs,
+			resultBytes,
+			pulls: this.#pulls(stage),
+			priority,
+			startByMs: this.#isOnTime ? callByMs - pathMs : -Infinity,
+			deadlineMs: deadlineMs - pathMs + this.#stageMs(stage),
+		}, signal);
+		if ('results' in outcome) {
+			this.#held.set(stage, outcome.results);
+			this.#freeTaken();
+		}
+
+		return outcome;
+	}
+
+	/** Every piece takes all results of the stages before it; results that no stage takes go to the last call. */
+	#pulls(stage: number): ZonePull[] {
+		const {after, resultBytes, pieces} = this.#stage(stage);
+		const bytes = new Map<string, number>();
+		const add = (zone: string | undefined, count: number) => {
+			if (zone !== undefined) {
+				bytes.set(zone, (bytes.get(zone) ?? 0) + count);
+			}
+		};
+
+		for (const other of after) {
+			for (const handle of this.#held.get(other) ?? []) {
+				add(this.host.zoneOf(handle), this.#stage(other).resultBytes * pieces);
+			}
+		}
+
+		if (!this.#isTaken(stage)) {
+			add(this.plan.zone, resultBytes * pieces);
+		}
+
+		return [...bytes].map(([zone, count]) => ({zone, bytes: count}));
+	}
+
+	/** Frees the results whose every taker has its own results. */
+	#freeTaken(): void {
+		for (const stage of this.#held.keys()) {
+			const takers = this.#takers(stage);
+			if (takers.length > 0 && takers.every(taker => this.#held.has(taker) || this.#stage(taker).pieces === 0)) {
+				this.#free(stage);
+			}
+		}
+	}
+
+	#free(stage: number): void {
+		const handles = this.#held.get(stage) ?? [];
+		this.#held.set(stage, []);
+		this.host.free(handles);
+	}
+
+	#stage(stage: number): PlannedStage {
+		return this.plan.stages[stage]!;
+	}
+
+	#takers(stage: number): number[] {
+		return this.plan.stages.flatMap((other, index) => other.after.includes(stage) ? [index] : []);
+	}
+
+	#isTaken(stage: number): boolean {
+		return this.#takers(stage).length > 0;
+	}
+
+	/** Expected time of one stage without waiting. */
+	#stageMs(stage: number): Ms {
+		const {pieces, service} = this.#stage(stage);
+		const limits = this.host.limits(service);
+		return pieces === 0 || !limits ? 0 : limits.callMs + (limits.itemMs * Math.min(pieces, limits.batch)) + stageTransferMs;
+	}
+
+	/** Expected time from the start of a stage to the start of the last call, without waiting. */
+	#pathMs(stage: number): Ms {
+		return this.#stageMs(stage) + Math.max(0, ...this.#takers(stage).map(taker => this.#pathMs(taker)));
+	}
+
+	/** Expected time of all stages, waiting included. */
+	#predictMs(): Ms {
+		const {plan, host} = this;
+		const path = (stage: number): Ms => {
+			const {service, pieces} = this.#stage(stage);
+			const waitMs = pieces === 0 ? 0 : host.expectedWaitMs(service, plan.callByMs - this.#pathMs(stage), plan.priority);
+			return waitMs + this.#stageMs(stage) + Math.max(0, ...this.#takers(stage).map(taker => path(taker)));
+		};
+
+		return Math.max(0, ...plan.stages.flatMap(({after}, stage) => after.length === 0 ? [path(stage)] : []));
+	}
+}
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -1,6 +1,6 @@
 import type {Ms} from '../clock/index.js';
 import type {StagePoolLimits} from '../routes/index.js';
-import {orderJobs} from './job-order.js';
+import {orderJobs, piecesAhead} from './job-order.js';
 import type {RepeatBudget} from './repeat-budget.js';
 import type {
 	PieceResult, StageCallEnd, StageFailure, StageJob, StageOutcome,
@@ -13,6 +13,11 @@
 const callTimeoutFactor = 2.5;
 const callTimeoutSlackMs: Ms = 600;
 
+/** Part of a target's room that is planned with: sizes of results are approximate. */
+const usableRoomShare = 0.9;
+/** Time over which the rate of finished pieces is measured, and its least share of the possible rate. */
+const rateWindowMs: Ms = 1500;
+const leastRateShare = 0.3;
 /** A target this much slower than expected is not waited for. */
 const slowFactor = 2;
 
@@ -27,6 +32,7 @@
 	readonly id: number;
 	readonly target: StageTarget;
 	readonly pieces: readonly CalledPiece[];
+	readonly expectedMs: Ms;
 	readonly timeoutMs: Ms;
 }
 
@@ -69,6 +75,7 @@
 	readonly #targets = new Map<string, StageTargetState>();
 	readonly #calls = new Map<number, RunningCall>();
 	#limits: StagePoolLimits;
+	#finished: Array<{at: Ms; pieces: number}> = [];
 	#nextCall = 1;
 
 	private constructor(private readonly options: StagePoolOptions) {
@@ -118,12 +125,6 @@
 			return;
 		}
 
-		const waitMs = this.expectedWaitMs(now, job);
-		if (now + waitMs + this.#limits.callMs > job.deadlineMs) {
-			onEnd({failure: 'overloaded', retryAfterMs: waitMs});
-			return;
-		}
-
 		this.#jobs.set(job.id, {
 			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), waiting: Array.from({length: job.pieces}, (_, piece) => piece), calling: 0, onEnd,
 		});
@@ -146,24 +147,19 @@
 		}
 	}
 
-	/** Time until a new job's first piece is likely to start. */
+	/** Time until a new job's pieces are likely to start, from the jobs before it and the pieces finished lately. */
 	expectedWaitMs(now: Ms, job: Pick<StageJob, 'startByMs' | 'priority'>): Ms {
-		const targets = [...this.#targets.values()];
-		const usable = targets.filter(target => target.isUsable(now));
-		if (usable.length === 0) {
-			return this.#limits.callMs;
+		const ahead = piecesAhead([...this.#jobs.values()].map(state => ({job: state.job, pieces: state.waiting.length})), job, now);
+		const usable = [...this.#targets.values()].filter(target => target.isUsable(now)).length;
+		if (ahead === 0) {
+			return 0;
 		}
 
-		let ahead = 0;
-		for (const state of this.#jobs.values()) {
-			if (state.job.startByMs <= job.startByMs) {
-				ahead += state.waiting.length;
-			}
-		}
-
-		const perCall = this.#limits.callMs + (this.#limits.batch * this.#limits.itemMs);
-		const batches = Math.floor(ahead / this.#limits.batch);
-		return (batches / usable.length) * perCall;
+		const {batch, callMs, itemMs} = this.#limits;
+		const possiblePerMs = (Math.max(1, usable) * batch) / (callMs + (batch * itemMs));
+		this.#finished = this.#finished.filter(({at}) => at >= now - rateWindowMs);
+		const finishedPerMs = this.#finished.reduce((sum, {pieces}) => sum + pieces, 0) / rateWindowMs;
+		return ahead / Math.min(possiblePerMs, Math.max(possiblePerMs * leastRateShare, finishedPerMs));
 	}
 
 	/** Returns the calls to send now. */
@@ -192,6 +188,7 @@
 
 		this.#calls.delete(callId);
 		const {call, startedMs, expectedMs} = running;
+		this.#finished.push({at: now, pieces: end.kind === 'done' ? call.pieces.length : 0});
 		const target = this.#targets.get(call.target.id);
 		target?.ended(call.id, {end: end.kind, tookMs: now - startedMs, expectedMs}, now);
 		for (const [index, piece] of call.pieces.entries()) {
@@ -224,13 +221,25 @@
 		}
 
 		const chosen: CalledPiece[] = [];
-		let roomMb = target.freeRoomMb(this.#limits.roomMb, now);
+		let roomMb = target.freeRoomMb(this.#limits.roomMb * usableRoomShare, now);
 		for (const job of jobs) {
 			const state = this.#jobs.get(job.id)!;
 			const pieceMb = job.resultBytes / 1e6;
-			while (state.waiting.length > 0 && chosen.length < this.#limits.batch && roomMb >= pieceMb) {
-				chosen.push({job, piece: state.waiting.shift()!});
-				roomMb -= pieceMb;
+			const left = this.#limits.batch - chosen.length;
+			const fitting = Math.min(left, Math.floor(roomMb / Math.max(pieceMb, Number.EPSILON)));
+			// Part of a job holds room and gains nothing, so a job goes whole unless it is larger than a call.
+			const isWhole = fitting >= state.waiting.length;
+			if (!isWhole && (chosen.length > 0 || left > fitting)) {
+				continue;
+			}
+
+			for (const piece of state.waiting.splice(0, fitting)) {
+				chosen.push({job, piece});
+			}
+
+			roomMb -= pieceMb * Math.min(fitting, job.pieces);
+			if (chosen.length >= this.#limits.batch) {
+				break;
 			}
 		}
 
@@ -257,7 +266,7 @@
 		const id = this.#nextCall++;
 		const expectedMs = (this.#limits.callMs + (this.#limits.itemMs * pieces.length)) * Math.max(1, target.slowness);
 		const call: StageCall = {
-			id, target: target.target, pieces, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
+			id, target: target.target, pieces, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
 		};
 		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowness)});
 		target.started(id, {roomMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs});
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -6,7 +6,7 @@
 } from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import {
-	LinkedPools, PoolHost, poolKey, RepeatBudget, type RepeatLimits, type StageMessage, type StageTargetPort,
+	LinkedStages, PoolHost, RepeatBudget, stageHostKey, type RepeatLimits, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
 import {Random} from '../random/index.js';
 import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
@@ -90,7 +90,7 @@
 	#table: RouteTable | undefined;
 	#hasTargets = false;
 	#mesh: RelayMesh | undefined;
-	readonly #linked: LinkedPools;
+	readonly #linked: LinkedStages;
 	#server!: RelayServer;
 	#control!: ControlServer;
 
@@ -110,7 +110,7 @@
 		this.#host = PoolHost.create({
 			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.repeats, service: name => this.#table?.declarations.services.get(name),
 		});
-		this.#linked = LinkedPools.create({
+		this.#linked = LinkedStages.create({
 			clock, logger: createLogger('pools'), host: this.#host, mesh: () => this.#mesh,
 		});
 		this.#configFollower = TopicFollower.create({
@@ -241,12 +241,7 @@
 				this.#linked.linkLost(link);
 			},
 		});
-		this.#setPoolKeys();
-	}
-
-	#setPoolKeys(): void {
-		const services = [...this.#table?.declarations.services.values() ?? []];
-		this.#mesh?.setKeys(services.filter(service => service.stagePool).map(service => poolKey(service.name)));
+		this.#mesh.setKeys([stageHostKey]);
 	}
 
 	/** Takes the newest version among records; one that is not newer than the one in force is left out. */
@@ -266,7 +261,6 @@
 
 			this.#table = RouteTable.create(declarations);
 			this.#server.applyLimits(this.#table);
-			this.#setPoolKeys();
 			this.#lifecycle.send({type: 'CONFIGURED'});
 			logger.info('Applied a version.', {
 				version: declarations.version, before: current, routes: declarations.routes.length, teams: declarations.teams.length,
--- a/src/relay/relay-parts.ts
+++ b/src/relay/relay-parts.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '../clock/index.js';
 import type {PartLogger} from '../logs/index.js';
-import type {RepeatBudget, StagePools} from '../pools/index.js';
+import type {RepeatBudget, StageRunner} from '../pools/index.js';
 import type {Random} from '../random/index.js';
 import type {RelayTarget, TargetRegistry} from '../registry/index.js';
 import type {ZoneDistance} from './choose-target.js';
@@ -18,7 +18,7 @@
 	readonly codec: RelayCodec;
 	readonly registry: TargetRegistry;
 	readonly pools: TargetPools;
-	readonly stages: StagePools;
+	readonly stages: StageRunner;
 	readonly memory: PromptMemory;
 	readonly zone: string;
 	readonly distance: (zone: string) => ZoneDistance;
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Ms} from '../clock/index.js';
+import type {StageResult} from '../pools/index.js';
 import type {RelayTarget} from '../registry/index.js';
 import {pickService, type Route, type RouteTable, type TeamDeclaration} from '../routes/index.js';
 import {chooseEngine} from './choose-engine.js';
@@ -9,7 +10,6 @@
 import type {RelayParts} from './relay-parts.js';
 import type {CallerHead} from './relay-codec.js';
 import type {Rejection, RelayReason} from './rejection.js';
-import {RequestStages, type StagesOutcome} from './request-stages.js';
 import {StreamDelivery} from './stream-delivery.js';
 import {runAttempt, type AttemptEnd, type WholeAnswer} from './target-attempt.js';
 
@@ -30,6 +30,17 @@
 /** Longest wait for a first token before a repeatable request goes to another engine, as a multiple of its objective. */
 const firstTokenFactor = 2;
 
+/** Callers give a stream up when its first event takes longer than the longest of these. */
+const patience = {leastMs: 2000, objectives: 4};
+
+/** Time from its arrival after which nobody waits for the first event of a request. */
+function patienceMs(route: Route): Ms {
+	return route.kind === 'stream' ? Math.max(patience.leastMs, patience.objectives * route.objectiveMs) : Infinity;
+}
+
+/** An engine refuses with this status when a result that it should take is gone. */
+const inputGoneStatus = 409;
+
 /** A request that was read, with its route and team. */
 export interface RelayRequest {
 	readonly req: IncomingMessage;
@@ -63,7 +74,8 @@
 	readonly #tried = new Set<RelayTarget>();
 	readonly #attempts: AttemptRecord[] = [];
 	readonly #delivery: StreamDelivery | undefined;
-	readonly #stages: RequestStages | undefined;
+	/** Results that the request holds at the makers. */
+	#results: readonly StageResult[] = [];
 	#sent = 0;
 	#unsent = 0;
 	#mayHaveRun = 0;
@@ -74,25 +86,11 @@
 	#fallback: WholeAnswer | undefined;
 
 	private constructor(private readonly parts: RelayParts, private readonly request: RelayRequest) {
-		const {route, head, arrivedMs, res, attemptId, table} = request;
+		const {route, head, arrivedMs, res} = request;
 		this.#deadlineMs = arrivedMs + Math.min(head.waitsMs ?? route.timeoutMs, route.timeoutMs);
 		this.#objectiveMs = arrivedMs + route.objectiveMs;
 		this.#service = pickService(route, parts.random.float());
 		this.#delivery = route.kind === 'stream' ? StreamDelivery.create(res, {isClosing: parts.isClosing}) : undefined;
-		const planned = route.stages.length === 0 ? undefined : this.#choose();
-		this.#stages = route.stages.length === 0 ? undefined : RequestStages.create({
-			clock: parts.clock,
-			pools: parts.stages,
-			route,
-			attemptId,
-			pieces: head.pieces,
-			pieceKey: head.pieceKey,
-			zone: planned?.entry.zone ?? parts.zone,
-			priority: this.#priority,
-			callByMs: this.#objectiveMs - this.#firstTokenMs(),
-			deadlineMs: this.#deadlineMs - this.#firstTokenMs(),
-			service: name => table.declarations.services.get(name),
-		});
 	}
 
 	/** Resolves when the caller has its answer or has left. */
@@ -115,7 +113,7 @@
 		} finally {
 			cancelTimeout();
 			res.off('close', onClose);
-			this.#stages?.release();
+			this.#freeResults();
 		}
 	}
 
@@ -144,7 +142,7 @@
 			}
 
 			// A stage's results may be gone with the attempt that took them.
-			inputs = this.#stages?.isEmpty === false && this.#firstByteMs !== undefined ? await this.#inputs() : inputs;
+			inputs = this.#hasStages && this.#results.length === 0 ? await this.#inputs() : inputs;
 		}
 
 		if (this.#hasLeft) {
@@ -154,16 +152,33 @@
 
 	/** Runs the stages; `undefined` when the request is over. */
 	async #inputs(): Promise<readonly string[] | undefined> {
-		if (!this.#stages || this.#stages.isEmpty) {
+		if (!this.#hasStages) {
 			return [];
 		}
 
-		const startedMs = this.parts.clock.now();
-		const outcome: StagesOutcome = await this.#stages.run(this.#stop.signal);
-		this.#stagesMs = (this.#stagesMs ?? 0) + this.parts.clock.now() - startedMs;
-		this.parts.metrics.staged(this.parts.clock.now() - startedMs);
+		const {parts, request} = this;
+		const {route, head, attemptId, arrivedMs} = request;
+		const startedMs = parts.clock.now();
+		const outcome = await parts.stages.run({
+			attemptId,
+			stages: route.stages.map((stage, index) => ({...stage, pieces: head.pieces[index] ?? 0})),
+			pieceKey: head.pieceKey,
+			zone: this.#choose()?.entry.zone ?? parts.zone,
+			priority: this.#priority,
+			callByMs: this.#objectiveMs - this.#firstTokenMs(),
+			deadlineMs: Math.min(this.#deadlineMs, arrivedMs + patienceMs(route)) - this.#firstTokenMs(),
+		}, this.#stop.signal);
+		const tookMs = parts.clock.now() - startedMs;
+		this.#stagesMs = (this.#stagesMs ?? 0) + tookMs;
+		parts.metrics.staged(tookMs);
 		if ('results' in outcome) {
-			return outcome.results;
+			this.#results = outcome.results;
+			if (this.#isOver || this.#hasLeft) {
+				this.#freeResults();
+				return undefined;
+			}
+
+			return outcome.results.map(result => result.handle);
 		}
 
 		if (!this.#isOver && !this.#hasLeft) {
@@ -174,6 +189,18 @@
 		return undefined;
 	}
 
+	get #hasStages(): boolean {
+		const {route, head} = this.request;
+		return route.stages.some((_, stage) => (head.pieces[stage] ?? 0) > 0);
+	}
+
+	#freeResults(): void {
+		if (this.#results.length > 0) {
+			this.parts.stages.free(this.#results.map(result => result.handle));
+			this.#results = [];
+		}
+	}
+
 	async #attempt(target: RelayTarget, inputs: readonly string[]): Promise<AttemptEnd> {
 		const {parts, request} = this;
 		const {clock, codec, pools, memory, probe, metrics} = parts;
@@ -224,7 +251,7 @@
 				this.#firstByteMs ??= clock.now() - request.arrivedMs;
 				settlePrompt();
 				// The engine has fetched its inputs when it answers.
-				this.#stages?.release();
+				this.#freeResults();
 				if (prompt) {
 					memory.sent(target.id, prompt.parts, clock.now());
 				}
@@ -259,6 +286,10 @@
 			this.#fallback = end.answer;
 		}
 
+		if (end.answer?.status === inputGoneStatus) {
+			this.#freeResults();
+		}
+
 		const now = parts.clock.now();
 		const next = nextStep({
 			attempt,
@@ -296,7 +327,7 @@
 		const options = {now: clock.now(), tried: this.#tried, distance};
 		return prompt
 			? chooseEngine(targets, {
-				...options, prompt, bodyBytes: this.request.body.length, results: this.#stages?.resultPulls ?? [], memory, rank,
+				...options, prompt, bodyBytes: this.request.body.length, results: this.#results, memory, rank,
 			})
 			: chooseTarget(targets, {...options, point: random.float()});
 	}
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -57,7 +57,7 @@
 	readonly probe: (target: RelayTarget) => Promise<boolean>;
 	/** Aborted when the caller leaves or its time is over. */
 	readonly signal: AbortSignal;
-	/** Called with the first byte of an answer. */
+	/** Called with the head of an answer that the target worked for. */
 	readonly onAnswering?: () => void;
 }
 
@@ -139,7 +139,10 @@
 
 		this.#status = status;
 		this.#head = head;
-		onAnswering?.();
+		if (!head.isNotRun) {
+			onAnswering?.();
+		}
+
 		if (sink && status < 300 && !head.isNotRun) {
 			this.#isStream = true;
 			sink.head(status, head, this.#exchange!);
