--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -68,6 +68,7 @@
 	#distance: LinkDistance = 'unknown';
 	#lastSentMs: Ms;
 	#lastReceivedMs: Ms;
+	#lastUsedMs: Ms;
 	#cancelTimeout: () => void = () => undefined;
 
 	private constructor(private readonly options: LinkOptions) {
@@ -75,6 +76,7 @@
 		this.#queue = SendQueue.create(options.maxQueueBytes ?? maxQueueBytes);
 		this.#lastSentMs = options.clock.now();
 		this.#lastReceivedMs = options.clock.now();
+		this.#lastUsedMs = this.#lastReceivedMs;
 	}
 
 	get state(): LinkState {
@@ -95,6 +97,11 @@
 		return this.#lastReceivedMs;
 	}
 
+	/** Monotonic time of the last message other than a heartbeat, sent or received. */
+	get lastUsedMs(): Ms {
+		return this.#lastUsedMs;
+	}
+
 	get isUp(): boolean {
 		return this.#lifecycle.state === 'up';
 	}
@@ -233,6 +240,7 @@
 
 		this.#count('received', decoded.message.type, data.length);
 		if (decoded.message.type !== 'ping') {
+			this.#lastUsedMs = this.#lastReceivedMs;
 			this.options.onMessage(this, decoded.message, decoded.time);
 		}
 	}
@@ -245,6 +253,10 @@
 	#write(cause: LinkMessageType, payload: Uint8Array): void {
 		const frame = this.#codec!.seal(payload);
 		this.#lastSentMs = this.options.clock.now();
+		if (cause !== 'ping') {
+			this.#lastUsedMs = this.#lastSentMs;
+		}
+
 		this.#count('sent', cause, frame.length);
 		this.options.socket.send(frame, () => {
 			this.#drain();
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -294,8 +294,8 @@
 	#closeUnneeded(now: Ms): void {
 		const needed = new Set(this.#needed().map(member => member.name));
 		for (const [name, link] of this.#links) {
-			// The end that dialled closes, since only it knows why the link was made.
-			if (needed.has(name) || link.role === 'server') {
+			// The end that dialled closes, since only it knows why the link was made. The other end may use it all the same.
+			if (needed.has(name) || link.role === 'server' || (this.options.needs && now - link.lastUsedMs < lingerMs)) {
 				this.#unneededSince.delete(name);
 				continue;
 			}
--- /dev/null
+++ b/src/pools/stage-plan-run.test.ts
@@ -0,0 +1,115 @@
+import {describe, expect, it} from 'vitest';
+import type {StageJob, StageOutcome} from './stage-job.js';
+import {StagePlanRun, type PlanHost} from './stage-plan-run.js';
+import type {StagePlan} from './stage-plan.js';
+
+const limits = {
+	slots: 1, queue: 2, batch: 7, callMs: 200, itemMs: 10, roomMb: 15, resultTtlMs: 4000,
+};
+
+class FakeHost implements PlanHost {
+	readonly jobs: Array<{service: string; job: StageJob}> = [];
+	readonly freed: string[] = [];
+	readonly answers = new Map<string, (job: StageJob) => StageOutcome>();
+	waitMs = 0;
+
+	now() {
+		return 0;
+	}
+
+	limits() {
+		return limits;
+	}
+
+	expectedWaitMs() {
+		return this.waitMs;
+	}
+
+	async runJob(service: string, job: StageJob): Promise<StageOutcome> {
+		this.jobs.push({service, job});
+		return this.answers.get(service)?.(job) ?? {results: Array.from({length: job.pieces}, (_, piece) => `${service}/${piece}`)};
+	}
+
+	zoneOf(handle: string) {
+		return handle.startsWith('press') ? 'liepaja-a' : 'riga-a';
+	}
+
+	free(handles: readonly string[]) {
+		this.freed.push(...handles);
+	}
+}
+
+const chain: StagePlan = {
+	attemptId: 'r1',
+	stages: [
+		{service: 'archive', after: [], resultBytes: 8000, pieces: 1},
+		{service: 'press', after: [0], resultBytes: 60_000, pieces: 2},
+		{service: 'assay', after: [1], resultBytes: 6000, pieces: 3},
+	],
+	pieceKey: 'k1',
+	zone: 'riga-a',
+	priority: 1,
+	callByMs: 2400,
+	deadlineMs: 5900,
+};
+
+const run = async (host: FakeHost, plan: StagePlan = chain) => StagePlanRun.create(host, plan, 'p1').run(new AbortController().signal);
+
+describe('StagePlanRun', () => {
+	it('gives each stage all results of the stages before it, and frees them once taken', async () => {
+		const host = new FakeHost();
+		const outcome = await run(host);
+		expect(host.jobs.map(({service, job}) => [service, job.key, job.inputs])).toEqual([
+			['archive', 'k1', []],
+			['press', undefined, ['archive/0']],
+			['assay', undefined, ['press/0', 'press/1']],
+		]);
+		expect(host.freed).toEqual(['archive/0', 'press/0', 'press/1']);
+		expect(outcome).toMatchObject({results: [{handle: 'assay/0'}, {handle: 'assay/1'}, {handle: 'assay/2'}]});
+	});
+
+	it('tells where bytes are: three pieces that take two results of 60 kB pull 360 kB', async () => {
+		const host = new FakeHost();
+		await run(host);
+		expect(host.jobs[2]!.job.pulls).toEqual([{zone: 'liepaja-a', bytes: 360_000}, {zone: 'riga-a', bytes: 18_000}]);
+	});
+
+	it('leaves out stages without pieces', async () => {
+		const host = new FakeHost();
+		const plan = {...chain, stages: [{...chain.stages[0]!, pieces: 0}, {service: 'archive', after: [], resultBytes: 8000, pieces: 2}]};
+		const outcome = await run(host, plan);
+		expect(host.jobs).toHaveLength(1);
+		expect(outcome).toHaveProperty('results.length', 2);
+	});
+
+	it('frees everything when a stage fails', async () => {
+		const host = new FakeHost();
+		host.answers.set('assay', () => ({failure: 'input_gone', retryAfterMs: 200}));
+		expect(await run(host)).toMatchObject({failure: 'input_gone'});
+		expect(host.freed.toSorted()).toEqual(['archive/0', 'press/0', 'press/1']);
+	});
+
+	it('spreads the time left over the path: later stages may start later', async () => {
+		const host = new FakeHost();
+		await run(host);
+		const starts = host.jobs.map(({job}) => job.startByMs);
+		expect(starts).toEqual(starts.toSorted((a, b) => a - b));
+		expect(starts[2]).toBe(2400 - (200 + 30 + 45));
+	});
+
+	it('runs a plan that cannot meet its objective behind the others', async () => {
+		const host = new FakeHost();
+		host.waitMs = 800;
+		await run(host);
+		expect(host.jobs.every(({job}) => job.startByMs === -Infinity)).toBe(true);
+	});
+
+	it('rejects at once a plan that cannot meet its deadline, with the time after which it could', async () => {
+		const host = new FakeHost();
+		host.waitMs = 3000;
+		const outcome = await run(host);
+		expect(host.jobs).toEqual([]);
+		expect(outcome).toMatchObject({failure: 'overloaded'});
+		expect((outcome as {retryAfterMs: number}).retryAfterMs).toBeGreaterThan(3000);
+	});
+});
--- /dev/null
+++ b/src/pools/stage-pool.test.ts
@@ -0,0 +1,223 @@
+import {describe, expect, it} from 'vitest';
+import {Random} from '../random/index.js';
+import {RepeatBudget} from './repeat-budget.js';
+import type {PieceResult, StageJob, StageOutcome} from './stage-job.js';
+import {StagePool, type StageCall} from './stage-pool.js';
+
+const limits = {
+	slots: 1, queue: 2, batch: 7, callMs: 200, itemMs: 24, roomMb: 15, resultTtlMs: 4000,
+};
+
+const job = (id: string, fields: Partial<StageJob> = {}): StageJob => ({
+	id, attemptId: id, stage: 0, pieces: 1, key: 'k', inputs: [], resultBytes: 8000, pulls: [], priority: 0, startByMs: 1000, deadlineMs: 6000, ...fields,
+});
+
+const target = (id: string, zone = 'riga-a') => ({id, address: `${id}:80`, zone});
+
+function create(targets = [target('t1')], budgetSlack = 100) {
+	const unused: string[] = [];
+	const pool = StagePool.create({
+		limits,
+		budget: RepeatBudget.create({limits: {windowMs: 10_000, ratio: 0.2, slack: budgetSlack}, share: () => 1}),
+		onUnused(handle) {
+			unused.push(handle);
+		},
+	});
+	pool.setTargets(targets);
+	const outcomes = new Map<string, StageOutcome>();
+	const submit = (each: StageJob, now = 0) => {
+		pool.submit(each, outcome => {
+			outcomes.set(each.id, outcome);
+		}, now);
+	};
+
+	return {
+		pool, outcomes, unused, submit,
+	};
+}
+
+let handles = 0;
+const results = (call: StageCall): PieceResult[] => call.pieces.map(() => ({handle: `h${handles++}`}));
+const idsOf = (call: StageCall | undefined) => call?.pieces.map(piece => piece.job.id);
+
+describe('StagePool', () => {
+	it('gathers jobs into one call while a target is busy', () => {
+		const {pool, submit} = create();
+		submit(job('a'));
+		const [first] = pool.next(0);
+		expect(idsOf(first)).toEqual(['a']);
+		for (const id of ['b', 'c', 'd']) {
+			submit(job(id));
+		}
+
+		expect(pool.next(10)).toEqual([]);
+		pool.ended(first!.id, {kind: 'done', results: results(first!)}, 224);
+		expect(idsOf(pool.next(224)[0])).toEqual(['b', 'c', 'd']);
+	});
+
+	it('puts jobs that still meet their objective before late ones, and urgent ones first', () => {
+		const {pool, submit} = create();
+		submit(job('late', {startByMs: -1, pieces: 3}));
+		submit(job('later', {startByMs: 900, pieces: 3}));
+		submit(job('soon', {startByMs: 300, pieces: 3}));
+		expect(idsOf(pool.next(0)[0])).toEqual(['soon', 'soon', 'soon', 'later', 'later', 'later']);
+	});
+
+	it('gives a lower rank a later turn', () => {
+		const {pool, submit} = create();
+		submit(job('low', {startByMs: 500, priority: 2, pieces: 4}));
+		submit(job('high', {startByMs: 600, priority: 0, pieces: 4}));
+		expect(idsOf(pool.next(0)[0])![0]).toBe('high');
+	});
+
+	it('does not split a job that fits a call', () => {
+		const {pool, submit} = create();
+		submit(job('a', {pieces: 4}));
+		submit(job('b', {pieces: 4, startByMs: 1100}));
+		submit(job('c', {pieces: 3, startByMs: 1200}));
+		expect(idsOf(pool.next(0)[0])).toEqual(['a', 'a', 'a', 'a', 'c', 'c', 'c']);
+	});
+
+	it('splits a job that is larger than a call', () => {
+		const {pool, submit, outcomes} = create();
+		submit(job('a', {pieces: 10}));
+		const [first] = pool.next(0);
+		expect(first!.pieces).toHaveLength(7);
+		pool.ended(first!.id, {kind: 'done', results: results(first!)}, 400);
+		const [second] = pool.next(400);
+		expect(second!.pieces.map(piece => piece.piece)).toEqual([7, 8, 9]);
+		pool.ended(second!.id, {kind: 'done', results: results(second!)}, 800);
+		expect(outcomes.get('a')).toHaveProperty('results.length', 10);
+	});
+
+	it('never plans more results than a target has room for, held ones included', () => {
+		const {pool, submit} = create();
+		const large = {resultBytes: 2_000_000, pieces: 3};
+		for (const id of ['a', 'b', 'c', 'd']) {
+			submit(job(id, large));
+		}
+
+		const [first] = pool.next(0);
+		expect(idsOf(first)).toEqual(['a', 'a', 'a', 'b', 'b', 'b']);
+		const made = results(first!);
+		pool.ended(first!.id, {kind: 'done', results: made}, 400);
+		expect(pool.next(400)).toEqual([]);
+		for (const result of made.slice(0, 3)) {
+			pool.freed((result as {handle: string}).handle);
+		}
+
+		expect(idsOf(pool.next(410)[0])).toEqual(['c', 'c', 'c']);
+	});
+
+	it('counts a result as gone once it has lapsed', () => {
+		const {pool, submit} = create();
+		submit(job('a', {resultBytes: 1_500_000, pieces: 7}));
+		const [first] = pool.next(0);
+		pool.ended(first!.id, {kind: 'done', results: results(first!)}, 400);
+		submit(job('b', {resultBytes: 1_500_000, pieces: 7, deadlineMs: 9000}), 400);
+		expect(pool.next(4300)).toEqual([]);
+		expect(pool.next(4401)).toHaveLength(1);
+	});
+
+	it('leaves a job with many bytes to the zone where they are, until it runs out of slack', () => {
+		const {pool, submit} = create([target('near', 'riga-a'), target('far', 'liepaja-a')]);
+		submit(job('first', {pieces: 7, pulls: [{zone: 'riga-a', bytes: 4e6}]}));
+		const calls = pool.next(0);
+		expect(calls.map(call => call.target.id)).toEqual(['near']);
+		submit(job('second', {pieces: 3, pulls: [{zone: 'riga-a', bytes: 4e6}]}));
+		expect(pool.next(100)).toEqual([]);
+		expect(pool.next(800).map(call => call.target.id)).toEqual(['far']);
+	});
+
+	it('asks again for pieces that a target refused, and pauses the target', () => {
+		const {pool, submit, outcomes} = create([target('t1'), target('t2')]);
+		submit(job('a'));
+		const [first] = pool.next(0);
+		pool.ended(first!.id, {kind: 'refused'}, 2);
+		const [second] = pool.next(2);
+		expect(second!.target.id).not.toBe(first!.target.id);
+		pool.ended(second!.id, {kind: 'done', results: results(second!)}, 230);
+		expect(outcomes.get('a')).toHaveProperty('results.length', 1);
+	});
+
+	it('fails a job when the budget of repeats is spent', () => {
+		const {pool, submit, outcomes} = create([target('t1'), target('t2')], 0);
+		submit(job('a'));
+		const [first] = pool.next(0);
+		pool.ended(first!.id, {kind: 'unreachable'}, 2);
+		expect(outcomes.get('a')).toMatchObject({failure: 'failed'});
+	});
+
+	it('tells that an input is gone or a piece was too late', () => {
+		const {pool, submit, outcomes} = create();
+		submit(job('a'));
+		submit(job('b'));
+		const [call] = pool.next(0);
+		pool.ended(call!.id, {kind: 'done', results: [{problem: 'gone'}, {problem: 'late'}]}, 200);
+		expect(outcomes.get('a')).toMatchObject({failure: 'input_gone'});
+		expect(outcomes.get('b')).toMatchObject({failure: 'late'});
+	});
+
+	it('gives up results of a job that was cancelled during its call', () => {
+		const {pool, submit, outcomes, unused} = create();
+		submit(job('a', {pieces: 2}));
+		const [call] = pool.next(0);
+		pool.cancel('a');
+		expect(outcomes.get('a')).toMatchObject({failure: 'cancelled'});
+		pool.ended(call!.id, {kind: 'done', results: [{handle: 'x'}, {handle: 'y'}]}, 250);
+		expect(unused).toEqual(['x', 'y']);
+	});
+
+	it('drops jobs that cannot be ready in time', () => {
+		const {pool, submit, outcomes} = create();
+		submit(job('a'));
+		pool.next(0);
+		submit(job('b', {deadlineMs: 300}));
+		pool.next(150);
+		expect(outcomes.get('b')).toMatchObject({failure: 'late'});
+	});
+
+	it('prefers to wait for a fast target when a slow one would finish later', () => {
+		const {pool, submit} = create([target('slow'), target('fast')]);
+		for (const id of ['a', 'b']) {
+			submit(job(id, {pieces: 7, deadlineMs: 60_000, startByMs: 50_000}));
+		}
+
+		for (const call of pool.next(0)) {
+			pool.ended(call.id, {kind: 'done', results: results(call)}, call.target.id === 'slow' ? 4000 : 368);
+		}
+
+		submit(job('c', {deadlineMs: 60_000, startByMs: 50_000}), 4000);
+		submit(job('d', {deadlineMs: 60_000, startByMs: 50_000}), 4000);
+		expect(pool.next(4000).map(call => call.target.id)).toEqual(['fast']);
+	});
+
+	// Pattern: a burst of one kind above the capacity of the pool.
+	it('serves a burst in full calls and keeps on-time jobs on time', () => {
+		const {pool, submit, outcomes} = create([target('t1'), target('t2'), target('t3'), target('t4')]);
+		const random = Random.create(5);
+		const running: Array<{call: StageCall; endsMs: number}> = [];
+		let pieces = 0;
+		let calls = 0;
+		for (let now = 0; now < 4000; now += 10) {
+			if (random.chance(0.5)) {
+				submit(job(`j${now}`, {pieces: 1 + random.integer(0, 2), startByMs: now + 700, deadlineMs: now + 4400}), now);
+			}
+
+			for (const {call} of running.filter(each => each.endsMs <= now)) {
+				pool.ended(call.id, {kind: 'done', results: results(call)}, now);
+			}
+
+			running.splice(0, running.length, ...running.filter(each => each.endsMs > now));
+			for (const call of pool.next(now)) {
+				calls++;
+				pieces += call.pieces.length;
+				running.push({call, endsMs: now + limits.callMs + (limits.itemMs * call.pieces.length)});
+			}
+		}
+
+		const failed = [...outcomes.values()].filter(outcome => 'failure' in outcome);
+		expect(failed).toEqual([]);
+		expect(pieces / calls).toBeGreaterThan(5);
+	});
+});
--- /dev/null
+++ b/src/registry/target-registry.test.ts
@@ -0,0 +1,113 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import {silentLoggerFactory} from '../logs/index.js';
+import {RelayTarget, type TargetEntry} from './relay-target.js';
+import {TargetRegistry} from './target-registry.js';
+
+const entry = (id: string, fields: Partial<TargetEntry> = {}): TargetEntry => ({
+	id, service: 'desk', address: '10.0.0.1:80', zone: 'riga-a', slots: 6, isDraining: false, startedMs: 1000, ...fields,
+});
+
+function create() {
+	const clock = ManualClock.create();
+	const closed: string[] = [];
+	const registry = TargetRegistry.create({
+		clock,
+		logger: silentLoggerFactory('targets'),
+		onClosed(target) {
+			closed.push(`${target.id} ${target.isGone ? 'gone' : 'draining'}`);
+		},
+	});
+	return {clock, registry, closed};
+}
+
+const ids = (targets: readonly RelayTarget[]) => targets.map(target => target.id);
+
+describe('TargetRegistry', () => {
+	it('keeps draining for good within an incarnation', () => {
+		const {registry, closed} = create();
+		registry.put(entry('a'));
+		registry.put(entry('a', {isDraining: true}));
+		registry.put(entry('a'));
+		expect(registry.open('desk')).toEqual([]);
+		expect(closed).toEqual(['a draining']);
+	});
+
+	it('takes another start under the same id for another target', () => {
+		const {registry} = create();
+		registry.put(entry('a', {isDraining: true}));
+		registry.put(entry('a', {startedMs: 2000}));
+		expect(ids(registry.open('desk'))).toEqual(['a']);
+	});
+
+	it('moves an id to another service with its address', () => {
+		const {registry} = create();
+		registry.put(entry('a'));
+		registry.put(entry('a', {service: 'archive', address: '10.0.0.2:80'}));
+		expect(registry.open('desk')).toEqual([]);
+		expect(ids(registry.open('archive'))).toEqual(['a']);
+	});
+
+	it('removes a target at once while the store is calm', () => {
+		const {registry} = create();
+		registry.put(entry('a'));
+		registry.remove('a');
+		expect(registry.open('desk')).toEqual([]);
+	});
+
+	it('keeps a target whose entry lapsed in an outage until it had time to come back', async () => {
+		const {registry, clock} = create();
+		registry.put(entry('a'));
+		registry.put(entry('b', {address: '10.0.0.2:80'}));
+		registry.storeRegained(5000);
+		registry.remove('a');
+		registry.remove('b');
+		await clock.advance(1000);
+		registry.put(entry('a'));
+		expect(ids(registry.open('desk'))).toEqual(['a', 'b']);
+		await clock.advance(1100);
+		expect(ids(registry.open('desk'))).toEqual(['a']);
+	});
+
+	it('removes a draining target at once, outage or not', () => {
+		const {registry} = create();
+		registry.put(entry('a', {isDraining: true}));
+		registry.storeRegained(5000);
+		registry.remove('a');
+		expect(registry.size).toBe(0);
+	});
+
+	it('removes what a complete list does not name', () => {
+		const {registry} = create();
+		registry.put(entry('a'));
+		registry.replace([entry('b')]);
+		expect(ids(registry.open('desk'))).toEqual(['b']);
+	});
+});
+
+describe('RelayTarget', () => {
+	it('is avoided after it could not be reached, longer each time, until a call succeeds', () => {
+		const target = RelayTarget.create(entry('a'));
+		target.ended('unreachable', 0, 0);
+		expect([target.isAvoided(499), target.isAvoided(501)]).toEqual([true, false]);
+		target.ended('unreachable', 600, 0);
+		expect(target.isAvoided(1500)).toBe(true);
+		target.ended('ok', 1600, 20);
+		expect(target.isAvoided(1600)).toBe(false);
+	});
+
+	it('forgets failures with successes', () => {
+		const target = RelayTarget.create(entry('a'));
+		for (let call = 0; call < 5; call++) {
+			target.ended('failed', call, 5);
+		}
+
+		const failing = target.failureRate;
+		expect(failing).toBeGreaterThan(0.5);
+		for (let call = 0; call < 20; call++) {
+			target.ended('ok', call, 5);
+		}
+
+		expect(target.failureRate).toBeLessThan(0.05);
+	});
+});
--- /dev/null
+++ b/src/topics/topic-follower.test.ts
@@ -0,0 +1,107 @@
+import {Buffer} from 'node:buffer';
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import {silentLoggerFactory} from '../logs/index.js';
+import type {KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic} from './keyed-topic.js';
+import {TopicFollower} from './topic-follower.js';
+
+const record = (key: string, value: string): KeyedRecord => ({key, value: Buffer.from(value)});
+
+/** Topic in memory whose calls can fail and whose old records can be dropped. */
+class FakeTopic implements KeyedTopic {
+	records: KeyedRecord[] = [];
+	first = 0;
+	isDown = false;
+
+	async newest(): Promise<KeyedSnapshot> {
+		this.#check();
+		const newest = new Map(this.records.map(each => [each.key, each]));
+		return {records: [...newest.values()], end: this.records.length};
+	}
+
+	async read(from: number): Promise<KeyedPage> {
+		this.#check();
+		return from < this.first || from > this.records.length ? {kind: 'expired'} : {kind: 'records', records: this.records.slice(from), next: this.records.length};
+	}
+
+	#check(): void {
+		if (this.isDown) {
+			throw new Error('down');
+		}
+	}
+}
+
+function follow(topic: FakeTopic) {
+	const clock = ManualClock.create();
+	const seen: string[] = [];
+	const outages: number[] = [];
+	const follower = TopicFollower.create({
+		name: 'test',
+		topic,
+		clock,
+		logger: silentLoggerFactory('config'),
+		pollMs: 1000,
+		waitMs: 0,
+		onSnapshot({records}) {
+			seen.push(`snapshot ${records.map(({key, value}) => `${key}=${String(value)}`).join(' ')}`);
+		},
+		onRecords(records) {
+			seen.push(...records.map(({key, value}) => `${key}=${value === undefined ? '' : String(value)}`));
+		},
+		onRegained(outageMs) {
+			outages.push(outageMs);
+		},
+	});
+	follower.start();
+	return {
+		clock, seen, outages, follower,
+	};
+}
+
+describe('TopicFollower', () => {
+	it('starts from the newest records and reads on', async () => {
+		const topic = new FakeTopic();
+		topic.records.push(record('a', '1'), record('a', '2'));
+		const {clock, seen} = follow(topic);
+		await clock.advance(1);
+		topic.records.push(record('b', '1'), {key: 'a', value: undefined});
+		await clock.advance(1000);
+		expect(seen).toEqual(['snapshot a=2', 'b=1', 'a=']);
+	});
+
+	it('goes on at its offset after an outage and tells its length', async () => {
+		const topic = new FakeTopic();
+		topic.records.push(record('a', '1'));
+		const {clock, seen, outages} = follow(topic);
+		await clock.advance(1);
+		topic.isDown = true;
+		await clock.advance(3000);
+		topic.records.push(record('a', '2'));
+		topic.isDown = false;
+		await clock.advance(1000);
+		expect(seen).toEqual(['snapshot a=1', 'a=2']);
+		expect(outages).toHaveLength(1);
+		expect(outages[0]).toBeGreaterThanOrEqual(3000);
+	});
+
+	it('takes a new snapshot when its offset was dropped', async () => {
+		const topic = new FakeTopic();
+		topic.records.push(record('a', '1'));
+		const {clock, seen} = follow(topic);
+		await clock.advance(1);
+		topic.records.push(record('a', '2'), record('a', '3'));
+		topic.first = 2;
+		await clock.advance(2001);
+		expect(seen).toEqual(['snapshot a=1', 'snapshot a=3']);
+	});
+
+	it('takes a new snapshot when the topic ends before its offset', async () => {
+		const topic = new FakeTopic();
+		topic.records.push(record('a', '1'), record('a', '2'));
+		const {clock, seen} = follow(topic);
+		await clock.advance(1);
+		topic.records.pop();
+		await clock.advance(2001);
+		expect(seen).toEqual(['snapshot a=2', 'snapshot a=1']);
+	});
+});
