Test the adapter against stand-ins; treat a reset answer without length as broken

Cause: undici ends an answer without a length as complete when its connection is reset (found by the new test 'takes half an answer ... for none': the half was delivered as a success).

Change: connections tell resets from ends, and an answer whose connection is being reset is broken. A stand-in of the store and of targets in the adapter's test folder; 32 tests, each trap of the protocol with one.

Ruled out: node's http client for such answers; the length is known only after the call was sent.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -152,6 +152,16 @@
 		return this.#lifecycle.state === 'serving' && this.#hasTargets;
 	}
 
+	/** Port for callers. */
+	get callersPort(): number {
+		return this.#server.port;
+	}
+
+	/** Targets known. */
+	get targetCount(): number {
+		return this.#registry.size;
+	}
+
 	/** Ends requests in progress, then closes. Resolves when everything is closed. */
 	async shutdown(): Promise<void> {
 		const {clock, graceMs, createLogger} = this.options;
@@ -173,6 +183,11 @@
 		}
 
 		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
+		await this.close();
+	}
+
+	/** Closes everything at once. */
+	async close(): Promise<void> {
 		this.#configFollower.stop();
 		this.#targetFollower.stop();
 		await this.#server.close();
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -38,12 +38,13 @@
 export class RelayServer {
 	static async create(options: RelayServerOptions): Promise<RelayServer> {
 		const server = new RelayServer(options);
-		await listen(server.#server, options.listen);
+		server.#port = await listen(server.#server, options.listen);
 		return server;
 	}
 
 	readonly #server: Server;
 	#inFlight = 0;
+	#port = 0;
 
 	private constructor(private readonly options: RelayServerOptions) {
 		this.#server = createServer({
@@ -53,6 +54,10 @@
 		});
 	}
 
+	get port(): number {
+		return this.#port;
+	}
+
 	/** Requests whose answers are not sent yet. */
 	get inFlight(): number {
 		return this.#inFlight;
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -2,6 +2,7 @@
 import {Client, type Dispatcher} from 'undici';
 import {errorMessage, GuavamillError} from '../errors/index.js';
 import type {HttpHeaders} from './relay-codec.js';
+import {isConnectionResetting} from './reset-aware-connector.js';
 import {connectOptions, type TargetPools} from './target-pools.js';
 
 /** One call to a target. */
@@ -102,7 +103,9 @@
 	}
 
 	onResponseEnd(): void {
-		if (!this.#isEnded) {
+		if (isConnectionResetting()) {
+			this.onResponseError(undefined, new GuavamillError('the connection was reset'));
+		} else if (!this.#isEnded) {
 			this.#isEnded = true;
 			this.listener.onEnd();
 			this.#release();
--- a/src/relay/target-pools.ts
+++ b/src/relay/target-pools.ts
@@ -1,8 +1,7 @@
 import {Pool} from 'undici';
 import type {Ms} from '../clock/index.js';
+import {connectResetAware} from './reset-aware-connector.js';
 
-/** Longest time to open a connection; the slowest paths between regions need about 40 ms. */
-const connectTimeoutMs: Ms = 400;
 /** Idle connections are closed after this long where the target names no time of its own. */
 const keepAliveMs: Ms = 4000;
 /** A target's own time is cut by this much, so that a request does not cross its close. */
@@ -12,7 +11,7 @@
 
 /** Options of each connection to a target. */
 export const connectOptions = {
-	connect: {timeout: connectTimeoutMs}, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
+	connect: connectResetAware, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
 } as const;
 
 /**
