--- a/src/logs/logger.ts
+++ b/src/logs/logger.ts
@@ -32,13 +32,15 @@
 };
 
 /**
- * Returns a factory of loggers (tslog) that write one JSON object per line to standard error.
+ * Returns a factory of loggers (tslog) that write one JSON object per line, to standard error unless `writeLine` takes
+ * the lines.
  *
  * @example
  * const createLogger = createLoggerFactory({process: 'riga-1', level: 'info'});
  * createLogger('config').info('Applied a change.', {revision: 12});
  */
-export function createLoggerFactory(options: {process: string; level: LogLevel}): LoggerFactory {
+export function createLoggerFactory(options: {process: string; level: LogLevel; writeLine?: (line: string) => void}): LoggerFactory {
+	const writeLine = options.writeLine ?? (line => process.stderr.write(`${line}\n`));
 	const root = new Logger<ILogObj>({
 		type: 'hidden',
 		minLevel: minLevel[options.level],
@@ -49,9 +51,9 @@
 		// tslog filters by level and calls the transport for lines that pass.
 		sub.attachTransport(entry => {
 			const line = entry as unknown as LogLine;
-			process.stderr.write(`${JSON.stringify({
+			writeLine(JSON.stringify({
 				time: line._meta.date.toISOString(), level: line._meta.logLevelName.toLowerCase(), process: options.process, part, message: line[0], ...line[1],
-			})}\n`);
+			}));
 		});
 		const write = (level: Exclude<LogLevel, 'off'>) => (message: string, facts: Record<string, unknown> = {}) => {
 			sub[level](message, facts);
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -35,6 +35,13 @@
 /** Events kept for links; the relay logs its own. */
 const eventCapacity = 500;
 
+/** Bounds that may change while the process runs. */
+export interface RelayBounds {
+	readonly repeats: RepeatLimits;
+	/** Time between SIGTERM and the end by force. */
+	readonly graceMs: Ms;
+}
+
 /** Addresses, bounds and ports of a relaying entry VM. */
 export interface RelayVmOptions {
 	readonly self: LinkIdentity;
@@ -57,9 +64,7 @@
 	readonly readDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
 	/** Decodes a target's entry; `undefined` for one that names no target. */
 	readonly readTarget: (record: KeyedRecord) => TargetEntry | undefined;
-	readonly repeats: RepeatLimits;
-	/** Time between SIGTERM and the end by force. */
-	readonly graceMs: Ms;
+	readonly bounds: RelayBounds;
 }
 
 /**
@@ -89,6 +94,7 @@
 	readonly #targetFollower: TopicFollower;
 	#table: RouteTable | undefined;
 	#hasTargets = false;
+	#bounds: RelayBounds;
 	#mesh: RelayMesh | undefined;
 	readonly #linked: LinkedStages;
 	#server!: RelayServer;
@@ -96,6 +102,7 @@
 
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
+		this.#bounds = options.bounds;
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
 			clock,
@@ -108,7 +115,7 @@
 			},
 		});
 		this.#host = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.repeats, service: name => this.#table?.declarations.services.get(name),
+			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.bounds.repeats, service: name => this.#table?.declarations.services.get(name),
 		});
 		this.#linked = LinkedStages.create({
 			clock, logger: createLogger('pools'), host: this.#host, mesh: () => this.#mesh,
@@ -152,6 +159,15 @@
 		return this.#lifecycle.state === 'serving' && this.#hasTargets;
 	}
 
+	/** Takes changed bounds. Budgets start anew, so that no repeat is counted under two limits. */
+	setBounds({repeats, graceMs}: RelayBounds): void {
+		const isChanged = JSON.stringify(repeats) !== JSON.stringify(this.#bounds.repeats);
+		this.#bounds = {repeats, graceMs};
+		if (isChanged) {
+			this.#budgets.clear();
+		}
+	}
+
 	/** Port for callers. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -164,7 +180,7 @@
 
 	/** Ends requests in progress, then closes. Resolves when everything is closed. */
 	async shutdown(): Promise<void> {
-		const {clock, graceMs, createLogger} = this.options;
+		const {clock, createLogger} = this.options;
 		const logger = createLogger('entry-vm');
 		const startedMs = clock.now();
 		this.#lifecycle.send({type: 'SHUTDOWN'});
@@ -177,7 +193,7 @@
 				this.#server.closeIdle();
 			}
 
-			if ((elapsedMs >= leastDrainMs && this.#server.inFlight === 0) || elapsedMs >= graceMs - graceMarginMs) {
+			if ((elapsedMs >= leastDrainMs && this.#server.inFlight === 0) || elapsedMs >= this.#bounds.graceMs - graceMarginMs) {
 				this.#lifecycle.send({type: 'IDLE'});
 			}
 		}
@@ -297,7 +313,7 @@
 	#budget(service: string): RepeatBudget {
 		let budget = this.#budgets.get(service);
 		if (!budget) {
-			budget = RepeatBudget.create({limits: this.options.repeats, share: () => repeatShare / (this.#mesh?.size ?? assumedEntryVms)});
+			budget = RepeatBudget.create({limits: this.#bounds.repeats, share: () => repeatShare / (this.#mesh?.size ?? assumedEntryVms)});
 			this.#budgets.set(service, budget);
 		}
 
