--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -95,6 +95,12 @@
 		return this.#membership.members().length + 1;
 	}
 
+	/** Members with a link, this entry VM included, as a part of all. */
+	get linkedShare(): number {
+		const members = this.#membership.members();
+		return (members.filter(member => this.#links.byName(member.name)).length + 1) / (members.length + 1);
+	}
+
 	/** Declares keys whose owners should stay linked. */
 	setKeys(keys: Iterable<string>): void {
 		this.#keys.clear();
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -18,7 +18,7 @@
 
 /**
  * Orders the jobs that a target may take, most urgent first: jobs that can still meet their objective by their latest
- * start, then the others by their deadline. Jobs that would move many bytes between zones stay for nearer targets until
+ * start, then the others by their deadline. Late jobs whose other stages are mostly done count among the first. Jobs that would move many bytes between zones stay for nearer targets until
  * they run out of slack.
  *
  * @example
@@ -39,12 +39,13 @@
 	return waiting.reduce((sum, {job, pieces}) => sum + (!isLate(job, now) && rankKey(job, now) <= key ? pieces : 0), 0);
 }
 
+/** A late job that is committed is finished: its inputs hold room that others need. */
 function isLate(job: StageJob, now: Ms): boolean {
-	return job.startByMs < now;
+	return job.startByMs < now && !job.isCommitted;
 }
 
 function rankKey(job: StageJob, now: Ms): Ms {
-	return isLate(job, now) ? job.deadlineMs : job.startByMs + (job.priority * rankMs);
+	return isLate(job, now) ? job.deadlineMs : Math.max(now, job.startByMs) + (job.priority * rankMs);
 }
 
 /** Bytes that move between zones when a job runs in a zone. */
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -17,6 +17,8 @@
 	readonly registry: TargetRegistry;
 	readonly port: StageTargetPort;
 	readonly repeats: RepeatLimits;
+	/** This host's part of the work, 1 where no other host is likely to use the same targets. */
+	readonly share: () => number;
 	/** The declared service, as of now. */
 	readonly service: (name: string) => ServiceDeclaration | undefined;
 }
@@ -149,7 +151,7 @@
 		const hosted = this.#hosted.get(service)!;
 		const {clock} = this.options;
 		this.#updateTargets(service, hosted.pool);
-		for (const call of hosted.pool.next(clock.now())) {
+		for (const call of hosted.pool.next(clock.now(), this.options.share())) {
 			void this.#send(service, hosted.pool, call);
 		}
 
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -30,6 +30,8 @@
 	readonly startByMs: Ms;
 	/** Time after which the results are of no use. */
 	readonly deadlineMs: Ms;
+	/** True when most of the request's stages are done: giving it up now would waste them. */
+	readonly isCommitted: boolean;
 }
 
 /** Why a job ended without results. */
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -17,6 +17,9 @@
 	free(handles: readonly string[]): void;
 }
 
+/** Part of the whole path that is left when a request counts as committed. */
+const committedShare = 0.5;
+
 type StageRun = Promise<StageOutcome>;
 
 /**
@@ -34,8 +37,10 @@
 	readonly #held = new Map<number, readonly string[]>();
 	readonly #runs = new Map<number, StageRun>();
 	readonly #isOnTime: boolean;
+	readonly #totalMs: Ms;
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
+		this.#totalMs = Math.max(0, ...plan.stages.map((_, stage) => this.#pathMs(stage)));
 		this.#isOnTime = host.now() + this.#predictMs() <= plan.callByMs;
 	}
 
@@ -103,6 +108,7 @@
 			resultBytes,
 			pulls: this.#pulls(stage),
 			priority,
+			isCommitted: pathMs <= this.#totalMs * committedShare,
 			startByMs: this.#isOnTime ? callByMs - pathMs : -Infinity,
 			deadlineMs: deadlineMs - pathMs + this.#stageMs(stage),
 		}, signal);
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -9,7 +9,7 @@
 };
 
 const job = (id: string, fields: Partial<StageJob> = {}): StageJob => ({
-	id, attemptId: id, stage: 0, pieces: 1, key: 'k', inputs: [], resultBytes: 8000, pulls: [], priority: 0, startByMs: 1000, deadlineMs: 6000, ...fields,
+	id, attemptId: id, stage: 0, pieces: 1, key: 'k', inputs: [], resultBytes: 8000, pulls: [], priority: 0, startByMs: 1000, deadlineMs: 6000, isCommitted: false, ...fields,
 });
 
 const target = (id: string, zone = 'riga-a') => ({id, address: `${id}:80`, zone});
@@ -109,6 +109,45 @@
 		expect(idsOf(pool.next(410)[0])).toEqual(['c', 'c', 'c']);
 	});
 
+	// Pattern: another host uses the same targets while entry VMs are cut off from each other.
+	it('plans with less room after a call that found none, and with more again later', () => {
+		const {pool, submit} = create();
+		const large = {resultBytes: 1_500_000, pieces: 7, deadlineMs: 60_000, startByMs: 50_000};
+		submit(job('a', large));
+		const [first] = pool.next(0);
+		pool.ended(first!.id, {kind: 'done', results: first!.pieces.map((_, index): PieceResult => index < 3 ? {handle: `a${index}`} : {problem: 'room'})}, 300);
+		pool.cancel('a');
+		for (const handle of ['a0', 'a1', 'a2']) {
+			pool.freed(handle);
+		}
+
+		submit(job('b', {...large, pieces: 7}));
+		submit(job('held', {pieces: 1}), 300);
+		const [second] = pool.next(300);
+		expect(idsOf(second)).toEqual(['held']);
+		pool.ended(second!.id, {kind: 'done', results: results(second!)}, 500);
+		expect(pool.next(500)).toEqual([]);
+		expect(idsOf(pool.next(3000)[0])).toEqual(['b', 'b', 'b', 'b', 'b', 'b', 'b']);
+	});
+
+	// Pattern: one entry VM cut off from the others hosts the pools for itself.
+	it('makes few and full calls while it has a small share of the work', () => {
+		const {pool, submit} = create([target('t1'), target('t2'), target('t3'), target('t4')]);
+		submit(job('a', {pieces: 5}));
+		submit(job('b', {pieces: 5}));
+		expect(pool.next(0, 1 / 9)).toHaveLength(1);
+		expect(pool.next(1, 1 / 9)).toHaveLength(0);
+		expect(pool.next(2)).toHaveLength(1);
+	});
+
+	it('finishes late jobs that are committed before it starts others', () => {
+		const {pool, submit} = create();
+		submit(job('fresh', {pieces: 4, startByMs: 200}));
+		submit(job('late', {pieces: 4, startByMs: -1}));
+		submit(job('committed', {pieces: 4, startByMs: -1, isCommitted: true}));
+		expect(idsOf(pool.next(0)[0])![0]).toBe('committed');
+	});
+
 	it('counts a result as gone once it has lapsed', () => {
 		const {pool, submit} = create();
 		submit(job('a', {resultBytes: 1_500_000, pieces: 7}));
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -13,8 +13,6 @@
 const callTimeoutFactor = 2.5;
 const callTimeoutSlackMs: Ms = 600;
 
-/** Part of a target's room that is planned with: sizes of results are approximate. */
-const usableRoomShare = 0.9;
 /** Time over which the rate of finished pieces is measured, and its least share of the possible rate. */
 const rateWindowMs: Ms = 1500;
 const leastRateShare = 0.3;
@@ -162,15 +160,19 @@
 		return ahead / Math.min(possiblePerMs, Math.max(possiblePerMs * leastRateShare, finishedPerMs));
 	}
 
-	/** Returns the calls to send now. */
-	next(now: Ms): StageCall[] {
+	/**
+	 * Returns the calls to send now. `share` is this host's part of the work, less than 1 while other hosts use the same
+	 * targets: it then makes fewer calls, each with more pieces.
+	 */
+	next(now: Ms, share = 1): StageCall[] {
 		this.#dropLate(now);
 		const calls: StageCall[] = [];
+		const maxCalls = Math.max(1, Math.round(share * this.#targets.size * this.#limits.slots));
 		const free = [...this.#targets.values()].filter(target => target.calls < this.#limits.slots && target.isUsable(now));
 		// A fast target chooses first.
 		free.sort((a, b) => a.slowness - b.slowness);
 		for (const target of free) {
-			const pieces = this.#choose(target, now);
+			const pieces = this.#calls.size < maxCalls ? this.#choose(target, now) : [];
 			if (pieces.length > 0) {
 				calls.push(this.#start(target, pieces, now));
 			}
@@ -191,6 +193,10 @@
 		this.#finished.push({at: now, pieces: end.kind === 'done' ? call.pieces.length : 0});
 		const target = this.#targets.get(call.target.id);
 		target?.ended(call.id, {end: end.kind, tookMs: now - startedMs, expectedMs}, now);
+		if (end.kind === 'done' && end.results.some(result => 'problem' in result && result.problem === 'room')) {
+			target?.roomWasShort(now);
+		}
+
 		for (const [index, piece] of call.pieces.entries()) {
 			const result: PieceResult = end.kind === 'done' ? end.results[index] ?? {problem: 'error'} : {problem: 'error'};
 			if ('handle' in result) {
@@ -221,15 +227,15 @@
 		}
 
 		const chosen: CalledPiece[] = [];
-		let roomMb = target.freeRoomMb(this.#limits.roomMb * usableRoomShare, now);
+		let roomMb = target.freeRoomMb(this.#limits.roomMb, now);
 		for (const job of jobs) {
 			const state = this.#jobs.get(job.id)!;
 			const pieceMb = job.resultBytes / 1e6;
 			const left = this.#limits.batch - chosen.length;
 			const fitting = Math.min(left, Math.floor(roomMb / Math.max(pieceMb, Number.EPSILON)));
-			// Part of a job holds room and gains nothing, so a job goes whole unless it is larger than a call.
+			// Part of a job holds room and gains nothing, so a job goes whole unless it is larger than a call or the room.
 			const isWhole = fitting >= state.waiting.length;
-			if (!isWhole && (chosen.length > 0 || left > fitting)) {
+			if (!isWhole && (chosen.length > 0 || (left > fitting && !target.isEmpty))) {
 				continue;
 			}
 
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -13,6 +13,11 @@
 /** Pause after a target could not be reached or gave no answer; doubles up to the maximum. */
 const firstPauseMs: Ms = 400;
 const maxPauseMs: Ms = 4000;
+/** Bounds of the part of the room that is planned with, its cut after a call without room, and its growth in a ms. */
+const mostRoomShare = 0.95;
+const leastRoomShare = 0.15;
+const roomCut = 0.7;
+const roomGrowthPerMs = 0.000_15;
 /** Weight of the latest call in the moving average of the slowness. */
 const smoothing = 0.4;
 
@@ -28,6 +33,9 @@
 
 	/** Time of calls relative to the expected time. */
 	slowness = 1;
+	/** Part of the declared room that is planned with: others may use the target too, and sizes are approximate. */
+	#roomShare = mostRoomShare;
+	#roomShareMs: Ms = 0;
 	readonly #calls = new Map<number, {roomMb: number; endsMs: Ms}>();
 	readonly #results = new Map<string, {mb: number; lapsesMs: Ms}>();
 	#pausedUntilMs: Ms = -Infinity;
@@ -68,7 +76,22 @@
 			}
 		}
 
-		return roomMb - used;
+		return (roomMb * this.#roomShareAt(now)) - used;
+	}
+
+	/** True when it holds no results and no call is in progress. */
+	get isEmpty(): boolean {
+		return this.#calls.size === 0 && this.#results.size === 0;
+	}
+
+	/** A call ended with pieces that found no room. */
+	roomWasShort(now: Ms): void {
+		this.#roomShare = Math.max(leastRoomShare, this.#roomShareAt(now) * roomCut);
+		this.#roomShareMs = now;
+	}
+
+	#roomShareAt(now: Ms): number {
+		return Math.min(mostRoomShare, this.#roomShare + ((now - this.#roomShareMs) * roomGrowthPerMs));
 	}
 
 	started(callId: number, call: {roomMb: number; endsMs: Ms}): void {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -115,7 +115,7 @@
 			},
 		});
 		this.#host = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.bounds.repeats, service: name => this.#table?.declarations.services.get(name),
+			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, repeats: options.bounds.repeats, share: () => this.#poolShare(), service: name => this.#table?.declarations.services.get(name),
 		});
 		this.#linked = LinkedStages.create({
 			clock, logger: createLogger('pools'), host: this.#host, mesh: () => this.#mesh,
@@ -310,6 +310,12 @@
 		}
 	}
 
+	/** A host without links to most of the others is cut off from the host that they use. */
+	#poolShare(): number {
+		const linked = this.#mesh?.linkedShare ?? 1;
+		return linked > isolatedShare ? 1 : linked;
+	}
+
 	#budget(service: string): RepeatBudget {
 		let budget = this.#budgets.get(service);
 		if (!budget) {
@@ -349,6 +355,8 @@
 
 /** Entry VMs that share a budget while their number is not known yet. */
 const assumedEntryVms = 9;
+/** A host linked to at most this part of the entry VMs is cut off; more are lost at once only when they are killed. */
+const isolatedShare = 0.34;
 /** Rankings remembered. */
 const maxRanks = 2000;
 /** Part of the budget of repeats that is spent; the rest covers entry VMs that this one does not know of. */
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -11,6 +11,7 @@
 import type {CallerHead} from './relay-codec.js';
 import type {Rejection, RelayReason} from './rejection.js';
 import {StreamDelivery} from './stream-delivery.js';
+import {writeAnswerHead} from './write-answer-head.js';
 import {runAttempt, type AttemptEnd, type WholeAnswer} from './target-attempt.js';
 
 /** Least time left for which a request is sent to a target. */
@@ -360,15 +361,15 @@
 		return firstTokenMs + (tokens / prefillTokensPerMs);
 	}
 
-	#deliver({status, head, body}: WholeAnswer): void {
+	#deliver(answer: WholeAnswer): void {
 		const {res} = this.request;
 		if (this.#isOver || res.destroyed) {
 			return;
 		}
 
-		res.writeHead(status, {...head.passed, 'content-length': body.length, ...(this.parts.isClosing() ? {connection: 'close'} : {})});
-		res.end(body);
-		this.#finish('answered', '', status);
+		writeAnswerHead(res, answer, {isClosing: this.parts.isClosing(), bytes: answer.body.length});
+		res.end(answer.body);
+		this.#finish('answered', '', answer.status);
 	}
 
 	#reject(rejection: Rejection): void {
@@ -385,7 +386,7 @@
 	#breakOff(reason: string): void {
 		if (!this.#isOver) {
 			this.#finish('broken_off', reason, 200);
-			this.request.res.destroy();
+			this.#delivery?.breakOff();
 		}
 	}
 
--- a/src/relay/stream-delivery.ts
+++ b/src/relay/stream-delivery.ts
@@ -1,9 +1,9 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {WholeEvent} from './event-splitter.js';
-import type {TargetHead} from './relay-codec.js';
-import type {StreamSink} from './target-attempt.js';
+import type {StreamSink, WholeAnswer} from './target-attempt.js';
 import type {Exchange} from './target-exchange.js';
+import {writeAnswerHead} from './write-answer-head.js';
 
 /** Bytes waiting for a caller above which its target is held back. */
 const highWaterBytes = 256 * 1024;
@@ -23,6 +23,7 @@
 	#lastId: number | undefined;
 	#hasHead = false;
 	#events = 0;
+	#pauser: Pick<Exchange, 'pause' | 'resume'> | undefined;
 
 	private constructor(private readonly res: ServerResponse, private readonly isClosing: () => boolean) {}
 
@@ -41,7 +42,7 @@
 		return this.#events;
 	}
 
-	head(status: number, head: TargetHead, pauser: Pick<Exchange, 'pause' | 'resume'>): void {
+	head(answer: Pick<WholeAnswer, 'status' | 'head' | 'isFramed'>, pauser: Pick<Exchange, 'pause' | 'resume'>): void {
 		this.res.removeAllListeners('drain');
 		this.res.on('drain', () => {
 			pauser.resume();
@@ -52,7 +53,7 @@
 		}
 
 		this.#hasHead = true;
-		this.res.writeHead(status, {...head.passed, ...(this.isClosing() ? {connection: 'close'} : {})});
+		writeAnswerHead(this.res, answer, {isClosing: this.isClosing()});
 		this.res.flushHeaders();
 	}
 
@@ -80,5 +81,12 @@
 		this.res.end();
 	}
 
-	#pauser: Pick<Exchange, 'pause' | 'resume'> | undefined;
+	/** Ends the stream so that the caller sees that it is not complete, whatever its framing. */
+	breakOff(): void {
+		if (this.res.socket) {
+			this.res.socket.resetAndDestroy();
+		} else {
+			this.res.destroy();
+		}
+	}
 }
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -22,11 +22,13 @@
 	readonly status: number;
 	readonly head: TargetHead;
 	readonly body: Buffer;
+	/** False where only the end of its connection tells that it is whole. */
+	readonly isFramed: boolean;
 }
 
 /** Takes the events of a stream as they come. */
 export interface StreamSink {
-	head(status: number, head: TargetHead, pauser: Pick<Exchange, 'pause' | 'resume'>): void;
+	head(answer: Pick<WholeAnswer, 'status' | 'head' | 'isFramed'>, pauser: Pick<Exchange, 'pause' | 'resume'>): void;
 	events(events: readonly WholeEvent[]): void;
 	/** The stream is complete; `rest` follows its last whole event. */
 	end(rest: Buffer): void;
@@ -83,6 +85,7 @@
 	#status = 0;
 	#head: TargetHead | undefined;
 	#isStream = false;
+	#isFramed = true;
 	#isEnded = false;
 	#lastByteMs: Ms;
 	#cancelWatch: CancelTimer = () => undefined;
@@ -138,6 +141,7 @@
 		}
 
 		this.#status = status;
+		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		this.#head = head;
 		if (!head.isNotRun) {
 			onAnswering?.();
@@ -145,7 +149,7 @@
 
 		if (sink && status < 300 && !head.isNotRun) {
 			this.#isStream = true;
-			sink.head(status, head, this.#exchange!);
+			sink.head({status, head, isFramed: this.#isFramed}, this.#exchange!);
 			this.#watch(streamSilenceMs);
 		}
 	}
@@ -178,7 +182,7 @@
 			return;
 		}
 
-		const answer: WholeAnswer = {status: this.#status, head: this.#head!, body: Buffer.concat(this.#chunks)};
+		const answer: WholeAnswer = {status: this.#status, head: this.#head!, body: Buffer.concat(this.#chunks), isFramed: this.#isFramed};
 		if (answer.head.isNotRun) {
 			this.options.target.ended('busy', this.options.clock.now(), 0);
 			this.#finish({
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -2,7 +2,7 @@
 import {Client, type Dispatcher} from 'undici';
 import {errorMessage, GuavamillError} from '../errors/index.js';
 import type {HttpHeaders} from './relay-codec.js';
-import {isConnectionResetting} from './reset-aware-connector.js';
+import {connectionClosing} from './close-aware-connector.js';
 import {connectOptions, type TargetPools} from './target-pools.js';
 
 /** One call to a target. */
@@ -58,6 +58,8 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	#controller: Dispatcher.DispatchController | undefined;
 	#isEnded = false;
+	/** A chunked answer tells its own end; one without a length ends with its connection. */
+	#isChunked = false;
 	#abortReason: string | undefined;
 
 	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined) {}
@@ -91,6 +93,7 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HttpHeaders): void {
+		this.#isChunked = headers['transfer-encoding'] !== undefined;
 		if (!this.#isEnded && status >= 200) {
 			this.listener.onHead(status, headers);
 		}
@@ -103,8 +106,9 @@
 	}
 
 	onResponseEnd(): void {
-		if (isConnectionResetting()) {
-			this.onResponseError(undefined, new GuavamillError('the connection was reset'));
+		const closing = connectionClosing();
+		if (closing === 'failed' || (closing === 'ended' && this.#isChunked)) {
+			this.onResponseError(undefined, new GuavamillError(`the connection ${closing} before the answer was whole`));
 		} else if (!this.#isEnded) {
 			this.#isEnded = true;
 			this.listener.onEnd();
--- a/src/relay/target-pools.ts
+++ b/src/relay/target-pools.ts
@@ -1,6 +1,6 @@
 import {Pool} from 'undici';
 import type {Ms} from '../clock/index.js';
-import {connectResetAware} from './reset-aware-connector.js';
+import {connectCloseAware} from './close-aware-connector.js';
 
 /** Idle connections are closed after this long where the target names no time of its own. */
 const keepAliveMs: Ms = 4000;
@@ -11,7 +11,7 @@
 
 /** Options of each connection to a target. */
 export const connectOptions = {
-	connect: connectResetAware, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
+	connect: connectCloseAware, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
 } as const;
 
 /**
