Bound late stage work; break a stream off when its stages fail on the way

Change: half of a pool's targets at most run calls without an on-time job, half of a target's room is kept for on-time jobs; a resumed stream whose stages fail is broken off.

--- a/src/config/config-simulation.test.ts
+++ b/src/config/config-simulation.test.ts
@@ -3,7 +3,9 @@
 import {ManualClock} from '../clock/index.js';
 import {EventRing} from '../events/index.js';
 import {silentLoggerFactory} from '../logs/index.js';
-import {LogUnavailableError, MemoryPlatformLog, type LogRecord, type PlatformLog} from '../log/index.js';
+import {
+	LogUnavailableError, MemoryPlatformLog, type LogRecord, type PlatformLog,
+} from '../log/index.js';
 import {Random} from '../random/index.js';
 import {ConfigFollower} from './config-follower.js';
 import {encodeConfigState} from './config-state.js';
--- a/src/config/read-stream.ts
+++ b/src/config/read-stream.ts
@@ -1,4 +1,6 @@
-import {type LogRecord, type LogStream, type PlatformLog, LogUnavailableError} from '../log/index.js';
+import {
+	type LogRecord, type LogStream, type PlatformLog, LogUnavailableError,
+} from '../log/index.js';
 
 /**
  * Reads every readable record of a stream. Throws when records expire while it reads, so that the result has no hole.
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -8,6 +8,13 @@
 /** Head start of each rank over the next, in ms of slack. */
 const rankMs: Ms = 150;
 
+/** A job in its order. */
+export interface OrderedJob {
+	readonly job: StageJob;
+	/** True when it can no longer meet its objective and is not committed. */
+	readonly isLate: boolean;
+}
+
 /** The target for which jobs are ordered. */
 export interface JobOrderOptions {
 	readonly now: Ms;
@@ -24,13 +31,12 @@
  * @example
  * orderJobs(jobs, {now, zone: 'riga-a', servedZones: ['riga-a', 'liepaja-a']});
  */
-export function orderJobs(jobs: readonly StageJob[], options: JobOrderOptions): StageJob[] {
+export function orderJobs(jobs: readonly StageJob[], options: JobOrderOptions): OrderedJob[] {
 	const {now, zone, servedZones} = options;
 	return jobs
 		.filter(job => isNear(job, zone, servedZones) || isShortOfTime(job, now))
 		.map(job => ({job, isLate: isLate(job, now), key: rankKey(job, now)}))
-		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key)
-		.map(({job}) => job);
+		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key);
 }
 
 /** Waiting pieces of the jobs that go before another one that can still meet its objective. */
--- a/src/pools/linked-stages.ts
+++ b/src/pools/linked-stages.ts
@@ -154,7 +154,9 @@
 		plans.delete(id);
 		const isSent = 'results' in outcome
 			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
-			: link.send({type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs)});
+			: link.send({
+				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs),
+			});
 		if (!isSent && 'results' in outcome) {
 			this.host.free(outcome.results.map(({handle}) => handle));
 		}
--- a/src/pools/repeat-budget.test.ts
+++ b/src/pools/repeat-budget.test.ts
@@ -20,7 +20,9 @@
 	});
 
 	it('never exceeds ratio and slack in any window, summed over its holders', () => {
-		const step = fc.record({holder: fc.integer({min: 0, max: 2}), waitMs: fc.integer({min: 0, max: 3000}), repeats: fc.integer({min: 0, max: 30}), requests: fc.integer({min: 0, max: 5})});
+		const step = fc.record({
+			holder: fc.integer({min: 0, max: 2}), waitMs: fc.integer({min: 0, max: 3000}), repeats: fc.integer({min: 0, max: 30}), requests: fc.integer({min: 0, max: 5}),
+		});
 		fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
 			const holders = [0, 1, 2].map(() => RepeatBudget.create({limits, share: () => 1 / 3}));
 			const repeats: number[] = [];
--- a/src/pools/stage-plan-run.test.ts
+++ b/src/pools/stage-plan-run.test.ts
@@ -42,9 +42,15 @@
 const chain: StagePlan = {
 	attemptId: 'r1',
 	stages: [
-		{service: 'archive', after: [], resultBytes: 8000, pieces: 1},
-		{service: 'press', after: [0], resultBytes: 60_000, pieces: 2},
-		{service: 'assay', after: [1], resultBytes: 6000, pieces: 3},
+		{
+			service: 'archive', after: [], resultBytes: 8000, pieces: 1,
+		},
+		{
+			service: 'press', after: [0], resultBytes: 60_000, pieces: 2,
+		},
+		{
+			service: 'assay', after: [1], resultBytes: 6000, pieces: 3,
+		},
 	],
 	pieceKey: 'k1',
 	zone: 'riga-a',
@@ -76,7 +82,11 @@
 
 	it('leaves out stages without pieces', async () => {
 		const host = new FakeHost();
-		const plan = {...chain, stages: [{...chain.stages[0]!, pieces: 0}, {service: 'archive', after: [], resultBytes: 8000, pieces: 2}]};
+		const plan = {
+			...chain, stages: [{...chain.stages[0]!, pieces: 0}, {
+				service: 'archive', after: [], resultBytes: 8000, pieces: 2,
+			}],
+		};
 		const outcome = await run(host, plan);
 		expect(host.jobs).toHaveLength(1);
 		expect(outcome).toHaveProperty('results.length', 2);
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -92,8 +92,12 @@
 		const {after, service, resultBytes, pieces} = this.#stage(stage);
 		const taken = await Promise.all(after.map(async other => this.#start(other, signal)));
 		const failure = taken.find(outcome => 'failure' in outcome);
-		if (failure || pieces === 0) {
-			return failure ?? {results: []};
+		if (failure) {
+			return failure;
+		}
+
+		if (pieces === 0) {
+			return {results: []};
 		}
 
 		const inputs = after.flatMap(other => this.#held.get(other) ?? []);
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -112,7 +112,9 @@
 	// Pattern: another host uses the same targets while entry VMs are cut off from each other.
 	it('plans with less room after a call that found none, and with more again later', () => {
 		const {pool, submit} = create();
-		const large = {resultBytes: 1_500_000, pieces: 7, deadlineMs: 60_000, startByMs: 50_000};
+		const large = {
+			resultBytes: 1_500_000, pieces: 7, deadlineMs: 60_000, startByMs: 50_000,
+		};
 		submit(job('a', large));
 		const [first] = pool.next(0);
 		pool.ended(first!.id, {kind: 'done', results: first!.pieces.map((_, index): PieceResult => index < 3 ? {handle: `a${index}`} : {problem: 'room'})}, 300);
@@ -140,6 +142,18 @@
 		expect(pool.next(2)).toHaveLength(1);
 	});
 
+	// Pattern: the backlog after an outage, when everything that waits is late.
+	it('keeps targets and room for jobs that can still be on time', () => {
+		const {pool, submit} = create([target('t1'), target('t2'), target('t3'), target('t4')]);
+		for (let each = 0; each < 12; each++) {
+			submit(job(`late${each}`, {pieces: 3, startByMs: -1}));
+		}
+
+		expect(pool.next(0)).toHaveLength(2);
+		submit(job('fresh', {startByMs: 500}), 10);
+		expect(pool.next(10).map(call => idsOf(call)![0])).toEqual(['fresh']);
+	});
+
 	it('finishes late jobs that are committed before it starts others', () => {
 		const {pool, submit} = create();
 		submit(job('fresh', {pieces: 4, startByMs: 200}));
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -16,6 +16,12 @@
 /** Time over which the rate of finished pieces is measured, and its least share of the possible rate. */
 const rateWindowMs: Ms = 1500;
 const leastRateShare = 0.3;
+/**
+ * Part of the targets that may run calls without any on-time job, and part of a target's room kept for on-time jobs.
+ * Late work that takes every slot and all room makes the jobs that arrive meanwhile late as well.
+ */
+const lateTargetShare = 0.5;
+const onTimeRoomShare = 0.5;
 /** A target this much slower than expected is not waited for. */
 const slowFactor = 2;
 
@@ -30,6 +36,8 @@
 	readonly id: number;
 	readonly target: StageTarget;
 	readonly pieces: readonly CalledPiece[];
+	/** True when none of its requests can still meet its objective. */
+	readonly isLate: boolean;
 	readonly expectedMs: Ms;
 	readonly timeoutMs: Ms;
 }
@@ -172,9 +180,13 @@
 		// A fast target chooses first.
 		free.sort((a, b) => a.slowness - b.slowness);
 		for (const target of free) {
-			const pieces = this.#calls.size < maxCalls ? this.#choose(target, now) : [];
+			if (this.#calls.size >= maxCalls) {
+				break;
+			}
+
+			const {pieces, isLate} = this.#choose(target, now);
 			if (pieces.length > 0) {
-				calls.push(this.#start(target, pieces, now));
+				calls.push(this.#start(target, pieces, {now, isLate}));
 			}
 		}
 
@@ -217,22 +229,33 @@
 		return Math.min(now + (this.#limits.callMs / 2), ...times);
 	}
 
-	#choose(target: StageTargetState, now: Ms): CalledPiece[] {
+	#choose(target: StageTargetState, now: Ms): {pieces: CalledPiece[]; isLate: boolean} {
 		const waiting = [...this.#jobs.values()].filter(state => state.waiting.length > 0);
 		const jobs = orderJobs(waiting.map(state => state.job), {
 			now, zone: target.target.zone, servedZones: this.#servedZones(now),
 		});
 		if (jobs.length === 0 || this.#isTooSlow(target, now)) {
-			return [];
+			return {pieces: [], isLate: false};
 		}
 
 		const chosen: CalledPiece[] = [];
+		const mayStartLate = [...this.#calls.values()].filter(({call}) => call.isLate).length < Math.max(1, Math.floor(this.#targets.size * lateTargetShare));
 		let roomMb = target.freeRoomMb(this.#limits.roomMb, now);
-		for (const job of jobs) {
+		let isLateCall = false;
+		for (const {job, isLate} of jobs) {
+			if (isLate && chosen.length === 0) {
+				isLateCall = true;
+			}
+
+			if (isLateCall && !mayStartLate) {
+				break;
+			}
+
 			const state = this.#jobs.get(job.id)!;
 			const pieceMb = job.resultBytes / 1e6;
 			const left = this.#limits.batch - chosen.length;
-			const fitting = Math.min(left, Math.floor(roomMb / Math.max(pieceMb, Number.EPSILON)));
+			const usableMb = isLate ? roomMb - (this.#limits.roomMb * onTimeRoomShare) : roomMb;
+			const fitting = Math.max(0, Math.min(left, Math.floor(usableMb / Math.max(pieceMb, Number.EPSILON))));
 			// Part of a job holds room and gains nothing, so a job goes whole unless it is larger than a call or the room.
 			const isWhole = fitting >= state.waiting.length;
 			if (!isWhole && (chosen.length > 0 || (left > fitting && !target.isEmpty))) {
@@ -249,7 +272,7 @@
 			}
 		}
 
-		return chosen;
+		return {pieces: chosen, isLate: isLateCall};
 	}
 
 	/** A slow target waits while a fast one would finish sooner. */
@@ -268,11 +291,11 @@
 		return [...new Set(served.map(target => target.target.zone))];
 	}
 
-	#start(target: StageTargetState, pieces: readonly CalledPiece[], now: Ms): StageCall {
+	#start(target: StageTargetState, pieces: readonly CalledPiece[], {now, isLate}: {now: Ms; isLate: boolean}): StageCall {
 		const id = this.#nextCall++;
 		const expectedMs = (this.#limits.callMs + (this.#limits.itemMs * pieces.length)) * Math.max(1, target.slowness);
 		const call: StageCall = {
-			id, target: target.target, pieces, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
+			id, target: target.target, pieces, isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
 		};
 		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowness)});
 		target.started(id, {roomMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs});
@@ -300,7 +323,7 @@
 			state.results[piece] = result.handle;
 			if (state.results.every(handle => handle !== undefined)) {
 				this.#jobs.delete(job.id);
-				state.onEnd({results: state.results as string[]});
+				state.onEnd({results: state.results});
 			}
 
 			return;
--- a/src/relay-vm/control-server.ts
+++ b/src/relay-vm/control-server.ts
@@ -1,23 +1,23 @@
-import {createServer} from 'node:http';
-import type {Registry} from 'prom-client';
+import {createServer, type ServerResponse} from 'node:http';
+import {errorMessage} from '../errors/index.js';
 import {closeServer, listen, type ListenAddress} from '../http/index.js';
 
-/** Server for readiness and metrics. */
+/** Server for readiness or metrics. */
 export interface ControlServer {
 	close(): Promise<void>;
 }
 
-/** Serves `/ready` (200 or 503) and `/metrics`. Throws when the address cannot be bound. */
-export async function startControlServer(options: {listen: ListenAddress; registry: Registry; isReady: () => boolean}): Promise<ControlServer> {
-	const server = createServer((req, res) => {
-		if (req.url === '/metrics') {
-			void options.registry.metrics().then(text => {
-				res.writeHead(200, {'content-type': options.registry.contentType}).end(text);
-			});
-			return;
-		}
+/** Answer to a question. */
+export interface ControlAnswer {
+	readonly status: number;
+	readonly body: string;
+	readonly contentType?: string;
+}
 
-		res.writeHead(req.url === '/ready' ? (options.isReady() ? 200 : 503) : 404, {'content-length': 0}).end();
+/** Serves answers by path, 404 for others. Throws when the address cannot be bound. */
+export async function startControlServer(options: {listen: ListenAddress; paths: Readonly<Record<string, () => Promise<ControlAnswer>>>}): Promise<ControlServer> {
+	const server = createServer((req, res) => {
+		void answer(res, options.paths[req.url ?? '']);
 	});
 	await listen(server, options.listen);
 	return {
@@ -26,3 +26,12 @@
 		},
 	};
 }
+
+async function answer(res: ServerResponse, read: (() => Promise<ControlAnswer>) | undefined): Promise<void> {
+	try {
+		const {status, body, contentType = 'text/plain'} = await read?.() ?? {status: 404, body: ''};
+		res.writeHead(status, {'content-type': contentType}).end(body);
+	} catch (err) {
+		res.writeHead(500).end(errorMessage(err));
+	}
+}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -51,7 +51,9 @@
 	readonly linkKeyStore: LinkKeyStore;
 	readonly regionOf: (zone: string) => string | undefined;
 	readonly callers: ListenAddress;
+	/** Where the balancer asks for readiness. */
 	readonly control: ListenAddress;
+	readonly metrics: ListenAddress;
 	readonly clock: Clock;
 	readonly createLogger: LoggerFactory;
 	readonly seed: number;
@@ -87,7 +89,15 @@
 	readonly #host: PoolHost;
 	readonly #pools = TargetPools.create();
 	readonly #memory = PromptMemory.create();
-	readonly #metrics = RelayMetrics.create();
+	readonly #metrics = RelayMetrics.create({
+		configVersion: () => this.#table?.version ?? -1,
+		targetsAgeMs: () => this.#targetFollower.ageMs,
+		targets: () => this.#registry.size,
+		inFlight: () => this.#server.inFlight,
+		entryVms: () => this.#mesh?.size ?? 1,
+		backlog: () => this.#host.load(),
+	});
+
 	readonly #budgets = new Map<string, RepeatBudget>();
 	readonly #ranks = new Map<string, readonly string[]>();
 	readonly #configFollower: TopicFollower;
@@ -99,6 +109,7 @@
 	readonly #linked: LinkedStages;
 	#server!: RelayServer;
 	#control!: ControlServer;
+	#metricsServer!: ControlServer;
 
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
@@ -208,6 +219,7 @@
 		this.#targetFollower.stop();
 		await this.#server.close();
 		await this.#control.close();
+		await this.#metricsServer.close();
 		await this.#mesh?.close();
 		this.#pools.destroy();
 	}
@@ -236,9 +248,16 @@
 				repeats: service => this.#budget(service),
 				probe: options.probe,
 				isClosing,
+				targetsAgeMs: () => this.#targetFollower.ageMs,
 			},
 		});
-		this.#control = await startControlServer({listen: options.control, registry: this.#metrics.registry, isReady: () => this.isReady});
+		this.#control = await startControlServer({
+			listen: options.control, paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
+		});
+		const {registry} = this.#metrics;
+		this.#metricsServer = await startControlServer({
+			listen: options.metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
+		});
 		this.#configFollower.start();
 		this.#targetFollower.start();
 		void this.#startMesh();
--- a/src/relay/close-aware-connector.ts
+++ b/src/relay/close-aware-connector.ts
@@ -1,4 +1,3 @@
-import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
 import type {Ms} from '../clock/index.js';
 
@@ -29,7 +28,7 @@
  */
 export const connectCloseAware: buildConnector.connector = (options, callback) => {
 	connect(options, (...args: buildConnector.CallbackArgs) => {
-		const socket = args[1] as Socket | null;
+		const socket = args[1];
 		// These listeners are the first ones, so they run before undici's own.
 		socket?.on('error', () => {
 			setClosing('failed');
--- a/src/relay/next-step.test.ts
+++ b/src/relay/next-step.test.ts
@@ -18,7 +18,9 @@
 
 	it('sends a non-idempotent request again after a refusal, and says "not run" when it cannot', () => {
 		expect(nextStep(state({kind: 'non_idempotent', attempt: 'refused', mayHaveRun: 0}))).toEqual({step: 'retry'});
-		expect(nextStep(state({kind: 'non_idempotent', attempt: 'refused', mayHaveRun: 0, maxAttempts: 1}))).toMatchObject({rejection: {status: 503, reason: 'target_refused'}});
+		expect(nextStep(state({
+			kind: 'non_idempotent', attempt: 'refused', mayHaveRun: 0, maxAttempts: 1,
+		}))).toMatchObject({rejection: {status: 503, reason: 'target_refused'}});
 	});
 
 	it('takes a stream that cannot be resumed for non-idempotent', () => {
@@ -31,7 +33,9 @@
 			throw new Error('not asked');
 		};
 
-		expect(nextStep(state({attempt: 'unsent', sent: 0, mayHaveRun: 0, maxAttempts: 1, spendRepeat}))).toEqual({step: 'retry'});
+		expect(nextStep(state({
+			attempt: 'unsent', sent: 0, mayHaveRun: 0, maxAttempts: 1, spendRepeat,
+		}))).toEqual({step: 'retry'});
 	});
 
 	it('delivers a target\'s failure when no other target is left', () => {
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -1,8 +1,22 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
 import type {Ms} from '../clock/index.js';
 
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2.5, 4, 6, 10, 20];
 
+/** Values read when the metrics are collected. */
+export interface RelayMetricSources {
+	readonly configVersion: () => number;
+	/** Time since the store last answered about targets. */
+	readonly targetsAgeMs: () => Ms;
+	readonly targets: () => number;
+	readonly inFlight: () => number;
+	readonly entryVms: () => number;
+	/** Pieces that wait at this host, by service. */
+	readonly backlog: () => ReadonlyArray<{service: string; backlog: number; calls: number}>;
+}
+
 /**
  * Counters and latency histograms of relayed requests.
  *
@@ -10,8 +24,8 @@
  * metrics.ended({route: 'orders', outcome: 'answered', status: 200, tookMs: 31});
  */
 export class RelayMetrics {
-	static create(): RelayMetrics {
-		return new RelayMetrics();
+	static create(sources: RelayMetricSources): RelayMetrics {
+		return new RelayMetrics(sources);
 	}
 
 	readonly registry = new Registry();
@@ -35,7 +49,34 @@
 		name: 'guavamill_relay_stages_seconds', help: 'Time that the stages of a request took.', buckets: secondsBuckets, registers: [this.registry],
 	});
 
-	private constructor() {}
+	private constructor(sources: RelayMetricSources) {
+		const gauge = (name: string, help: string, read: () => number) => new Gauge({
+			name,
+			help,
+			registers: [this.registry],
+			collect() {
+				this.set(read());
+			},
+		});
+		gauge('guavamill_relay_config_version', 'Version of the configuration in force; -1 before the first.', sources.configVersion);
+		gauge('guavamill_relay_targets_age_seconds', 'Time since the store last answered about targets.', () => sources.targetsAgeMs() / 1000);
+		gauge('guavamill_relay_targets', 'Targets known.', sources.targets);
+		gauge('guavamill_relay_in_flight', 'Requests whose answers are not sent yet.', sources.inFlight);
+		gauge('guavamill_relay_entry_vms', 'Entry VMs known, this one included.', sources.entryVms);
+		// eslint-disable-next-line no-new -- The registry keeps the gauge.
+		new Gauge({
+			name: 'guavamill_stage_backlog_pieces',
+			help: 'Pieces that wait at this host, by service.',
+			labelNames: ['service'],
+			registers: [this.registry],
+			collect() {
+				this.reset();
+				for (const {service, backlog} of sources.backlog()) {
+					this.set({service}, backlog);
+				}
+			},
+		});
+	}
 
 	ended(request: {outcome: string; reason: string; tookMs: Ms; firstByteMs: Ms | undefined}): void {
 		this.#requests.inc({outcome: request.outcome, reason: request.reason});
--- a/src/relay/relay-parts.ts
+++ b/src/relay/relay-parts.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '../clock/index.js';
+import type {Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logs/index.js';
 import type {RepeatBudget, StageRunner} from '../pools/index.js';
 import type {Random} from '../random/index.js';
@@ -28,6 +28,8 @@
 	readonly repeats: (service: string) => RepeatBudget;
 	/** True when a target answers over a connection of its own. */
 	readonly probe: (target: RelayTarget) => Promise<boolean>;
+	/** Age of what is believed of targets: time since the store last answered about them. */
+	readonly targetsAgeMs: () => Ms;
 	/** True while connections of callers are being closed. */
 	readonly isClosing: () => boolean;
 }
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -3,10 +3,12 @@
 import type {Ms} from '../clock/index.js';
 import type {StageResult} from '../pools/index.js';
 import type {RelayTarget} from '../registry/index.js';
-import {pickService, type Route, type RouteTable, type TeamDeclaration} from '../routes/index.js';
+import {
+	pickService, type Route, type RouteTable, type TeamDeclaration,
+} from '../routes/index.js';
 import {chooseEngine} from './choose-engine.js';
 import {chooseTarget} from './choose-target.js';
-import {nextStep, type FailedAttempt} from './next-step.js';
+import {nextStep} from './next-step.js';
 import type {RelayParts} from './relay-parts.js';
 import type {CallerHead} from './relay-codec.js';
 import type {Rejection, RelayReason} from './rejection.js';
@@ -272,7 +274,7 @@
 	#continue(end: AttemptEnd & {kind: 'failed'}): boolean {
 		const {parts, request} = this;
 		const {route} = request;
-		const attempt: FailedAttempt = end.attempt;
+		const {attempt} = end;
 		if (attempt === 'unsent') {
 			this.#unsent++;
 		} else {
@@ -378,6 +380,11 @@
 			return;
 		}
 
+		if (res.headersSent) {
+			this.#breakOff(rejection.reason);
+			return;
+		}
+
 		sendRejection(res, rejection, this.parts.isClosing());
 		this.#finish('rejected', rejection.reason, rejection.status);
 	}
@@ -435,6 +442,7 @@
 			service: this.#service,
 			team: request.team?.name,
 			config: request.table.version,
+			targets_age_ms: Math.round(parts.targetsAgeMs()),
 			outcome,
 			...(reason === '' ? {} : {reason}),
 			status,
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -1,12 +1,15 @@
 import {Buffer} from 'node:buffer';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {closeServer, listen, type ListenAddress} from '../http/index.js';
-import type {RouteTable} from '../routes/index.js';
+import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
+import type {CallerHead} from './relay-codec.js';
 import {RelayRun, sendRejection} from './relay-run.js';
 import type {RelayParts} from './relay-parts.js';
-import type {Rejection, RelayReason} from './rejection.js';
+import type {Rejection} from './rejection.js';
 
 /** Headers of one request, at most; the users' limit is the same. */
 const maxHeaderBytes = 16 * 1024;
@@ -116,9 +119,7 @@
 
 		const route = table.route(head.host, req.url!);
 		const team = table.team(head.teamKey);
-		const fault: Rejection | undefined = route
-			? (!route.isPublic && table.hasTeams && !team ? {status: 401, reason: 'unknown_key'} : (head.attemptId === undefined ? {status: 400, reason: 'bad_request'} : undefined))
-			: {status: 404, reason: 'no_route'};
+		const fault = faultOf(route, table, team, head);
 		if (fault) {
 			this.#refuse(res, fault, head.attemptId, false, table.version);
 			return;
@@ -131,7 +132,7 @@
 
 	#refuse(res: ServerResponse, rejection: Rejection, id: string | undefined, isClosing = false, version?: number): void {
 		const {logger, metrics, isClosing: closes} = this.options.parts;
-		const reason: RelayReason = rejection.reason;
+		const {reason} = rejection;
 		metrics.ended({
 			outcome: 'rejected', reason, tookMs: 0, firstByteMs: undefined,
 		});
@@ -142,6 +143,19 @@
 	}
 }
 
+/** Why a request cannot be run at all. */
+function faultOf(route: Route | undefined, table: RouteTable, team: TeamDeclaration | undefined, head: CallerHead): Rejection | undefined {
+	if (!route) {
+		return {status: 404, reason: 'no_route'};
+	}
+
+	if (!route.isPublic && table.hasTeams && !team) {
+		return {status: 401, reason: 'unknown_key'};
+	}
+
+	return head.attemptId === undefined ? {status: 400, reason: 'bad_request'} : undefined;
+}
+
 async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | 'too_large' | 'left'> {
 	return new Promise(resolve => {
 		const chunks: Buffer[] = [];
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -182,7 +182,9 @@
 			return;
 		}
 
-		const answer: WholeAnswer = {status: this.#status, head: this.#head!, body: Buffer.concat(this.#chunks), isFramed: this.#isFramed};
+		const answer: WholeAnswer = {
+			status: this.#status, head: this.#head!, body: Buffer.concat(this.#chunks), isFramed: this.#isFramed,
+		};
 		if (answer.head.isNotRun) {
 			this.options.target.ended('busy', this.options.clock.now(), 0);
 			this.#finish({
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -45,7 +45,7 @@
 	const handler = new ExchangeHandler(listener, client);
 	const dispatcher: Dispatcher = client ?? pools.get(request.address);
 	dispatcher.dispatch({
-		method: request.method as Dispatcher.HttpMethod,
+		method: request.method,
 		path: request.path,
 		headers: request.headers,
 		body: request.body.length > 0 ? request.body : null,
--- a/src/topics/topic-follower.test.ts
+++ b/src/topics/topic-follower.test.ts
@@ -2,7 +2,9 @@
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../clock/index.js';
 import {silentLoggerFactory} from '../logs/index.js';
-import type {KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic} from './keyed-topic.js';
+import type {
+	KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic,
+} from './keyed-topic.js';
 import {TopicFollower} from './topic-follower.js';
 
 const record = (key: string, value: string): KeyedRecord => ({key, value: Buffer.from(value)});
--- a/test/support/gate-log.ts
+++ b/test/support/gate-log.ts
@@ -1,4 +1,6 @@
-import type {LogPage, LogStream, PlatformLog, ReadOptions} from '../../src/log/index.js';
+import type {
+	LogPage, LogStream, PlatformLog, ReadOptions,
+} from '../../src/log/index.js';
 
 /** Point at which an entry VM stops. */
 export type GatePoint = 'before the append' | 'after the append' | 'after the read-back';
