Let the longest-running entry VM host the stage pools, and hand over at shutdown

Change: the member that has run longest leads; one that shuts down tells the others, finishes its plans and leads no more. A plan that cannot be served in time behind the others is rejected at once instead of at its deadline.

--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -278,6 +278,7 @@
 			case 'stage-failure':
 			case 'stage-cancel':
 			case 'stage-free':
+			case 'leaving':
 			case 'ping': {
 				break;
 			}
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -90,6 +90,8 @@
 	}),
 	z.strictObject({type: z.literal('stage-cancel'), id}),
 	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
+	// The sender shuts down: it finishes what it has and takes nothing new.
+	z.strictObject({type: z.literal('leaving')}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/membership.ts
+++ b/src/links/membership.ts
@@ -22,6 +22,8 @@
 	readonly zone: string | undefined;
 	/** Of its latest handshake. */
 	readonly incarnation: string | undefined;
+	/** Its latest start, from its handshake or the VM list; `undefined` before either. */
+	readonly startId: string | undefined;
 	/** `undefined` for a member known only from its own connection. */
 	readonly address: ListenAddress | undefined;
 }
@@ -31,6 +33,7 @@
 	lifecycle: MemberLifecycle;
 	zone: string | undefined;
 	incarnation: string | undefined;
+	startId: string | undefined;
 	address: ListenAddress | undefined;
 	isPeer: boolean;
 	isListed: boolean;
@@ -85,6 +88,7 @@
 			const entry = this.#entry(vm.id);
 			entry.isListed = true;
 			entry.zone ??= vm.zone;
+			entry.startId = vm.startId;
 			this.#gateways.clear();
 			// A configured address goes before the listed one.
 			if (!entry.isPeer) {
@@ -112,6 +116,7 @@
 		entry.zone = peer.zone;
 		this.#gateways.clear();
 		entry.incarnation = peer.incarnation;
+		entry.startId = peer.incarnation;
 		this.#apply(entry, {type: 'LINKED'});
 	}
 
@@ -170,7 +175,7 @@
 		let entry = this.#entries.get(name);
 		if (!entry) {
 			entry = {
-				name, lifecycle: MemberLifecycle.create(), zone: undefined, incarnation: undefined, address: undefined, isPeer: false, isListed: false,
+				name, lifecycle: MemberLifecycle.create(), zone: undefined, incarnation: undefined, startId: undefined, address: undefined, isPeer: false, isListed: false,
 			};
 			this.#entries.set(name, entry);
 		}
@@ -193,9 +198,9 @@
 }
 
 function view(entry: Entry): Member {
-	const {name, zone, incarnation, address} = entry;
+	const {name, zone, incarnation, startId, address} = entry;
 	return {
-		name, zone, incarnation, address, state: entry.lifecycle.state,
+		name, zone, incarnation, startId, address, state: entry.lifecycle.state,
 	};
 }
 
--- /dev/null
+++ b/src/links/relay-mesh.test.ts
@@ -0,0 +1,85 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {Registry} from 'prom-client';
+import {ManualClock, SystemClock} from '../clock/index.js';
+import {EventRing} from '../events/index.js';
+import {silentLoggerFactory} from '../logs/index.js';
+import {Random} from '../random/index.js';
+import {MemoryVmList} from '../vms/index.js';
+import {LinkKey} from './link-key.js';
+import {RelayMesh} from './relay-mesh.js';
+
+const key = LinkKey.create('a key for tests of the mesh');
+const waitMs = 10;
+
+describe('RelayMesh', () => {
+	const meshes: RelayMesh[] = [];
+	let list = MemoryVmList.create({clock: ManualClock.create()});
+
+	afterEach(async () => {
+		await Promise.all(meshes.splice(0).map(async mesh => mesh.close()));
+		list = MemoryVmList.create({clock: ManualClock.create()});
+	});
+
+	async function start(name: string, incarnation: string): Promise<RelayMesh> {
+		const clock = SystemClock.create();
+		const mesh = await RelayMesh.create({
+			self: {name, zone: 'riga-a', incarnation},
+			key,
+			listen: {host: '127.0.0.1', port: 0},
+			clock,
+			random: Random.create(1),
+			vmList: list,
+			intervals: {busyMs: 50, quietMs: 50, quietAfterMs: 1000},
+			registry: new Registry(),
+			logger: silentLoggerFactory('links'),
+			events: EventRing.create({process: name, clock}),
+			distanceTo: () => 'same_zone',
+			onMessage: () => undefined,
+			onLost: () => undefined,
+		});
+		meshes.push(mesh);
+		list.put({
+			id: name, zone: 'riga-a', role: 'entry', address: `127.0.0.1:${mesh.port}`, startId: incarnation, state: 'live',
+		});
+		return mesh;
+	}
+
+	const leaderOf = (mesh: RelayMesh) => mesh.leader()?.peer.name ?? 'itself';
+
+	async function until(condition: () => boolean): Promise<void> {
+		while (!condition()) {
+			await new Promise(resolve => {
+				setTimeout(resolve, waitMs);
+			});
+		}
+	}
+
+	it('is led by the member that has run longest, also after another with a smaller name has started', async () => {
+		const oldest = await start('c', '1');
+		const younger = await start('b', '2');
+		await until(() => leaderOf(younger) === 'c');
+		const youngest = await start('a', '3');
+		await until(() => leaderOf(youngest) === 'c');
+		expect([leaderOf(oldest), leaderOf(younger)]).toEqual(['itself', 'c']);
+	});
+
+	it('is led by the next one at once when the leader says that it shuts down', async () => {
+		const oldest = await start('d', '1');
+		const second = await start('e', '2');
+		const third = await start('f', '3');
+		await until(() => leaderOf(third) === 'd' && leaderOf(second) === 'd');
+		oldest.leave();
+		await until(() => leaderOf(third) === 'e');
+		await until(() => leaderOf(second) === 'itself');
+		expect(leaderOf(oldest)).toBe('e');
+	});
+
+	it('is led by the next one when the leader is lost', async () => {
+		const oldest = await start('g', '1');
+		const second = await start('h', '2');
+		const third = await start('i', '3');
+		await until(() => leaderOf(third) === 'g' && leaderOf(second) === 'g');
+		await oldest.close();
+		await until(() => leaderOf(third) === 'h' && leaderOf(second) === 'itself');
+	});
+});
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -14,14 +14,14 @@
 import type {Link} from './link.js';
 import {Membership} from './membership.js';
 import {PeerLinks} from './peer-links.js';
-import {rankByRendezvous} from './rendezvous.js';
 import {VmListFollower} from './vm-list-follower.js';
 
-/** Entry VMs that are kept linked for each key, best first; the second takes over when the first is lost. */
-const candidatesPerKey = 2;
+/** Entry VMs that are kept linked besides the leader: the second takes over when the first is lost. */
+const linkedCandidates = 2;
 
 /** Settings and ports of the mesh. */
 export interface RelayMeshOptions {
+	/** Its incarnation sorts by the time of the start. */
 	readonly self: LinkIdentity;
 	readonly key: LinkKey;
 	readonly listen: ListenAddress;
@@ -38,10 +38,11 @@
 }
 
 /**
- * Links of a relaying entry VM to the few others that it shares work with: for each key, the highest-ranked members.
+ * Links of a relaying entry VM to the others that lead shared work: the member that has run longest leads, so that one
+ * that has just started takes nothing over from a member that works. A member that shuts down leads no more.
  *
  * @example
- * const owner = mesh.owner('pool archive');
+ * const leader = mesh.leader();
  */
 export class RelayMesh {
 	/** Starts listening and dialling. Throws when the address cannot be bound. */
@@ -56,8 +57,9 @@
 	readonly #membership: Membership;
 	readonly #links: PeerLinks;
 	readonly #vmList: VmListFollower;
-	readonly #keys = new Set<string>();
-	readonly #ranks = new Map<string, {members: string; rank: readonly string[]}>();
+	/** Starts that have said that they shut down. */
+	readonly #leaving = new Set<string>();
+	#isLeaving = false;
 	#listener: LinkListener | undefined;
 
 	private constructor(private readonly options: RelayMeshOptions) {
@@ -69,9 +71,18 @@
 			bytes: LinkBytes.create(options.registry),
 			connect: address => dialLink(address),
 			needs: name => this.#needs(name),
-			onUp: () => undefined,
-			onMessage(link, message) {
-				options.onMessage(link, message);
+			onUp: link => {
+				if (this.#isLeaving) {
+					link.send({type: 'leaving'});
+				}
+			},
+			onMessage: (link, message) => {
+				if (message.type === 'leaving') {
+					this.#leaving.add(link.peer.incarnation);
+					options.logger.info('A peer shuts down; it leads no more.', {peer: link.peer.name});
+				} else {
+					options.onMessage(link, message);
+				}
 			},
 			onClosed(link) {
 				options.onLost(link);
@@ -90,6 +101,11 @@
 		});
 	}
 
+	/** Port for peers. */
+	get port(): number {
+		return this.#listener!.port;
+	}
+
 	/** Members that are not gone, this entry VM included. */
 	get size(): number {
 		return this.#membership.members().length + 1;
@@ -101,23 +117,15 @@
 		return (members.filter(member => this.#links.byName(member.name)).length + 1) / (members.length + 1);
 	}
 
-	/** Declares keys whose owners should stay linked. */
-	setKeys(keys: Iterable<string>): void {
-		this.#keys.clear();
-		for (const key of keys) {
-			this.#keys.add(key);
-		}
-	}
-
-	/** Returns the link to the owner of a key, or `undefined` where this entry VM owns it as far as it can tell. */
-	owner(key: string): Link | undefined {
-		for (const name of this.#rank(key)) {
+	/** Returns the link to the leader, or `undefined` where this entry VM leads as far as it can tell. */
+	leader(): Link | undefined {
+		for (const name of this.#rank()) {
 			if (name === this.options.self.name) {
 				return undefined;
 			}
 
 			const link = this.#links.byName(name);
-			if (link) {
+			if (link && !this.#leaving.has(link.peer.incarnation)) {
 				return link;
 			}
 		}
@@ -125,6 +133,14 @@
 		return undefined;
 	}
 
+	/** Tells the others that this entry VM shuts down. */
+	leave(): void {
+		this.#isLeaving = true;
+		for (const link of this.#links.up()) {
+			link.send({type: 'leaving'});
+		}
+	}
+
 	/** Closes every link. */
 	async close(): Promise<void> {
 		this.#vmList.stop();
@@ -133,21 +149,20 @@
 	}
 
 	#needs(name: string): boolean {
-		return [...this.#keys].some(key => {
-			const rank = this.#rank(key);
-			return rank.slice(0, candidatesPerKey).includes(name);
-		});
+		return this.#rank().filter(other => other !== this.options.self.name).slice(0, linkedCandidates).includes(name);
 	}
 
-	#rank(key: string): readonly string[] {
-		const names = [...this.#membership.members().map(member => member.name), this.options.self.name].sort();
-		const members = names.join(' ');
-		let known = this.#ranks.get(key);
-		if (known?.members !== members) {
-			known = {members, rank: rankByRendezvous(key, names)};
-			this.#ranks.set(key, known);
-		}
-
-		return known.rank;
+	/** Names in the order of their starts, the longest-running first; this entry VM comes last while it shuts down. */
+	#rank(): readonly string[] {
+		const {self} = this.options;
+		const starts = this.#membership.members().map(({name, startId}) => ({name, startId: startId ?? unknownStart}));
+		starts.push({name: self.name, startId: this.#isLeaving ? unknownStart : self.incarnation});
+		return starts
+			.filter(({startId}) => !this.#leaving.has(startId))
+			.toSorted((a, b) => a.startId === b.startId ? a.name.localeCompare(b.name) : (a.startId < b.startId ? -1 : 1))
+			.map(({name}) => name);
 	}
 }
+
+/** Sorts behind every start. */
+const unknownStart = '\uFFFF';
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,4 +1,4 @@
-export {LinkedStages, stageHostKey, type StageMessage} from './linked-stages.js';
+export {LinkedStages, type StageMessage} from './linked-stages.js';
 export {PoolHost, type PoolHostOptions} from './pool-host.js';
 export {RepeatBudget, type RepeatLimits} from './repeat-budget.js';
 export type {
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -39,10 +39,14 @@
 		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key);
 }
 
-/** Waiting pieces of the jobs that go before another one that can still meet its objective. */
-export function piecesAhead(waiting: ReadonlyArray<{job: StageJob; pieces: number}>, next: Pick<StageJob, 'startByMs' | 'priority'>, now: Ms): number {
-	const key = next.startByMs + (next.priority * rankMs);
-	return waiting.reduce((sum, {job, pieces}) => sum + (!isLate(job, now) && rankKey(job, now) <= key ? pieces : 0), 0);
+/** Waiting pieces of the jobs that go before another one. */
+export function piecesAhead(waiting: ReadonlyArray<{job: StageJob; pieces: number}>, next: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>, now: Ms): number {
+	const isNextLate = next.startByMs < now;
+	const key = isNextLate ? next.deadlineMs : next.startByMs + (next.priority * rankMs);
+	return waiting.reduce((sum, {job, pieces}) => {
+		const isBefore = isLate(job, now) ? isNextLate && rankKey(job, now) <= key : isNextLate || rankKey(job, now) <= key;
+		return sum + (isBefore ? pieces : 0);
+	}, 0);
 }
 
 /** A late job that is committed is finished: its inputs hold room that others need. */
--- a/src/pools/linked-stages.ts
+++ b/src/pools/linked-stages.ts
@@ -13,12 +13,9 @@
 /** Messages about stages. */
 export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free'};
 
-/** Key by which the entry VM that hosts the stage pools is found. */
-export const stageHostKey = 'stage pools';
-
 /**
- * Stages shared by all entry VMs: one of them, found by rendezvous hashing, hosts the pools and runs the stages of every
- * request; the others send it their plans over links. While the host is not linked the next one takes its place.
+ * Stages shared by all entry VMs: the one that leads the mesh hosts the pools and runs the stages of every request; the
+ * others send it their plans over links. While it is not linked the next one takes its place.
  *
  * @example
  * const outcome = await stages.run(plan, signal);
@@ -42,7 +39,7 @@
 				return {failure: 'cancelled', retryAfterMs: 0};
 			}
 
-			const link = this.mesh()?.owner(stageHostKey);
+			const link = this.mesh()?.leader();
 			if (!link) {
 				return this.host.run(plan, signal);
 			}
@@ -63,7 +60,7 @@
 	}
 
 	free(handles: readonly string[]): void {
-		const link = this.mesh()?.owner(stageHostKey);
+		const link = this.mesh()?.leader();
 		for (let at = 0; at < handles.length; at += handlesPerMessage) {
 			const some = handles.slice(at, at + handlesPerMessage);
 			if (!link?.send({type: 'stage-free', handles: some})) {
@@ -72,6 +69,11 @@
 		}
 	}
 
+	/** Plans of other entry VMs that run here. */
+	get hostedPlans(): number {
+		return [...this.#hosted.values()].reduce((sum, plans) => sum + plans.size, 0);
+	}
+
 	/** Takes a message of a peer. */
 	receive(link: Link, message: StageMessage): void {
 		switch (message.type) {
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -68,8 +68,8 @@
 		return this.options.service(service)?.stagePool;
 	}
 
-	expectedWaitMs(service: string, startByMs: Ms, priority: number): Ms {
-		return this.#hosted.get(service)?.pool.expectedWaitMs(this.now(), {startByMs, priority}) ?? 0;
+	expectedWaitMs(service: string, job: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>): Ms {
+		return this.#hosted.get(service)?.pool.expectedWaitMs(this.now(), job) ?? 0;
 	}
 
 	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -11,7 +11,7 @@
 	now(): Ms;
 	limits(service: string): StagePoolLimits | undefined;
 	/** Time until a job of a stage is likely to start. */
-	expectedWaitMs(service: string, startByMs: Ms, priority: number): Ms;
+	expectedWaitMs(service: string, job: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>): Ms;
 	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome>;
 	zoneOf(handle: string): string | undefined;
 	free(handles: readonly string[]): void;
@@ -41,13 +41,13 @@
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
 		this.#totalMs = Math.max(0, ...plan.stages.map((_, stage) => this.#pathMs(stage)));
-		this.#isOnTime = host.now() + this.#predictMs() <= plan.callByMs;
+		this.#isOnTime = host.now() + this.#predictMs(plan.callByMs) <= plan.callByMs;
 	}
 
 	/** Runs every stage. A failure of one ends the others. */
 	async run(signal: AbortSignal): Promise<StagesOutcome> {
 		const {plan, host} = this;
-		const excessMs = host.now() + this.#predictMs() - plan.deadlineMs;
+		const excessMs = host.now() + this.#predictMs(this.#isOnTime ? plan.callByMs : -Infinity) - plan.deadlineMs;
 		if (excessMs > 0) {
 			return {failure: 'overloaded', retryAfterMs: excessMs};
 		}
@@ -187,12 +187,12 @@
 		return this.#stageMs(stage) + Math.max(0, ...this.#takers(stage).map(taker => this.#pathMs(taker)));
 	}
 
-	/** Expected time of all stages, waiting included. */
-	#predictMs(): Ms {
+	/** Expected time of all stages, waiting included, when the last call should start by a time. */
+	#predictMs(callByMs: Ms): Ms {
 		const {plan, host} = this;
 		const path = (stage: number): Ms => {
 			const {service, pieces} = this.#stage(stage);
-			const waitMs = pieces === 0 ? 0 : host.expectedWaitMs(service, plan.callByMs - this.#pathMs(stage), plan.priority);
+			const waitMs = pieces === 0 ? 0 : host.expectedWaitMs(service, {startByMs: callByMs - this.#pathMs(stage), priority: plan.priority, deadlineMs: plan.deadlineMs});
 			return waitMs + this.#stageMs(stage) + Math.max(0, ...this.#takers(stage).map(taker => path(taker)));
 		};
 
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -154,7 +154,7 @@
 	}
 
 	/** Time until a new job's pieces are likely to start, from the jobs before it and the pieces finished lately. */
-	expectedWaitMs(now: Ms, job: Pick<StageJob, 'startByMs' | 'priority'>): Ms {
+	expectedWaitMs(now: Ms, job: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>): Ms {
 		const ahead = piecesAhead([...this.#jobs.values()].map(state => ({job: state.job, pieces: state.waiting.length})), job, now);
 		const usable = [...this.#targets.values()].filter(target => target.isUsable(now)).length;
 		if (ahead === 0) {
@@ -165,7 +165,8 @@
 		const possiblePerMs = (Math.max(1, usable) * batch) / (callMs + (batch * itemMs));
 		this.#finished = this.#finished.filter(({at}) => at >= now - rateWindowMs);
 		const finishedPerMs = this.#finished.reduce((sum, {pieces}) => sum + pieces, 0) / rateWindowMs;
-		return ahead / Math.min(possiblePerMs, Math.max(possiblePerMs * leastRateShare, finishedPerMs));
+		const perMs = Math.min(possiblePerMs, Math.max(possiblePerMs * leastRateShare, finishedPerMs));
+		return ahead / (job.startByMs < now ? perMs * lateTargetShare : perMs);
 	}
 
 	/**
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -6,7 +6,7 @@
 } from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import {
-	LinkedStages, PoolHost, RepeatBudget, stageHostKey, type RepeatLimits, type StageMessage, type StageTargetPort,
+	LinkedStages, PoolHost, RepeatBudget, type RepeatLimits, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
 import {Random} from '../random/index.js';
 import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
@@ -195,7 +195,8 @@
 		const logger = createLogger('entry-vm');
 		const startedMs = clock.now();
 		this.#lifecycle.send({type: 'SHUTDOWN'});
-		logger.info('Draining.', {in_flight: this.#server.inFlight});
+		this.#mesh?.leave();
+		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#linked.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
 			await clock.sleep(drainCheckMs);
 			const elapsedMs = clock.now() - startedMs;
@@ -204,7 +205,7 @@
 				this.#server.closeIdle();
 			}
 
-			if ((elapsedMs >= leastDrainMs && this.#server.inFlight === 0) || elapsedMs >= this.#bounds.graceMs - graceMarginMs) {
+			if ((elapsedMs >= leastDrainMs && this.#server.inFlight === 0 && this.#linked.hostedPlans === 0) || elapsedMs >= this.#bounds.graceMs - graceMarginMs) {
 				this.#lifecycle.send({type: 'IDLE'});
 			}
 		}
@@ -291,7 +292,6 @@
 				this.#linked.linkLost(link);
 			},
 		});
-		this.#mesh.setKeys([stageHostKey]);
 	}
 
 	/** Takes the newest version among records; one that is not newer than the one in force is left out. */
