--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -15,8 +15,10 @@
 
 /** Interval of heartbeats. */
 export const pingIntervalMs: Ms = 500;
-/** A link without a frame for this long is replaced: three intervals. */
-export const silenceMs: Ms = 3 * pingIntervalMs;
+/** A link without a frame for so many intervals is replaced. */
+const silentIntervals = 3;
+/** Time after which a silent link is replaced, with heartbeats at the usual interval. */
+export const silenceMs: Ms = silentIntervals * pingIntervalMs;
 /** Time for the whole handshake. */
 export const handshakeTimeoutMs: Ms = 3000;
 /** Largest frame: a configuration state of a large deployment fits. */
@@ -26,7 +28,7 @@
 const socketHighWaterBytes = 64 * 1024;
 const maxQueueBytes = 8 * 1024 * 1024;
 /** A heartbeat is due a little early, so that a timer's jitter does not skip one. */
-const pingDueMs: Ms = pingIntervalMs * 0.8;
+const pingDueShare = 0.8;
 
 /** Settings and listeners of a link. */
 export interface LinkOptions {
@@ -45,6 +47,8 @@
 	/** Told when a digest was dropped from the queue, so that the next one is sent whole. */
 	readonly onDropped?: (link: Link, cause: LinkMessageType) => void;
 	readonly maxQueueBytes?: number;
+	/** Interval of heartbeats, where it is not the usual one; both ends use the same. */
+	readonly pingMs?: Ms;
 }
 
 /**
@@ -79,6 +83,10 @@
 		this.#lastUsedMs = this.#lastReceivedMs;
 	}
 
+	get #pingMs(): Ms {
+		return this.options.pingMs ?? pingIntervalMs;
+	}
+
 	get state(): LinkState {
 		return this.#lifecycle.state;
 	}
@@ -141,17 +149,17 @@
 
 		const now = this.options.clock.now();
 		if (isLate) {
-			this.#lastReceivedMs = Math.max(this.#lastReceivedMs, now - silenceMs + pingIntervalMs);
+			this.#lastReceivedMs = Math.max(this.#lastReceivedMs, now - ((silentIntervals - 1) * this.#pingMs));
 		}
 
-		if (now - this.#lastReceivedMs >= silenceMs) {
+		if (now - this.#lastReceivedMs >= silentIntervals * this.#pingMs) {
 			this.#lifecycle.send({type: 'SILENT'});
 			this.close('silent', `no frame for ${Math.round(now - this.#lastReceivedMs)} ms`);
 			return;
 		}
 
 		this.#drain();
-		if (now - this.#lastSentMs >= pingDueMs) {
+		if (now - this.#lastSentMs >= this.#pingMs * pingDueShare) {
 			this.send({type: 'ping'});
 		}
 	}
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -39,6 +39,8 @@
 	 * zone and the gateways of other zones.
 	 */
 	readonly needs?: (name: string) => boolean;
+	/** Interval of heartbeats, where it is not the usual one; the same at every entry VM. */
+	readonly pingMs?: Ms;
 	readonly onUp: (link: Link) => void;
 	readonly onMessage: (link: Link, message: LinkMessage, time: LinkTime | undefined) => void;
 	readonly onClosed: (link: Link) => void;
@@ -117,10 +119,14 @@
 		}
 	}
 
+	get #pingMs(): Ms {
+		return this.options.pingMs ?? pingIntervalMs;
+	}
+
 	#tick(): void {
 		const {clock} = this.options;
 		const now = clock.now();
-		const isLate = now - this.#lastTickMs > 2 * pingIntervalMs;
+		const isLate = now - this.#lastTickMs > 2 * this.#pingMs;
 		this.#lastTickMs = now;
 		for (const link of this.#links.values()) {
 			link.tick(isLate);
@@ -129,7 +135,7 @@
 		this.#closeUnneeded(now);
 		this.#dialDue(now);
 		if (!this.#isClosed) {
-			this.#cancelTick = clock.after(pingIntervalMs, () => {
+			this.#cancelTick = clock.after(this.#pingMs, () => {
 				this.#tick();
 			});
 		}
@@ -193,6 +199,7 @@
 			distanceTo,
 			onMessage,
 			onDropped,
+			pingMs: this.#pingMs,
 			...(expectedName === undefined ? {} : {expectedName}),
 			onUp: () => {
 				this.#up(link);
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -16,6 +16,8 @@
 import {PeerLinks} from './peer-links.js';
 import {VmListFollower} from './vm-list-follower.js';
 
+/** A lost leader is noticed after three of these; requests wait for their stages meanwhile. */
+const leaderPingMs: Ms = 300;
 /** Entry VMs that are kept linked besides the leader: the second takes over when the first is lost. */
 const linkedCandidates = 2;
 
@@ -60,6 +62,7 @@
 	/** Starts that have said that they shut down. */
 	readonly #leaving = new Set<string>();
 	#isLeaving = false;
+	#hasList = false;
 	#listener: LinkListener | undefined;
 
 	private constructor(private readonly options: RelayMeshOptions) {
@@ -71,6 +74,7 @@
 			bytes: LinkBytes.create(options.registry),
 			connect: address => dialLink(address),
 			needs: name => this.#needs(name),
+			pingMs: leaderPingMs,
 			onUp: link => {
 				if (this.#isLeaving) {
 					link.send({type: 'leaving'});
@@ -96,6 +100,7 @@
 			logger,
 			intervals,
 			onList: snapshot => {
+				this.#hasList ||= snapshot.vms.length > 0;
 				this.#membership.applyList(snapshot);
 			},
 		});
@@ -117,6 +122,11 @@
 		return (members.filter(member => this.#links.byName(member.name)).length + 1) / (members.length + 1);
 	}
 
+	/** True once this entry VM has seen the list and linked to another one, or there is no other. */
+	get isSettled(): boolean {
+		return this.#hasList && (this.#membership.members().length === 0 || this.#links.up().length > 0);
+	}
+
 	/** Returns the link to the leader, or `undefined` where this entry VM leads as far as it can tell. */
 	leader(): Link | undefined {
 		for (const name of this.#rank()) {
--- a/src/pools/linked-stages.ts
+++ b/src/pools/linked-stages.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '../clock/index.js';
+import type {Clock, Ms} from '../clock/index.js';
 import {PendingReplies} from '../links/pending-replies.js';
 import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
 import type {PartLogger} from '../logs/index.js';
@@ -7,6 +7,9 @@
 
 /** Hosts asked for one plan, at most; a plan whose host is lost goes to the next one. */
 const maxHosts = 3;
+/** Longest time after the start for which a plan waits for the host to be known, and how often it looks. */
+const settleMs: Ms = 3000;
+const settleCheckMs: Ms = 50;
 /** Handles in one message. */
 const handlesPerMessage = 1000;
 
@@ -25,15 +28,28 @@
 		return new LinkedStages(options.clock, options.logger, options.host, options.mesh);
 	}
 
+	readonly #startedMs: Ms;
+
 	readonly #replies: PendingReplies<StagesOutcome>;
 	/** Plans of others that run here, by link and id. */
 	readonly #hosted = new Map<Link, Map<number, AbortController>>();
 
 	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined) {
 		this.#replies = PendingReplies.create(clock);
+		this.#startedMs = clock.now();
+	}
+
+	/** True once the host of the pools is known, or nobody has been found for a while. */
+	get isSettled(): boolean {
+		return this.mesh()?.isSettled === true || this.clock.now() - this.#startedMs >= settleMs;
 	}
 
 	async run(plan: StagePlan, signal: AbortSignal): Promise<StagesOutcome> {
+		// A second host beside the one that the others use takes its room and slots.
+		while (!this.isSettled && !signal.aborted) {
+			await this.clock.sleep(settleCheckMs, signal);
+		}
+
 		for (let tries = 0; tries < maxHosts; tries++) {
 			if (signal.aborted) {
 				return {failure: 'cancelled', retryAfterMs: 0};
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -245,6 +245,37 @@
 		expect(pool.next(4000).map(call => call.target.id)).toEqual(['fast']);
 	});
 
+	// Pattern: the host was frozen during a call, so that a healthy target looks ten times slower than it is.
+	it('tries a target that seemed slow again after a while', () => {
+		const {pool, submit} = create([target('slow'), target('fast')]);
+		const relaxed = {pieces: 7, deadlineMs: 60_000, startByMs: 50_000};
+		submit(job('a', relaxed));
+		submit(job('b', relaxed));
+		for (const call of pool.next(0)) {
+			pool.ended(call.id, {kind: 'done', results: results(call)}, call.target.id === 'slow' ? 4000 : 368);
+		}
+
+		submit(job('c', relaxed), 14_000);
+		submit(job('d', relaxed), 14_000);
+		expect(pool.next(14_000)).toHaveLength(2);
+	});
+
+	it('uses a slow target when more waits than the others can finish sooner', () => {
+		const {pool, submit} = create([target('slow'), target('fast')]);
+		const relaxed = {pieces: 7, deadlineMs: 60_000, startByMs: 50_000};
+		submit(job('a', relaxed));
+		submit(job('b', relaxed));
+		for (const call of pool.next(0)) {
+			pool.ended(call.id, {kind: 'done', results: results(call)}, call.target.id === 'slow' ? 4000 : 368);
+		}
+
+		for (let each = 0; each < 20; each++) {
+			submit(job(`c${each}`, relaxed), 4000);
+		}
+
+		expect(pool.next(4000)).toHaveLength(2);
+	});
+
 	// Pattern: a burst of one kind above the capacity of the pool.
 	it('serves a burst in full calls and keeps on-time jobs on time', () => {
 		const {pool, submit, outcomes} = create([target('t1'), target('t2'), target('t3'), target('t4')]);
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -179,7 +179,7 @@
 		const maxCalls = Math.max(1, Math.round(share * this.#targets.size * this.#limits.slots));
 		const free = [...this.#targets.values()].filter(target => target.calls < this.#limits.slots && target.isUsable(now));
 		// A fast target chooses first.
-		free.sort((a, b) => a.slowness - b.slowness);
+		free.sort((a, b) => a.slowness(now) - b.slowness(now));
 		for (const target of free) {
 			if (this.#calls.size >= maxCalls) {
 				break;
@@ -276,29 +276,36 @@
 		return {pieces: chosen, isLate: isLateCall};
 	}
 
-	/** A slow target waits while a fast one would finish sooner. */
+	/** A slow target waits while the others would finish everything that waits sooner. */
 	#isTooSlow(target: StageTargetState, now: Ms): boolean {
-		if (target.slowness < 1.5) {
+		const slowness = target.slowness(now);
+		if (slowness < slowFactor) {
 			return false;
 		}
 
 		const callMs = this.#limits.callMs + (this.#limits.itemMs * this.#limits.batch);
-		const finish = now + (callMs * target.slowness);
-		return [...this.#targets.values()].some(other => other !== target && other.isUsable(now) && other.freeAt(now) + (callMs * other.slowness) < finish);
+		const others = [...this.#targets.values()].filter(other => other !== target && other.isUsable(now) && other.slowness(now) < slowness);
+		if (others.length === 0) {
+			return false;
+		}
+
+		const rounds = Math.ceil(this.backlog / this.#limits.batch / others.length);
+		const othersFinish = Math.min(...others.map(other => other.freeAt(now) + (rounds * callMs * other.slowness(now))));
+		return othersFinish < now + (callMs * slowness);
 	}
 
 	#servedZones(now: Ms): string[] {
-		const served = [...this.#targets.values()].filter(target => target.isUsable(now) && target.slowness < slowFactor);
+		const served = [...this.#targets.values()].filter(target => target.isUsable(now) && target.slowness(now) < slowFactor);
 		return [...new Set(served.map(target => target.target.zone))];
 	}
 
 	#start(target: StageTargetState, pieces: readonly CalledPiece[], {now, isLate}: {now: Ms; isLate: boolean}): StageCall {
 		const id = this.#nextCall++;
-		const expectedMs = (this.#limits.callMs + (this.#limits.itemMs * pieces.length)) * Math.max(1, target.slowness);
+		const expectedMs = (this.#limits.callMs + (this.#limits.itemMs * pieces.length)) * Math.max(1, target.slowness(now));
 		const call: StageCall = {
 			id, target: target.target, pieces, isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
 		};
-		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowness)});
+		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowness(now))});
 		target.started(id, {roomMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs});
 		for (const {job, piece} of pieces) {
 			const state = this.#jobs.get(job.id)!;
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -18,6 +18,8 @@
 const leastRoomShare = 0.15;
 const roomCut = 0.7;
 const roomGrowthPerMs = 0.000_15;
+/** Time in which a measured slowness loses half of its weight, so that a target that gets no calls is tried again. */
+const slownessHalfLifeMs: Ms = 2000;
 /** Weight of the latest call in the moving average of the slowness. */
 const smoothing = 0.4;
 
@@ -31,8 +33,8 @@
 		return new StageTargetState(target);
 	}
 
-	/** Time of calls relative to the expected time. */
-	slowness = 1;
+	#slowness = 1;
+	#slownessMs: Ms = 0;
 	/** Part of the declared room that is planned with: others may use the target too, and sizes are approximate. */
 	#roomShare = mostRoomShare;
 	#roomShareMs: Ms = 0;
@@ -43,6 +45,11 @@
 
 	private constructor(readonly target: StageTarget) {}
 
+	/** Time of calls relative to the expected time, as measured; what was measured long ago counts less. */
+	slowness(now: Ms): number {
+		return 1 + ((this.#slowness - 1) * (0.5 ** ((now - this.#slownessMs) / slownessHalfLifeMs)));
+	}
+
 	get calls(): number {
 		return this.#calls.size;
 	}
@@ -102,7 +109,9 @@
 		this.#calls.delete(callId);
 		if (call.end === 'done') {
 			this.#pauseMs = firstPauseMs;
-			this.slowness += smoothing * (Math.max(0.5, call.tookMs / call.expectedMs) - this.slowness);
+			const before = this.slowness(now);
+			this.#slowness = before + (smoothing * (Math.max(0.5, call.tookMs / call.expectedMs) - before));
+			this.#slownessMs = now;
 		} else if (call.end === 'refused') {
 			this.#pausedUntilMs = now + refusedPauseMs;
 		} else {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -30,8 +30,8 @@
 /** Part of the grace time that is left for closing. */
 const graceMarginMs: Ms = 500;
 const drainCheckMs: Ms = 100;
-/** Reads of the list of entry VMs: often while it changes, seldom afterwards, since each one is billed. */
-const vmListIntervals = {busyMs: 1500, quietMs: 6000, quietAfterMs: 8000};
+/** Looks at the list of entry VMs; it is in memory, so looking costs nothing. */
+const vmListIntervals = {busyMs: 250, quietMs: 250, quietAfterMs: 0};
 /** Events kept for links; the relay logs its own. */
 const eventCapacity = 500;
 
@@ -167,7 +167,7 @@
 
 	/** True while the balancer should send connections. */
 	get isReady(): boolean {
-		return this.#lifecycle.state === 'serving' && this.#hasTargets;
+		return this.#lifecycle.state === 'serving' && this.#hasTargets && this.#linked.isSettled;
 	}
 
 	/** Takes changed bounds. Budgets start anew, so that no repeat is counted under two limits. */
--- a/src/topics/keyed-topic.ts
+++ b/src/topics/keyed-topic.ts
@@ -21,3 +21,9 @@
 	/** Resolves with the records from an offset on, or without any after `waitMs`. */
 	read(from: number, waitMs: Ms): Promise<KeyedPage>;
 }
+
+/** Port for writing a keyed topic. Both calls throw when the store does not say that it was done. */
+export interface KeyedWriter {
+	put(key: string, value: Uint8Array): Promise<void>;
+	remove(key: string): Promise<void>;
+}
