--- a/bench/policy-cost.ts
+++ b/bench/policy-cost.ts
@@ -66,7 +66,7 @@
 				requestId, team, pipeline, prompt, maxTokens: 10, remainingMs: deadlineMs,
 			});
 			return scheduler.acquire({
-				requestId, team, pipeline, stage: pipeline.stages[0]!, attempt: 1, prompt, maxTokens: 10, deadlineMs: clock.now() + deadlineMs, previousTarget: undefined,
+				requestId, team, pipeline, stage: pipeline.stages[0]!, attempt: 1, prompt, maxTokens: 10, deadlineMs: clock.now() + deadlineMs, failedTargets: [],
 			}, new AbortController().signal);
 		},
 		renewDigests(sequence: number) {
--- a/src/requests/stage-runner.ts
+++ b/src/requests/stage-runner.ts
@@ -65,11 +65,11 @@
 	async run(context: RequestContext, stage: Stage, input: string, isLast: boolean): Promise<StageResult> {
 		const assembler = StreamAssembler.create();
 		const startedAt = this.clock.now();
-		let previousTarget: string | undefined;
+		const failedTargets: string[] = [];
 		let waitMs = 0;
 		let revocations = 0;
 		for (let attempt = 1; ; attempt++) {
-			const work = this.#work(context, stage, {attempt, input, previousTarget});
+			const work = this.#work(context, stage, {attempt, input, failedTargets: [...failedTargets]});
 			const queuedAt = this.clock.now();
 			const grant = await this.#acquire(work, context);
 			waitMs += this.clock.now() - queuedAt;
@@ -90,14 +90,14 @@
 					revocations++;
 				} else {
 					this.#checkRetry(context, work, {err, revocations});
-					previousTarget = grant.target.name;
+					failedTargets.push(grant.target.name);
 					await this.#delayRetry(context, attempt - revocations);
 				}
 			}
 		}
 	}
 
-	#work(context: RequestContext, stage: Stage, options: {attempt: number; input: string; previousTarget: string | undefined}): StageWork {
+	#work(context: RequestContext, stage: Stage, options: {attempt: number; input: string; failedTargets: readonly string[]}): StageWork {
 		return {
 			requestId: context.requestId,
 			team: context.body.team,
@@ -108,7 +108,7 @@
 			maxTokens: Math.min(context.body.max_tokens, stage.max_tokens ?? context.body.max_tokens),
 			deadlineMs: context.deadlineMs,
 			idempotent: !isNonIdempotent(context, stage),
-			previousTarget: options.previousTarget,
+			failedTargets: options.failedTargets,
 		};
 	}
 
--- a/src/teams/calls-in-flight.ts
+++ b/src/teams/calls-in-flight.ts
@@ -80,7 +80,7 @@
 		for (const call of this.#calls) {
 			const {team, idempotent, stage, attempt} = call.work;
 			const isRevocable = (idempotent ?? stage.idempotent) && attempt <= maxRevocableAttempt && !call.revoked.signal.aborted;
-			if (isRevocable && team !== work.team && call.target.name !== work.previousTarget && shares.calls(team) > shares.allotment(team, slots)) {
+			if (isRevocable && team !== work.team && !work.failedTargets.includes(call.target.name) && shares.calls(team) > shares.allotment(team, slots)) {
 				newest = call;
 			}
 		}
--- a/src/teams/fcfs-scheduler.ts
+++ b/src/teams/fcfs-scheduler.ts
@@ -5,6 +5,7 @@
 import type {
 	AdmissionDecision, Grant, Scheduler, StageWork,
 } from './scheduler.js';
+import {preferUnfailed} from './prefer-unfailed.js';
 
 const neverRevoked = new AbortController().signal;
 setMaxListeners(0, neverRevoked);
@@ -52,8 +53,7 @@
 	#choose(work: StageWork): Target | undefined {
 		const free = this.targets.pool(work.stage.pool)
 			.filter(target => target.dispatchable && target.inFlight < target.declaration.slots);
-		const others = free.filter(target => target.name !== work.previousTarget);
-		const candidates = others.length > 0 ? others : free;
+		const candidates = preferUnfailed(free, work.failedTargets, target => target.name);
 		return candidates.reduce<Target | undefined>((best, target) => best && best.inFlight <= target.inFlight ? best : target, undefined);
 	}
 
--- a/src/teams/index.ts
+++ b/src/teams/index.ts
@@ -13,3 +13,4 @@
 export {ServiceTimes, type PoolTimes} from './service-times.js';
 export {TeamShares} from './team-shares.js';
 export {ZoneLoad, type OthersWork} from './zone-load.js';
+export {preferUnfailed} from './prefer-unfailed.js';
--- a/src/teams/pool-queue.ts
+++ b/src/teams/pool-queue.ts
@@ -13,6 +13,7 @@
 	AcquireFailure, AttemptResult, Grant, StageWork,
 } from './scheduler.js';
 import type {TeamShares} from './team-shares.js';
+import {preferUnfailed} from './prefer-unfailed.js';
 
 /** Waiting attempts of one team. A longer queue could not be served within any usual deadline. */
 const maxQueuedPerTeam = 1000;
@@ -184,12 +185,11 @@
 	}
 
 	/**
-	 * Candidates for an attempt: not the target of the attempt before while another exists. Within its share, an attempt
+	 * Candidates for an attempt: not the targets of earlier attempts while another exists. Within its share, an attempt
 	 * may go to a target of the zone that others have filled; the target then serves it first among its waiting calls.
 	 */
 	#offer(work: StageWork, summary: PoolSummary): readonly RouteCandidate[] {
-		const others = work.previousTarget === undefined ? summary.candidates : summary.candidates.filter(({target}) => target.name !== work.previousTarget);
-		const candidates = others.length > 0 ? others : summary.candidates;
+		const candidates = preferUnfailed(summary.candidates, work.failedTargets, ({target}) => target.name);
 		if (candidates.some(({isFree}) => isFree) || this.shares.classify(work.team, summary.slots) === 'above') {
 			return candidates;
 		}
--- a/src/teams/scheduler.ts
+++ b/src/teams/scheduler.ts
@@ -32,8 +32,8 @@
 	readonly deadlineMs: Ms;
 	/** False when the attempt must not be revoked; the stage's declaration when absent. */
 	readonly idempotent?: boolean;
-	/** Target of the previous attempt, never chosen again directly. */
-	readonly previousTarget: string | undefined;
+	/** Targets that failed earlier attempts, the latest last; chosen again only when no other exists. */
+	readonly failedTargets: readonly string[];
 }
 
 /** How an attempt ended; `serviceMs` from dispatch to the end, `firstMs` to the first chunk. */
