Explain one request from log files, and fold the operators' page into OPERATIONS

Cause: an on-call engineer has only logs and metrics; ids are spread over the files of the entry VM that took a request and of the host that ran its stages.

--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,46 @@
+import {readFileSync} from 'node:fs';
+import {errorMessage, FindingsError, type Finding} from '../errors/index.js';
+import {explainRequest} from '../logs/index.js';
+import {resolveSettings, switchSchema} from '../settings/index.js';
+import {exitCodes, printLines, type Command} from './command.js';
+
+const minArgs = 2;
+
+const explainSettings = {
+	json: {
+		flag: 'json', help: 'Prints the lines as JSON.', fallback: 'false', schema: switchSchema, isSwitch: true,
+	},
+};
+
+/** `guavamill explain`: what log files say of one request, in order. */
+export const explainCommand: Command = {
+	name: 'explain',
+	usage: 'guavamill explain 6f0c21d38a7be945 riga-1.log riga-2.log',
+	summary: 'Prints the decisions on one request from the log files of several entry VMs, in order.',
+	settings: explainSettings,
+	maxArgs: 1000,
+	async run(input) {
+		const {json} = resolveSettings(explainSettings, input);
+		const [id, ...files] = input.args;
+		if (input.args.length < minArgs) {
+			throw FindingsError.create('explain a request', [{place: 'arguments', message: 'an id and at least one log file are needed'}]);
+		}
+
+		const findings: Finding[] = [];
+		const lines = files.flatMap(file => {
+			try {
+				return readFileSync(file, 'utf8').split('\n');
+			} catch (err) {
+				findings.push({place: file, message: errorMessage(err)});
+				return [];
+			}
+		});
+		if (findings.length > 0) {
+			throw FindingsError.create('read the log files', findings);
+		}
+
+		const explained = explainRequest(id!, lines, {json});
+		printLines(input, explained.length > 0 ? explained : [`No line names ${id}.`]);
+		return explained.length > 0 ? exitCodes.ok : exitCodes.failed;
+	},
+};
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import {applyCommand} from './apply-command.js';
 import {exitCodes, type Command, type CommandInput} from './command.js';
 import {drainCommand} from './drain-command.js';
+import {explainCommand} from './explain-command.js';
 import {getCommand} from './get-command.js';
 import {planCommand} from './plan-command.js';
 import {replayCommand} from './replay-command.js';
@@ -28,6 +29,7 @@
 	getCommand,
 	statusCommand,
 	drainCommand,
+	explainCommand,
 	traceCommand,
 	traceMakeCommand,
 	replayCommand,
--- a/src/cli/operators-page.test.ts
+++ b/src/cli/operators-page.test.ts
@@ -17,7 +17,7 @@
 
 type Row = {title: string; cells: string[]};
 
-const page = readFileSync(path.resolve(import.meta.dirname, '../../docs/operators.md'), 'utf8');
+const page = readFileSync(path.resolve(import.meta.dirname, '../../docs/OPERATIONS.md'), 'utf8');
 
 /** Rows of the page's tables below headings that start with `section`; without the header and the rule. */
 function rowsOf(section: string): Row[] {
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -1,4 +1,6 @@
-import {afterEach, describe, expect, it} from 'vitest';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
 import {Registry} from 'prom-client';
 import {ManualClock, SystemClock} from '../clock/index.js';
 import {EventRing} from '../events/index.js';
--- a/src/vms/topic-vm-list.ts
+++ b/src/vms/topic-vm-list.ts
@@ -1,7 +1,9 @@
 import type {Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logs/index.js';
-import {TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter} from '../topics/index.js';
+import {
+	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter,
+} from '../topics/index.js';
 import type {Vm, VmList, VmSnapshot} from './vm-list.js';
 
 /** Time for which the store holds a read back; a change arrives at once, a half-open connection shows after it. */
