--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -76,6 +76,19 @@
 		expect(leaderOf(oldest)).toBe('e');
 	});
 
+	it('finds its leader behind lost members that the list still names', async () => {
+		for (const [index, name] of ['w', 'x', 'y', 'z'].entries()) {
+			list.put({
+				id: name, zone: 'riga-a', role: 'entry', address: '127.0.0.1:1', startId: `0${index}`, state: 'live',
+			});
+		}
+
+		const first = await start('j', '1');
+		const second = await start('k', '2');
+		await until(() => leaderOf(second) === 'j' && first.isSettled);
+		expect(leaderOf(first)).toBe('itself');
+	});
+
 	it('is led by the next one when the leader is lost', async () => {
 		const oldest = await start('g', '1');
 		const second = await start('h', '2');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -20,6 +20,8 @@
 const leaderPingMs: Ms = 300;
 /** Entry VMs that are kept linked besides the leader: the second takes over when the first is lost. */
 const linkedCandidates = 2;
+/** Members that are dialled at most, however many are lost. */
+const maxDialled = 16;
 
 /** Settings and ports of the mesh. */
 export interface RelayMeshOptions {
@@ -158,8 +160,23 @@
 		await this.#listener?.close();
 	}
 
+	/** Members before the second linked one in the order of their starts: those without a link may be lost, or about to answer. */
 	#needs(name: string): boolean {
-		return this.#rank().filter(other => other !== this.options.self.name).slice(0, linkedCandidates).includes(name);
+		let linked = 0;
+		const {self} = this.options;
+		const others = this.#rank().filter(other => other !== self.name).slice(0, maxDialled);
+		for (const other of others) {
+			if (other === name) {
+				return true;
+			}
+
+			linked += this.#links.byName(other) ? 1 : 0;
+			if (linked >= linkedCandidates) {
+				return false;
+			}
+		}
+
+		return false;
 	}
 
 	/** Names in the order of their starts, the longest-running first; this entry VM comes last while it shuts down. */
