--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -12,6 +12,7 @@
 	gatewaysPerZone, Membership, type Member, type PeerAddress,
 } from './membership.js';
 export type {MemberState} from './member-lifecycle.js';
+export {RankCache} from './rank-cache.js';
 export {RelayMesh, type RelayMeshOptions} from './relay-mesh.js';
 export {rankByRendezvous} from './rendezvous.js';
 export type {PeerState} from './peer-state.js';
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -2,7 +2,7 @@
 import type {ListenAddress} from '../http/index.js';
 import {EventRing} from '../events/index.js';
 import {
-	agreeOnLinkKey, rankByRendezvous, RelayMesh, type LinkIdentity, type LinkKeyStore,
+	agreeOnLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKeyStore,
 } from '../links/index.js';
 import type {LoggerFactory} from '../logs/index.js';
 import {
@@ -99,7 +99,7 @@
 	});
 
 	readonly #budgets = new Map<string, RepeatBudget>();
-	readonly #ranks = new Map<string, readonly string[]>();
+	readonly #ranks = RankCache.create();
 	readonly #configFollower: TopicFollower;
 	readonly #targetFollower: TopicFollower;
 	#table: RouteTable | undefined;
@@ -245,7 +245,7 @@
 				memory: this.#memory,
 				zone: options.self.zone,
 				distance: zone => this.#distance(zone),
-				rank: (key, names) => this.#rank(key, names),
+				rank: (key, names) => this.#ranks.of(key, names),
 				repeats: service => this.#budget(service),
 				probe: options.probe,
 				isClosing,
@@ -354,29 +354,11 @@
 		const region = regionOf(own);
 		return region !== undefined && region === regionOf(zone) ? 'same_region' : 'other_region';
 	}
-
-	/** Rankings are remembered: hashing a key with every name costs more than the rest of a choice. */
-	#rank(key: string, names: readonly string[]): readonly string[] {
-		const cacheKey = `${key} ${names.join(' ')}`;
-		let rank = this.#ranks.get(cacheKey);
-		if (!rank) {
-			rank = rankByRendezvous(key, names);
-			if (this.#ranks.size >= maxRanks) {
-				this.#ranks.clear();
-			}
-
-			this.#ranks.set(cacheKey, rank);
-		}
-
-		return rank;
-	}
 }
 
 /** Entry VMs that share a budget while their number is not known yet. */
 const assumedEntryVms = 9;
 /** A host linked to at most this part of the entry VMs is cut off; more are lost at once only when they are killed. */
 const isolatedShare = 0.34;
-/** Rankings remembered. */
-const maxRanks = 2000;
 /** Part of the budget of repeats that is spent; the rest covers entry VMs that this one does not know of. */
 const repeatShare = 0.8;
--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -1,4 +1,4 @@
-import type {RequestKind} from '../routes/index.js';
+import {isRepeatable, type RequestKind} from '../routes/index.js';
 import type {Rejection} from './rejection.js';
 
 /** How one attempt at a target ended without an answer that can be delivered. */
@@ -41,8 +41,8 @@
  * nextStep({attempt: 'refused', kind: 'non_idempotent', …});
  */
 export function nextStep(state: FailedState): NextStep {
-	const {attempt, kind, isResumable, sent, mayHaveRun, maxAttempts, hasUntriedTarget, hasTime} = state;
-	const mayRepeat = kind === 'idempotent' || (kind === 'stream' && isResumable) || mayHaveRun === 0;
+	const {attempt, sent, mayHaveRun, maxAttempts, hasUntriedTarget, hasTime} = state;
+	const mayRepeat = isRepeatable(state) || mayHaveRun === 0;
 	const isWithinAttempts = attempt === 'unsent' || sent < maxAttempts;
 	// A request that reached no target is no repeat at the next one.
 	if (mayRepeat && isWithinAttempts && hasUntriedTarget && hasTime && (sent === 0 || state.spendRepeat())) {
--- a/src/relay/relay-run.ts
+++ b/src/relay/relay-run.ts
@@ -4,7 +4,7 @@
 import type {StageResult} from '../pools/index.js';
 import type {RelayTarget} from '../registry/index.js';
 import {
-	pickService, type Route, type RouteTable, type TeamDeclaration,
+	isRepeatable, pickService, type Route, type RouteTable, type TeamDeclaration,
 } from '../routes/index.js';
 import {chooseEngine} from './choose-engine.js';
 import {chooseTarget} from './choose-target.js';
@@ -12,35 +12,14 @@
 import type {RelayParts} from './relay-parts.js';
 import type {CallerHead} from './relay-codec.js';
 import type {Rejection, RelayReason} from './rejection.js';
+import {sendRejection} from './send-rejection.js';
 import {StreamDelivery} from './stream-delivery.js';
+import {TimeBudget} from './time-budget.js';
 import {writeAnswerHead} from './write-answer-head.js';
 import {runAttempt, type AttemptEnd, type WholeAnswer} from './target-attempt.js';
 
-/** Least time left for which a request is sent to a target. */
-const leastLeftMs: Ms = 15;
-/** Time for an answer to travel from the target, so that one at the last moment is still delivered. */
-const answerSlackMs: Ms = 40;
 /** Targets tried that could not be reached at all, at most. */
 const maxUnsent = 3;
-/** Time to a first token without waiting, beyond the reading of the prompt. */
-const firstTokenMs: Ms = 60;
-/** Prompt tokens that an engine reads in a ms; measured on the users' engines. */
-const prefillTokensPerMs = 50;
-/** Time beyond the expected one after which an engine without a first token is probed. */
-const probeSlackMs: Ms = 500;
-/** Part of an objective within which a repeatable call has to be answered, so that a second one can still meet it. */
-const firstTryShare = 0.75;
-/** Longest wait for a first token before a repeatable request goes to another engine, as a multiple of its objective. */
-const firstTokenFactor = 2;
-
-/** Callers give a stream up when its first event takes longer than the longest of these. */
-const patience = {leastMs: 2000, objectives: 4};
-
-/** Time from its arrival after which nobody waits for the first event of a request. */
-function patienceMs(route: Route): Ms {
-	return route.kind === 'stream' ? Math.max(patience.leastMs, patience.objectives * route.objectiveMs) : Infinity;
-}
-
 /** An engine refuses with this status when a result that it should take is gone. */
 const inputGoneStatus = 409;
 
@@ -71,8 +50,7 @@
 	}
 
 	readonly #stop = new AbortController();
-	readonly #deadlineMs: Ms;
-	readonly #objectiveMs: Ms;
+	readonly #time: TimeBudget;
 	readonly #service: string;
 	readonly #tried = new Set<RelayTarget>();
 	readonly #attempts: AttemptRecord[] = [];
@@ -90,8 +68,7 @@
 
 	private constructor(private readonly parts: RelayParts, private readonly request: RelayRequest) {
 		const {route, head, arrivedMs, res} = request;
-		this.#deadlineMs = arrivedMs + Math.min(head.waitsMs ?? route.timeoutMs, route.timeoutMs);
-		this.#objectiveMs = arrivedMs + route.objectiveMs;
+		this.#time = TimeBudget.create({route, head, arrivedMs});
 		this.#service = pickService(route, parts.random.float());
 		this.#delivery = route.kind === 'stream' ? StreamDelivery.create(res, {isClosing: parts.isClosing}) : undefined;
 	}
@@ -106,7 +83,7 @@
 			}
 		};
 
-		const cancelTimeout = this.parts.clock.after(this.#deadlineMs - this.parts.clock.now(), () => {
+		const cancelTimeout = this.parts.clock.after(this.#time.deadlineMs - this.parts.clock.now(), () => {
 			this.#expire();
 		});
 		res.on('close', onClose);
@@ -160,7 +137,7 @@
 		}
 
 		const {parts, request} = this;
-		const {route, head, attemptId, arrivedMs} = request;
+		const {route, head, attemptId} = request;
 		const startedMs = parts.clock.now();
 		const outcome = await parts.stages.run({
 			attemptId,
@@ -168,8 +145,8 @@
 			pieceKey: head.pieceKey,
 			zone: this.#choose()?.entry.zone ?? parts.zone,
 			priority: this.#priority,
-			callByMs: this.#objectiveMs - this.#firstTokenMs(),
-			deadlineMs: Math.min(this.#deadlineMs, arrivedMs + patienceMs(route)) - this.#firstTokenMs(),
+			callByMs: this.#time.callByMs,
+			deadlineMs: this.#time.stagesDeadlineMs,
 		}, this.#stop.signal);
 		const tookMs = parts.clock.now() - startedMs;
 		this.#stagesMs = (this.#stagesMs ?? 0) + tookMs;
@@ -223,7 +200,6 @@
 			}
 		};
 
-		const isRepeatable = this.#isRepeatable;
 		const end = await runAttempt({
 			clock,
 			pools,
@@ -233,18 +209,18 @@
 			sink: this.#delivery,
 			signal: this.#stop.signal,
 			probe,
-			answerWithinMs: this.#answerWithinMs(startedMs),
-			probeAfterMs: prompt ? this.#firstTokenMs() + (target.pendingTokens / prefillTokensPerMs) + probeSlackMs : undefined,
+			answerWithinMs: this.#time.answerWithinMs(startedMs, this.#sent + 1 < route.maxAttempts),
+			probeAfterMs: prompt ? this.#time.probeAfterMs(target.pendingTokens) : undefined,
 			request: {
 				address: target.entry.address,
 				method: req.method!,
 				path: req.url!,
 				body,
-				isFresh: !isRepeatable,
+				isFresh: !isRepeatable(route),
 				headers: codec.writeTarget(head, {
 					targetId: target.id,
 					team: team?.name,
-					leftMs: Math.max(1, this.#deadlineMs - startedMs),
+					leftMs: this.#time.leftMs(startedMs),
 					urgency: prompt ? Math.min(9, this.#priority * 2) : undefined,
 					inputs,
 					lastEventId: this.#delivery?.lastId === undefined ? head.lastEventId : String(this.#delivery.lastId),
@@ -263,10 +239,6 @@
 		settlePrompt();
 		this.#record(target, end, startedMs);
 		metrics.attempt(end.kind === 'failed' ? end.attempt : end.kind);
-		if (route.kind === 'stream' && end.kind === 'failed' && end.attempt === 'unsent') {
-			this.#tried.add(target);
-		}
-
 		return end;
 	}
 
@@ -302,12 +274,12 @@
 			mayHaveRun: this.#mayHaveRun,
 			maxAttempts: route.maxAttempts,
 			hasUntriedTarget: this.#choose() !== undefined && this.#unsent <= maxUnsent,
-			hasTime: this.#deadlineMs - now >= leastLeftMs,
+			hasTime: this.#time.hasTime(now),
 			spendRepeat: () => parts.repeats(this.#service).spend(now),
 		});
 		if (next.step === 'retry') {
 			parts.logger.info('Sends a request to another target.', {
-				id: request.attemptId, service: this.#service, after: attempt, reason: end.reason, left_ms: Math.round(this.#deadlineMs - now),
+				id: request.attemptId, service: this.#service, after: attempt, reason: end.reason, left_ms: Math.round(this.#time.deadlineMs - now),
 			});
 			return true;
 		}
@@ -335,34 +307,10 @@
 			: chooseTarget(targets, {...options, point: random.float()});
 	}
 
-	#answerWithinMs(now: Ms): Ms {
-		const {route} = this.request;
-		const leftMs = this.#deadlineMs - now + answerSlackMs;
-		if (!this.#isRepeatable || this.#sent + 1 >= route.maxAttempts) {
-			return leftMs;
-		}
-
-		const withinMs = route.kind === 'stream'
-			? Math.max(this.#objectiveMs - now, 0) + (route.objectiveMs * (firstTokenFactor - 1))
-			: Math.max(route.objectiveMs * firstTryShare, this.#objectiveMs - now - (route.objectiveMs * (1 - firstTryShare)));
-		return Math.min(leftMs, withinMs);
-	}
-
-	get #isRepeatable(): boolean {
-		const {kind, isResumable} = this.request.route;
-		return kind === 'idempotent' || (kind === 'stream' && isResumable);
-	}
-
 	get #priority(): number {
 		return this.request.team?.priority ?? this.request.route.priority;
 	}
 
-	/** Expected time to the first token without waiting, for a prompt that is partly cached. */
-	#firstTokenMs(): Ms {
-		const tokens = this.request.head.prompt?.inputTokens ?? 0;
-		return firstTokenMs + (tokens / prefillTokensPerMs);
-	}
-
 	#deliver(answer: WholeAnswer): void {
 		const {res} = this.request;
 		if (this.#isOver || res.destroyed) {
@@ -447,7 +395,7 @@
 			...(reason === '' ? {} : {reason}),
 			status,
 			took_ms: Math.round(tookMs),
-			time_ms: Math.round(this.#deadlineMs - request.arrivedMs),
+			time_ms: Math.round(this.#time.deadlineMs - request.arrivedMs),
 			...(this.#stagesMs === undefined ? {} : {stages_ms: Math.round(this.#stagesMs)}),
 			...(this.#firstByteMs === undefined ? {} : {first_byte_ms: Math.round(this.#firstByteMs)}),
 			...(this.#delivery ? {events: this.#delivery.count} : {}),
@@ -455,15 +403,3 @@
 		});
 	}
 }
-
-/** Sends an answer of the relay's own. */
-export function sendRejection(res: ServerResponse, rejection: Rejection, isClosing: boolean): void {
-	const body = JSON.stringify({reason: rejection.reason, outcome: rejection.status === 503 ? 'not_run' : 'unknown'});
-	res.writeHead(rejection.status, {
-		'content-type': 'application/json',
-		'content-length': body.length,
-		...(rejection.retryAfterMs === undefined ? {} : {'retry-after': (rejection.retryAfterMs / 1000).toFixed(2)}),
-		...(isClosing ? {connection: 'close'} : {}),
-	});
-	res.end(body);
-}
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -7,7 +7,8 @@
 import {closeServer, listen, type ListenAddress} from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
 import type {CallerHead} from './relay-codec.js';
-import {RelayRun, sendRejection} from './relay-run.js';
+import {RelayRun} from './relay-run.js';
+import {sendRejection} from './send-rejection.js';
 import type {RelayParts} from './relay-parts.js';
 import type {Rejection} from './rejection.js';
 
@@ -87,6 +88,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, logger} = this.options.parts;
 		const arrivedMs = clock.now();
+		// The close that follows an error of the caller's connection ends the request.
 		res.on('error', () => undefined);
 		this.#inFlight++;
 		try {
--- /dev/null
+++ b/src/relay/send-rejection.ts
@@ -0,0 +1,14 @@
+import type {ServerResponse} from 'node:http';
+import type {Rejection} from './rejection.js';
+
+/** Sends an answer of the relay's own. */
+export function sendRejection(res: ServerResponse, rejection: Rejection, isClosing: boolean): void {
+	const body = JSON.stringify({reason: rejection.reason, outcome: rejection.status === 503 ? 'not_run' : 'unknown'});
+	res.writeHead(rejection.status, {
+		'content-type': 'application/json',
+		'content-length': body.length,
+		...(rejection.retryAfterMs === undefined ? {} : {'retry-after': (rejection.retryAfterMs / 1000).toFixed(2)}),
+		...(isClosing ? {connection: 'close'} : {}),
+	});
+	res.end(body);
+}
