--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,5 +1,6 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {ListenAddress} from '../http/index.js';
+import {errorMessage} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
 	agreeOnLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKeyStore,
@@ -30,6 +31,8 @@
 /** Part of the grace time that is left for closing. */
 const graceMarginMs: Ms = 500;
 const drainCheckMs: Ms = 100;
+/** Pause before another try to listen for links. */
+const meshRetryMs: Ms = 500;
 /** Looks at the list of entry VMs; it is in memory, so looking costs nothing. */
 const vmListIntervals = {busyMs: 250, quietMs: 250, quietAfterMs: 0};
 /** Events kept for links; the relay logs its own. */
@@ -104,12 +107,13 @@
 	readonly #targetFollower: TopicFollower;
 	#table: RouteTable | undefined;
 	#hasTargets = false;
+	#isClosed = false;
 	#bounds: RelayBounds;
 	#mesh: RelayMesh | undefined;
 	readonly #linked: LinkedStages;
 	#server!: RelayServer;
 	#control!: ControlServer;
-	#metricsServer!: ControlServer;
+	#metricsServer: ControlServer | undefined;
 
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
@@ -216,11 +220,12 @@
 
 	/** Closes everything at once. */
 	async close(): Promise<void> {
+		this.#isClosed = true;
 		this.#configFollower.stop();
 		this.#targetFollower.stop();
 		await this.#server.close();
 		await this.#control.close();
-		await this.#metricsServer.close();
+		await this.#metricsServer?.close();
 		await this.#mesh?.close();
 		this.#pools.destroy();
 	}
@@ -255,17 +260,40 @@
 		this.#control = await startControlServer({
 			listen: options.control, paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
 		});
-		const {registry} = this.#metrics;
-		this.#metricsServer = await startControlServer({
-			listen: options.metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
-		});
+		await this.#startMetrics();
 		this.#configFollower.start();
 		this.#targetFollower.start();
 		void this.#startMesh();
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
 
+	/** Requests are served without metrics where their port is taken. */
+	async #startMetrics(): Promise<void> {
+		const {metrics, createLogger} = this.options;
+		const {registry} = this.#metrics;
+		try {
+			this.#metricsServer = await startControlServer({
+				listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
+			});
+		} catch (err) {
+			createLogger('entry-vm').error('Serving without metrics.', {error: errorMessage(err)});
+		}
+	}
+
+	/** Until the port for links is free, this entry VM works alone. */
 	async #startMesh(): Promise<void> {
+		const {clock, createLogger} = this.options;
+		while (!this.#mesh && !this.#isClosed) {
+			try {
+				await this.#createMesh();
+			} catch (err) {
+				createLogger('links').error('Cannot listen for links yet.', {error: errorMessage(err)});
+				await clock.sleep(meshRetryMs);
+			}
+		}
+	}
+
+	async #createMesh(): Promise<void> {
 		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
 		const logger = createLogger('links');
 		this.#mesh = await RelayMesh.create({
