Handle the error that ws passes on when the port for links is taken

Cause: the new test 'serves though the ports for metrics and links are taken' ended with an error that nothing handled: ws emits its server's error again.

Change: the listener takes it; listen() reports the same error to its caller.

--- a/src/links/link-listener.ts
+++ b/src/links/link-listener.ts
@@ -32,6 +32,8 @@
 		sockets.on('connection', socket => {
 			listener.#accept(wsLinkSocket(socket));
 		});
+		// ws passes errors of its server on, and ends the process where nobody listens; `listen` below reports them.
+		sockets.on('error', () => undefined);
 		sockets.on('wsClientError', (_err, socket) => {
 			socket.destroy();
 		});
