--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -93,7 +93,7 @@
 	readonly #pools = TargetPools.create();
 	readonly #memory = PromptMemory.create();
 	readonly #metrics = RelayMetrics.create({
-		configVersion: () => this.#table?.version ?? -1,
+		configVersion: () => this.configVersion,
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
@@ -188,6 +188,11 @@
 		return this.#server.port;
 	}
 
+	/** Version of the configuration in force; -1 before the first. */
+	get configVersion(): number {
+		return this.#table?.version ?? -1;
+	}
+
 	/** Targets known. */
 	get targetCount(): number {
 		return this.#registry.size;
