--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -6,7 +6,10 @@
 /** A job this close to its latest start takes any target. */
 const anyZoneSlackMs: Ms = 250;
 /** Head start of each rank over the next, in ms of slack. */
-const rankMs: Ms = 150;
+const rankMs: Ms = 1000;
+
+/** What a job's place in the order follows from. */
+export type RankedJob = Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs' | 'isCommitted'>;
 
 /** A job in its order. */
 export interface OrderedJob {
@@ -15,32 +18,57 @@
 	readonly isLate: boolean;
 }
 
+/** A job with pieces that wait. */
+export interface WaitingJob {
+	readonly job: StageJob;
+	readonly pieces: number;
+}
+
 /** The target for which jobs are ordered. */
 export interface JobOrderOptions {
 	readonly now: Ms;
 	readonly zone: string;
-	/** Zones with a target of the pool that takes work. */
-	readonly servedZones: readonly string[];
+	/** Pieces that the targets of each zone take in their next calls, for the zones that take work. */
+	readonly nextPieces: ReadonlyMap<string, number>;
 }
 
 /**
  * Orders the jobs that a target may take, most urgent first: jobs that can still meet their objective by their latest
- * start, then the others by their deadline. Late jobs whose other stages are mostly done count among the first. Jobs that would move many bytes between zones stay for nearer targets until
- * they run out of slack.
+ * start, then the others by their deadline. Late jobs whose other stages are mostly done count among the first. Jobs
+ * that would move many bytes between zones stay for nearer targets, unless they are short of time or the next calls of
+ * those targets are full.
  *
  * @example
- * orderJobs(jobs, {now, zone: 'riga-a', servedZones: ['riga-a', 'liepaja-a']});
+ * orderJobs(waiting, {now, zone: 'riga-a', nextPieces: new Map([['riga-a', 14], ['liepaja-a', 7]])});
  */
-export function orderJobs(jobs: readonly StageJob[], options: JobOrderOptions): OrderedJob[] {
-	const {now, zone, servedZones} = options;
-	return jobs
-		.filter(job => isNear(job, zone, servedZones) || isShortOfTime(job, now))
-		.map(job => ({job, isLate: isLate(job, now), key: rankKey(job, now)}))
+export function orderJobs(waiting: readonly WaitingJob[], {now, zone, nextPieces}: JobOrderOptions): OrderedJob[] {
+	const zones = [...nextPieces.keys()];
+	const left = new Map(nextPieces);
+	const ordered = waiting
+		.map(({job, pieces}) => ({
+			job, pieces, isLate: isLate(job, now), key: rankKey(job, now),
+		}))
 		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key);
+	return ordered.filter(({job, pieces}) => {
+		const near = zones.filter(other => isNear(job, other, zones));
+		const isCrowded = !takePieces(left, near, pieces);
+		return near.includes(zone) || near.length === 0 || isCrowded || isShortOfTime(job, now);
+	});
+}
+
+/** Takes pieces off what the zones can take next; false when they are full. */
+function takePieces(left: Map<string, number>, zones: readonly string[], pieces: number): boolean {
+	const zone = zones.toSorted((a, b) => left.get(b)! - left.get(a)!)[0];
+	if (zone === undefined || left.get(zone)! < pieces) {
+		return false;
+	}
+
+	left.set(zone, left.get(zone)! - pieces);
+	return true;
 }
 
 /** Waiting pieces of the jobs that go before another one. */
-export function piecesAhead(waiting: ReadonlyArray<{job: StageJob; pieces: number}>, next: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>, now: Ms): number {
+export function piecesAhead(waiting: ReadonlyArray<{job: RankedJob; pieces: number}>, next: RankedJob, now: Ms): number {
 	const isNextLate = next.startByMs < now;
 	const key = isNextLate ? next.deadlineMs : next.startByMs + (next.priority * rankMs);
 	return waiting.reduce((sum, {job, pieces}) => {
@@ -50,11 +78,11 @@
 }
 
 /** A late job that is committed is finished: its inputs hold room that others need. */
-function isLate(job: StageJob, now: Ms): boolean {
+export function isLate(job: RankedJob, now: Ms): boolean {
 	return job.startByMs < now && !job.isCommitted;
 }
 
-function rankKey(job: StageJob, now: Ms): Ms {
+function rankKey(job: RankedJob, now: Ms): Ms {
 	return isLate(job, now) ? job.deadlineMs : Math.max(now, job.startByMs) + (job.priority * rankMs);
 }
 
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -1,7 +1,8 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logs/index.js';
 import type {TargetRegistry} from '../registry/index.js';
-import type {ServiceDeclaration, StagePoolLimits} from '../routes/index.js';
+import type {ServiceDeclaration} from '../routes/index.js';
+import type {RankedJob} from './job-order.js';
 import {RepeatBudget, type RepeatLimits} from './repeat-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageJob, StageOutcome} from './stage-job.js';
@@ -48,7 +49,7 @@
 			logger,
 			onFreed: handle => {
 				for (const [service, {pool}] of this.#hosted) {
-					pool.freed(handle);
+					pool.freed(handle, clock.now());
 					this.#pump(service);
 				}
 			},
@@ -64,14 +65,23 @@
 		return this.options.clock.now();
 	}
 
-	limits(service: string): StagePoolLimits | undefined {
-		return this.options.service(service)?.stagePool;
+	expectedCallMs(service: string, pieces: number): Ms {
+		const limits = this.options.service(service)?.stagePool;
+		return this.#hosted.get(service)?.pool.expectedCallMs(pieces) ?? (limits ? limits.callMs + (limits.itemMs * Math.min(pieces, limits.batch)) : 0);
 	}
 
-	expectedWaitMs(service: string, job: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>): Ms {
+	expectedWaitMs(service: string, job: RankedJob): Ms {
 		return this.#hosted.get(service)?.pool.expectedWaitMs(this.now(), job) ?? 0;
 	}
 
+	announce(service: string, id: string, job: RankedJob, pieces: number): void {
+		this.#hosted.get(service)?.pool.announce(id, job, pieces);
+	}
+
+	withdraw(service: string, id: string): void {
+		this.#hosted.get(service)?.pool.withdraw(id);
+	}
+
 	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome> {
 		const declared = this.options.service(service);
 		if (!declared?.stagePool || signal.aborted) {
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -1,5 +1,5 @@
 import type {Ms} from '../clock/index.js';
-import type {StagePoolLimits} from '../routes/index.js';
+import type {RankedJob} from './job-order.js';
 import type {StageJob, StageOutcome, ZonePull} from './stage-job.js';
 import type {PlannedStage, StagePlan, StagesOutcome} from './stage-plan.js';
 
@@ -9,14 +9,20 @@
 /** What the run of a plan needs of its host. */
 export interface PlanHost {
 	now(): Ms;
-	limits(service: string): StagePoolLimits | undefined;
+	/** Expected time of a call with so many pieces of one job. */
+	expectedCallMs(service: string, pieces: number): Ms;
 	/** Time until a job of a stage is likely to start. */
-	expectedWaitMs(service: string, job: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>): Ms;
+	expectedWaitMs(service: string, job: RankedJob): Ms;
+	/** Tells a pool of a job that comes when the stages before it have ended. */
+	announce(service: string, id: string, job: RankedJob, pieces: number): void;
+	withdraw(service: string, id: string): void;
 	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome>;
 	zoneOf(handle: string): string | undefined;
 	free(handles: readonly string[]): void;
 }
 
+/** Time by which a plan has to be ahead of its objective to be run as on time: calls and engines vary by about this much. */
+const objectiveMarginMs: Ms = 150;
 /** Part of the whole path that is left when a request counts as committed. */
 const committedShare = 0.5;
 
@@ -41,7 +47,7 @@
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
 		this.#totalMs = Math.max(0, ...plan.stages.map((_, stage) => this.#pathMs(stage)));
-		this.#isOnTime = host.now() + this.#predictMs(plan.callByMs) <= plan.callByMs;
+		this.#isOnTime = host.now() + this.#predictMs(plan.callByMs) + objectiveMarginMs <= plan.callByMs;
 	}
 
 	/** Runs every stage. A failure of one ends the others. */
@@ -52,6 +58,7 @@
 			return {failure: 'overloaded', retryAfterMs: excessMs};
 		}
 
+		this.#announce();
 		const failed = new AbortController();
 		const stop = AbortSignal.any([signal, failed.signal]);
 		const outcomes = await Promise.all(plan.stages.map(async (_, stage) => {
@@ -62,6 +69,7 @@
 
 			return outcome;
 		}));
+		this.#withdraw();
 		const failures = outcomes.filter(outcome => 'failure' in outcome);
 		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
 		if (failure) {
@@ -77,6 +85,36 @@
 		};
 	}
 
+	#announce(): void {
+		for (const [stage, {service, pieces, after}] of this.plan.stages.entries()) {
+			if (pieces > 0 && after.length > 0) {
+				this.host.announce(service, this.#jobId(stage), this.#rank(stage), pieces);
+			}
+		}
+	}
+
+	#withdraw(): void {
+		for (const [stage, {service}] of this.plan.stages.entries()) {
+			this.host.withdraw(service, this.#jobId(stage));
+		}
+	}
+
+	#jobId(stage: number): string {
+		return `${this.id}/${stage}`;
+	}
+
+	/** What a stage's place in the queue follows from. */
+	#rank(stage: number): RankedJob {
+		const {priority, callByMs, deadlineMs} = this.plan;
+		const pathMs = this.#pathMs(stage);
+		return {
+			priority,
+			isCommitted: pathMs <= this.#totalMs * committedShare,
+			startByMs: this.#isOnTime ? callByMs - pathMs : -Infinity,
+			deadlineMs: deadlineMs - pathMs + this.#stageMs(stage),
+		};
+	}
+
 	async #start(stage: number, signal: AbortSignal): StageRun {
 		let run = this.#runs.get(stage);
 		if (!run) {
@@ -88,7 +126,7 @@
 	}
 
 	async #runStage(stage: number, signal: AbortSignal): StageRun {
-		const {attemptId, pieceKey, priority, callByMs, deadlineMs} = this.plan;
+		const {attemptId, pieceKey} = this.plan;
 		const {after, service, resultBytes, pieces} = this.#stage(stage);
 		const taken = await Promise.all(after.map(async other => this.#start(other, signal)));
 		const failure = taken.find(outcome => 'failure' in outcome);
@@ -101,9 +139,8 @@
 		}
 
 		const inputs = after.flatMap(other => this.#held.get(other) ?? []);
-		const pathMs = this.#pathMs(stage);
 		const outcome = await this.host.runJob(service, {
-			id: `${this.id}/${stage}`,
+			id: this.#jobId(stage),
 			attemptId,
 			stage,
 			pieces,
@@ -111,10 +148,7 @@
 			inputs,
 			resultBytes,
 			pulls: this.#pulls(stage),
-			priority,
-			isCommitted: pathMs <= this.#totalMs * committedShare,
-			startByMs: this.#isOnTime ? callByMs - pathMs : -Infinity,
-			deadlineMs: deadlineMs - pathMs + this.#stageMs(stage),
+			...this.#rank(stage),
 		}, signal);
 		if ('results' in outcome) {
 			this.#held.set(stage, outcome.results);
@@ -178,8 +212,7 @@
 	/** Expected time of one stage without waiting. */
 	#stageMs(stage: number): Ms {
 		const {pieces, service} = this.#stage(stage);
-		const limits = this.host.limits(service);
-		return pieces === 0 || !limits ? 0 : limits.callMs + (limits.itemMs * Math.min(pieces, limits.batch)) + stageTransferMs;
+		return pieces === 0 ? 0 : this.host.expectedCallMs(service, pieces) + stageTransferMs;
 	}
 
 	/** Expected time from the start of a stage to the start of the last call, without waiting. */
@@ -190,12 +223,20 @@
 	/** Expected time of all stages, waiting included, when the last call should start by a time. */
 	#predictMs(callByMs: Ms): Ms {
 		const {plan, host} = this;
-		const path = (stage: number): Ms => {
-			const {service, pieces} = this.#stage(stage);
-			const waitMs = pieces === 0 ? 0 : host.expectedWaitMs(service, {startByMs: callByMs - this.#pathMs(stage), priority: plan.priority, deadlineMs: plan.deadlineMs});
-			return waitMs + this.#stageMs(stage) + Math.max(0, ...this.#takers(stage).map(taker => path(taker)));
+		const endMs = (stage: number): Ms => {
+			const {service, pieces, after} = this.#stage(stage);
+			const readyMs = Math.max(0, ...after.map(other => endMs(other)));
+			if (pieces === 0) {
+				return readyMs;
+			}
+
+			// The work that waits now is worked off while the stages before this one run.
+			const waitMs = host.expectedWaitMs(service, {
+				startByMs: callByMs - this.#pathMs(stage), priority: plan.priority, deadlineMs: plan.deadlineMs, isCommitted: false,
+			});
+			return Math.max(readyMs, waitMs) + this.#stageMs(stage);
 		};
 
-		return Math.max(0, ...plan.stages.flatMap(({after}, stage) => after.length === 0 ? [path(stage)] : []));
+		return Math.max(0, ...plan.stages.map((_, stage) => endMs(stage)));
 	}
 }
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -1,6 +1,9 @@
 import type {Ms} from '../clock/index.js';
 import type {StagePoolLimits} from '../routes/index.js';
-import {orderJobs, piecesAhead} from './job-order.js';
+import {
+	isLate, orderJobs, piecesAhead, type RankedJob,
+} from './job-order.js';
+import {PoolRate} from './pool-rate.js';
 import type {RepeatBudget} from './repeat-budget.js';
 import type {
 	PieceResult, StageCallEnd, StageFailure, StageJob, StageOutcome,
@@ -13,9 +16,6 @@
 const callTimeoutFactor = 2.5;
 const callTimeoutSlackMs: Ms = 600;
 
-/** Time over which the rate of finished pieces is measured, and its least share of the possible rate. */
-const rateWindowMs: Ms = 1500;
-const leastRateShare = 0.3;
 /**
  * Part of the targets that may run calls without any on-time job, and part of a target's room kept for on-time jobs.
  * Late work that takes every slot and all room makes the jobs that arrive meanwhile late as well.
@@ -24,6 +24,7 @@
 const onTimeRoomShare = 0.5;
 /** A target this much slower than expected is not waited for. */
 const slowFactor = 2;
+const nearWaitMs: Ms = 150;
 
 /** One piece of a call. */
 export interface CalledPiece {
@@ -80,8 +81,10 @@
 	readonly #jobs = new Map<string, JobState>();
 	readonly #targets = new Map<string, StageTargetState>();
 	readonly #calls = new Map<number, RunningCall>();
+	/** Jobs of plans under way that will be submitted when the stages before them have ended. */
+	readonly #announced = new Map<string, {job: RankedJob; pieces: number}>();
+	readonly #rate = PoolRate.create();
 	#limits: StagePoolLimits;
-	#finished: Array<{at: Ms; pieces: number}> = [];
 	#nextCall = 1;
 
 	private constructor(private readonly options: StagePoolOptions) {
@@ -126,6 +129,7 @@
 	/** Takes a job; `onEnd` is called once, perhaps at once. */
 	submit(job: StageJob, onEnd: (outcome: StageOutcome) => void, now: Ms): void {
 		this.options.budget.requested(now);
+		this.#announced.delete(job.id);
 		if (this.#targets.size === 0) {
 			onEnd({failure: 'no_target', retryAfterMs: this.#limits.callMs});
 			return;
@@ -145,28 +149,38 @@
 	}
 
 	/** A result was freed or has lapsed at its maker. */
-	freed(handle: string): void {
+	freed(handle: string, now: Ms): void {
 		for (const target of this.#targets.values()) {
-			if (target.freed(handle)) {
+			if (target.freed(handle, now)) {
 				return;
 			}
 		}
 	}
 
-	/** Time until a new job's pieces are likely to start, from the jobs before it and the pieces finished lately. */
-	expectedWaitMs(now: Ms, job: Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs'>): Ms {
-		const ahead = piecesAhead([...this.#jobs.values()].map(state => ({job: state.job, pieces: state.waiting.length})), job, now);
-		const usable = [...this.#targets.values()].filter(target => target.isUsable(now)).length;
-		if (ahead === 0) {
-			return 0;
-		}
+	/** Counts a job that is likely to be submitted later. */
+	announce(id: string, job: RankedJob, pieces: number): void {
+		this.#announced.set(id, {job, pieces});
+	}
 
-		const {batch, callMs, itemMs} = this.#limits;
-		const possiblePerMs = (Math.max(1, usable) * batch) / (callMs + (batch * itemMs));
-		this.#finished = this.#finished.filter(({at}) => at >= now - rateWindowMs);
-		const finishedPerMs = this.#finished.reduce((sum, {pieces}) => sum + pieces, 0) / rateWindowMs;
-		const perMs = Math.min(possiblePerMs, Math.max(possiblePerMs * leastRateShare, finishedPerMs));
-		return ahead / (job.startByMs < now ? perMs * lateTargetShare : perMs);
+	/** Forgets an announced job. */
+	withdraw(id: string): void {
+		this.#announced.delete(id);
+	}
+
+	/** Expected time of a job's call, and of the wait for a target that is in the middle of another one. */
+	expectedCallMs(pieces: number): Ms {
+		const callMs = this.#rate.callMs(pieces, this.#limits);
+		return callMs + (this.#calls.size >= this.#targets.size ? callMs / (this.#targets.size + 1) : 0);
+	}
+
+	/** Time until a new job's pieces are likely to start: the work that goes before it, at the rate of the targets. */
+	expectedWaitMs(now: Ms, job: RankedJob): Ms {
+		const waiting = [...this.#jobs.values()].map(state => ({job: state.job, pieces: state.waiting.length}));
+		const ahead = piecesAhead([...waiting, ...this.#announced.values()], job, now);
+		const usable = [...this.#targets.values()].filter(target => target.isUsable(now));
+		const freeMs = Math.min(...usable.map(target => target.calls < this.#limits.slots ? 0 : target.freeAt(now) - now));
+		const perMs = job.startByMs < now ? this.#rate.sparePerMs(usable.length, this.#limits, now) : this.#rate.perMs(usable.length, this.#limits);
+		return (Number.isFinite(freeMs) ? freeMs : 0) + (ahead / perMs);
 	}
 
 	/**
@@ -188,6 +202,9 @@
 			const {pieces, isLate} = this.#choose(target, now);
 			if (pieces.length > 0) {
 				calls.push(this.#start(target, pieces, {now, isLate}));
+				this.#rate.called({
+					pieces: pieces.length, batch: this.#limits.batch, isPressed: this.backlog > 0, isLate,
+				}, now);
 			}
 		}
 
@@ -203,7 +220,6 @@
 
 		this.#calls.delete(callId);
 		const {call, startedMs, expectedMs} = running;
-		this.#finished.push({at: now, pieces: end.kind === 'done' ? call.pieces.length : 0});
 		const target = this.#targets.get(call.target.id);
 		target?.ended(call.id, {end: end.kind, tookMs: now - startedMs, expectedMs}, now);
 		if (end.kind === 'done' && end.results.some(result => 'problem' in result && result.problem === 'room')) {
@@ -213,7 +229,7 @@
 		for (const [index, piece] of call.pieces.entries()) {
 			const result: PieceResult = end.kind === 'done' ? end.results[index] ?? {problem: 'error'} : {problem: 'error'};
 			if ('handle' in result) {
-				target?.made(result.handle, piece.job.resultBytes, now + this.#limits.resultTtlMs);
+				target?.made(result.handle, piece.job.resultBytes, {now, lapsesMs: now + this.#limits.resultTtlMs});
 			}
 
 			this.#pieceEnded(piece, result, end, now);
@@ -232,8 +248,8 @@
 
 	#choose(target: StageTargetState, now: Ms): {pieces: CalledPiece[]; isLate: boolean} {
 		const waiting = [...this.#jobs.values()].filter(state => state.waiting.length > 0);
-		const jobs = orderJobs(waiting.map(state => state.job), {
-			now, zone: target.target.zone, servedZones: this.#servedZones(now),
+		const jobs = orderJobs(waiting.map(state => ({job: state.job, pieces: state.waiting.length})), {
+			now, zone: target.target.zone, nextPieces: this.#nextPieces(now),
 		});
 		if (jobs.length === 0 || this.#isTooSlow(target, now)) {
 			return {pieces: [], isLate: false};
@@ -241,7 +257,7 @@
 
 		const chosen: CalledPiece[] = [];
 		const mayStartLate = [...this.#calls.values()].filter(({call}) => call.isLate).length < Math.max(1, Math.floor(this.#targets.size * lateTargetShare));
-		let roomMb = target.freeRoomMb(this.#limits.roomMb, now);
+		let roomMb = target.freeRoomMb(this.#limits.roomMb, this.#rate.callMs(0, this.#limits), now);
 		let isLateCall = false;
 		for (const {job, isLate} of jobs) {
 			if (isLate && chosen.length === 0) {
@@ -294,9 +310,17 @@
 		return othersFinish < now + (callMs * slowness);
 	}
 
-	#servedZones(now: Ms): string[] {
-		const served = [...this.#targets.values()].filter(target => target.isUsable(now) && target.slowness(now) < slowFactor);
-		return [...new Set(served.map(target => target.target.zone))];
+	/** Pieces that the targets of each zone take in their next calls. */
+	#nextPieces(now: Ms): Map<string, number> {
+		const pieces = new Map<string, number>();
+		for (const target of this.#targets.values()) {
+			if (target.isUsable(now) && target.slowness(now) < slowFactor && target.freeAt(now) <= now + nearWaitMs) {
+				const {zone} = target.target;
+				pieces.set(zone, (pieces.get(zone) ?? 0) + this.#rate.piecesOfCall(this.#limits));
+			}
+		}
+
+		return pieces;
 	}
 
 	#start(target: StageTargetState, pieces: readonly CalledPiece[], {now, isLate}: {now: Ms; isLate: boolean}): StageCall {
@@ -352,9 +376,31 @@
 				this.#fail(state, 'late');
 			}
 		}
+
+		this.#dropHopeless(now);
+	}
+
+	/** Rejects late jobs that the spare rate does not reach before their deadline, while nothing of them has run. */
+	#dropHopeless(now: Ms): void {
+		const late = [...this.#jobs.values()].filter(state => state.waiting.length > 0 && isLate(state.job, now)).toSorted((a, b) => a.job.deadlineMs - b.job.deadlineMs);
+		if (late.length === 0) {
+			return;
+		}
+
+		const usable = [...this.#targets.values()].filter(target => target.isUsable(now)).length;
+		const perMs = Math.min(this.#rate.sparePerMs(usable, this.#limits, now), this.#rate.perMs(usable, this.#limits) * lateTargetShare);
+		let ahead = 0;
+		for (const state of late) {
+			const startMs = now + (ahead / perMs);
+			if (state.calling === 0 && startMs + this.#limits.callMs > state.job.deadlineMs) {
+				this.#fail(state, 'overloaded', startMs + this.#limits.callMs - state.job.deadlineMs);
+			} else {
+				ahead += state.waiting.length;
+			}
+		}
 	}
 
-	#fail(state: JobState, failure: StageFailure): void {
+	#fail(state: JobState, failure: StageFailure, retryAfterMs = this.#limits.callMs): void {
 		this.#jobs.delete(state.job.id);
 		for (const handle of state.results) {
 			if (handle !== undefined) {
@@ -362,6 +408,6 @@
 			}
 		}
 
-		state.onEnd({failure, retryAfterMs: this.#limits.callMs});
+		state.onEnd({failure, retryAfterMs});
 	}
 }
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -18,6 +18,10 @@
 const leastRoomShare = 0.15;
 const roomCut = 0.7;
 const roomGrowthPerMs = 0.000_15;
+/** Releases after which the usual time that results are held is known. */
+const leastReleases = 20;
+/** Weight of the latest result in the moving average of the time that results are held. */
+const heldSmoothing = 0.05;
 /** Time in which a measured slowness loses half of its weight, so that a target that gets no calls is tried again. */
 const slownessHalfLifeMs: Ms = 2000;
 /** Weight of the latest call in the moving average of the slowness. */
@@ -39,7 +43,10 @@
 	#roomShare = mostRoomShare;
 	#roomShareMs: Ms = 0;
 	readonly #calls = new Map<number, {roomMb: number; endsMs: Ms}>();
-	readonly #results = new Map<string, {mb: number; lapsesMs: Ms}>();
+	readonly #results = new Map<string, {mb: number; madeMs: Ms; lapsesMs: Ms}>();
+	/** Usual time between a result and its release. */
+	#heldMs: Ms = 0;
+	#releases = 0;
 	#pausedUntilMs: Ms = -Infinity;
 	#pauseMs: Ms = firstPauseMs;
 
@@ -68,8 +75,8 @@
 		return Math.max(now, ...[...this.#calls.values()].map(call => call.endsMs));
 	}
 
-	/** Memory that its results and calls in progress leave. */
-	freeRoomMb(roomMb: number, now: Ms): number {
+	/** Memory that its results and calls in progress leave at the end of a call of `callMs`. */
+	freeRoomMb(roomMb: number, callMs: Ms, now: Ms): number {
 		let used = 0;
 		for (const call of this.#calls.values()) {
 			used += call.roomMb;
@@ -78,7 +85,7 @@
 		for (const [handle, result] of this.#results) {
 			if (result.lapsesMs <= now) {
 				this.#results.delete(handle);
-			} else {
+			} else if (!this.#isFreedWithin(result.madeMs, callMs, now)) {
 				used += result.mb;
 			}
 		}
@@ -86,6 +93,12 @@
 		return (roomMb * this.#roomShareAt(now)) - used;
 	}
 
+	/** One that is already held longer than usual may stay for long. */
+	#isFreedWithin(madeMs: Ms, callMs: Ms, now: Ms): boolean {
+		const freedMs = madeMs + this.#heldMs;
+		return this.#releases >= leastReleases && freedMs >= now && freedMs <= now + callMs;
+	}
+
 	/** True when it holds no results and no call is in progress. */
 	get isEmpty(): boolean {
 		return this.#calls.size === 0 && this.#results.size === 0;
@@ -121,12 +134,21 @@
 	}
 
 	/** A result takes room until it is freed or lapses. */
-	made(handle: string, bytes: number, lapsesMs: Ms): void {
-		this.#results.set(handle, {mb: bytes / 1e6, lapsesMs});
+	made(handle: string, bytes: number, {now, lapsesMs}: {now: Ms; lapsesMs: Ms}): void {
+		this.#results.set(handle, {mb: bytes / 1e6, madeMs: now, lapsesMs});
 	}
 
 	/** True when the result was one of this target's. */
-	freed(handle: string): boolean {
-		return this.#results.delete(handle);
+	freed(handle: string, now: Ms): boolean {
+		const result = this.#results.get(handle);
+		if (!result) {
+			return false;
+		}
+
+		this.#results.delete(handle);
+		const heldMs = now - result.madeMs;
+		this.#heldMs += (this.#releases === 0 ? 1 : heldSmoothing) * (heldMs - this.#heldMs);
+		this.#releases++;
+		return true;
 	}
 }
--- /dev/null
+++ b/test/support/round-robin-stages.ts
@@ -0,0 +1,149 @@
+import type {Clock, Ms} from '../../src/clock/index.js';
+import type {
+	StageJob, StageOutcome, StagePlan, StageRunner, StagesOutcome, StageTarget, StageTargetPort,
+} from '../../src/pools/index.js';
+import type {TargetRegistry} from '../../src/registry/index.js';
+import type {StagePoolLimits} from '../../src/routes/index.js';
+
+/** Parts of the baseline. */
+export interface RoundRobinOptions {
+	readonly clock: Clock;
+	readonly port: StageTargetPort;
+	readonly registry: TargetRegistry;
+	readonly limits: (service: string) => StagePoolLimits;
+}
+
+type Queued = {job: StageJob; resolve: (outcome: StageOutcome) => void};
+
+type TargetQueue = {readonly target: StageTarget; readonly waiting: Queued[]; isBusy: boolean};
+
+/**
+ * A baseline to compare the stage pools with: jobs go to the targets in turn, each target has a queue in order of arrival
+ * and takes as many jobs in one call as fit, and nothing is rejected before its deadline.
+ *
+ * @example
+ * const outcome = await RoundRobinStages.create(options).run(plan, signal);
+ */
+export class RoundRobinStages implements StageRunner {
+	static create(options: RoundRobinOptions): RoundRobinStages {
+		return new RoundRobinStages(options);
+	}
+
+	readonly #queues = new Map<string, TargetQueue[]>();
+	readonly #turns = new Map<string, number>();
+
+	private constructor(private readonly options: RoundRobinOptions) {}
+
+	async run(plan: StagePlan): Promise<StagesOutcome> {
+		const runs = new Map<number, Promise<StageOutcome>>();
+		const start = async (stage: number): Promise<StageOutcome> => {
+			let run = runs.get(stage);
+			if (!run) {
+				run = this.#runStage(plan, stage, start);
+				runs.set(stage, run);
+			}
+
+			return run;
+		};
+
+		const outcomes = await Promise.all(plan.stages.map(async (_, stage) => start(stage)));
+		const isLast = (stage: number) => !plan.stages.some(other => other.after.includes(stage));
+		const failure = outcomes.find(outcome => 'failure' in outcome);
+		const handles = outcomes.map(outcome => 'results' in outcome ? outcome.results : []);
+		this.free(handles.filter((_, stage) => failure !== undefined || !isLast(stage)).flat());
+		return failure ?? {results: handles.flatMap((results, stage) => isLast(stage) ? results.map(handle => ({handle, zone: '', bytes: plan.stages[stage]!.resultBytes})) : [])};
+	}
+
+	free(handles: readonly string[]): void {
+		if (handles.length > 0) {
+			void this.options.port.free(this.options.port.makerOf(handles[0]!), handles);
+		}
+	}
+
+	async #runStage(plan: StagePlan, stage: number, start: (stage: number) => Promise<StageOutcome>): Promise<StageOutcome> {
+		const {service, after, pieces, resultBytes} = plan.stages[stage]!;
+		const taken = await Promise.all(after.map(async other => start(other)));
+		const failure = taken.find(outcome => 'failure' in outcome);
+		if (failure ?? pieces === 0) {
+			return failure ?? {results: []};
+		}
+
+		return this.#submit(service, {
+			id: `${plan.attemptId}/${stage}`,
+			attemptId: plan.attemptId,
+			stage,
+			pieces,
+			key: plan.pieceKey,
+			inputs: taken.flatMap(outcome => 'results' in outcome ? outcome.results : []),
+			resultBytes,
+			pulls: [],
+			priority: 0,
+			startByMs: plan.callByMs,
+			deadlineMs: plan.deadlineMs,
+			isCommitted: false,
+		});
+	}
+
+	async #submit(service: string, job: StageJob): Promise<StageOutcome> {
+		const {registry} = this.options;
+		let queues = this.#queues.get(service);
+		if (!queues) {
+			queues = registry.open(service).map(({entry}) => ({target: {id: entry.id, address: entry.address, zone: entry.zone}, waiting: [], isBusy: false}));
+			this.#queues.set(service, queues);
+		}
+
+		const turn = this.#turns.get(service) ?? 0;
+		this.#turns.set(service, turn + 1);
+		const queue = queues[turn % queues.length]!;
+		return new Promise(resolve => {
+			queue.waiting.push({job, resolve});
+			void this.#pump(service, queue);
+		});
+	}
+
+	async #pump(service: string, queue: TargetQueue): Promise<void> {
+		if (queue.isBusy || queue.waiting.length === 0) {
+			return;
+		}
+
+		const {clock, port, limits} = this.options;
+		const now: Ms = clock.now();
+		const {batch, callMs} = limits(service);
+		const chosen: Queued[] = [];
+		let pieces = 0;
+		while (queue.waiting.length > 0 && (chosen.length === 0 || pieces + queue.waiting[0]!.job.pieces <= batch)) {
+			const next = queue.waiting.shift()!;
+			if (now + callMs > next.job.deadlineMs) {
+				next.resolve({failure: 'late', retryAfterMs: callMs});
+				continue;
+			}
+
+			chosen.push(next);
+			pieces += next.job.pieces;
+		}
+
+		if (chosen.length === 0) {
+			return;
+		}
+
+		queue.isBusy = true;
+		const end = await port.run({
+			target: queue.target, pieces: chosen.flatMap(({job}) => Array.from({length: job.pieces}, (_, piece) => ({job, piece}))), timeoutMs: Infinity, now,
+		});
+		queue.isBusy = false;
+		let index = 0;
+		for (const {job, resolve} of chosen) {
+			const results = end.kind === 'done' ? end.results.slice(index, index + job.pieces) : [];
+			const handles = results.flatMap(result => 'handle' in result ? [result.handle] : []);
+			index += job.pieces;
+			if (handles.length === job.pieces) {
+				resolve({results: handles});
+			} else {
+				this.free(handles);
+				resolve({failure: 'failed', retryAfterMs: callMs});
+			}
+		}
+
+		void this.#pump(service, queue);
+	}
+}
