Rank a restarted VM by its own start, and leave plans to the next host

A member that is linked is now ranked by the start that it tells itself; the test failed before.

Untouched plans now go to the next host; a host that takes over plans with half of the room at first.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -86,7 +86,7 @@
 		type: z.literal('stage-results'), id, results: z.array(z.strictObject({handle, zone: z.string().max(200), bytes: z.number()})).max(maxPieces),
 	}),
 	z.strictObject({
-		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded']), retryAfterMs: z.number().nonnegative(),
+		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded', 'host_left']), retryAfterMs: z.number().nonnegative(),
 	}),
 	z.strictObject({type: z.literal('stage-cancel'), id}),
 	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -1,5 +1,5 @@
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import {Registry} from 'prom-client';
 import {ManualClock, SystemClock} from '../clock/index.js';
@@ -76,6 +76,20 @@
 		expect(leaderOf(oldest)).toBe('e');
 	});
 
+	// Pattern: a leader restarts while the store cannot be reached, so that the list still names its earlier start.
+	it('ranks a restarted member by its own word, not by an older record of it', async () => {
+		const restarted = await start('p', '5');
+		list.put({
+			id: 'p', zone: 'riga-a', role: 'entry', address: `127.0.0.1:${restarted.port}`, startId: '1', state: 'live',
+		});
+		const second = await start('q', '2');
+		const third = await start('r', '3');
+		await until(() => third.linkedShare === 1 && second.linkedShare === 1);
+		const reads = vi.spyOn(list, 'list');
+		await until(() => reads.mock.calls.length > meshes.length * 2);
+		expect([leaderOf(third), leaderOf(second), leaderOf(restarted)]).toEqual(['q', 'itself', 'q']);
+	});
+
 	it('finds its leader behind lost members that the list still names', async () => {
 		for (const [index, name] of ['w', 'x', 'y', 'z'].entries()) {
 			list.put({
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -182,7 +182,8 @@
 	/** Names in the order of their starts, the longest-running first; this entry VM comes last while it shuts down. */
 	#rank(): readonly string[] {
 		const {self} = this.options;
-		const starts = this.#membership.members().map(({name, startId}) => ({name, startId: startId ?? unknownStart}));
+		// A linked member tells its start itself; the list may still name an earlier one.
+		const starts = this.#membership.members().map(({name, startId}) => ({name, startId: this.#links.byName(name)?.peer.incarnation ?? startId ?? unknownStart}));
 		starts.push({name: self.name, startId: this.#isLeaving ? unknownStart : self.incarnation});
 		return starts
 			.filter(({startId}) => !this.#leaving.has(startId))
--- a/src/pools/linked-stages.ts
+++ b/src/pools/linked-stages.ts
@@ -10,6 +10,8 @@
 /** Longest time after the start for which a plan waits for the host to be known, and how often it looks. */
 const settleMs: Ms = 3000;
 const settleCheckMs: Ms = 50;
+/** Time without plans of its own or of others after which an entry VM that hosts again counts as having taken over. */
+const takeoverQuietMs: Ms = 3000;
 /** Handles in one message. */
 const handlesPerMessage = 1000;
 
@@ -29,6 +31,9 @@
 	}
 
 	readonly #startedMs: Ms;
+	/** Times of the latest plan that was sent to another host, and of the latest one that ran here. */
+	#askedMs: Ms = -Infinity;
+	#hostedMs: Ms = -Infinity;
 
 	readonly #replies: PendingReplies<StagesOutcome>;
 	/** Plans of others that run here, by link and id. */
@@ -56,25 +61,34 @@
 			}
 
 			const link = this.mesh()?.leader();
-			if (!link) {
-				return this.host.run(plan, signal);
-			}
-
-			const outcome = await this.#ask(link, plan, signal);
-			if (typeof outcome !== 'string') {
-				return outcome;
+			if (link) {
+				this.#askedMs = this.clock.now();
+			} else {
+				this.#hosts();
 			}
 
+			const outcome = link ? await this.#ask(link, plan, signal) : await this.host.run(plan, signal);
 			if (outcome === 'timeout') {
 				return {failure: 'late', retryAfterMs: 0};
 			}
 
-			this.logger.warn('Lost the host of the stage pools; asking the next one.', {id: plan.attemptId, host: link.peer.name, cause: outcome});
+			if (typeof outcome !== 'string' && !('failure' in outcome && outcome.failure === 'host_left')) {
+				return outcome;
+			}
+
+			this.logger.warn('Lost the host of the stage pools; asking the next one.', {id: plan.attemptId, host: link?.peer.name, cause: typeof outcome === 'string' ? outcome : 'host_left'});
 		}
 
 		return {failure: 'failed', retryAfterMs: 0};
 	}
 
+	/** Leaves the plans of which nothing has been started to the next host, when there is one. */
+	leave(): void {
+		if (this.mesh()?.leader()) {
+			this.host.leave();
+		}
+	}
+
 	free(handles: readonly string[]): void {
 		const link = this.mesh()?.leader();
 		for (let at = 0; at < handles.length; at += handlesPerMessage) {
@@ -130,6 +144,16 @@
 		this.#hosted.delete(link);
 	}
 
+	/** Notices that this entry VM became the host in place of another one. */
+	#hosts(): void {
+		const now = this.clock.now();
+		if (this.#askedMs > this.#hostedMs && now - this.#hostedMs >= takeoverQuietMs) {
+			this.host.takeOver();
+		}
+
+		this.#hostedMs = now;
+	}
+
 	async #ask(link: Link, plan: StagePlan, signal: AbortSignal): Promise<StagesOutcome | 'timeout' | 'link_lost' | 'unsent'> {
 		const now = this.clock.now();
 		const {callByMs, deadlineMs, pieceKey, stages, ...fields} = plan;
@@ -160,6 +184,7 @@
 	}
 
 	async #runFor(link: Link, message: StageMessage & {type: 'stage-plan'}): Promise<void> {
+		this.#hosts();
 		const {id, type, callInMs, deadlineInMs, pieceKey, ...fields} = message;
 		const now = this.clock.now();
 		const controller = new AbortController();
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -39,7 +39,9 @@
 
 	readonly #hosted = new Map<string, Hosted>();
 	readonly #releaser: ResultReleaser;
+	readonly #runs = new Set<StagePlanRun>();
 	#plans = 0;
+	#tookOverMs: Ms = -Infinity;
 
 	private constructor(private readonly options: PoolHostOptions) {
 		const {clock, port, logger} = options;
@@ -58,7 +60,30 @@
 
 	async run(plan: StagePlan, signal: AbortSignal): Promise<StagesOutcome> {
 		this.#plans++;
-		return StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#plans}`).run(signal);
+		const run = StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#plans}`);
+		this.#runs.add(run);
+		const outcome = await run.run(signal);
+		this.#runs.delete(run);
+		return outcome;
+	}
+
+	/** Takes the stage pools over from another host, whose plans may still hold results. */
+	takeOver(): void {
+		this.#tookOverMs = this.now();
+		this.options.logger.info('Takes the stage pools over.', {pools: this.#hosted.size});
+		for (const {pool} of this.#hosted.values()) {
+			pool.expectForeignResults(this.#tookOverMs);
+		}
+	}
+
+	/** Ends plans of which nothing has been started, so that the next host takes them; the others go on here. */
+	leave(): void {
+		const moved = [...this.#runs].filter(run => run.moveIfUntouched()).length;
+		this.options.logger.info('Leaves its stage pools to the next host.', {moved, kept: this.#runs.size - moved});
+	}
+
+	isUntouched(service: string, id: string): boolean {
+		return this.#hosted.get(service)?.pool.isUntouched(id) ?? true;
 	}
 
 	now(): Ms {
@@ -138,6 +163,11 @@
 			isPumping: false,
 		};
 		this.#hosted.set(declared.name, hosted);
+		this.#updateTargets(declared.name, hosted.pool);
+		if (this.now() - this.#tookOverMs < declared.stagePool!.resultTtlMs) {
+			hosted.pool.expectForeignResults(this.now());
+		}
+
 		return hosted;
 	}
 
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -34,8 +34,8 @@
 	readonly isCommitted: boolean;
 }
 
-/** Why a job ended without results. */
-export type StageFailure = 'late' | 'input_gone' | 'no_target' | 'failed' | 'cancelled' | 'overloaded';
+/** Why a job or a plan ended without results. `host_left` tells that nothing of it was started. */
+export type StageFailure = 'late' | 'input_gone' | 'no_target' | 'failed' | 'cancelled' | 'overloaded' | 'host_left';
 
 /** How a job ended: a result for each piece, in order, or a reason and the time after which a retry may succeed. */
 export type StageOutcome = {readonly results: readonly string[]} | {readonly failure: StageFailure; readonly retryAfterMs: Ms};
--- a/src/pools/stage-plan-run.test.ts
+++ b/src/pools/stage-plan-run.test.ts
@@ -14,6 +14,7 @@
 	readonly announced = new Map<string, number>();
 	readonly answers = new Map<string, (job: StageJob) => StageOutcome>();
 	waitMs = 0;
+	isIdle = true;
 
 	now() {
 		return 0;
@@ -27,6 +28,10 @@
 		this.announced.set(`${service} ${id}`, pieces);
 	}
 
+	isUntouched() {
+		return this.isIdle;
+	}
+
 	withdraw(service: string, id: string) {
 		this.announced.delete(`${service} ${id}`);
 	}
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -16,6 +16,8 @@
 	/** Tells a pool of a job that comes when the stages before it have ended. */
 	announce(service: string, id: string, job: RankedJob, pieces: number): void;
 	withdraw(service: string, id: string): void;
+	/** True while no piece of a job has been in a call. */
+	isUntouched(service: string, id: string): boolean;
 	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageOutcome>;
 	zoneOf(handle: string): string | undefined;
 	free(handles: readonly string[]): void;
@@ -44,6 +46,7 @@
 	readonly #runs = new Map<number, StageRun>();
 	readonly #isOnTime: boolean;
 	readonly #totalMs: Ms;
+	readonly #moved = new AbortController();
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
 		this.#totalMs = Math.max(0, ...plan.stages.map((_, stage) => this.#pathMs(stage)));
@@ -60,7 +63,7 @@
 
 		this.#announce();
 		const failed = new AbortController();
-		const stop = AbortSignal.any([signal, failed.signal]);
+		const stop = AbortSignal.any([signal, failed.signal, this.#moved.signal]);
 		const outcomes = await Promise.all(plan.stages.map(async (_, stage) => {
 			const outcome = await this.#start(stage, stop);
 			if ('failure' in outcome) {
@@ -77,7 +80,7 @@
 				this.#free(stage);
 			}
 
-			return failure;
+			return this.#moved.signal.aborted ? {failure: 'host_left', retryAfterMs: 0} : failure;
 		}
 
 		return {
@@ -85,6 +88,16 @@
 		};
 	}
 
+	/** Ends the plan for another host to run it, unless something of it has been started; tells whether it did. */
+	moveIfUntouched(): boolean {
+		const isUntouched = this.#held.size === 0 && this.plan.stages.every(({service}, stage) => this.host.isUntouched(service, this.#jobId(stage)));
+		if (isUntouched) {
+			this.#moved.abort();
+		}
+
+		return isUntouched;
+	}
+
 	#announce(): void {
 		for (const [stage, {service, pieces, after}] of this.plan.stages.entries()) {
 			if (pieces > 0 && after.length > 0) {
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -126,6 +126,13 @@
 		}
 	}
 
+	/** Plans with less room for a while: an earlier host's plans still hold results. */
+	expectForeignResults(now: Ms): void {
+		for (const target of this.#targets.values()) {
+			target.expectForeignResults(now);
+		}
+	}
+
 	/** Takes a job; `onEnd` is called once, perhaps at once. */
 	submit(job: StageJob, onEnd: (outcome: StageOutcome) => void, now: Ms): void {
 		this.options.budget.requested(now);
@@ -140,6 +147,12 @@
 		});
 	}
 
+	/** True while no piece of a job has been in a call. */
+	isUntouched(id: string): boolean {
+		const state = this.#jobs.get(id);
+		return !state || state.tries.every(tries => tries === 0);
+	}
+
 	/** Drops a job whose results are not needed; pieces in a call end there and are told as unused. */
 	cancel(id: string): void {
 		const state = this.#jobs.get(id);
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -15,6 +15,8 @@
 const maxPauseMs: Ms = 4000;
 /** Bounds of the part of the room that is planned with, its cut after a call without room, and its growth in a ms. */
 const mostRoomShare = 0.95;
+/** Part planned with after a change of hosts, while results of the host before are still held. */
+const takeoverRoomShare = 0.5;
 const leastRoomShare = 0.15;
 const roomCut = 0.7;
 const roomGrowthPerMs = 0.000_15;
@@ -110,6 +112,12 @@
 		this.#roomShareMs = now;
 	}
 
+	/** Another host's results may take part of the room for a while. */
+	expectForeignResults(now: Ms): void {
+		this.#roomShare = Math.min(this.#roomShareAt(now), takeoverRoomShare);
+		this.#roomShareMs = now;
+	}
+
 	#roomShareAt(now: Ms): number {
 		return Math.min(mostRoomShare, this.#roomShare + ((now - this.#roomShareMs) * roomGrowthPerMs));
 	}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -205,6 +205,7 @@
 		const startedMs = clock.now();
 		this.#lifecycle.send({type: 'SHUTDOWN'});
 		this.#mesh?.leave();
+		this.#linked.leave();
 		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#linked.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
 			await clock.sleep(drainCheckMs);
