Plan again with all room of results that are usually freed; log plans without results

The host of the pools now logs each plan that ended without results, with the predicted time, the time left and what waited, so that a rejection can be followed to its inputs.

--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -64,6 +64,18 @@
 		this.#runs.add(run);
 		const outcome = await run.run(signal);
 		this.#runs.delete(run);
+		if ('failure' in outcome && outcome.failure !== 'cancelled') {
+			this.options.logger.info('Ended a plan without results.', {
+				id: plan.attemptId,
+				failure: outcome.failure,
+				retry_after_ms: Math.round(outcome.retryAfterMs),
+				call_in_ms: Math.round(plan.callByMs - this.now()),
+				deadline_in_ms: Math.round(plan.deadlineMs - this.now()),
+				predicted_ms: Math.round(run.predictedMs),
+				backlog: Object.fromEntries(this.load().map(({service, backlog}) => [service, backlog])),
+			});
+		}
+
 		return outcome;
 	}
 
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -42,6 +42,8 @@
 		return new StagePlanRun(host, plan, id);
 	}
 
+	/** Expected time of all stages, as of the start. */
+	readonly predictedMs: Ms;
 	readonly #held = new Map<number, readonly string[]>();
 	readonly #runs = new Map<number, StageRun>();
 	readonly #isOnTime: boolean;
@@ -50,7 +52,8 @@
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
 		this.#totalMs = Math.max(0, ...plan.stages.map((_, stage) => this.#pathMs(stage)));
-		this.#isOnTime = host.now() + this.#predictMs(plan.callByMs) + objectiveMarginMs <= plan.callByMs;
+		this.predictedMs = this.#predictMs(plan.callByMs);
+		this.#isOnTime = host.now() + this.predictedMs + objectiveMarginMs <= plan.callByMs;
 	}
 
 	/** Runs every stage. A failure of one ends the others. */
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -20,8 +20,6 @@
 const leastRoomShare = 0.15;
 const roomCut = 0.7;
 const roomGrowthPerMs = 0.000_15;
-/** Part of the results that are usually freed during a call whose room is planned with: their times vary. */
-const freedShare = 0.5;
 /** Releases after which the usual time that results are held is known. */
 const leastReleases = 20;
 /** Weight of the latest result in the moving average of the time that results are held. */
@@ -89,8 +87,8 @@
 		for (const [handle, result] of this.#results) {
 			if (result.lapsesMs <= now) {
 				this.#results.delete(handle);
-			} else {
-				used += result.mb * (this.#isFreedWithin(result.madeMs, callMs, now) ? 1 - freedShare : 1);
+			} else if (!this.#isFreedWithin(result.madeMs, callMs, now)) {
+				used += result.mb;
 			}
 		}
 
