--- a/src/links/link-message.test.ts
+++ b/src/links/link-message.test.ts
@@ -1,4 +1,6 @@
+import fc from 'fast-check';
 import {expect, test} from 'vitest';
+import {LinkError} from './link-error.js';
 import {decodeLinkMessage, encodeLinkMessage, linkMessageTypes} from './link-message.js';
 import {packWire} from './wire.js';
 
@@ -33,3 +35,20 @@
 ])('a message with %s is refused', (_name, bytes) => {
 	expect(() => decodeLinkMessage(bytes)).toThrow('Cannot read a message');
 });
+
+// Guards against a payload of a faulty peer that ends the process instead of the link.
+test('any payload is a message, unknown, or a malformed frame', () => {
+	const body = fc.dictionary(fc.string({maxLength: 12}), fc.anything({maxDepth: 2, withDate: false}));
+	const envelope = fc.tuple(fc.integer({min: -1, max: linkMessageTypes.length + 1}), fc.oneof(body, fc.array(fc.anything({maxDepth: 1}), {maxLength: 9})), fc.anything({maxDepth: 1})).map(value => packWire(value));
+	fc.assert(fc.property(fc.oneof(envelope, fc.uint8Array()), payload => {
+		let decoded: ReturnType<typeof decodeLinkMessage>;
+		try {
+			decoded = decodeLinkMessage(payload);
+		} catch (err) {
+			expect(err).toBeInstanceOf(LinkError);
+			return;
+		}
+
+		expect(decoded === undefined || linkMessageTypes.includes(decoded.message.type)).toBe(true);
+	}), {seed: 41, numRuns: 3000});
+});
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -5,7 +5,7 @@
 const fewBytes = 256 * 1024;
 /** A job this close to its latest start takes any target. */
 const anyZoneSlackMs: Ms = 250;
-/** Head start of each rank over the next, in ms of slack. */
+/** Head start of each rank over the next, in ms of slack: half of the users' objectives, so that the more important kind goes first in an overload. */
 const rankMs: Ms = 1000;
 
 /** What a job's place in the order follows from. */
@@ -77,7 +77,7 @@
 	}, 0);
 }
 
-/** A late job that is committed is finished: its inputs hold room that others need. */
+/** True when a job can no longer meet its objective. A committed one is finished all the same: its inputs hold room that others need. */
 export function isLate(job: RankedJob, now: Ms): boolean {
 	return job.startByMs < now && !job.isCommitted;
 }
--- a/src/pools/linked-stages.ts
+++ b/src/pools/linked-stages.ts
@@ -64,7 +64,7 @@
 			if (link) {
 				this.#askedMs = this.clock.now();
 			} else {
-				this.#hosts();
+				this.#noteHosting();
 			}
 
 			const outcome = link ? await this.#ask(link, plan, signal) : await this.host.run(plan, signal);
@@ -145,7 +145,7 @@
 	}
 
 	/** Notices that this entry VM became the host in place of another one. */
-	#hosts(): void {
+	#noteHosting(): void {
 		const now = this.clock.now();
 		if (this.#askedMs > this.#hostedMs && now - this.#hostedMs >= takeoverQuietMs) {
 			this.host.takeOver();
@@ -184,7 +184,7 @@
 	}
 
 	async #runFor(link: Link, message: StageMessage & {type: 'stage-plan'}): Promise<void> {
-		this.#hosts();
+		this.#noteHosting();
 		const {id, type, callInMs, deadlineInMs, pieceKey, ...fields} = message;
 		const now = this.clock.now();
 		const controller = new AbortController();
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -24,6 +24,7 @@
 const onTimeRoomShare = 0.5;
 /** A target this much slower than expected is not waited for. */
 const slowFactor = 2;
+/** A target near a job's inputs is waited for when it is free within this time, about half of a call's fixed part. */
 const nearWaitMs: Ms = 150;
 
 /** One piece of a call. */
@@ -393,7 +394,7 @@
 		this.#dropHopeless(now);
 	}
 
-	/** Rejects late jobs that the spare rate does not reach before their deadline, while nothing of them has run. */
+	/** Rejects late jobs outside a call that spare capacity does not reach before their deadline. */
 	#dropHopeless(now: Ms): void {
 		const late = [...this.#jobs.values()].filter(state => state.waiting.length > 0 && isLate(state.job, now)).toSorted((a, b) => a.job.deadlineMs - b.job.deadlineMs);
 		if (late.length === 0) {
