Read the store at one entry VM of each cell and pass its news on

Members of a fleet are now divided into cells (fleet up to 24, region up to 48, else zone); the leader of a cell reads and passes on what changes something, the others read the store while they get no news. The ranking of members was computed once for each member at each tick (N^2 log N); it is cached by the version of the members.

Ruled out: a cell for a zone of a small fleet (one target of a pool in each zone). Large records are not sent along, since links of small VMs are slow; their readers take them from the store.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -6,10 +6,11 @@
 const count = z.number().int().nonnegative();
 const name = z.string().min(1).max(200);
 const id = count;
-// Limits that protect against a faulty peer: stages of a plan, pieces of a stage, and result handles in a message.
+// Limits that protect against a faulty peer: stages of a plan, pieces of a stage, result handles in a message, and records in news.
 const maxStages = 50;
 const maxPieces = 10_000;
 const maxHandles = 50_000;
+const maxNewsRecords = 20_000;
 const handle = z.string().min(1).max(200);
 
 /** Encoded digest. Names are replaced by indexes into a table that grows over the session. */
@@ -92,6 +93,10 @@
 	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
 	// The sender is shutting down: it completes the work that it has accepted and accepts no more.
 	z.strictObject({type: z.literal('leaving')}),
+	// What the sender has read from a topic of the store, by key; a record without a value deletes its key.
+	z.strictObject({
+		type: z.literal('topic-news'), topic: name, from: count, next: count, outageMs: z.number().nonnegative(), records: z.array(z.tuple([z.string().max(1000), z.custom<Uint8Array | null>(value => value === null || value instanceof Uint8Array)])).max(maxNewsRecords),
+	}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/membership.ts
+++ b/src/links/membership.ts
@@ -60,11 +60,17 @@
 	}
 
 	readonly #entries = new Map<string, MemberEntry>();
+	#version = 0;
 	/** Cached gateways by zone, cleared on each change: they are read several times a second. */
 	readonly #gateways = new Map<string, readonly string[]>();
 
 	private constructor(private readonly self: LinkIdentity, private readonly events: EventRecorder) {}
 
+	/** Increases with each change of a member, so that what is derived from the members can be cached. */
+	get version(): number {
+		return this.#version;
+	}
+
 	/** Returns every member that is not gone. */
 	members(): readonly Member[] {
 		return [...this.#entries.values()].filter(entry => entry.lifecycle.state !== 'gone').map(entry => toMember(entry));
@@ -93,7 +99,6 @@
 				entry.startId = vm.startId;
 			}
 
-			this.#gateways.clear();
 			// A configured address takes precedence over the listed one.
 			if (!entry.isConfigured) {
 				entry.address = address;
@@ -102,6 +107,8 @@
 			this.#sendEvent(entry, {type: 'LISTED'});
 		}
 
+		this.#changed();
+
 		for (const entry of this.#entries.values()) {
 			if (!listed.has(entry.name)) {
 				entry.isListed = false;
@@ -118,7 +125,7 @@
 		}
 
 		entry.zone = peer.zone;
-		this.#gateways.clear();
+		this.#changed();
 		entry.incarnation = peer.incarnation;
 		entry.startId = peer.incarnation;
 		this.#sendEvent(entry, {type: 'LINKED'});
@@ -191,7 +198,7 @@
 		const before = entry.lifecycle.state;
 		entry.lifecycle.send(event);
 		if (entry.lifecycle.state !== before) {
-			this.#gateways.clear();
+			this.#changed();
 			this.events.record({kind: 'member_state', target: entry.name, detail: `${before} to ${entry.lifecycle.state}`});
 		}
 
@@ -199,6 +206,11 @@
 			this.#entries.delete(entry.name);
 		}
 	}
+
+	#changed(): void {
+		this.#version++;
+		this.#gateways.clear();
+	}
 }
 
 function toMember(entry: MemberEntry): Member {
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -35,10 +35,10 @@
 	readonly connect: (address: ListenAddress) => LinkSocket;
 	readonly distanceTo: (zone: string) => LinkDistance;
 	/**
-	 * Selects the members that this entry VM needs a link to; it then always dials them itself. By default these are the
-	 * members of its zone and, at a gateway, the gateways of other zones.
+	 * Returns the names of the members that this entry VM needs a link to; it then always dials them itself. By default
+	 * these are the members of its zone and, at a gateway, the gateways of other zones.
 	 */
-	readonly needsLink?: (name: string) => boolean;
+	readonly neededNames?: () => readonly string[];
 	/** Heartbeat interval, by default `pingIntervalMs`; must be the same at every entry VM. */
 	readonly pingMs?: Ms;
 	readonly onUp: (link: Link) => void;
@@ -146,9 +146,9 @@
 
 	/** Returns the members that this entry VM needs a link to. Members of unknown zone are dialled to learn their zone. */
 	#neededMembers(): Member[] {
-		const {membership, self, needsLink} = this.options;
-		if (needsLink) {
-			return membership.members().filter(member => needsLink(member.name));
+		const {membership, self, neededNames} = this.options;
+		if (neededNames) {
+			return neededNames().flatMap(name => membership.get(name) ?? []);
 		}
 
 		const {isGateway} = membership;
@@ -177,7 +177,7 @@
 				this.#dials.set(member.name, dial);
 			}
 
-			const isDialler = this.options.needsLink !== undefined || this.options.self.name < member.name || now - this.#startedMs < startupDialMs || now - dial.missingSinceMs >= fallbackDialDelayMs;
+			const isDialler = this.options.neededNames !== undefined || this.options.self.name < member.name || now - this.#startedMs < startupDialMs || now - dial.missingSinceMs >= fallbackDialDelayMs;
 			if (isDialler && !dial.link && now >= dial.dueMs) {
 				this.#dial(member.name, member.address, dial);
 			}
@@ -304,9 +304,9 @@
 	#closeUnneeded(now: Ms): void {
 		const needed = new Set(this.#neededMembers().map(member => member.name));
 		for (const [name, link] of this.#links) {
-			// Only the end that dialled closes a link, since only it knows why the link was needed. With `needsLink`, a link in
+			// Only the end that dialled closes a link, since only it knows why the link was needed. With `neededNames`, a link in
 			// use stays open, since the other end may need it.
-			if (needed.has(name) || link.role === 'server' || (this.options.needsLink && now - link.lastUsedMs < unneededGraceMs)) {
+			if (needed.has(name) || link.role === 'server' || (this.options.neededNames && now - link.lastUsedMs < unneededGraceMs)) {
 				this.#unneededSince.delete(name);
 				continue;
 			}
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -36,6 +36,7 @@
 			logger: silentLoggerFactory('links'),
 			events: EventRing.create({process: name, clock}),
 			distanceTo: () => 'same_zone',
+			regionOf: () => 'riga',
 			onMessage: () => undefined,
 			onLost: () => undefined,
 		});
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -5,12 +5,13 @@
 import type {PartLogger} from '../logging/index.js';
 import type {Random} from '../random/index.js';
 import type {VmList} from '../vms/index.js';
+import {CellMap} from './cell-map.js';
 import {dialLink} from './dial-link.js';
 import {LinkMetrics, type LinkDistance} from './link-metrics.js';
 import type {LinkIdentity} from './link-identity.js';
 import type {LinkKey} from './link-key.js';
 import {LinkListener} from './link-listener.js';
-import type {LinkMessage} from './link-message.js';
+import {encodeLinkMessage, type LinkMessage} from './link-message.js';
 import type {Link} from './link.js';
 import {Membership} from './membership.js';
 import {PeerLinks} from './peer-links.js';
@@ -43,14 +44,18 @@
 	readonly logger: PartLogger;
 	readonly events: EventRecorder;
 	readonly distanceTo: (zone: string) => LinkDistance;
+	readonly regionOf: (zone: string) => string | undefined;
 	readonly onMessage: (link: Link, message: LinkMessage) => void;
 	readonly onLost: (link: Link) => void;
 }
 
+/** Own cell: its key, and the names of its members in the order of succession, this entry VM included. */
+type OwnCell = {readonly cells: CellMap; readonly key: string; readonly names: readonly string[]};
+
 /**
- * Links a relaying entry VM to the others and elects the leader that hosts the stage pools. The member that has
- * run longest leads, so that a newly started one takes no work over from a working leader. A member that is shutting
- * down cannot lead.
+ * Links a relaying entry VM to the others of its cell and elects the leader of the cell, which hosts the stage pools. The
+ * member that has run longest leads, so that a newly started one takes no work over from a working leader. A member that
+ * is shutting down cannot lead.
  *
  * @example
  * const leader = mesh.leader();
@@ -70,6 +75,9 @@
 	readonly #vmList: VmListPoller;
 	/** Incarnations that announced their shutdown. */
 	readonly #leavingIncarnations = new Set<string>();
+	/** Cached cell and the version of the members that it was derived from. */
+	#cell: OwnCell | undefined;
+	#cellVersion = -1;
 	#isLeaving = false;
 	#hasList = false;
 	#listener: LinkListener | undefined;
@@ -82,7 +90,7 @@
 			membership: this.#membership,
 			metrics: LinkMetrics.create(options.registry),
 			connect: address => dialLink(address),
-			needsLink: name => this.#needsLink(name),
+			neededNames: () => this.#neededNames(),
 			pingMs: leaderPingMs,
 			onUp: link => {
 				if (this.#isLeaving) {
@@ -92,6 +100,7 @@
 			onMessage: (link, message) => {
 				if (message.type === 'leaving') {
 					this.#leavingIncarnations.add(link.peer.incarnation);
+					this.#cell = undefined;
 					options.logger.info('A peer is shutting down and can no longer lead.', {peer: link.peer.name});
 				} else {
 					options.onMessage(link, message);
@@ -125,20 +134,34 @@
 		return this.#membership.members().length + 1;
 	}
 
-	/** Share of the members that are linked, from 0 to 1; this entry VM counts as linked. */
+	/** Share of the members of the cell that are linked, from 0 to 1; this entry VM counts as linked. */
 	get linkedShare(): number {
-		const members = this.#membership.members();
-		return (members.filter(member => this.#links.byName(member.name)).length + 1) / (members.length + 1);
+		const {names} = this.#ownCell();
+		return names.filter(name => name === this.options.self.name || this.#links.byName(name)).length / names.length;
 	}
 
-	/** True once this entry VM has read a non-empty VM list and either has a link or knows no other member. */
+	/** True once this entry VM has read a non-empty VM list and either has a link or knows no other member of its cell. */
 	get isSettled(): boolean {
-		return this.#hasList && (this.#membership.members().length === 0 || this.#links.up().length > 0);
+		return this.#hasList && (this.#ownCell().names.length === 1 || this.#links.up().length > 0);
+	}
+
+	/** Whether a zone belongs to the cell of this entry VM. */
+	isInCell(zone: string): boolean {
+		const {cells, key} = this.#ownCell();
+		return cells.of(zone) === key;
+	}
+
+	/** Sends a message on every link; it is encoded once. */
+	broadcast(message: LinkMessage): void {
+		const payload = encodeLinkMessage(message);
+		for (const link of this.#links.up()) {
+			link.sendPayload(message.type, payload);
+		}
 	}
 
 	/** Returns the link to the leader; `undefined` when no linked member ranks before this entry VM, which then leads. */
 	leader(): Link | undefined {
-		for (const name of this.#rankByStart()) {
+		for (const name of this.#ownCell().names) {
 			if (name === this.options.self.name) {
 				return undefined;
 			}
@@ -155,6 +178,7 @@
 	/** Announces to the others that this entry VM is shutting down. */
 	leave(): void {
 		this.#isLeaving = true;
+		this.#cell = undefined;
 		for (const link of this.#links.up()) {
 			link.send({type: 'leaving'});
 		}
@@ -168,35 +192,42 @@
 	}
 
 	/**
-	 * Returns true for the members up to and including the second linked one, in the order of succession. Those without a
-	 * link are dialled as well, since it is not known whether they are lost or about to answer.
+	 * Returns the members of the cell up to and including the second linked one, in the order of succession. Those without
+	 * a link are dialled as well, since it is not known whether they are lost or about to answer.
 	 */
-	#needsLink(name: string): boolean {
+	#neededNames(): readonly string[] {
 		let linked = 0;
-		const {self} = this.options;
-		const others = this.#rankByStart().filter(other => other !== self.name).slice(0, maxDialled);
-		for (const other of others) {
-			if (other === name) {
-				return true;
-			}
+		const others = this.#ownCell().names.filter(name => name !== this.options.self.name).slice(0, maxDialled);
+		return others.filter(name => {
+			const isNeeded = linked < linkedLeaderCandidates;
+			linked += this.#links.byName(name) ? 1 : 0;
+			return isNeeded;
+		});
+	}
 
-			linked += this.#links.byName(other) ? 1 : 0;
-			if (linked >= linkedLeaderCandidates) {
-				return false;
-			}
+	#ownCell(): OwnCell {
+		if (!this.#cell || this.#cellVersion !== this.#membership.version) {
+			this.#cellVersion = this.#membership.version;
+			this.#cell = this.#findCell();
 		}
 
-		return false;
+		return this.#cell;
 	}
 
-	/** Returns names in the order of succession, longest-running first; this entry VM comes last while it shuts down. */
-	#rankByStart(): readonly string[] {
-		const {self} = this.options;
-		const starts = this.#membership.members().map(({name, startId}) => ({name, startId: startId ?? unknownStartId}));
+	/** Returns the cell with its names longest-running first; this entry VM comes last while it shuts down. */
+	#findCell(): OwnCell {
+		const {self, regionOf} = this.options;
+		const members = this.#membership.members();
+		const cells = CellMap.create({zones: [self.zone, ...members.flatMap(member => member.zone ?? [])], regionOf});
+		const key = cells.of(self.zone);
+		const starts = members
+			.filter(member => member.zone !== undefined && cells.of(member.zone) === key)
+			.map(({name, startId}) => ({name, startId: startId ?? unknownStartId}));
 		starts.push({name: self.name, startId: this.#isLeaving ? unknownStartId : self.incarnation});
-		return starts
+		const names = starts
 			.filter(({startId}) => !this.#leavingIncarnations.has(startId))
 			.toSorted((a, b) => a.startId === b.startId ? a.name.localeCompare(b.name) : (a.startId < b.startId ? -1 : 1))
 			.map(({name}) => name);
+		return {cells, key, names};
 	}
 }
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -19,6 +19,7 @@
 import type {VmList} from '../vms/index.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
+import {TopicDistributor} from './topic-distributor.js';
 
 /** Long-poll duration of configuration reads; a half-open connection is detected after this time. */
 const configLongPollMs: Ms = 2000;
@@ -35,7 +36,7 @@
 /** Delay before another attempt to start the mesh. */
 const meshRetryDelayMs: Ms = 500;
 /** Intervals between reads of the list of entry VMs, which is in memory and cheap to read. */
-const vmListIntervals = {busyMs: 250, quietMs: 250, quietAfterMs: 0};
+const vmListIntervals = {busyMs: 250, quietMs: 1000, quietAfterMs: 3000};
 /** Capacity of the ring of link events; events of the relay are logged instead. */
 const eventCapacity = 500;
 /** Assumed number of entry VMs that share a retry budget until the actual number is known. */
@@ -58,6 +59,8 @@
 	/** Address to which other entry VMs connect. */
 	readonly links: ListenAddress;
 	readonly vmList: VmList;
+	/** Follower of the topic of the list, if it has one, to exchange news with peers. */
+	readonly vmListFollower?: TopicFollower;
 	readonly linkKeyStore: LinkKeyStore;
 	readonly regionOf: (zone: string) => string | undefined;
 	/** Address to which callers connect. */
@@ -116,9 +119,11 @@
 	readonly #targetFollower: TopicFollower;
 	#table: RouteTable | undefined;
 	#hasTargets = false;
+	readonly #decodedTargets = new WeakMap<KeyedRecord, TargetEntry | undefined>();
 	#isClosed = false;
 	#limits: RelayLimits;
 	#mesh: RelayMesh | undefined;
+	readonly #distributor = TopicDistributor.create(() => this.#mesh);
 	readonly #stages: MeshStageRunner;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -151,6 +156,7 @@
 			logger: createLogger('config'),
 			pollMs: 0,
 			waitMs: configLongPollMs,
+			hasFeeder: () => this.#distributor.hasFeeder,
 			onSnapshot: ({records}) => {
 				this.#applyConfiguration(records);
 			},
@@ -165,6 +171,7 @@
 			logger,
 			pollMs: targetPollIntervalMs,
 			waitMs: 0,
+			hasFeeder: () => this.#distributor.hasFeeder,
 			onSnapshot: ({records}) => {
 				this.#hasTargets = true;
 				this.#registry.replace(records.flatMap(record => options.decodeTarget(record) ?? []));
@@ -176,6 +183,11 @@
 				this.#registry.storeRecovered(outageMs);
 			},
 		});
+		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
+		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#isTargetNews(record)});
+		if (options.vmListFollower) {
+			this.#distributor.add({name: 'entry VMs', follower: options.vmListFollower});
+		}
 	}
 
 	/** True while the load balancer should route connections to this VM. */
@@ -327,13 +339,17 @@
 				const distance = this.#distance(zone);
 				return distance === 'same_region' ? 'other_zone' : distance;
 			},
+			regionOf: this.options.regionOf,
 			onMessage: (link, message) => {
-				if (message.type.startsWith('stage-')) {
+				if (message.type === 'topic-news') {
+					this.#distributor.receive(message);
+				} else if (message.type.startsWith('stage-')) {
 					this.#stages.receive(link, message as StageMessage);
 				}
 			},
 			onLost: link => {
 				this.#stages.linkLost(link);
+				this.#distributor.linkLost();
 			},
 		});
 	}
@@ -362,9 +378,24 @@
 		}
 	}
 
+	/** Whether a record of the target topic changes the registry; most only show that a target is alive. */
+	#isTargetNews(record: KeyedRecord): boolean {
+		const entry = this.#decodeTarget(record);
+		return entry ? this.#registry.isNews(entry) : record.value === undefined && this.#registry.has(record.key);
+	}
+
+	/** Decodes a record once, although it is read both to pass it on and to apply it. */
+	#decodeTarget(record: KeyedRecord): TargetEntry | undefined {
+		if (!this.#decodedTargets.has(record)) {
+			this.#decodedTargets.set(record, this.options.decodeTarget(record));
+		}
+
+		return this.#decodedTargets.get(record);
+	}
+
 	#updateTargets(records: readonly KeyedRecord[]): void {
 		for (const record of records) {
-			const entry = this.options.decodeTarget(record);
+			const entry = this.#decodeTarget(record);
 			if (entry) {
 				this.#registry.put(entry);
 			} else if (record.value === undefined) {
--- a/src/topics/index.ts
+++ b/src/topics/index.ts
@@ -1,4 +1,4 @@
 export type {
 	KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic, KeyedWriter,
 } from './keyed-topic.js';
-export {TopicFollower, type TopicFollowerOptions} from './topic-follower.js';
+export {TopicFollower, type TopicFollowerOptions, type TopicNews} from './topic-follower.js';
--- a/src/topics/topic-follower.ts
+++ b/src/topics/topic-follower.ts
@@ -1,10 +1,28 @@
 import type {Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logging/index.js';
-import type {KeyedRecord, KeyedSnapshot, KeyedTopic} from './keyed-topic.js';
-
-/** Delay before retrying after a failed read. */
-const retryDelayMs: Ms = 200;
+import type {
+	KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic,
+} from './keyed-topic.js';
+
+/** Delay before retrying after a failed read; doubles with each further failure up to the maximum. */
+const initialRetryDelayMs: Ms = 200;
+const maxRetryDelayMs: Ms = 800;
+/** Maximum delay at a follower that gets news from a peer, which tells it when the store is back. */
+const maxFedRetryDelayMs: Ms = 3200;
+/** Time beyond the peer's read interval after which missing news are read from the store. */
+const newsSlackMs: Ms = 700;
+
+/** Records that a follower has read, to be passed on to the followers of peers. */
+export interface TopicNews {
+	/** Offset after the records that the receiver must have for the news to be complete. */
+	readonly from: number;
+	/** Offset after the news. */
+	readonly next: number;
+	readonly records: readonly KeyedRecord[];
+	/** Length of the store outage that the read ended; 0 without one. */
+	readonly outageMs: Ms;
+}
 
 /** Dependencies and listeners of a `TopicFollower`. */
 export interface TopicFollowerOptions {
@@ -22,11 +40,14 @@
 	readonly onRecords: (records: readonly KeyedRecord[]) => void;
 	/** Called when the store responds again after an outage of `outageMs`. */
 	readonly onRecovered?: (outageMs: Ms) => void;
+	/** Whether a peer is expected to pass news on; retries are then less frequent. */
+	readonly hasFeeder?: () => boolean;
 }
 
 /**
  * Follows a keyed topic, starting with a snapshot of its newest records. During an outage no listener is called;
  * afterwards reading continues at the same offset, or with a new snapshot if the store no longer has that offset.
+ * While a peer passes on the news that it reads, the follower does not read the store itself.
  *
  * @example
  * TopicFollower.create({name: 'targets', topic, pollMs: 1000, waitMs: 0, …}).start();
@@ -36,10 +57,16 @@
 		return new TopicFollower(options);
 	}
 
-	readonly #stopped = new AbortController();
+	readonly #listeners: Array<(news: TopicNews) => void> = [];
+	#isStopped = false;
+	/** Ends the current pause of the read loop. */
+	#wake = new AbortController();
 	#nextOffset: number | undefined;
 	#lastResponseMs: Ms;
 	#isReachable = true;
+	#failureCount = 0;
+	/** Time until which news of a peer replace reads. */
+	#fedUntilMs: Ms = -Infinity;
 
 	private constructor(private readonly options: TopicFollowerOptions) {
 		this.#lastResponseMs = options.clock.now();
@@ -50,7 +77,7 @@
 		return this.#nextOffset ?? -1;
 	}
 
-	/** Time since the last response from the store. */
+	/** Time since the last response from the store, its own or one that a peer passed on. */
 	get ageMs(): Ms {
 		return this.options.clock.now() - this.#lastResponseMs;
 	}
@@ -60,22 +87,78 @@
 	}
 
 	stop(): void {
-		this.#stopped.abort();
+		this.#isStopped = true;
+		this.#wake.abort();
+	}
+
+	/** Calls `listener` after each read of this follower, also without records, and before its records are applied. */
+	onRead(listener: (news: TopicNews) => void): void {
+		this.#listeners.push(listener);
+	}
+
+	/** Applies news that a peer has read. News that do not continue at the offset of this follower make it read the store. */
+	receive({from, next, records, outageMs}: TopicNews): void {
+		const {clock, pollMs, waitMs, onRecords} = this.options;
+		if (this.#nextOffset === undefined || from > this.#nextOffset) {
+			this.#fedUntilMs = -Infinity;
+			this.#endPause();
+			return;
+		}
+
+		if (next < this.#nextOffset) {
+			return;
+		}
+
+		this.#recordResponse(outageMs);
+		this.#fedUntilMs = clock.now() + pollMs + waitMs + newsSlackMs;
+		const isNew = next > this.#nextOffset;
+		this.#nextOffset = next;
+		if (isNew && records.length > 0) {
+			onRecords(records);
+		}
+	}
+
+	/** Handles the loss of the peer that passed on news: the follower reads the store again. */
+	feederLost(): void {
+		if (this.#fedUntilMs > this.options.clock.now()) {
+			this.#fedUntilMs = -Infinity;
+			this.#endPause();
+		}
 	}
 
 	async #follow(): Promise<void> {
 		const {clock, pollMs} = this.options;
-		while (!this.#stopped.signal.aborted) {
-			const isSuccess = await this.#readOnce();
-			const pauseMs = isSuccess ? pollMs : retryDelayMs;
-			if (pauseMs > 0) {
-				await clock.sleep(pauseMs, this.#stopped.signal);
+		while (!this.#isStopped) {
+			const fedMs = this.#fedUntilMs - clock.now();
+			if (fedMs > 0) {
+				await this.#pause(fedMs);
+				continue;
 			}
+
+			const isSuccess = await this.#readOnce();
+			await this.#pause(isSuccess ? pollMs : this.#retryDelayMs());
 		}
 	}
 
+	async #pause(delayMs: Ms): Promise<void> {
+		if (delayMs > 0 && !this.#isStopped) {
+			await this.options.clock.sleep(delayMs, this.#wake.signal);
+		}
+	}
+
+	#endPause(): void {
+		this.#wake.abort();
+		this.#wake = new AbortController();
+	}
+
+	#retryDelayMs(): Ms {
+		const maxMs = this.options.hasFeeder?.() ? maxFedRetryDelayMs : maxRetryDelayMs;
+		this.#failureCount++;
+		return Math.min(maxMs, initialRetryDelayMs * (2 ** (this.#failureCount - 1)));
+	}
+
 	async #readOnce(): Promise<boolean> {
-		const {name, topic, logger, waitMs, onRecords, onSnapshot} = this.options;
+		const {name, topic, logger, waitMs, onSnapshot} = this.options;
 		try {
 			if (this.#nextOffset === undefined) {
 				const snapshot = await topic.newest();
@@ -86,19 +169,20 @@
 				return true;
 			}
 
-			const page = await topic.read(this.#nextOffset, waitMs);
-			this.#recordResponse();
+			const from = this.#nextOffset;
+			const page = await topic.read(from, waitMs);
 			if (page.kind === 'expired') {
-				logger.warn('Cannot continue reading a topic: the store does not have its next offset. Reading a new snapshot.', {topic: name, offset: this.#nextOffset});
-				this.#nextOffset = undefined;
-				return true;
-			}
+				// News of a peer may have arrived meanwhile, and then the offset that was read does not matter.
+				if (this.#nextOffset === from) {
+					this.#recordResponse();
+					logger.warn('Cannot continue reading a topic: the store does not have its next offset. Reading a new snapshot.', {topic: name, offset: from});
+					this.#nextOffset = undefined;
+				}
 
-			this.#nextOffset = page.next;
-			if (page.records.length > 0) {
-				onRecords(page.records);
+				return true;
 			}
 
+			this.#applyPage(from, page);
 			return true;
 		} catch (err) {
 			if (this.#isReachable) {
@@ -110,14 +194,39 @@
 		}
 	}
 
-	#recordResponse(): void {
+	/** Applies the records of a page that was read from an offset, without those that news of a peer have brought meanwhile. */
+	#applyPage(from: number, {next, records}: KeyedPage & {kind: 'records'}): void {
+		const outageMs = this.#recordResponse();
+		const known = this.#nextOffset! - from;
+		if (known > records.length) {
+			return;
+		}
+
+		const unknown = records.slice(known);
+		for (const listener of this.#listeners) {
+			listener({
+				from: this.#nextOffset!, next, records: unknown, outageMs,
+			});
+		}
+
+		this.#nextOffset = next;
+		if (unknown.length > 0) {
+			this.options.onRecords(unknown);
+		}
+	}
+
+	/** Records a response and returns the length of the outage that it ended; `peerOutageMs` is that of the peer that read it. */
+	#recordResponse(peerOutageMs: Ms = 0): Ms {
 		const {name, logger, onRecovered} = this.options;
-		const outageMs = this.ageMs;
+		const outageMs = this.#isReachable ? peerOutageMs : Math.max(this.ageMs, peerOutageMs);
 		this.#lastResponseMs = this.options.clock.now();
-		if (!this.#isReachable) {
+		this.#failureCount = 0;
+		if (!this.#isReachable || outageMs > 0) {
 			this.#isReachable = true;
 			logger.info('Regained the store.', {topic: name, outage_ms: Math.round(outageMs)});
 			onRecovered?.(outageMs);
 		}
+
+		return outageMs;
 	}
 }
--- a/src/vms/topic-vm-list.ts
+++ b/src/vms/topic-vm-list.ts
@@ -8,6 +8,8 @@
 
 /** Long-poll timeout of reads: changes arrive immediately, and a half-open connection is detected after this time. */
 const waitMs: Ms = 10_000;
+/** Pause between reads, so that many VMs that start at once do not cause a read by every VM for each of their records. */
+const pollMs: Ms = 100;
 /** Interval at which each VM rewrites its record. */
 const refreshIntervalMs: Ms = 60_000;
 /** Records older than this, which is several refresh intervals, belong to lost VMs and are ignored. */
@@ -51,7 +53,7 @@
 			topic,
 			clock,
 			logger,
-			pollMs: 0,
+			pollMs,
 			waitMs,
 			onSnapshot: ({records}) => {
 				this.#entries.clear();
@@ -63,6 +65,11 @@
 		});
 	}
 
+	/** Follower of the list, to exchange news with peers. */
+	get follower(): TopicFollower {
+		return this.#follower;
+	}
+
 	/** Starts following the list and refreshing this VM's record, until `stop` is called. */
 	start(): void {
 		this.#follower.start();
