--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -19,6 +19,8 @@
 const startupDialMs: Ms = 10_000;
 /** A link that is no longer needed stays open for this long, so that links do not flap when gateways change. */
 const unneededGraceMs: Ms = 10_000;
+/** Time within which a member that is not lost answers a dial, also one that is short of processor time. */
+const answerMs: Ms = 600;
 /** Refused connections are logged at most once in this interval, except those with an unknown protocol version. */
 const refusalLogIntervalMs: Ms = 10_000;
 
@@ -108,6 +110,12 @@
 		return dial && !this.#links.has(name) ? this.options.clock.now() - dial.missingSinceMs : 0;
 	}
 
+	/** Whether a member is linked, or may be soon: no attempt has failed, and the link has not been missing for longer than `answerMs`. */
+	isLinkedOrExpected(name: string): boolean {
+		const dial = this.#dials.get(name);
+		return this.#links.has(name) || !dial || ((dial.attempt === 0 || (dial.attempt === 1 && dial.link !== undefined)) && this.linkMissingMs(name) < answerMs);
+	}
+
 	/** Accepts an incoming connection. */
 	accept(socket: LinkSocket): Link {
 		return this.#createLink(socket, 'server');
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -1,3 +1,4 @@
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import {
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
@@ -15,11 +16,19 @@
 
 describe('RelayMesh', () => {
 	const meshes: RelayMesh[] = [];
+	const servers: Server[] = [];
+	/** Names of silent members, in the order in which they were dialled. */
+	const dialled: string[] = [];
 	let list = MemoryVmList.create({clock: ManualClock.create()});
 
 	afterEach(async () => {
 		await Promise.all(meshes.splice(0).map(async mesh => mesh.close()));
 		list = MemoryVmList.create({clock: ManualClock.create()});
+		for (const server of servers.splice(0)) {
+			server.close();
+		}
+
+		dialled.length = 0;
 	});
 
 	async function start(name: string, incarnation: string): Promise<RelayMesh> {
@@ -105,6 +114,31 @@
 		expect(leaderOf(first)).toBe('itself');
 	});
 
+	// Guards against a start of a fleet at which every member dials every other one.
+	it('dials only two members of a cell that are not known to be lost', async () => {
+		const names = Array.from({length: 12}, (_, index) => `m${index}`);
+		for (const [index, name] of names.entries()) {
+			// Accepts connections, but never answers.
+			const silent = createServer();
+			servers.push(silent);
+			await new Promise<void>(resolve => {
+				silent.listen(0, '127.0.0.1', resolve);
+			});
+			silent.on('connection', () => {
+				dialled.push(name);
+			});
+			list.put({
+				id: name, zone: 'riga-a', role: 'entry', address: `127.0.0.1:${(silent.address() as AddressInfo).port}`, startId: `0${index.toString(36)}`, state: 'live',
+			});
+		}
+
+		await start('n', '1');
+		// The third member is dialled only when the first two have not answered for a while.
+		await until(() => dialled.includes('m2'));
+		expect(dialled.slice(0, 2).toSorted()).toEqual(['m0', 'm1']);
+		expect(new Set(dialled).size).toBeLessThanOrEqual(4);
+	});
+
 	it('is led by the next member when the leader is lost', async () => {
 		const oldest = await start('g', '1');
 		const second = await start('h', '2');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -192,15 +192,15 @@
 	}
 
 	/**
-	 * Returns the members of the cell up to and including the second linked one, in the order of succession. Those without
-	 * a link are dialled as well, since it is not known whether they are lost or about to answer.
+	 * Returns the members of the cell up to and including the second one that is linked or expected to answer, in the order
+	 * of succession: the others would be dialled in vain by every member at once when a fleet starts.
 	 */
 	#neededNames(): readonly string[] {
-		let linked = 0;
+		let count = 0;
 		const others = this.#ownCell().names.filter(name => name !== this.options.self.name).slice(0, maxDialled);
 		return others.filter(name => {
-			const isNeeded = linked < linkedLeaderCandidates;
-			linked += this.#links.byName(name) ? 1 : 0;
+			const isNeeded = count < linkedLeaderCandidates;
+			count += this.#links.isLinkedOrExpected(name) ? 1 : 0;
 			return isNeeded;
 		});
 	}
--- a/src/links/send-queue.ts
+++ b/src/links/send-queue.ts
@@ -34,17 +34,16 @@
 	 * itself. Returns `undefined` if `item` was not queued because it does not fit.
 	 */
 	push(item: QueuedPayload): readonly QueuedPayload[] | undefined {
+		const keptBytes = [...this.#items, item].reduce((sum, {cause, payload}) => sum + (droppableTypes.has(cause) ? 0 : payload.length), 0);
+		if (keptBytes > this.maxBytes) {
+			return undefined;
+		}
+
 		this.#items.push(item);
 		this.#bytes += item.payload.length;
 		const dropped: QueuedPayload[] = [];
 		while (this.#bytes > this.maxBytes) {
 			const index = this.#items.findIndex(queued => droppableTypes.has(queued.cause));
-			if (index === -1) {
-				this.#items.pop();
-				this.#bytes -= item.payload.length;
-				return undefined;
-			}
-
 			const [removed] = this.#items.splice(index, 1);
 			this.#bytes -= removed!.payload.length;
 			dropped.push(removed!);
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -184,6 +184,7 @@
 		const {clock, codec, pools, prefixCache, probe, metrics} = context;
 		const {head, attemptId, body, req, route, team} = request;
 		const startedMs = clock.now();
+		const mayRetry = this.#sentCount + 1 < route.maxAttempts;
 		const {prompt} = head;
 		this.#tried.add(target);
 		if (prompt) {
@@ -207,7 +208,8 @@
 			sink: this.#streamWriter,
 			signal: this.#abortController.signal,
 			probe,
-			responseTimeoutMs: this.#timeBudget.responseTimeoutMs(startedMs, this.#sentCount + 1 < route.maxAttempts),
+			responseTimeoutMs: this.#timeBudget.responseTimeoutMs(startedMs, mayRetry),
+			streamTimeoutMs: this.#timeBudget.streamTimeoutMs(mayRetry),
 			probeAfterMs: prompt ? this.#timeBudget.probeAfterMs(target.pendingTokens) : undefined,
 			request: {
 				address: target.entry.address,
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -8,12 +8,12 @@
 import {startExchange, type Exchange, type ExchangeRequest} from './target-exchange.js';
 import type {TargetPools} from './target-pools.js';
 
-/** Time without data in a stream after which the target is probed, as events normally arrive every few ms to tens of ms; also the interval of further probes. */
+/** Time without an event in a stream after which the target is probed, as events normally arrive every few ms to tens of ms; also the interval of further probes. */
 const streamSilenceMs: Ms = 350;
-/** Time without data after which a stream fails even if the target responds to probes, because its connection may be half-open. */
-const streamTimeoutMs: Ms = 1100;
 /** Maximum size of a response that is buffered in memory. */
 const maxResponseBytes = 8 * 1024 * 1024;
+/** Maximum size of one event of a stream; bytes without an end of an event are no response. */
+const maxEventBytes = 1024 * 1024;
 /** Statuses that would wrongly promise the caller that the request did not run if they came from a target that ran it. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -54,6 +54,8 @@
 	readonly sink: StreamSink | undefined;
 	/** Time without response data after which the attempt fails. */
 	readonly responseTimeoutMs: Ms;
+	/** Time without a complete event after which an attempt at a stream fails although the target responds to probes. */
+	readonly streamTimeoutMs: Ms;
 	/** Time without response data after which the target is probed; `undefined` for never. */
 	readonly probeAfterMs: Ms | undefined;
 	/** Resolves to true if the target responds on a separate connection. */
@@ -88,12 +90,13 @@
 	#isStream = false;
 	#isFramed = true;
 	#isFinished = false;
-	#lastByteMs: Ms;
+	/** Time of the last data, or of the last complete event of a stream: single bytes of an event are no progress. */
+	#lastProgressMs: Ms;
 	#cancelSilenceCheck: CancelTimer = () => undefined;
 
 	constructor(private readonly options: TargetAttemptOptions, private readonly resolve: (outcome: AttemptOutcome) => void) {
 		this.#startedMs = options.clock.now();
-		this.#lastByteMs = this.#startedMs;
+		this.#lastProgressMs = this.#startedMs;
 	}
 
 	start(): void {
@@ -130,7 +133,7 @@
 	#onHead(status: number, headers: HttpHeaders): void {
 		const {codec, attemptId, sink, onResponseStart} = this.options;
 		const head = codec.decodeTargetHead(headers);
-		this.#lastByteMs = this.options.clock.now();
+		this.#lastProgressMs = this.options.clock.now();
 		if (head.attemptId !== attemptId) {
 			this.#abort('broken', `response belongs to attempt ${head.attemptId ?? 'unknown'}`);
 			return;
@@ -156,16 +159,12 @@
 	}
 
 	#onData(chunk: Buffer): void {
-		this.#lastByteMs = this.options.clock.now();
 		if (this.#isStream) {
-			const events = this.#splitter.push(chunk);
-			if (events.length > 0) {
-				this.options.sink!.writeEvents(events);
-			}
-
+			this.#onStreamData(chunk);
 			return;
 		}
 
+		this.#lastProgressMs = this.options.clock.now();
 		this.#bytes += chunk.length;
 		if (this.#bytes > maxResponseBytes) {
 			this.#abort('broken', `response exceeds ${maxResponseBytes} bytes`);
@@ -175,6 +174,18 @@
 		this.#chunks.push(chunk);
 	}
 
+	#onStreamData(chunk: Buffer): void {
+		const events = this.#splitter.push(chunk);
+		if (events.length > 0) {
+			this.#lastProgressMs = this.options.clock.now();
+			this.options.sink!.writeEvents(events);
+		}
+
+		if (this.#splitter.remainder.length > maxEventBytes) {
+			this.#abort('broken', `an event exceeds ${maxEventBytes} bytes`);
+		}
+	}
+
 	#onEnd(): void {
 		if (this.#isStream) {
 			this.options.sink!.end(this.#splitter.remainder);
@@ -191,7 +202,7 @@
 			this.#finish({
 				kind: 'failed', failure: 'refused', reason: `target refused with status ${response.status}`, response,
 			});
-		} else if (response.status >= 500) {
+		} else if (response.status >= 500 || notRunStatuses.has(response.status)) {
 			this.#recordOutcome('failed');
 			this.#finish({
 				kind: 'failed', failure: notRunStatuses.has(response.status) ? 'broken' : 'error', reason: `target failed with status ${response.status}`, response,
@@ -206,8 +217,8 @@
 	#scheduleSilenceCheck(silenceMs: Ms): void {
 		const {clock} = this.options;
 		this.#cancelSilenceCheck();
-		this.#cancelSilenceCheck = clock.after(Math.max(1, this.#lastByteMs + silenceMs - clock.now()), () => {
-			const silentMs = clock.now() - this.#lastByteMs;
+		this.#cancelSilenceCheck = clock.after(Math.max(1, this.#lastProgressMs + silenceMs - clock.now()), () => {
+			const silentMs = clock.now() - this.#lastProgressMs;
 			if (silentMs < silenceMs) {
 				this.#scheduleSilenceCheck(silenceMs);
 			} else {
@@ -217,11 +228,11 @@
 	}
 
 	#onSilence(silentMs: Ms): void {
-		const {responseTimeoutMs, probeAfterMs, clock} = this.options;
+		const {responseTimeoutMs, streamTimeoutMs, probeAfterMs, clock} = this.options;
 		const limitMs = this.#isStream ? streamTimeoutMs : responseTimeoutMs;
 		if (silentMs >= limitMs) {
 			this.#recordOutcome(this.#isStream ? 'failed' : 'unreachable');
-			this.#abort('silent', `no data for ${Math.round(silentMs)} ms`);
+			this.#abort('silent', `no ${this.#isStream ? 'event' : 'data'} for ${Math.round(silentMs)} ms`);
 			return;
 		}
 
@@ -234,7 +245,7 @@
 
 	async #probe(probeStartedMs: Ms): Promise<void> {
 		const isAlive = await this.options.probe(this.options.target);
-		if (!isAlive && !this.#isFinished && this.#lastByteMs <= probeStartedMs) {
+		if (!isAlive && !this.#isFinished && this.#lastProgressMs <= probeStartedMs) {
 			this.#recordOutcome('unreachable');
 			this.#abort('silent', 'target did not respond to a probe');
 		}
@@ -242,7 +253,7 @@
 
 	#recordOutcome(outcome: 'ok' | 'failed' | 'unreachable'): void {
 		const {target, clock} = this.options;
-		const tookMs = (this.#isStream ? this.#lastByteMs : clock.now()) - this.#startedMs;
+		const tookMs = (this.#isStream ? this.#lastProgressMs : clock.now()) - this.#startedMs;
 		target.recordCall(outcome, clock.now(), tookMs);
 	}
 
--- a/src/relay/time-budget.test.ts
+++ b/src/relay/time-budget.test.ts
@@ -3,7 +3,7 @@
 import {TimeBudget} from './time-budget.js';
 
 const route: Route = {
-	name: 'r', host: 'h', pathPrefix: '/', kind: 'idempotent', timeoutMs: 1000, objectiveMs: 200, priority: 0, services: [], maxAttempts: 2, stages: [], isPublic: false, isResumable: false,
+	name: 'r', host: 'h', pathPrefix: '/', kind: 'idempotent', timeoutMs: 1000, objectiveMs: 200, pauseObjectiveMs: undefined, priority: 0, services: [], maxAttempts: 2, stages: [], isPublic: false, isResumable: false,
 };
 const stream: Route = {
 	...route, kind: 'stream', timeoutMs: 6000, objectiveMs: 1100, isResumable: true,
@@ -29,6 +29,25 @@
 	expect(budget.stagesDeadlineMs).toBe(4400 - 160);
 });
 
+// Guards against ending a slow stream before its caller does, unless it goes on at another target.
+test.each([
+	{
+		name: 'the minimum', fields: {objectiveMs: 300}, kept: 2000, resumed: 1100,
+	},
+	{
+		name: 'the objective', fields: {objectiveMs: 1100}, kept: 4400, resumed: 1100,
+	},
+	{
+		name: 'the pause objective', fields: {objectiveMs: 300, pauseObjectiveMs: 500}, kept: 4000, resumed: 1100,
+	},
+	{
+		name: 'the objective of a stream that cannot be resumed', fields: {objectiveMs: 1100, isResumable: false}, kept: 4400, resumed: 4400,
+	},
+])('keeps a stream without events for as long as callers wait, by $name', ({fields, kept, resumed}) => {
+	const budget = TimeBudget.create({route: {...stream, ...fields}, head, arrivedMs: 0});
+	expect([budget.streamTimeoutMs(false), budget.streamTimeoutMs(true)]).toEqual([kept, resumed]);
+});
+
 test('allows no attempt shortly before the deadline', () => {
 	const budget = TimeBudget.create({route, head, arrivedMs: 0});
 	expect([budget.hasTime(980), budget.hasTime(990), budget.remainingMs(2000)]).toEqual([true, false, 1]);
--- a/src/relay/time-budget.ts
+++ b/src/relay/time-budget.ts
@@ -16,8 +16,10 @@
 const firstAttemptShare = 0.75;
 /** Timeout of the first token of a retryable stream before it is sent to another target, as a multiple of its objective. */
 const firstTokenTimeoutFactor = 2;
-/** Callers abandon a stream whose first event takes longer than both the minimum and the multiple of the objective. */
-const firstEventTimeout = {minMs: 2000, objectiveFactor: 4};
+/** Callers abandon a stream after a pause, also before its first event, that is longer than the minimum and these multiples of the objectives. */
+const callerPatience = {minMs: 2000, objectiveFactor: 4, pauseFactor: 8};
+/** Time without an event after which a stream that may go on at another target does so, even if its target responds to probes, because its connection may be half-open. */
+const resumeAfterMs: Ms = 1100;
 
 /** Options of `TimeBudget`. */
 export interface TimeBudgetOptions {
@@ -58,10 +60,24 @@
 	/** Time after which stage results are useless, because the first token would come after the deadline or after the caller has abandoned the stream. */
 	get stagesDeadlineMs(): Ms {
 		const {route, arrivedMs} = this.options;
-		const firstEventTimeoutMs = route.kind === 'stream' ? Math.max(firstEventTimeout.minMs, firstEventTimeout.objectiveFactor * route.objectiveMs) : Infinity;
+		const firstEventTimeoutMs = route.kind === 'stream' ? this.#callerPatienceMs : Infinity;
 		return Math.min(this.deadlineMs, arrivedMs + firstEventTimeoutMs) - this.#firstTokenMs;
 	}
 
+	/**
+	 * Time without a complete event after which an attempt at a stream fails although its target is alive. A stream that
+	 * cannot go on elsewhere is kept for as long as its caller waits.
+	 */
+	streamTimeoutMs(mayRetry: boolean): Ms {
+		return isRetryable(this.options.route) && mayRetry ? resumeAfterMs : this.#callerPatienceMs;
+	}
+
+	/** Pause after which callers abandon a stream. */
+	get #callerPatienceMs(): Ms {
+		const {objectiveMs, pauseObjectiveMs = 0} = this.options.route;
+		return Math.max(callerPatience.minMs, callerPatience.objectiveFactor * objectiveMs, callerPatience.pauseFactor * pauseObjectiveMs);
+	}
+
 	/** True while the request may be sent to a target. */
 	hasTime(now: Ms): boolean {
 		return this.deadlineMs - now >= minRemainingMs;
--- a/src/requests/request-runner.ts
+++ b/src/requests/request-runner.ts
@@ -159,7 +159,7 @@
 		});
 		// A request that requires a claim continues even under overload: an earlier attempt may have run and left a result.
 		if (!admission.admitted && !requiresClaim) {
-			return this.#recordResult(context, this.#rejection(requestId, 'not_run', admission.reason, `Cannot run the request: the predicted time of ${Math.round(admission.predictedMs)} ms exceeds the deadline of ${Math.round(budgetMs)} ms`));
+			return this.#recordResult(context, this.#rejection(requestId, 'not_run', admission.reason, admission.reason === 'no_target' ? 'Cannot run the request: a stage has no target' : `Cannot run the request: the predicted time of ${Math.round(admission.predictedMs)} ms exceeds the deadline of ${Math.round(budgetMs)} ms`));
 		}
 
 		options.onAdmitted?.(requestId);
--- a/src/routes/relay-declarations.ts
+++ b/src/routes/relay-declarations.ts
@@ -29,6 +29,8 @@
 	readonly timeoutMs: Ms;
 	/** Latency objective of the response, or of the first event of a stream. */
 	readonly objectiveMs: Ms;
+	/** Longest pause between events of a stream for which its response is on time; `undefined` without such an objective. */
+	readonly pauseObjectiveMs: Ms | undefined;
 	/** Priority class; 0 is the highest. */
 	readonly priority: number;
 	readonly services: readonly WeightedService[];
--- a/src/routes/route-table.test.ts
+++ b/src/routes/route-table.test.ts
@@ -4,7 +4,7 @@
 import {RouteTable} from './route-table.js';
 
 const route = (name: string, host: string, pathPrefix: string, fields: Partial<Route> = {}): Route => ({
-	name, host, pathPrefix, kind: 'idempotent', timeoutMs: 1000, objectiveMs: 200, priority: 0, services: [{service: 'desk', weight: 1}], maxAttempts: 2, stages: [], isPublic: false, isResumable: false, ...fields,
+	name, host, pathPrefix, kind: 'idempotent', timeoutMs: 1000, objectiveMs: 200, pauseObjectiveMs: undefined, priority: 0, services: [{service: 'desk', weight: 1}], maxAttempts: 2, stages: [], isPublic: false, isResumable: false, ...fields,
 });
 
 const declarations = (fields: Partial<RelayDeclarations>): RelayDeclarations => ({
--- a/src/teams/fcfs-scheduler.ts
+++ b/src/teams/fcfs-scheduler.ts
@@ -74,6 +74,10 @@
 
 	async #wait(work: StageWork, signal: AbortSignal): Promise<Grant> {
 		const {pool} = work.stage;
+		if (signal.aborted) {
+			throw AcquireError.create('aborted', pool);
+		}
+
 		const queue = this.#waiting.get(pool) ?? [];
 		this.#waiting.set(pool, queue);
 		return new Promise((resolve, reject) => {
