--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -283,6 +283,7 @@
 			case 'stage-free':
 			case 'leaving':
 			case 'topic-news':
+			case 'beat':
 			case 'ping': {
 				break;
 			}
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -97,6 +97,8 @@
 	z.strictObject({
 		type: z.literal('topic-news'), topic: name, from: count, next: count, outageMs: z.number().nonnegative(), records: z.array(z.tuple([z.string().max(1000), z.custom<Uint8Array | null>(value => value === null || value instanceof Uint8Array)])).max(maxNewsRecords),
 	}),
+	// A heartbeat that promises the next one within the shorter interval.
+	z.strictObject({type: z.literal('beat')}),
 ] as const;
 
 /** A message between entry VMs. */
@@ -114,6 +116,10 @@
 /** All message types, indexed by their type number. */
 export const linkMessageTypes = messageSchemas.map(schema => schema.shape.type.value) as readonly LinkMessageType[];
 
+const heartbeats: ReadonlyMap<number, 'ping' | 'beat'> = new Map([[linkMessageTypes.indexOf('ping'), 'ping'], [linkMessageTypes.indexOf('beat'), 'beat']]);
+/** First byte of a MessagePack array with one element. */
+const oneElementArray = 0x91;
+
 const envelopeSchema = z.tuple([count]).rest(z.unknown());
 const timeSchema = z.tuple([z.number().nonnegative(), count]);
 
@@ -126,7 +132,7 @@
 	const {type, ...fields} = message;
 	const number = linkMessageTypes.indexOf(type);
 	const body = message.type === 'digest' || message.type === 'summary' ? message.digest && packDigest(message.digest) : fields;
-	return packWire(type === 'ping' || body === undefined ? [number] : (time ? [number, body, time] : [number, body]));
+	return packWire(type === 'ping' || type === 'beat' || body === undefined ? [number] : (time ? [number, body, time] : [number, body]));
 }
 
 const digestKeys = ['s', 'b', 'n', 'w', 'f', 'd', 'o'] as const;
@@ -155,6 +161,12 @@
  * @internal
  */
 export function decodeLinkMessage(payload: Uint8Array): {message: LinkMessage; time: LinkTime | undefined} | undefined {
+	// Heartbeats are by far the most frequent messages and need no validation.
+	const heartbeat = payload.length === 2 && payload[0] === oneElementArray ? heartbeats.get(payload[1]!) : undefined;
+	if (heartbeat) {
+		return {message: {type: heartbeat}, time: undefined};
+	}
+
 	let value: unknown;
 	try {
 		value = unpackWire(payload);
--- a/src/links/link.test.ts
+++ b/src/links/link.test.ts
@@ -13,7 +13,7 @@
 
 const sharedKey = 'a shared key of the tests';
 
-function connect({clientKey = sharedKey, expectedName = 'riga-2', maxQueueBytes = 1000} = {}) {
+function connect({clientKey = sharedKey, expectedName = 'riga-2', maxQueueBytes = 1000, fastPingMs = 0} = {}) {
 	const clock = ManualClock.create();
 	const [clientSocket, serverSocket] = MemorySocket.pair();
 	const registry = new Registry();
@@ -22,9 +22,11 @@
 		const received: LinkMessage[] = [];
 		const closed: string[] = [];
 		const dropped: string[] = [];
+		const fast = {isActive: false};
 		const link = Link.create({
 			socket, role, clock, metrics, maxQueueBytes, key: LinkKey.create(secret), self: {name, zone: 'riga-a', incarnation: name},
 			...(role === 'client' ? {expectedName} : {}),
+			...(fastPingMs === 0 ? {} : {fastPing: {intervalMs: fastPingMs, isActive: () => fast.isActive}}),
 			distanceTo: () => 'same_zone',
 			onUp: () => undefined,
 			onMessage(_link, message) {
@@ -38,7 +40,7 @@
 			},
 		});
 		return {
-			link, socket, received, closed, dropped,
+			link, socket, received, closed, dropped, fast,
 		};
 	};
 
@@ -115,6 +117,42 @@
 	expect(server.closed).toEqual(['silent']);
 });
 
+// Guards against heartbeats of a whole cell at the rate that only its leader needs, and against a leader whose loss shows late.
+test('only an end that promises frequent heartbeats has to send them', async () => {
+	const fastPingMs = 100;
+	const {clock, client, server} = connect({fastPingMs});
+	client.fast.isActive = true;
+	const sentBefore = [client.socket.sent.length, server.socket.sent.length];
+	for (let interval = 0; interval < 20; interval++) {
+		await clock.advance(fastPingMs);
+		client.link.tick(false);
+		server.link.tick(false);
+	}
+
+	expect([client.link.state, server.link.state]).toEqual(['up', 'up']);
+	const sent = [client.socket.sent.length - sentBefore[0]!, server.socket.sent.length - sentBefore[1]!];
+	// A heartbeat is due after four fifths of its interval.
+	expect(sent).toEqual([20, 2000 / (0.8 * pingIntervalMs)]);
+	client.socket.isDelivering = false;
+	await clock.advance(3 * fastPingMs);
+	server.link.tick(false);
+	client.link.tick(false);
+	expect([server.closed, client.closed]).toEqual([['silent'], []]);
+});
+
+// Guards against closing the link of a leader that has stopped leading and sends heartbeats less often.
+test('an end that ends its promise says so at once', async () => {
+	const fastPingMs = 100;
+	const {clock, client, server} = connect({fastPingMs});
+	client.fast.isActive = true;
+	client.link.tick(false);
+	client.fast.isActive = false;
+	client.link.tick(false);
+	await clock.advance(pingIntervalMs);
+	server.link.tick(false);
+	expect(server.closed).toEqual([]);
+});
+
 // Guards against closing links because this process was paused, while received frames have not been read yet.
 test('a late tick keeps the link for one more interval', async () => {
 	const {clock, server} = connect();
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -49,6 +49,15 @@
 	readonly maxQueueBytes?: number;
 	/** Interval between heartbeats, `pingIntervalMs` by default. Both ends must use the same interval. */
 	readonly pingMs?: Ms;
+	/** Shorter interval between the heartbeats of an end while its loss has to be detected fast; the same at both ends. */
+	readonly fastPing?: FastPing;
+}
+
+/** Shorter interval between heartbeats, for which each of them promises the next one. */
+export interface FastPing {
+	readonly intervalMs: Ms;
+	/** Whether this end uses it now. */
+	readonly isActive: () => boolean;
 }
 
 /**
@@ -73,6 +82,10 @@
 	#lastSentMs: Ms;
 	#lastReceivedMs: Ms;
 	#lastUsedMs: Ms;
+	/** Interval that the last heartbeat of the peer promised. */
+	#peerPingMs: Ms;
+	/** Whether the last heartbeat sent promised the shorter interval. */
+	#isFast = false;
 	#cancelTimeout: () => void = () => undefined;
 
 	private constructor(private readonly options: LinkOptions) {
@@ -81,6 +94,7 @@
 		this.#lastSentMs = options.clock.now();
 		this.#lastReceivedMs = options.clock.now();
 		this.#lastUsedMs = this.#lastReceivedMs;
+		this.#peerPingMs = this.#pingMs;
 	}
 
 	get #pingMs(): Ms {
@@ -151,20 +165,24 @@
 			return;
 		}
 
-		const now = this.options.clock.now();
+		const {clock, fastPing} = this.options;
+		const now = clock.now();
 		if (isLate) {
-			this.#lastReceivedMs = Math.max(this.#lastReceivedMs, now - ((maxSilentIntervals - 1) * this.#pingMs));
+			this.#lastReceivedMs = Math.max(this.#lastReceivedMs, now - ((maxSilentIntervals - 1) * this.#peerPingMs));
 		}
 
-		if (now - this.#lastReceivedMs >= maxSilentIntervals * this.#pingMs) {
+		if (now - this.#lastReceivedMs >= maxSilentIntervals * this.#peerPingMs) {
 			this.#lifecycle.send({type: 'SILENT'});
 			this.close('silent', `no frame received for ${Math.round(now - this.#lastReceivedMs)} ms`);
 			return;
 		}
 
 		this.#flushQueue();
-		if (now - this.#lastSentMs >= this.#pingMs * pingDueFraction) {
-			this.send({type: 'ping'});
+		const isFast = fastPing?.isActive() ?? false;
+		// The first heartbeat after a change of the interval is sent at once, since the peer relies on the interval promised before.
+		if (isFast !== this.#isFast || now - this.#lastSentMs >= (isFast ? fastPing!.intervalMs : this.#pingMs) * pingDueFraction) {
+			this.#isFast = isFast;
+			this.send({type: isFast ? 'beat' : 'ping'});
 		}
 	}
 
@@ -251,7 +269,12 @@
 		}
 
 		this.#count('received', decoded.message.type, data.length);
-		if (decoded.message.type !== 'ping') {
+		const {type} = decoded.message;
+		if (type === 'ping') {
+			this.#peerPingMs = this.#pingMs;
+		} else if (type === 'beat') {
+			this.#peerPingMs = this.options.fastPing?.intervalMs ?? this.#pingMs;
+		} else {
 			this.#lastUsedMs = this.#lastReceivedMs;
 			this.options.onMessage(this, decoded.message, decoded.time);
 		}
@@ -265,7 +288,7 @@
 	#sendFrame(cause: LinkMessageType, payload: Uint8Array): void {
 		const frame = this.#codec!.encode(payload);
 		this.#lastSentMs = this.options.clock.now();
-		if (cause !== 'ping') {
+		if (cause !== 'ping' && cause !== 'beat') {
 			this.#lastUsedMs = this.#lastSentMs;
 		}
 
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -10,7 +10,7 @@
 import type {LinkKey} from './link-key.js';
 import type {LinkMessage, LinkMessageType, LinkTime} from './link-message.js';
 import type {LinkSocket} from './link-socket.js';
-import {Link, pingIntervalMs} from './link.js';
+import {Link, pingIntervalMs, type FastPing} from './link.js';
 import type {Member, Membership} from './membership.js';
 
 /** Only the peer with the smaller name dials, until the link has been missing for this long; then both do. */
@@ -43,6 +43,7 @@
 	readonly neededNames?: () => readonly string[];
 	/** Heartbeat interval, by default `pingIntervalMs`; must be the same at every entry VM. */
 	readonly pingMs?: Ms;
+	readonly fastPing?: FastPing;
 	readonly onUp: (link: Link) => void;
 	readonly onMessage: (link: Link, message: LinkMessage, time: LinkTime | undefined) => void;
 	readonly onClosed: (link: Link) => void;
@@ -134,10 +135,14 @@
 		return this.options.pingMs ?? pingIntervalMs;
 	}
 
+	get #tickMs(): Ms {
+		return this.options.fastPing?.intervalMs ?? this.#pingMs;
+	}
+
 	#tick(): void {
 		const {clock} = this.options;
 		const now = clock.now();
-		const isLate = now - this.#lastTickMs > 2 * this.#pingMs;
+		const isLate = now - this.#lastTickMs > 2 * this.#tickMs;
 		this.#lastTickMs = now;
 		for (const link of this.#links.values()) {
 			link.tick(isLate);
@@ -146,7 +151,7 @@
 		this.#closeUnneeded(now);
 		this.#dialDue(now);
 		if (!this.#isClosed) {
-			this.#cancelTick = clock.after(this.#pingMs, () => {
+			this.#cancelTick = clock.after(this.#tickMs, () => {
 				this.#tick();
 			});
 		}
@@ -199,7 +204,7 @@
 	}
 
 	#createLink(socket: LinkSocket, role: 'client' | 'server', expectedName?: string): Link {
-		const {self, key, clock, metrics, distanceTo, onMessage, onDropped} = this.options;
+		const {self, key, clock, metrics, distanceTo, fastPing, onMessage, onDropped} = this.options;
 		const link = Link.create({
 			socket,
 			role,
@@ -211,6 +216,7 @@
 			onMessage,
 			onDropped,
 			pingMs: this.#pingMs,
+			...(fastPing ? {fastPing} : {}),
 			...(expectedName === undefined ? {} : {expectedName}),
 			onUp: () => {
 				this.#linkUp(link);
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -17,10 +17,9 @@
 import {PeerLinks} from './peer-links.js';
 import {VmListPoller} from './vm-list-poller.js';
 
-/**
- * Heartbeat interval. It is shorter than on other links, since requests wait for their stages until a lost leader is
- * detected, after three intervals.
- */
+/** Heartbeat interval of members that do not lead. */
+const memberPingMs: Ms = 600;
+/** Heartbeat interval of a leader. Requests wait for their stages until a lost leader is detected, after three intervals. */
 const leaderPingMs: Ms = 300;
 /** Number of other entry VMs, in the order of succession, that stay linked: the second leads when the first is lost. */
 const linkedLeaderCandidates = 2;
@@ -91,7 +90,8 @@
 			metrics: LinkMetrics.create(options.registry),
 			connect: address => dialLink(address),
 			neededNames: () => this.#neededNames(),
-			pingMs: leaderPingMs,
+			pingMs: memberPingMs,
+			fastPing: {intervalMs: leaderPingMs, isActive: () => this.leader() === undefined},
 			onUp: link => {
 				if (this.#isLeaving) {
 					link.send({type: 'leaving'});
--- a/src/links/send-queue.ts
+++ b/src/links/send-queue.ts
@@ -7,7 +7,7 @@
 }
 
 /** Message types that may be dropped, since a later message of the same type supersedes them. */
-const droppableTypes: ReadonlySet<LinkMessageType> = new Set(['ping', 'digest', 'summary']);
+const droppableTypes: ReadonlySet<LinkMessageType> = new Set(['ping', 'beat', 'digest', 'summary']);
 
 /**
  * Bounded send queue of a link. When it is full, heartbeats, digests and summaries are dropped, oldest first. Other
--- a/src/pools/pool-host.test.ts
+++ b/src/pools/pool-host.test.ts
@@ -32,7 +32,7 @@
 	}
 }
 
-function create() {
+function create(isOwnZone: (zone: string) => boolean = () => true) {
 	const clock = ManualClock.create();
 	const logger = silentLoggerFactory('pools');
 	const registry = TargetRegistry.create({clock, logger});
@@ -47,11 +47,14 @@
 		port,
 		retryLimits: {windowMs: 10_000, ratio: 0.2, slack: 50},
 		share: () => 1,
+		isOwnZone,
 		service: name => ({
 			name, maxConnections: 10, engineSlots: undefined, stagePool: limits,
 		}),
 	});
-	return {clock, host, port};
+	return {
+		clock, host, port, registry,
+	};
 }
 
 const plan = (attemptId: string, resultBytes = 8000): StagePlan => ({
@@ -77,6 +80,27 @@
 		expect(port.calls).toHaveLength(1);
 	});
 
+	// Guards against hosts of several cells that fill the places of each other's targets, and against a cell without targets
+	// that serves nobody.
+	it('uses the targets of its own zones, and those of others only while it has none', async () => {
+		const {clock, host, port, registry} = create(zone => zone === 'liepaja-a');
+		const {signal} = new AbortController();
+		const runPlan = async (id: string) => {
+			const outcome = host.run(plan(id), signal);
+			await clock.advance(50);
+			await clock.advance(500);
+			await outcome;
+		};
+
+		await runPlan('r1');
+		registry.put({
+			id: 't2', service: 'archive', address: '10.0.0.2:80', zone: 'liepaja-a', slots: 1, isDraining: false, startedMs: 0,
+		});
+		await runPlan('r2');
+		await runPlan('r3');
+		expect(port.calls.map(({target}) => target.id)).toEqual(['t1', 't2', 't2']);
+	});
+
 	// Guards against calls that run out of memory because plans of the previous host still hold results at the targets.
 	it('uses less memory just after a takeover and all of it later', async () => {
 		const {clock, host, port} = create();
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -23,6 +23,8 @@
 	readonly retryLimits: RetryLimits;
 	/** This host's fraction of the work; 1 unless another host is likely to use the same targets. */
 	readonly share: () => number;
+	/** Whether the targets of a zone are this host's to use. */
+	readonly isOwnZone: (zone: string) => boolean;
 	/** Returns the current declaration of a service. */
 	readonly service: (name: string) => ServiceDeclaration | undefined;
 }
@@ -56,8 +58,10 @@
 			logger,
 			onFreed: handle => {
 				for (const [service, {pool}] of this.#pools) {
-					pool.removeResult(handle, clock.now());
-					this.#dispatch(service);
+					if (pool.removeResult(handle, clock.now())) {
+						this.#scheduleDispatch(service);
+						return;
+					}
 				}
 			},
 		});
@@ -201,7 +205,10 @@
 	}
 
 	#updateTargets(service: string, pool: StagePool): void {
-		pool.setTargets(this.options.registry.acceptingTargets(service).map(({entry}) => ({id: entry.id, address: entry.address, zone: entry.zone})));
+		const accepting = this.options.registry.acceptingTargets(service);
+		const own = accepting.filter(({entry}) => this.options.isOwnZone(entry.zone));
+		// Without a target of its own, a host shares those of the others, which refuse calls that they have no place for.
+		pool.setTargets((own.length > 0 ? own : accepting).map(({entry}) => ({id: entry.id, address: entry.address, zone: entry.zone})));
 	}
 
 	/** Defers dispatch, so that jobs submitted in the same turn of the event loop share calls. */
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -174,13 +174,9 @@
 		}
 	}
 
-	/** Removes a result that was freed or has expired at its target, so that its memory no longer counts as used. */
-	removeResult(handle: string, now: Ms): void {
-		for (const target of this.#targets.values()) {
-			if (target.removeResult(handle, now)) {
-				return;
-			}
-		}
+	/** Removes a result that was freed or has expired at its target, so that its memory no longer counts as used; returns whether a target of this pool held it. */
+	removeResult(handle: string, now: Ms): boolean {
+		return [...this.#targets.values()].some(target => target.removeResult(handle, now));
 	}
 
 	/** Announces a job that is likely to be submitted later, so that wait estimates include it. */
@@ -215,6 +211,10 @@
 	 */
 	nextCalls(now: Ms, share = 1): StageCall[] {
 		this.#shedJobs(now);
+		if (this.backlog === 0) {
+			return [];
+		}
+
 		const calls: StageCall[] = [];
 		const maxCalls = Math.max(1, Math.round(share * this.#targets.size * this.#limits.slots));
 		const free = [...this.#targets.values()].filter(target => target.callCount < this.#limits.slots && target.isUsable(now));
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -69,6 +69,16 @@
 
 	/** Adds a target, or updates it from its current entry. */
 	put(entry: TargetEntry): void {
+		const target = this.#put(entry);
+		if (target) {
+			this.options.logger.info('Added a target.', {
+				target: entry.id, service: entry.service, zone: entry.zone, address: entry.address, draining: entry.isDraining,
+			});
+		}
+	}
+
+	/** Returns the target if it was added. */
+	#put(entry: TargetEntry): RelayTarget | undefined {
 		this.#pendingRemovals.get(entry.id)?.();
 		this.#pendingRemovals.delete(entry.id);
 		const existing = this.#targets.get(entry.id);
@@ -77,7 +87,7 @@
 				this.#markDraining(existing);
 			}
 
-			return;
+			return undefined;
 		}
 
 		if (existing) {
@@ -88,9 +98,7 @@
 		this.#targets.set(entry.id, target);
 		this.#zones.set(entry.address, entry.zone);
 		this.#services.set(entry.service, [...this.#services.get(entry.service) ?? [], target]);
-		this.options.logger.info('Added a target.', {
-			target: entry.id, service: entry.service, zone: entry.zone, address: entry.address, draining: entry.isDraining,
-		});
+		return target;
 	}
 
 	/** Removes a target whose entry was deleted, after the grace period if a store outage has just ended. */
@@ -119,9 +127,8 @@
 			this.remove(id);
 		}
 
-		for (const entry of entries) {
-			this.put(entry);
-		}
+		const added = entries.flatMap(entry => this.#put(entry) ?? []);
+		this.options.logger.info('Read all targets.', {targets: entries.length, added: added.length, draining: entries.filter(entry => entry.isDraining).length});
 	}
 
 	/** Handles the end of a store outage: starts the grace period if entries may have expired during it. */
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -144,7 +144,7 @@
 			},
 		});
 		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), service: name => this.#table?.declarations.services.get(name),
+			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, service: name => this.#table?.declarations.services.get(name),
 		});
 		this.#stages = MeshStageRunner.create({
 			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh,
--- a/test/support/stage-load.ts
+++ b/test/support/stage-load.ts
@@ -210,6 +210,7 @@
 		port: targets,
 		retryLimits: {windowMs: 10_000, ratio: 0.2, slack: 58},
 		share: () => 1,
+		isOwnZone: () => true,
 		service: name => services.get(name),
 	});
 	const stages = runner === 'pools'
