--- a/src/links/link-mesh.ts
+++ b/src/links/link-mesh.ts
@@ -282,6 +282,7 @@
 			case 'stage-cancel':
 			case 'stage-free':
 			case 'leaving':
+			case 'stage-load':
 			case 'topic-news':
 			case 'beat':
 			case 'ping': {
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -6,11 +6,12 @@
 const count = z.number().int().nonnegative();
 const name = z.string().min(1).max(200);
 const id = count;
-// Limits that protect against a faulty peer: stages of a plan, pieces of a stage, result handles in a message, and records in news.
+// Limits that protect against a faulty peer: stages of a plan, pieces of a stage, result handles in a message, records in news, and services with stage pools.
 const maxStages = 50;
 const maxPieces = 10_000;
 const maxHandles = 50_000;
 const maxNewsRecords = 20_000;
+const maxStageServices = 1000;
 const handle = z.string().min(1).max(200);
 
 /** Encoded digest. Names are replaced by indexes into a table that grows over the session. */
@@ -82,6 +83,8 @@
 		priority: z.number(),
 		callInMs: z.number(),
 		deadlineInMs: z.number(),
+		// The sender hosts the pools of another cell, which are busy; the plan is not passed on again.
+		isSpilled: z.boolean().optional(),
 	}),
 	z.strictObject({
 		type: z.literal('stage-results'), id, results: z.array(z.strictObject({handle, zone: z.string().max(200), bytes: z.number()})).max(maxPieces),
@@ -99,6 +102,8 @@
 	}),
 	// A heartbeat that promises the next one within the shorter interval.
 	z.strictObject({type: z.literal('beat')}),
+	// Load of the stage pools that the sender hosts: service, expected wait in ms, further wait in ms for each piece.
+	z.strictObject({type: z.literal('stage-load'), services: z.array(z.tuple([name, z.number().nonnegative(), z.number().nonnegative()])).max(maxStageServices)}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -48,8 +48,8 @@
 	readonly onLost: (link: Link) => void;
 }
 
-/** Own cell: its key, and the names of its members in the order of succession, this entry VM included. */
-type OwnCell = {readonly cells: CellMap; readonly key: string; readonly names: readonly string[]};
+/** Own cell: its key, the names of its members in the order of succession, this entry VM included, and those of the other cells. */
+type OwnCell = {readonly cells: CellMap; readonly key: string; readonly names: readonly string[]; readonly others: ReadonlyMap<string, readonly string[]>};
 
 /**
  * Links a relaying entry VM to the others of its cell and elects the leader of the cell, which hosts the stage pools. The
@@ -151,12 +151,19 @@
 		return cells.of(zone) === key;
 	}
 
-	/** Sends a message on every link; it is encoded once. */
+	/** Sends a message to the linked members of the cell; it is encoded once. */
 	broadcast(message: LinkMessage): void {
-		const payload = encodeLinkMessage(message);
-		for (const link of this.#links.up()) {
-			link.sendPayload(message.type, payload);
-		}
+		this.#send(message, this.#links.up().filter(link => this.isInCell(link.peer.zone)));
+	}
+
+	/** Sends a message to the linked members of other cells, which are their leaders; only a leader has links to them. */
+	broadcastToLeaders(message: LinkMessage): void {
+		this.#send(message, this.#links.up().filter(link => !this.isInCell(link.peer.zone)));
+	}
+
+	/** Returns the link to a member. */
+	linkTo(name: string): Link | undefined {
+		return this.#links.byName(name);
 	}
 
 	/** Returns the link to the leader; `undefined` when no linked member ranks before this entry VM, which then leads. */
@@ -191,16 +198,31 @@
 		await this.#listener?.close();
 	}
 
+	#send(message: LinkMessage, links: readonly Link[]): void {
+		if (links.length > 0) {
+			const payload = encodeLinkMessage(message);
+			for (const link of links) {
+				link.sendPayload(message.type, payload);
+			}
+		}
+	}
+
+	/** Returns the members that this entry VM needs a link to: the next ones to lead its cell and, at a leader, the leaders of other cells. */
+	#neededNames(): readonly string[] {
+		const {names, others} = this.#ownCell();
+		const own = this.#firstExpected(names.filter(name => name !== this.options.self.name), linkedLeaderCandidates);
+		return this.leader() ? own : [...own, ...[...others.values()].flatMap(other => this.#firstExpected(other, 1))];
+	}
+
 	/**
-	 * Returns the members of the cell up to and including the second one that is linked or expected to answer, in the order
-	 * of succession: the others would be dialled in vain by every member at once when a fleet starts.
+	 * Returns names up to and including the `count`-th one that is linked or expected to answer: the others would be dialled
+	 * in vain by every member at once when a fleet starts.
 	 */
-	#neededNames(): readonly string[] {
-		let count = 0;
-		const others = this.#ownCell().names.filter(name => name !== this.options.self.name).slice(0, maxDialled);
-		return others.filter(name => {
-			const isNeeded = count < linkedLeaderCandidates;
-			count += this.#links.isLinkedOrExpected(name) ? 1 : 0;
+	#firstExpected(names: readonly string[], count: number): readonly string[] {
+		let expected = 0;
+		return names.slice(0, maxDialled).filter(name => {
+			const isNeeded = expected < count;
+			expected += this.#links.isLinkedOrExpected(name) ? 1 : 0;
 			return isNeeded;
 		});
 	}
@@ -220,14 +242,22 @@
 		const members = this.#membership.members();
 		const cells = CellMap.create({zones: [self.zone, ...members.flatMap(member => member.zone ?? [])], regionOf});
 		const key = cells.of(self.zone);
-		const starts = members
-			.filter(member => member.zone !== undefined && cells.of(member.zone) === key)
-			.map(({name, startId}) => ({name, startId: startId ?? unknownStartId}));
-		starts.push({name: self.name, startId: this.#isLeaving ? unknownStartId : self.incarnation});
-		const names = starts
+		const starts = [
+			{name: self.name, cell: key, startId: this.#isLeaving ? unknownStartId : self.incarnation},
+			...members.flatMap(({name, zone, startId}) => zone === undefined ? [] : {name, cell: cells.of(zone), startId: startId ?? unknownStartId}),
+		]
 			.filter(({startId}) => !this.#leavingIncarnations.has(startId))
-			.toSorted((a, b) => a.startId === b.startId ? a.name.localeCompare(b.name) : (a.startId < b.startId ? -1 : 1))
-			.map(({name}) => name);
-		return {cells, key, names};
+			.toSorted((a, b) => a.startId === b.startId ? a.name.localeCompare(b.name) : (a.startId < b.startId ? -1 : 1));
+		const others = new Map<string, string[]>();
+		for (const {name, cell} of starts) {
+			if (cell !== key) {
+				others.set(cell, [...others.get(cell) ?? [], name]);
+			}
+		}
+
+		const names = starts.filter(({cell}) => cell === key).map(({name}) => name);
+		return {
+			cells, key, names, others,
+		};
 	}
 }
--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -31,7 +31,15 @@
 	const clock = ManualClock.create();
 	const hostEvents: string[] = [];
 	let leader: unknown;
+	const links = new Map<string, unknown>();
+	const reports: unknown[] = [];
 	const host = {
+		meetsObjectives: true,
+		canMeetObjective() {
+			return host.meetsObjectives;
+		},
+		expectedCallMs: () => 100,
+		serviceLoads: () => [{service: 'archive', waitMs: 5, msPerPiece: 1}],
 		async run() {
 			hostEvents.push('run');
 			return outcomes.shift() ?? {results: []};
@@ -42,16 +50,23 @@
 		handOver() {
 			hostEvents.push('handOver');
 		},
-		free() {
-			hostEvents.push('free');
+		free(handles: readonly string[]) {
+			hostEvents.push(handles.length === 0 ? 'free nothing' : 'free');
+		},
+	};
+	const mesh = {
+		isSettled: true,
+		leader: () => leader,
+		linkTo: (name: string) => links.get(name),
+		broadcastToLeaders(message: unknown) {
+			reports.push(message);
 		},
 	};
-	const mesh = {isSettled: true, leader: () => leader};
 	const stages = MeshStageRunner.create({
 		clock, logger: silentLoggerFactory('pools'), host: host as unknown as PoolHost, mesh: () => mesh as unknown as RelayMesh,
 	});
 	return {
-		clock, stages, hostEvents, lead(link: unknown) {
+		clock, stages, hostEvents, host, links, reports, lead(link: unknown) {
 			leader = link;
 		},
 	};
@@ -108,4 +123,71 @@
 		stages.handOver();
 		expect(hostEvents).toEqual(['handOver']);
 	});
+
+	describe('with hosts of other cells', () => {
+		const load = {type: 'stage-load', services: [['archive', 0, 1]]} as const;
+		const busyPlan: StagePlan = {
+			...plan, stages: [{
+				service: 'archive', after: [], resultBytes: 1, pieces: 1,
+			}],
+		};
+
+		function createBusy(outcome: {type: string; results?: unknown; failure?: string}) {
+			const setup = create([{results: [{handle: 'own/1', zone: 'riga-a', bytes: 1}]}]);
+			const sent: Array<Sent & {isSpilled?: boolean; handles?: string[]}> = [];
+			const link = {
+				peer: {name: 'other'},
+				send(message: Sent & {isSpilled?: boolean; handles?: string[]}) {
+					sent.push(message);
+					if (message.type === 'stage-plan') {
+						setup.stages.receive(link as never, {...outcome, id: message.id} as never);
+					}
+
+					return true;
+				},
+			};
+			setup.links.set('other', link);
+			setup.host.meetsObjectives = false;
+			return {...setup, sent, link};
+		}
+
+		// Guards against plans that are late or refused in a busy cell while another one has room, and against results whose
+		// memory stays taken at the host that made them.
+		it('sends a plan to another host when it meets its objective only there, and frees its results there', async () => {
+			const {stages, sent, link, hostEvents} = createBusy({type: 'stage-results', results: [{handle: 'other/1', zone: 'riga-b', bytes: 1}]});
+			stages.receive(link as never, load as never);
+			expect(await stages.run(busyPlan, new AbortController().signal)).toMatchObject({results: [{handle: 'other/1'}]});
+			stages.free(['other/1']);
+			expect(sent.map(({type, isSpilled, handles}) => ({type, isSpilled, handles}))).toEqual([{type: 'stage-plan', isSpilled: true, handles: undefined}, {type: 'stage-free', isSpilled: undefined, handles: ['other/1']}]);
+			expect(hostEvents).toEqual(['free nothing']);
+		});
+
+		it('runs a plan itself that another host fails', async () => {
+			const {stages, link, hostEvents} = createBusy({type: 'stage-failure', failure: 'overloaded'});
+			stages.receive(link as never, load as never);
+			expect(await stages.run(busyPlan, new AbortController().signal)).toMatchObject({results: [{handle: 'own/1'}]});
+			expect(hostEvents).toEqual(['run']);
+		});
+
+		// Guards against plans that travel from host to host.
+		it('does not pass on a plan of another host', async () => {
+			const {clock, stages, sent, link, hostEvents} = createBusy({type: 'stage-failure', failure: 'overloaded'});
+			stages.receive(link as never, load as never);
+			stages.receive(link as never, {
+				type: 'stage-plan', id: 1, attemptId: 'r', stages: [], zone: 'riga-a', priority: 0, callInMs: 10, deadlineInMs: 100, isSpilled: true,
+			} as never);
+			await clock.advance(1);
+			expect([hostEvents, sent.map(({type}) => type)]).toEqual([['run'], ['stage-results']]);
+		});
+
+		it('reports its load while it leads', async () => {
+			const {clock, reports, lead} = create([]);
+			await clock.advance(500);
+			expect(reports).toContainEqual({type: 'stage-load', services: [['archive', 5, 1]]});
+			const count = reports.length;
+			lead({peer: {name: 'leader'}});
+			await clock.advance(2000);
+			expect(reports).toHaveLength(count);
+		});
+	});
 });
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -1,9 +1,11 @@
-import type {Clock, Ms} from '../clock/index.js';
+import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {PendingReplies} from '../links/pending-replies.js';
 import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
+import {ForeignHosts} from './foreign-hosts.js';
 import type {PoolHost} from './pool-host.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
+import {objectiveMarginMs} from './stage-plan-run.js';
 
 /** Maximum number of hosts tried per plan; a plan whose host is lost is sent to the next one. */
 const maxHosts = 3;
@@ -12,11 +14,17 @@
 const hostDiscoveryPollMs: Ms = 50;
 /** An entry VM that becomes the host again counts as having taken over if it has run no plan, its own or a peer's, for this time. */
 const takeoverQuietMs: Ms = 3000;
+/** Interval at which a host reports its load to the hosts of other cells. */
+const loadIntervalMs: Ms = 400;
+/** Time for a plan to travel to a host in another cell and back, across regions. */
+const foreignRoundTripMs: Ms = 50;
+/** Time after which the maker of a foreign result is forgotten; the result itself does not last that long. */
+const foreignHandleTtlMs: Ms = 60_000;
 /** Maximum number of handles per message. */
 const handlesPerMessage = 1000;
 
 /** Link messages about stages. */
-export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free'};
+export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free' | 'stage-load'};
 
 /**
  * Runs stage plans on the entry VM that leads the mesh, which hosts the stage pools for all entry VMs; the others send it
@@ -35,6 +43,10 @@
 	#remoteRunMs: Ms = -Infinity;
 	#localRunMs: Ms = -Infinity;
 
+	readonly #foreignHosts = ForeignHosts.create();
+	/** Hosts of other cells that made results for plans of this one, by handle. */
+	readonly #foreignHandles = new Map<string, {link: Link; expiresMs: Ms}>();
+	#cancelReport: CancelTimer = () => undefined;
 	readonly #replies: PendingReplies<StagePlanOutcome>;
 	/** Plans of other entry VMs that run here, by link and id. */
 	readonly #peerPlans = new Map<Link, Map<number, AbortController>>();
@@ -42,6 +54,7 @@
 	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined) {
 		this.#replies = PendingReplies.create(clock);
 		this.#startedMs = clock.now();
+		this.#reportLoad();
 	}
 
 	/** Whether plans may be sent: the host of the pools is known, or none has been found within the discovery timeout. */
@@ -67,7 +80,7 @@
 				this.#noteLocalRun();
 			}
 
-			const outcome = link ? await this.#runRemotely(link, plan, signal) : await this.host.run(plan, signal);
+			const outcome = link ? await this.#runRemotely(link, plan, signal) : await this.#runAtHost(plan, signal);
 			if (outcome === 'timeout') {
 				return {failure: 'late', retryAfterMs: 0};
 			}
@@ -89,12 +102,17 @@
 		}
 	}
 
+	/** Ends the reports to other hosts. */
+	close(): void {
+		this.#cancelReport();
+	}
+
 	free(handles: readonly string[]): void {
 		const link = this.mesh()?.leader();
 		for (let at = 0; at < handles.length; at += handlesPerMessage) {
 			const batch = handles.slice(at, at + handlesPerMessage);
 			if (!link?.send({type: 'stage-free', handles: batch})) {
-				this.host.free(batch);
+				this.#freeAtHosts(batch);
 			}
 		}
 	}
@@ -128,7 +146,12 @@
 			}
 
 			case 'stage-free': {
-				this.host.free(message.handles);
+				this.#freeAtHosts(message.handles);
+				break;
+			}
+
+			case 'stage-load': {
+				this.#foreignHosts.update(link.peer.name, message.services.map(([service, waitMs, msPerPiece]) => ({service, waitMs, msPerPiece})), this.clock.now());
 				break;
 			}
 		}
@@ -137,6 +160,7 @@
 	/** Cancels the plans that run here for a lost peer. Plans sent to that peer are retried at the next host. */
 	linkLost(link: Link): void {
 		this.#replies.linkLost(link);
+		this.#foreignHosts.remove(link.peer.name);
 		for (const controller of this.#peerPlans.get(link)?.values() ?? []) {
 			controller.abort();
 		}
@@ -144,6 +168,93 @@
 		this.#peerPlans.delete(link);
 	}
 
+	/** Runs a plan of this cell at its host: here, or at the host of another cell if the plan meets its objective only there. */
+	async #runAtHost(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+		const link = this.host.canMeetObjective(plan) ? undefined : this.#chooseForeignHost(plan);
+		if (!link) {
+			return this.host.run(plan, signal);
+		}
+
+		const outcome = await this.#runRemotely(link, plan, signal, true);
+		if (typeof outcome !== 'string' && 'results' in outcome) {
+			for (const {handle} of outcome.results) {
+				this.#foreignHandles.set(handle, {link, expiresMs: this.clock.now() + foreignHandleTtlMs});
+			}
+
+			return outcome;
+		}
+
+		const failure = typeof outcome === 'string' ? outcome : outcome.failure;
+		this.logger.info('The host of another cell did not complete a stage plan.', {id: plan.attemptId, host: link.peer.name, failure});
+		if (failure === 'timeout' || failure === 'late' || failure === 'cancelled') {
+			return {failure: failure === 'cancelled' ? 'cancelled' : 'late', retryAfterMs: 0};
+		}
+
+		return this.host.run(plan, signal);
+	}
+
+	#chooseForeignHost(plan: StagePlan): Link | undefined {
+		const mesh = this.mesh();
+		const name = mesh && this.#foreignHosts.choose(plan, {
+			now: this.clock.now(),
+			times: this.host,
+			readyByMs: plan.callByMs - objectiveMarginMs,
+			isReachable: host => mesh.linkTo(host) !== undefined,
+			roundTripMs: () => foreignRoundTripMs,
+		});
+		if (name === undefined) {
+			return undefined;
+		}
+
+		this.logger.info('Sent a stage plan to the host of another cell.', {id: plan.attemptId, host: name});
+		return mesh!.linkTo(name);
+	}
+
+	/** Frees results at the hosts that made them, whose pools count the memory of their results. */
+	#freeAtHosts(handles: readonly string[]): void {
+		const own: string[] = [];
+		const foreign = new Map<Link, string[]>();
+		for (const handle of handles) {
+			const link = this.#foreignHandles.get(handle)?.link;
+			this.#foreignHandles.delete(handle);
+			if (link) {
+				foreign.set(link, [...foreign.get(link) ?? [], handle]);
+			} else {
+				own.push(handle);
+			}
+		}
+
+		for (const [link, batch] of foreign) {
+			if (!link.send({type: 'stage-free', handles: batch})) {
+				own.push(...batch);
+			}
+		}
+
+		this.host.free(own);
+	}
+
+	/** Reports the load of the pools that are hosted here to the hosts of other cells. */
+	#reportLoad(): void {
+		const mesh = this.mesh();
+		if (mesh && !mesh.leader()) {
+			mesh.broadcastToLeaders({type: 'stage-load', services: this.host.serviceLoads().map(({service, waitMs, msPerPiece}): [string, number, number] => [service, waitMs, msPerPiece])});
+		}
+
+		const now = this.clock.now();
+		for (const [handle, {expiresMs}] of this.#foreignHandles) {
+			// The handles are in the order in which they expire.
+			if (expiresMs > now) {
+				break;
+			}
+
+			this.#foreignHandles.delete(handle);
+		}
+
+		this.#cancelReport = this.clock.after(loadIntervalMs, () => {
+			this.#reportLoad();
+		});
+	}
+
 	/** Records that a plan runs here, and detects that this entry VM has taken over from another host. */
 	#noteLocalRun(): void {
 		const now = this.clock.now();
@@ -154,7 +265,7 @@
 		this.#localRunMs = now;
 	}
 
-	async #runRemotely(link: Link, plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome | 'timeout' | 'link_lost' | 'unsent'> {
+	async #runRemotely(link: Link, plan: StagePlan, signal: AbortSignal, isSpilled = false): Promise<StagePlanOutcome | 'timeout' | 'link_lost' | 'unsent'> {
 		const now = this.clock.now();
 		const {callByMs, deadlineMs, pieceKey, stages, ...fields} = plan;
 		let planId = 0;
@@ -170,6 +281,7 @@
 				id,
 				...fields,
 				...(pieceKey === undefined ? {} : {pieceKey}),
+				...(isSpilled ? {isSpilled} : {}),
 				stages: stages.map(stage => ({...stage, after: [...stage.after]})),
 				callInMs: callByMs - now,
 				deadlineInMs: deadlineMs - now,
@@ -185,15 +297,16 @@
 
 	async #runForPeer(link: Link, message: StageMessage & {type: 'stage-plan'}): Promise<void> {
 		this.#noteLocalRun();
-		const {id, type, callInMs, deadlineInMs, pieceKey, ...fields} = message;
+		const {id, type, callInMs, deadlineInMs, pieceKey, isSpilled = false, ...fields} = message;
 		const now = this.clock.now();
 		const controller = new AbortController();
 		const plans = this.#peerPlans.get(link) ?? new Map<number, AbortController>();
 		this.#peerPlans.set(link, plans);
 		plans.set(id, controller);
-		const outcome = await this.host.run({
+		const plan = {
 			...fields, pieceKey, callByMs: now + callInMs, deadlineMs: now + deadlineInMs,
-		}, controller.signal);
+		};
+		const outcome = await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
 		plans.delete(id);
 		const isSent = 'results' in outcome
 			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
@@ -201,7 +314,7 @@
 				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs),
 			});
 		if (!isSent && 'results' in outcome) {
-			this.host.free(outcome.results.map(({handle}) => handle));
+			this.#freeAtHosts(outcome.results.map(({handle}) => handle));
 		}
 	}
 }
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -2,11 +2,13 @@
 import type {PartLogger} from '../logging/index.js';
 import type {TargetRegistry} from '../registry/index.js';
 import type {ServiceDeclaration} from '../routes/index.js';
+import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
 import {ServiceRetryBudget, type RetryLimits} from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageJob, StageJobOutcome} from './stage-job.js';
-import {StagePlanRun, type PlanHost} from './stage-plan-run.js';
+import {PlanForecast} from './plan-forecast.js';
+import {objectiveMarginMs, StagePlanRun, type PlanHost} from './stage-plan-run.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
 import {StagePool, type StageCall} from './stage-pool.js';
 import type {StageTargetPort} from './stage-target-port.js';
@@ -29,6 +31,11 @@
 	readonly service: (name: string) => ServiceDeclaration | undefined;
 }
 
+/** Urgency of a job behind all others that can meet their objectives. */
+const anyJobOnTime: JobUrgency = {
+	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
+};
+
 type HostedPool = {pool: StagePool; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
 
 /**
@@ -168,6 +175,19 @@
 		}
 	}
 
+	/** Whether a plan is expected to meet its objective at the pools of this host. */
+	canMeetObjective(plan: StagePlan): boolean {
+		return this.now() + PlanForecast.create(plan, this).predictMs(plan.callByMs) + objectiveMarginMs <= plan.callByMs;
+	}
+
+	/** Returns the load of each pool that has targets, as other hosts need it to send plans here. */
+	serviceLoads(): ServiceLoad[] {
+		const now = this.now();
+		return [...this.#pools].flatMap(([service, {pool}]) => pool.hasTargets
+			? {service, waitMs: Math.round(pool.expectedWaitMs(now, anyJobOnTime)), msPerPiece: pool.msPerPiece}
+			: []);
+	}
+
 	/** Returns the number of waiting pieces and of calls in progress of each service. */
 	load(): Array<{service: string; backlog: number; calls: number}> {
 		return [...this.#pools].map(([service, {pool}]) => ({service, backlog: pool.backlog, calls: pool.calls}));
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -1,18 +1,12 @@
 import type {Ms} from '../clock/index.js';
 import type {JobUrgency} from './job-order.js';
 import type {StageJob, StageJobOutcome, ZoneTransfer} from './stage-job.js';
+import {PlanForecast, type PoolTimes} from './plan-forecast.js';
 import type {PlannedStage, StagePlan, StagePlanOutcome} from './stage-plan.js';
 
-/** Time for a call and its results to travel between the host and a target, and for the results to be fetched. */
-const stageTransferMs: Ms = 45;
-
 /** Operations of the pool host that a plan run uses. */
-export interface PlanHost {
+export interface PlanHost extends PoolTimes {
 	now(): Ms;
-	/** Returns the expected time of a call with this many pieces of one job. */
-	expectedCallMs(service: string, pieces: number): Ms;
-	/** Returns the expected time until a job starts. */
-	expectedWaitMs(service: string, job: JobUrgency): Ms;
 	/** Announces a job that will be submitted once the preceding stages have ended. */
 	announce(service: string, id: string, job: JobUrgency, pieces: number): void;
 	/** Removes an announced job. */
@@ -28,7 +22,7 @@
 }
 
 /** Margin by which a plan must be predicted to meet its objective to count as on time; call and engine times vary by about this much. */
-const objectiveMarginMs: Ms = 150;
+export const objectiveMarginMs: Ms = 150;
 /** A job is committed when at most this fraction of the total path time remains. */
 const committedShare = 0.5;
 
@@ -55,18 +49,20 @@
 	readonly #isOnTime: boolean;
 	/** Time of the longest path, without waiting. */
 	readonly #totalMs: Ms;
+	readonly #forecast: PlanForecast;
 	readonly #handOver = new AbortController();
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
-		this.#totalMs = Math.max(0, ...plan.stages.map((_, stage) => this.#pathMs(stage)));
-		this.predictedMs = this.#predictMs(plan.callByMs);
+		this.#forecast = PlanForecast.create(plan, host);
+		this.#totalMs = this.#forecast.totalMs;
+		this.predictedMs = this.#forecast.predictMs(plan.callByMs);
 		this.#isOnTime = host.now() + this.predictedMs + objectiveMarginMs <= plan.callByMs;
 	}
 
 	/** Runs all stages; the failure of one cancels the others. */
 	async run(signal: AbortSignal): Promise<StagePlanOutcome> {
 		const {plan, host} = this;
-		const excessMs = host.now() + this.#predictMs(this.#isOnTime ? plan.callByMs : -Infinity) - plan.deadlineMs;
+		const excessMs = host.now() + this.#forecast.predictMs(this.#isOnTime ? plan.callByMs : -Infinity) - plan.deadlineMs;
 		if (excessMs > 0) {
 			return {failure: 'overloaded', retryAfterMs: excessMs};
 		}
@@ -129,12 +125,12 @@
 	/** Properties that determine the place of the job of a stage in its queue. */
 	#urgency(stage: number): JobUrgency {
 		const {priority, callByMs, deadlineMs} = this.plan;
-		const pathMs = this.#pathMs(stage);
+		const pathMs = this.#forecast.pathMs(stage);
 		return {
 			priority,
 			isCommitted: pathMs <= this.#totalMs * committedShare,
 			startByMs: this.#isOnTime ? callByMs - pathMs : -Infinity,
-			deadlineMs: deadlineMs - pathMs + this.#stageMs(stage),
+			deadlineMs: deadlineMs - pathMs + this.#forecast.stageMs(stage),
 		};
 	}
 
@@ -208,7 +204,7 @@
 	/** Frees the results of stages whose consumers all have their own results. */
 	#freeConsumed(): void {
 		for (const stage of this.#results.keys()) {
-			const consumers = this.#consumers(stage);
+			const consumers = this.#forecast.consumers(stage);
 			if (consumers.length > 0 && consumers.every(consumer => this.#results.has(consumer) || this.#stage(consumer).pieces === 0)) {
 				this.#free(stage);
 			}
@@ -225,42 +221,7 @@
 		return this.plan.stages[stage]!;
 	}
 
-	#consumers(stage: number): number[] {
-		return this.plan.stages.flatMap((other, index) => other.after.includes(stage) ? [index] : []);
-	}
-
 	#isConsumed(stage: number): boolean {
-		return this.#consumers(stage).length > 0;
-	}
-
-	/** Expected time of a stage, without waiting. */
-	#stageMs(stage: number): Ms {
-		const {pieces, service} = this.#stage(stage);
-		return pieces === 0 ? 0 : this.host.expectedCallMs(service, pieces) + stageTransferMs;
-	}
-
-	/** Expected time from the start of a stage to the start of the final call, without waiting. */
-	#pathMs(stage: number): Ms {
-		return this.#stageMs(stage) + Math.max(0, ...this.#consumers(stage).map(consumer => this.#pathMs(consumer)));
-	}
-
-	/** Expected time of all stages, including waiting, when the final call should start by `callByMs`. */
-	#predictMs(callByMs: Ms): Ms {
-		const {plan, host} = this;
-		const endMs = (stage: number): Ms => {
-			const {service, pieces, after} = this.#stage(stage);
-			const readyMs = Math.max(0, ...after.map(other => endMs(other)));
-			if (pieces === 0) {
-				return readyMs;
-			}
-
-			// The current backlog is processed while the preceding stages run, so both waits overlap.
-			const waitMs = host.expectedWaitMs(service, {
-				startByMs: callByMs - this.#pathMs(stage), priority: plan.priority, deadlineMs: plan.deadlineMs, isCommitted: false,
-			});
-			return Math.max(readyMs, waitMs) + this.#stageMs(stage);
-		};
-
-		return Math.max(0, ...plan.stages.map((_, stage) => endMs(stage)));
+		return this.#forecast.consumers(stage).length > 0;
 	}
 }
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -113,6 +113,15 @@
 		return this.#calls.size;
 	}
 
+	get hasTargets(): boolean {
+		return this.#targets.size > 0;
+	}
+
+	/** Time by which each waiting piece delays later jobs. */
+	get msPerPiece(): Ms {
+		return 1 / this.#throughput.piecesPerMs(this.#targets.size, this.#limits);
+	}
+
 	/** Replaces the declared limits. */
 	setLimits(limits: StagePoolLimits): void {
 		this.#limits = limits;
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -251,6 +251,7 @@
 		this.#isClosed = true;
 		this.#configFollower.stop();
 		this.#targetFollower.stop();
+		this.#stages.close();
 		await this.#server.close();
 		await this.#control.close();
 		await this.#metricsServer?.close();
