--- a/test/support/zone-fleet.ts
+++ b/test/support/zone-fleet.ts
@@ -3,6 +3,7 @@
 import {expectedAnswer} from '../../src/stand-ins/index.js';
 import type {Daemon} from './daemon.js';
 import {Fleet} from './fleet.js';
+import {restartableAddress} from './restartable-address.js';
 import {TcpProxy, type ProxyMode} from './tcp-proxy.js';
 
 const preloadFile = path.resolve(import.meta.dirname, 'source-address.mjs');
@@ -131,7 +132,7 @@
 			start('encoders', 1, 'service', ['--service-ms', '5']),
 			start('strike', 1, 'service', ['--service-ms', '20']),
 			start('commission', 1, 'service', ['--service-ms', '20']),
-			...Array.from({length: engines}, async (_, index) => start('engines', index + 1, 'engine', ['--decode-ms-per-token', '5'])),
+			...Array.from({length: engines}, async (_, index) => start('engines', index + 1, 'engine', ['--decode-ms-per-token', '5', '--listen', await restartableAddress()])),
 		]);
 	}
 
