--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -343,14 +343,14 @@
 			regionOf: this.options.regionOf,
 			onMessage: (link, message) => {
 				if (message.type === 'topic-news') {
-					this.#distributor.receive(message);
+					this.#distributor.receive(link, message);
 				} else if (message.type.startsWith('stage-')) {
 					this.#stages.receive(link, message as StageMessage);
 				}
 			},
 			onLost: link => {
 				this.#stages.linkLost(link);
-				this.#distributor.linkLost();
+				this.#distributor.linkLost(link);
 			},
 		});
 	}
--- a/src/relay-vm/topic-distributor.test.ts
+++ b/src/relay-vm/topic-distributor.test.ts
@@ -66,7 +66,7 @@
 		this.lost.add(member);
 		this.members[member]!.follower.stop();
 		for (const {distributor} of this.members) {
-			distributor.linkLost();
+			distributor.linkLost(anyLink);
 		}
 	}
 
@@ -120,7 +120,7 @@
 		this.newsRecords += news.records.length;
 		for (const [member, {distributor}] of this.members.entries()) {
 			if (member !== this.leader && !this.lost.has(member)) {
-				distributor.receive(news);
+				distributor.receive(anyLink, news);
 			}
 		}
 	}
@@ -191,6 +191,19 @@
 		expect(cell.members.map(({outages}) => outages.length)).toEqual([1, 1, 1]);
 	});
 
+	// Guards against members that all read the store whenever a link that is no longer needed closes.
+	it('reads the store after the loss of the link to the leader only', async () => {
+		const cell = start(20);
+		await cell.clock.advance(2000);
+		const {calls} = cell.topic;
+		for (const {distributor} of cell.members) {
+			distributor.linkLost(Object.create(null) as Link);
+		}
+
+		await cell.clock.advance(200);
+		expect(cell.topic.calls - calls).toBeLessThanOrEqual(1);
+	});
+
 	// Guards against a small VM that sends every large configuration to all others.
 	it('does not send large records along: members read them from the store', async () => {
 		const cell = start(20);
--- a/src/relay-vm/topic-distributor.ts
+++ b/src/relay-vm/topic-distributor.ts
@@ -1,4 +1,4 @@
-import type {LinkMessage, RelayMesh} from '../links/index.js';
+import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
 import type {KeyedRecord, TopicFollower, TopicNews} from '../topics/index.js';
 
 /** News with more bytes than this are not sent along: the store serves a large record to many readers faster than a small VM. */
@@ -32,6 +32,7 @@
 	}
 
 	readonly #topics = new Map<string, DistributedTopic>();
+	#feeder: Link | undefined;
 
 	private constructor(private readonly mesh: () => NewsMesh | undefined) {}
 
@@ -49,14 +50,19 @@
 	}
 
 	/** Handles news from a peer. */
-	receive({topic, from, next, outageMs, records}: TopicNewsMessage): void {
+	receive(link: Link, {topic, from, next, outageMs, records}: TopicNewsMessage): void {
+		this.#feeder = link;
 		this.#topics.get(topic)?.follower.receive({
 			from, next, outageMs, records: records.map(([key, value]) => ({key, value: value ?? undefined})),
 		});
 	}
 
-	/** Handles the loss of a link, which may have been the one to the leader. */
-	linkLost(): void {
+	/** Handles the loss of a link: without the one that brought the latest news, the topics are read from the store. */
+	linkLost(link: Link): void {
+		if (link !== this.#feeder) {
+			return;
+		}
+
 		for (const {follower} of this.#topics.values()) {
 			follower.feederLost();
 		}
--- a/src/topics/topic-follower.test.ts
+++ b/src/topics/topic-follower.test.ts
@@ -14,6 +14,7 @@
 	records: KeyedRecord[] = [];
 	first = 0;
 	isDown = false;
+	reads = 0;
 
 	async newest(): Promise<KeyedSnapshot> {
 		this.#check();
@@ -22,6 +23,7 @@
 	}
 
 	async read(from: number): Promise<KeyedPage> {
+		this.reads++;
 		this.#check();
 		return from < this.first || from > this.records.length ? {kind: 'expired'} : {kind: 'records', records: this.records.slice(from), next: this.records.length};
 	}
@@ -33,7 +35,7 @@
 	}
 }
 
-function follow(topic: FakeTopic) {
+function follow(topic: FakeTopic, {pollMs = 1000, waitMs = 0} = {}) {
 	const clock = ManualClock.create();
 	const seen: string[] = [];
 	const outages: number[] = [];
@@ -42,8 +44,8 @@
 		topic,
 		clock,
 		logger: silentLoggerFactory('config'),
-		pollMs: 1000,
-		waitMs: 0,
+		pollMs,
+		waitMs,
 		onSnapshot({records}) {
 			seen.push(`snapshot ${records.map(({key, value}) => `${key}=${String(value)}`).join(' ')}`);
 		},
@@ -106,4 +108,18 @@
 		await clock.advance(2001);
 		expect(seen).toEqual(['snapshot a=2', 'snapshot a=1']);
 	});
+
+	// Guards against a read by every VM for each record when many VMs write to a topic at once.
+	it('spaces long polls while each of them brings records at once', async () => {
+		const topic = new FakeTopic();
+		const {clock, seen} = follow(topic, {pollMs: 100, waitMs: 10_000});
+		for (let index = 0; index < 500; index++) {
+			topic.records.push(record('a', String(index)));
+			await clock.advance(10);
+		}
+
+		await clock.advance(1600);
+		expect(seen.at(-1)).toBe('a=499');
+		expect(topic.reads).toBeLessThan(12);
+	});
 });
--- a/src/topics/topic-follower.ts
+++ b/src/topics/topic-follower.ts
@@ -10,6 +10,8 @@
 const maxRetryDelayMs: Ms = 800;
 /** Maximum delay at a follower that gets news from a peer, which tells it when the store is back. */
 const maxFedRetryDelayMs: Ms = 3200;
+/** Maximum pause between reads of a topic to which records are added all the time. */
+const maxBusyPauseMs: Ms = 1600;
 /** Time beyond the peer's read interval after which missing news are read from the store. */
 const newsSlackMs: Ms = 700;
 
@@ -31,7 +33,7 @@
 	readonly topic: KeyedTopic;
 	readonly clock: Clock;
 	readonly logger: PartLogger;
-	/** Delay between successful reads. */
+	/** Delay between successful reads. With long polls, it doubles up to a maximum while each of them brings records at once. */
 	readonly pollMs: Ms;
 	/** Long-poll timeout: the time for which the store may hold a read until a record is available. */
 	readonly waitMs: Ms;
@@ -65,6 +67,8 @@
 	#lastResponseMs: Ms;
 	#isReachable = true;
 	#failureCount = 0;
+	/** Number of successive reads that brought records. */
+	#busyCount = 0;
 	/** Time until which news of a peer replace reads. */
 	#fedUntilMs: Ms = -Infinity;
 
@@ -127,7 +131,7 @@
 	}
 
 	async #follow(): Promise<void> {
-		const {clock, pollMs} = this.options;
+		const {clock} = this.options;
 		while (!this.#isStopped) {
 			const fedMs = this.#fedUntilMs - clock.now();
 			if (fedMs > 0) {
@@ -136,7 +140,7 @@
 			}
 
 			const isSuccess = await this.#readOnce();
-			await this.#pause(isSuccess ? pollMs : this.#retryDelayMs());
+			await this.#pause(isSuccess ? this.#pollDelayMs() : this.#retryDelayMs());
 		}
 	}
 
@@ -151,6 +155,11 @@
 		this.#wake = new AbortController();
 	}
 
+	#pollDelayMs(): Ms {
+		const {pollMs, waitMs} = this.options;
+		return waitMs === 0 ? pollMs : Math.min(Math.max(pollMs, maxBusyPauseMs), pollMs * (2 ** Math.max(0, this.#busyCount - 1)));
+	}
+
 	#retryDelayMs(): Ms {
 		const maxMs = this.options.hasFeeder?.() ? maxFedRetryDelayMs : maxRetryDelayMs;
 		this.#failureCount++;
@@ -185,7 +194,7 @@
 			this.#applyPage(from, page);
 			return true;
 		} catch (err) {
-			if (this.#isReachable) {
+			if (this.#isReachable && !this.#isStopped) {
 				logger.warn('Lost the store.', {topic: name, error: errorMessage(err)});
 			}
 
@@ -197,6 +206,7 @@
 	/** Applies the records of a page that was read from an offset, without those that news of a peer have brought meanwhile. */
 	#applyPage(from: number, {next, records}: KeyedPage & {kind: 'records'}): void {
 		const outageMs = this.#recordResponse();
+		this.#busyCount = records.length > 0 ? this.#busyCount + 1 : 0;
 		const known = this.#nextOffset! - from;
 		if (known > records.length) {
 			return;
