Keep waiting for the running work of a silent target where it cannot run elsewhere

A probe now tells silent from gone (nothing listens); a silent target is avoided by new requests, and work that may run elsewhere moves on as before. Further probes come at doubling intervals.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -12,7 +12,7 @@
 import {Random} from '../random/index.js';
 import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
 import {
-	PrefixCacheTracker, RelayMetrics, RelayServer, TargetPools, type RelayCodec, type ZoneDistance,
+	PrefixCacheTracker, RelayMetrics, RelayServer, TargetPools, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {TopicFollower, type KeyedRecord, type KeyedTopic} from '../topics/index.js';
@@ -74,7 +74,7 @@
 	readonly seed: number;
 	readonly codec: RelayCodec;
 	readonly stageTargets: StageTargetPort;
-	readonly probe: (target: RelayTarget) => Promise<boolean>;
+	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	readonly configTopic: KeyedTopic;
 	readonly targetTopic: KeyedTopic;
 	/** Decodes the configuration; returns `undefined` for a record without one. */
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -12,4 +12,5 @@
 export {RelayMetrics} from './relay-metrics.js';
 export type {RelayContext} from './relay-context.js';
 export {RelayServer, type RelayServerOptions} from './relay-server.js';
+export type {ProbeResult} from './target-attempt.js';
 export {TargetPools} from './target-pools.js';
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -7,6 +7,7 @@
 import type {PrefixCacheTracker} from './prefix-cache-tracker.js';
 import type {RelayCodec} from './relay-codec.js';
 import type {RelayMetrics} from './relay-metrics.js';
+import type {ProbeResult} from './target-attempt.js';
 import type {TargetPools} from './target-pools.js';
 
 /** Shared services of the process that request handlers depend on. */
@@ -27,7 +28,7 @@
 	/** Returns the retry budget of a service. */
 	readonly retryBudget: (service: string) => ServiceRetryBudget;
 	/** Resolves to true if the target responds on a separate connection. */
-	readonly probe: (target: RelayTarget) => Promise<boolean>;
+	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	/** Age of the target data: time since the last successful read of the targets from the store. */
 	readonly targetsAgeMs: () => Ms;
 	/** True while responses tell callers to close their connections. */
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -184,7 +184,7 @@
 		const {clock, codec, pools, prefixCache, probe, metrics} = context;
 		const {head, attemptId, body, req, route, team} = request;
 		const startedMs = clock.now();
-		const mayRetry = this.#sentCount + 1 < route.maxAttempts;
+		const mayRetry = this.#sentCount + 1 < route.maxAttempts && isRetryable(route);
 		const {prompt} = head;
 		this.#tried.add(target);
 		if (prompt) {
@@ -208,6 +208,7 @@
 			sink: this.#streamWriter,
 			signal: this.#abortController.signal,
 			probe,
+			mayRetry,
 			responseTimeoutMs: this.#timeBudget.responseTimeoutMs(startedMs, mayRetry),
 			streamTimeoutMs: this.#timeBudget.streamTimeoutMs(mayRetry),
 			probeAfterMs: prompt ? this.#timeBudget.probeAfterMs(target.pendingTokens) : undefined,
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -8,7 +8,7 @@
 import {startExchange, type Exchange, type ExchangeRequest} from './target-exchange.js';
 import type {TargetPools} from './target-pools.js';
 
-/** Time without an event in a stream after which the target is probed, as events normally arrive every few ms to tens of ms; also the interval of further probes. */
+/** Time without an event in a stream after which the target is probed, as events normally arrive every few ms to tens of ms; doubles with each further probe. */
 const streamSilenceMs: Ms = 350;
 /** Maximum size of a response that is buffered in memory. */
 const maxResponseBytes = 8 * 1024 * 1024;
@@ -42,6 +42,9 @@
 	| {readonly kind: 'aborted'}
 	| {readonly kind: 'failed'; readonly failure: AttemptFailure; readonly reason: string; readonly response?: TargetResponse};
 
+/** How a target responds to a probe; `gone` if nothing listens at its address, so that its running work is lost. */
+export type ProbeResult = 'alive' | 'silent' | 'gone';
+
 /** Options of one attempt at one target. */
 export interface TargetAttemptOptions {
 	readonly clock: Clock;
@@ -58,8 +61,10 @@
 	readonly streamTimeoutMs: Ms;
 	/** Time without response data after which the target is probed; `undefined` for never. */
 	readonly probeAfterMs: Ms | undefined;
-	/** Resolves to true if the target responds on a separate connection. */
-	readonly probe: (target: RelayTarget) => Promise<boolean>;
+	/** Resolves with how the target responds on a separate connection. */
+	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
+	/** Whether another attempt may follow. Without one, the work of a target that is silent for a while is not given up. */
+	readonly mayRetry: boolean;
 	/** Aborted when the caller disconnects or the deadline has passed. */
 	readonly signal: AbortSignal;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
@@ -240,14 +245,19 @@
 			void this.#probe(clock.now());
 		}
 
-		this.#scheduleSilenceCheck(Math.min(limitMs, silentMs + streamSilenceMs));
+		this.#scheduleSilenceCheck(Math.min(limitMs, silentMs * 2));
 	}
 
 	async #probe(probeStartedMs: Ms): Promise<void> {
-		const isAlive = await this.options.probe(this.options.target);
-		if (!isAlive && !this.#isFinished && this.#lastProgressMs <= probeStartedMs) {
-			this.#recordOutcome('unreachable');
-			this.#abort('silent', 'target did not respond to a probe');
+		const {probe, target, mayRetry} = this.options;
+		const result = await probe(target);
+		if (result === 'alive' || this.#isFinished || this.#lastProgressMs > probeStartedMs) {
+			return;
+		}
+
+		this.#recordOutcome('unreachable');
+		if (mayRetry || result === 'gone') {
+			this.#abort('silent', result === 'gone' ? 'target is gone' : 'target did not respond to a probe');
 		}
 	}
 
