Apply an unchanged list of entry VMs without a cost that grows with the fleet

A profile of a member of 12 in a list of 195 entry VMs showed 160 of its first 1,036 busy ms in state machines of members to which each reading of the list sent an event that changes nothing; each reading also made the succession of all members be ranked again.

Test: membership.test.ts (version unchanged at 200 members; fails before).

--- a/src/links/membership.test.ts
+++ b/src/links/membership.test.ts
@@ -29,6 +29,34 @@
 	expect(membership.get('riga-2')?.state).toBe('live');
 });
 
+// Guards against ranking hundreds of members again, several times a second, although their list has not changed.
+test('the version changes only with the members', () => {
+	const membership = create();
+	const vms = Array.from({length: 200}, (_, index) => vm(`riga-${index}`));
+	membership.applyList(list(...vms));
+	const {version} = membership;
+	membership.applyList(list(...vms));
+	expect(membership.version).toBe(version);
+	const versions = [
+		() => {
+			membership.applyList(list(...vms, vm('riga-new')));
+		},
+		() => {
+			membership.applyList(list(vm('riga-2', 'riga-a', 's2'), ...vms.filter(({id}) => id !== 'riga-2'), vm('riga-new')));
+		},
+		() => {
+			membership.linkEstablished(peer('riga-3'));
+		},
+		() => {
+			membership.applyList(list(...vms));
+		},
+	].map(change => {
+		change();
+		return membership.version;
+	});
+	expect(new Set([version, ...versions]).size).toBe(5);
+});
+
 // Guards against keeping the incarnation of a VM that was replaced at the same address.
 test('a replaced VM at the same address has its new incarnation', () => {
 	const membership = create([{name: 'riga-2', address: {host: '127.0.0.1', port: 7002}}]);
--- a/src/links/membership.ts
+++ b/src/links/membership.ts
@@ -84,6 +84,7 @@
 	/** Applies a VM list. Must not be called with an empty list when reading fails, so that the last one stays in use. */
 	applyList(snapshot: VmSnapshot): void {
 		const listed = new Set<string>();
+		let isChanged = false;
 		for (const vm of snapshot.vms) {
 			const address = parseAddress(vm.address);
 			if (vm.role !== 'entry' || vm.state !== 'live' || vm.id === this.self.name || !address) {
@@ -91,12 +92,14 @@
 			}
 
 			listed.add(vm.id);
+			isChanged ||= !this.#entries.has(vm.id);
 			const entry = this.#findOrCreate(vm.id);
 			entry.isListed = true;
 			entry.zone ??= vm.zone;
 			// The list may lag behind and name an earlier start than the handshake of a linked VM did.
-			if (entry.lifecycle.state !== 'live') {
+			if (entry.lifecycle.state !== 'live' && entry.startId !== vm.startId) {
 				entry.startId = vm.startId;
+				isChanged = true;
 			}
 
 			// A configured address takes precedence over the listed one.
@@ -104,10 +107,15 @@
 				entry.address = address;
 			}
 
-			this.#sendEvent(entry, {type: 'LISTED'});
+			// The event changes nothing in other states, and a list of a large fleet is applied often.
+			if (entry.lifecycle.state === 'gone') {
+				this.#sendEvent(entry, {type: 'LISTED'});
+			}
 		}
 
-		this.#changed();
+		if (isChanged) {
+			this.#changed();
+		}
 
 		for (const entry of this.#entries.values()) {
 			if (!listed.has(entry.name)) {
