--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -3,6 +3,7 @@
 import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
 import {ForeignHosts} from './foreign-hosts.js';
+import {ForeignResults} from './foreign-results.js';
 import type {PoolHost} from './pool-host.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
 import {objectiveMarginMs} from './stage-plan-run.js';
@@ -18,8 +19,6 @@
 const loadIntervalMs: Ms = 400;
 /** Time for a plan to travel to a host in another cell and back, across regions. */
 const foreignRoundTripMs: Ms = 50;
-/** Time after which the maker of a foreign result is forgotten; the result itself does not last that long. */
-const foreignHandleTtlMs: Ms = 60_000;
 /** Maximum number of handles per message. */
 const handlesPerMessage = 1000;
 
@@ -44,8 +43,8 @@
 	#localRunMs: Ms = -Infinity;
 
 	readonly #foreignHosts = ForeignHosts.create();
-	/** Hosts of other cells that made results for plans of this one, by handle. */
-	readonly #foreignHandles = new Map<string, {link: Link; expiresMs: Ms}>();
+	/** Results that hosts of other cells produced for plans of this one. */
+	readonly #foreignResults: ForeignResults<Link>;
 	#cancelReport: CancelTimer = () => undefined;
 	readonly #replies: PendingReplies<StagePlanOutcome>;
 	/** Plans of other entry VMs that run here, by link and id. */
@@ -53,6 +52,7 @@
 
 	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined) {
 		this.#replies = PendingReplies.create(clock);
+		this.#foreignResults = ForeignResults.create(clock);
 		this.#startedMs = clock.now();
 		this.#reportLoad();
 	}
@@ -177,10 +177,7 @@
 
 		const outcome = await this.#runRemotely(link, plan, signal, true);
 		if (typeof outcome !== 'string' && 'results' in outcome) {
-			for (const {handle} of outcome.results) {
-				this.#foreignHandles.set(handle, {link, expiresMs: this.clock.now() + foreignHandleTtlMs});
-			}
-
+			this.#foreignResults.add(outcome.results.map(({handle}) => handle), link);
 			return outcome;
 		}
 
@@ -210,27 +207,13 @@
 		return mesh!.linkTo(name);
 	}
 
-	/** Frees results at the hosts that made them, whose pools count the memory of their results. */
+	/** Frees results at the hosts that produced them, whose pools count the memory of their results. */
 	#freeAtHosts(handles: readonly string[]): void {
-		const own: string[] = [];
-		const foreign = new Map<Link, string[]>();
-		for (const handle of handles) {
-			const link = this.#foreignHandles.get(handle)?.link;
-			this.#foreignHandles.delete(handle);
-			if (link) {
-				foreign.set(link, [...foreign.get(link) ?? [], handle]);
-			} else {
-				own.push(handle);
-			}
-		}
-
-		for (const [link, batch] of foreign) {
-			if (!link.send({type: 'stage-free', handles: batch})) {
-				own.push(...batch);
+		for (const [link, batch] of this.#foreignResults.takeByHost(handles)) {
+			if (!link?.send({type: 'stage-free', handles: batch})) {
+				this.host.free(batch);
 			}
 		}
-
-		this.host.free(own);
 	}
 
 	/** Reports the load of the pools that are hosted here to the hosts of other cells. */
@@ -240,16 +223,6 @@
 			mesh.broadcastToLeaders({type: 'stage-load', services: this.host.serviceLoads().map(({service, waitMs, msPerPiece}): [string, number, number] => [service, waitMs, msPerPiece])});
 		}
 
-		const now = this.clock.now();
-		for (const [handle, {expiresMs}] of this.#foreignHandles) {
-			// The handles are in the order in which they expire.
-			if (expiresMs > now) {
-				break;
-			}
-
-			this.#foreignHandles.delete(handle);
-		}
-
 		this.#cancelReport = this.clock.after(loadIntervalMs, () => {
 			this.#reportLoad();
 		});
