Name the prompt parts of requests that wait at a target when it ends

Change: an attempt that is cut off before its first event has its target probed once; the log line names the requests, their shared parts, and which had their response headers. A counter counts such crashes. No decision depends on it. Ruled out: the existing probe on silence, which a connection that closes never reaches.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -12,7 +12,7 @@
 import {Random} from '../random/index.js';
 import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
 import {
-	PrefixCacheTracker, RelayMetrics, RelayServer, TargetPools, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, TargetPools, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {TopicFollower, type KeyedRecord, type KeyedTopic} from '../topics/index.js';
@@ -282,6 +282,14 @@
 				rank: (key, names) => this.#ranks.of(key, names),
 				retryBudget: service => this.#retryBudget(service),
 				probe: options.probe,
+				crashWatch: CrashWatch.create({
+					clock,
+					logger: createLogger('targets'),
+					probe: options.probe,
+					onCrash: () => {
+						this.#metrics.recordCrash();
+					},
+				}),
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
 			},
--- /dev/null
+++ b/src/relay/crash-watch.test.ts
@@ -0,0 +1,60 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import {silentLoggerFactory} from '../logging/index.js';
+import {RelayTarget} from '../registry/index.js';
+import {CrashWatch, type BrokenAttempt, type TargetCrash} from './crash-watch.js';
+import type {ProbeResult} from './target-attempt.js';
+
+const target = () => RelayTarget.create({
+	id: 'e-1', service: 'engines', address: '127.0.0.1:1', zone: 'riga-a', slots: 4, isDraining: false, startedMs: 1,
+});
+const attempt = (attemptId: string): BrokenAttempt => ({
+	attemptId, parts: ['a'], hasBegun: true, sentMs: 0, brokenMs: 10,
+});
+
+function createWatch(result: ProbeResult) {
+	const crashes: TargetCrash[] = [];
+	let probes = 0;
+	const clock = ManualClock.create();
+	const watch = CrashWatch.create({
+		clock,
+		logger: silentLoggerFactory('targets'),
+		async probe() {
+			probes++;
+			return result;
+		},
+		onCrash(crash) {
+			crashes.push(crash);
+		},
+	});
+	return {
+		watch, crashes, probes: () => probes, settle: async () => clock.advance(1),
+	};
+}
+
+describe('CrashWatch', () => {
+	it('reports all attempts that one crash cut off, with one probe', async () => {
+		const {watch, crashes, probes, settle} = createWatch('gone');
+		const engine = target();
+		watch.attemptBroken(engine, attempt('1'));
+		watch.attemptBroken(engine, attempt('2'));
+		await settle();
+		expect([probes(), crashes.map(({attempts}) => attempts.map(({attemptId}) => attemptId))]).toEqual([1, [['1', '2']]]);
+	});
+
+	it.each(['alive', 'silent'] as const)('reports no crash of a target that is %s', async result => {
+		const {watch, crashes, settle} = createWatch(result);
+		watch.attemptBroken(target(), attempt('1'));
+		await settle();
+		expect(crashes).toEqual([]);
+	});
+
+	it('reports no crash of a target that is draining', async () => {
+		const {watch, probes, settle} = createWatch('gone');
+		const engine = target();
+		engine.isDraining = true;
+		watch.attemptBroken(engine, attempt('1'));
+		await settle();
+		expect(probes()).toBe(0);
+	});
+});
--- /dev/null
+++ b/src/relay/crash-watch.ts
@@ -0,0 +1,91 @@
+import type {Clock, Ms} from '../clock/index.js';
+import type {PartLogger} from '../logging/index.js';
+import type {RelayTarget} from '../registry/index.js';
+import type {ProbeResult} from './target-attempt.js';
+
+/** Maximum number of attempts that are named in the log line of a crash. */
+const maxLoggedAttempts = 8;
+
+/** An attempt that was cut off before its target had sent a whole event or response. */
+export interface BrokenAttempt {
+	readonly attemptId: string;
+	/** Ids of the prompt parts that other requests may share. */
+	readonly parts: readonly string[];
+	/** Whether the headers of the response had arrived. */
+	readonly hasBegun: boolean;
+	readonly sentMs: Ms;
+	readonly brokenMs: Ms;
+}
+
+/** A crash of a target, as seen by one entry VM. */
+export interface TargetCrash {
+	readonly target: RelayTarget;
+	readonly attempts: readonly BrokenAttempt[];
+}
+
+/** Dependencies of {@link CrashWatch}. */
+export interface CrashWatchOptions {
+	readonly clock: Clock;
+	readonly logger: PartLogger;
+	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
+	/** Called for each crash that cut off attempts from this entry VM; again if further attempts turn out to be cut off by it. */
+	readonly onCrash: (crash: TargetCrash) => void;
+}
+
+/**
+ * Tells attempts that ended with their target from those that only lost a connection: a target that refuses a new
+ * connection has crashed. Targets that are draining end on purpose and are not watched.
+ *
+ * @example
+ * watch.attemptBroken(target, {attemptId, parts, hasBegun: true, sentMs, brokenMs: clock.now()});
+ */
+export class CrashWatch {
+	static create(options: CrashWatchOptions): CrashWatch {
+		return new CrashWatch(options);
+	}
+
+	/** Attempts whose targets are being probed. */
+	readonly #pending = new Map<RelayTarget, BrokenAttempt[]>();
+
+	private constructor(private readonly options: CrashWatchOptions) {}
+
+	/** Handles an attempt that was cut off before a whole event or response had arrived. */
+	attemptBroken(target: RelayTarget, attempt: BrokenAttempt): void {
+		if (target.isDraining) {
+			return;
+		}
+
+		const pending = this.#pending.get(target);
+		if (pending) {
+			pending.push(attempt);
+			return;
+		}
+
+		this.#pending.set(target, [attempt]);
+		void this.#check(target);
+	}
+
+	async #check(target: RelayTarget): Promise<void> {
+		const {clock, logger, probe, onCrash} = this.options;
+		const result = await probe(target);
+		const attempts = this.#pending.get(target)!;
+		this.#pending.delete(target);
+		const fields = {
+			target: target.id,
+			service: target.entry.service,
+			probe: result,
+			attempts: attempts.length,
+			begun: attempts.filter(({hasBegun}) => hasBegun).length,
+			first: attempts.slice(0, maxLoggedAttempts).map(({attemptId, hasBegun, parts, sentMs, brokenMs}) => ({
+				id: attemptId, begun: hasBegun, parts, took_ms: Math.round(brokenMs - sentMs),
+			})),
+			age_ms: Math.round(clock.now() - attempts[0]!.brokenMs),
+		};
+		if (result === 'gone') {
+			logger.warn('A target ended while requests waited for it.', fields);
+			onCrash({target, attempts});
+		} else {
+			logger.info('A target cut off requests and is still there or silent.', fields);
+		}
+	}
+}
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -3,6 +3,7 @@
 import type {ServiceRetryBudget, StageRunner} from '../pools/index.js';
 import type {Random} from '../random/index.js';
 import type {RelayTarget, TargetRegistry} from '../registry/index.js';
+import type {CrashWatch} from './crash-watch.js';
 import type {ZoneDistance} from './choose-target.js';
 import type {PrefixCacheTracker} from './prefix-cache-tracker.js';
 import type {RelayCodec} from './relay-codec.js';
@@ -29,6 +30,7 @@
 	readonly retryBudget: (service: string) => ServiceRetryBudget;
 	/** Resolves to true if the target responds on a separate connection. */
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
+	readonly crashWatch: CrashWatch;
 	/** Age of the target data: time since the last successful read of the targets from the store. */
 	readonly targetsAgeMs: () => Ms;
 	/** True while responses tell callers to close their connections. */
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -38,6 +38,10 @@
 		name: 'guavamill_relay_attempts_total', help: 'Attempts at targets by end.', labelNames: ['end'], registers: [this.registry],
 	});
 
+	readonly #crashes = new Counter({
+		name: 'guavamill_relay_target_crashes_total', help: 'Crashes of targets while requests of this entry VM waited for their first event.', registers: [this.registry],
+	});
+
 	readonly #firstByte = new Histogram({
 		name: 'guavamill_relay_first_byte_seconds', help: 'Time from arrival to the first byte of a target\'s answer.', buckets: secondsBuckets, registers: [this.registry],
 	});
@@ -89,6 +93,11 @@
 		this.#attempts.inc({end});
 	}
 
+	/** Records a crash of a target. */
+	recordCrash(): void {
+		this.#crashes.inc();
+	}
+
 	/** Records the duration of the stages of a request. */
 	recordStages(tookMs: Ms): void {
 		this.#stages.observe(tookMs / 1000);
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -14,6 +14,7 @@
 import type {Rejection, RejectionReason} from './rejection.js';
 import {RequestRecord, type RequestResult} from './request-record.js';
 import {sendRejection} from './send-rejection.js';
+import {sharedPartIds} from './shared-part-ids.js';
 import {StreamWriter} from './stream-writer.js';
 import {TimeBudget} from './time-budget.js';
 import {writeResponseHead} from './write-response-head.js';
@@ -240,6 +241,12 @@
 		removePendingTokens();
 		this.#record.recordAttempt(target, outcome, {startedMs, now: clock.now()});
 		metrics.recordAttempt(outcome.kind === 'failed' ? outcome.failure : outcome.kind);
+		if (prompt && outcome.kind === 'failed' && outcome.failure === 'broken' && outcome.progress !== 'answered') {
+			context.crashWatch.attemptBroken(target, {
+				attemptId, parts: sharedPartIds(prompt), hasBegun: outcome.progress === 'begun', sentMs: startedMs, brokenMs: clock.now(),
+			});
+		}
+
 		return outcome;
 	}
 
--- a/src/relay/request-record.test.ts
+++ b/src/relay/request-record.test.ts
@@ -9,7 +9,9 @@
 test('a record reports attempts and times relative to the arrival', () => {
 	const record = RequestRecord.create(1000);
 	record.recordStages(300.4);
-	record.recordAttempt(target, {kind: 'failed', failure: 'broken', reason: 'reset'}, {startedMs: 1310, now: 1400});
+	record.recordAttempt(target, {
+		kind: 'failed', failure: 'broken', reason: 'reset', progress: 'none',
+	}, {startedMs: 1310, now: 1400});
 	record.recordStages(100);
 	record.recordFirstByte(1600);
 	record.recordFirstByte(1700);
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -35,12 +35,15 @@
 	end(remainder: Buffer): void;
 }
 
+/** How far the response to an attempt had got: nothing, its headers, or a whole response or event of a stream. */
+export type ResponseProgress = 'none' | 'begun' | 'answered';
+
 /** How an attempt ended. */
 export type AttemptOutcome =
 	| {readonly kind: 'answer'; readonly response: TargetResponse}
 	| {readonly kind: 'streamed'}
 	| {readonly kind: 'aborted'}
-	| {readonly kind: 'failed'; readonly failure: AttemptFailure; readonly reason: string; readonly response?: TargetResponse};
+	| {readonly kind: 'failed'; readonly failure: AttemptFailure; readonly reason: string; readonly progress: ResponseProgress; readonly response?: TargetResponse};
 
 /** How a target responds to a probe; `gone` if nothing listens at its address, so that its running work is lost. */
 export type ProbeResult = 'alive' | 'silent' | 'gone';
@@ -92,6 +95,7 @@
 	#exchange: Exchange | undefined;
 	#status = 0;
 	#head: TargetHead | undefined;
+	#progress: ResponseProgress = 'none';
 	#isStream = false;
 	#isFramed = true;
 	#isFinished = false;
@@ -152,6 +156,7 @@
 		this.#status = status;
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		this.#head = head;
+		this.#progress = 'begun';
 		if (!head.isNotRun) {
 			onResponseStart?.();
 		}
@@ -183,6 +188,7 @@
 		const events = this.#splitter.push(chunk);
 		if (events.length > 0) {
 			this.#lastProgressMs = this.options.clock.now();
+			this.#progress = 'answered';
 			this.options.sink!.writeEvents(events);
 		}
 
@@ -205,12 +211,12 @@
 		if (response.head.isNotRun) {
 			this.options.target.recordCall('busy', this.options.clock.now(), 0);
 			this.#finish({
-				kind: 'failed', failure: 'refused', reason: `target refused with status ${response.status}`, response,
+				kind: 'failed', failure: 'refused', reason: `target refused with status ${response.status}`, progress: 'answered', response,
 			});
 		} else if (response.status >= 500 || notRunStatuses.has(response.status)) {
 			this.#recordOutcome('failed');
 			this.#finish({
-				kind: 'failed', failure: notRunStatuses.has(response.status) ? 'broken' : 'error', reason: `target failed with status ${response.status}`, response,
+				kind: 'failed', failure: notRunStatuses.has(response.status) ? 'broken' : 'error', reason: `target failed with status ${response.status}`, progress: 'answered', response,
 			});
 		} else {
 			this.#recordOutcome('ok');
@@ -273,12 +279,16 @@
 			this.#recordOutcome('failed');
 		}
 
-		this.#finish({kind: 'failed', failure, reason});
+		this.#finish({
+			kind: 'failed', failure, reason, progress: this.#progress,
+		});
 	}
 
 	#fail(failure: AttemptFailure, reason: string): void {
 		this.#recordOutcome(failure === 'unsent' ? 'unreachable' : 'failed');
-		this.#finish({kind: 'failed', failure, reason});
+		this.#finish({
+			kind: 'failed', failure, reason, progress: this.#progress,
+		});
 	}
 
 	#finish(outcome: AttemptOutcome): void {
