Quarantine prompt parts that crash engines, at every entry VM

Cause: after a crash nothing is remembered of what the engine was doing, so a request that crashes every engine is sent to a second one, and its successors with the same part to all others. Class: the content of one request takes down what many share, and retries carry it on. Change: a target that cuts off a request before its first event is probed; if it is gone, the request's shared parts come under suspicion. What successive crashes have in common, less what was answered, is quarantined: requests with all of these parts are rejected at once, at every entry VM, after restarts too (links, leader, topic keyed.quarantine). Ruled out: refusing by first part, key or team; counting crashes for each part alone; evidence from lost connections, since a garbling engine is still there.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -6,12 +6,16 @@
 const count = z.number().int().nonnegative();
 const name = z.string().min(1).max(200);
 const id = count;
-// Limits that protect against a faulty peer: stages of a plan, pieces of a stage, result handles in a message, records in news, and services with stage pools.
+// Limits that protect against a faulty peer: stages of a plan, pieces of a stage, result handles in a message, records in news, services with stage pools, suspicions in a message and prompt parts of each.
 const maxStages = 50;
 const maxPieces = 10_000;
 const maxHandles = 50_000;
 const maxNewsRecords = 20_000;
 const maxStageServices = 1000;
+const maxSuspicions = 500;
+const maxPromptParts = 2000;
+const promptPart = z.string().min(1).max(16_384);
+const agoMs = z.number().nonnegative();
 const handle = z.string().min(1).max(200);
 
 /** Encoded digest. Names are replaced by indexes into a table that grows over the session. */
@@ -104,6 +108,12 @@
 	z.strictObject({type: z.literal('beat')}),
 	// Load of the stage pools that the sender hosts: service, expected wait in ms, further wait in ms for each piece.
 	z.strictObject({type: z.literal('stage-load'), services: z.array(z.tuple([name, z.number().nonnegative(), z.number().nonnegative()])).max(maxStageServices)}),
+	// Evidence that prompt parts crash targets: parts, weight of the evidence of each crash, times since the first request was sent, since the latest crash and since the quarantine; then parts of answered requests and the times since the answers.
+	z.strictObject({
+		type: z.literal('prompt-suspicions'),
+		suspicions: z.array(z.tuple([z.array(promptPart).min(1).max(maxPromptParts), z.array(z.tuple([z.string().max(1000), z.number().positive()])).min(1).max(100), agoMs, agoMs, agoMs.nullable()])).max(maxSuspicions),
+		answered: z.array(z.tuple([promptPart, agoMs])).max(maxPromptParts),
+	}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -45,6 +45,7 @@
 	readonly distanceTo: (zone: string) => LinkDistance;
 	readonly regionOf: (zone: string) => string | undefined;
 	readonly onMessage: (link: Link, message: LinkMessage) => void;
+	readonly onUp?: (link: Link) => void;
 	readonly onLost: (link: Link) => void;
 }
 
@@ -96,6 +97,8 @@
 				if (this.#isLeaving) {
 					link.send({type: 'leaving'});
 				}
+
+				options.onUp?.(link);
 			},
 			onMessage: (link, message) => {
 				if (message.type === 'leaving') {
--- /dev/null
+++ b/src/quarantine/prompt-quarantine.test.ts
@@ -0,0 +1,215 @@
+import {describe, expect, it} from 'vitest';
+import {ManualClock} from '../clock/index.js';
+import type {Link, LinkMessage} from '../links/index.js';
+import {silentLoggerFactory} from '../logging/index.js';
+import type {KeyedRecord, KeyedWriter} from '../topics/index.js';
+import {PromptQuarantine, type SuspicionMessage} from './prompt-quarantine.js';
+
+const cellSize = 25;
+
+/** Records of the quarantine topic; `fail` makes writes throw. */
+class MemoryTopic implements KeyedWriter {
+	static create(): MemoryTopic {
+		return new MemoryTopic();
+	}
+
+	readonly records = new Map<string, Uint8Array>();
+	isDown = false;
+
+	private constructor() {}
+
+	async put(key: string, value: Uint8Array): Promise<void> {
+		this.#throwIfDown();
+		this.records.set(key, value);
+	}
+
+	async remove(key: string): Promise<void> {
+		this.#throwIfDown();
+		this.records.delete(key);
+	}
+
+	all(): KeyedRecord[] {
+		return [...this.records].map(([key, value]) => ({key, value}));
+	}
+
+	#throwIfDown(): void {
+		if (this.isDown) {
+			throw new Error('the store is down');
+		}
+	}
+}
+
+/** Entry VMs in cells of at most `cellSize`. Members are linked to the first of their cell, its leader; leaders are linked to each other. */
+class SimulatedFleet {
+	static create(size: number): SimulatedFleet {
+		return new SimulatedFleet(size);
+	}
+
+	readonly clock = ManualClock.create({now: 10_000});
+	readonly topic = MemoryTopic.create();
+	readonly quarantines: PromptQuarantine[] = [];
+	messages = 0;
+
+	private constructor(size: number) {
+		for (let index = 0; index < size; index++) {
+			this.quarantines.push(this.#createQuarantine(index));
+		}
+	}
+
+	/** Crashes a target under a request that an entry VM has sent after the crash before it. */
+	async crash(vm: number, target: string, parts: readonly string[]): Promise<void> {
+		const sentMs = this.clock.now();
+		await this.clock.advance(500);
+		this.quarantines[vm]!.crashed(target, [{
+			parts, hasBegun: true, sentMs, brokenMs: this.clock.now(),
+		}]);
+		await this.clock.advance(100);
+	}
+
+	countQuarantined(parts: readonly string[]): number {
+		return this.quarantines.filter(quarantine => quarantine.isQuarantined(parts)).length;
+	}
+
+	restart(vm: number): void {
+		this.quarantines[vm] = this.#createQuarantine(vm);
+	}
+
+	/** Returns the link of one entry VM to another one; messages arrive after 20 ms. */
+	linkBetween(from: number, to: number): Link {
+		const deliver = (message: LinkMessage) => {
+			this.messages++;
+			this.clock.after(20, () => {
+				this.quarantines[to]!.receive(this.linkBetween(to, from), message as SuspicionMessage);
+			});
+			return true;
+		};
+
+		return {peer: {name: `vm-${to}`, zone: `zone-${cellOf(to)}`}, send: deliver} as unknown as Link;
+	}
+
+	#createQuarantine(index: number): PromptQuarantine {
+		const size = () => this.quarantines.length;
+		const others = (isWanted: (other: number) => boolean) => Array.from({length: size()}, (_, other) => other).filter(other => other !== index && isWanted(other));
+		const sendAll = (message: LinkMessage, members: readonly number[]) => {
+			for (const member of members) {
+				this.linkBetween(index, member).send(message);
+			}
+		};
+
+		return PromptQuarantine.create({
+			clock: this.clock,
+			logger: silentLoggerFactory('targets'),
+			writer: this.topic,
+			mesh: () => ({
+				leader: () => index % cellSize === 0 ? undefined : this.linkBetween(index, index - (index % cellSize)),
+				isInCell: zone => zone === `zone-${cellOf(index)}`,
+				broadcast(message) {
+					sendAll(message, others(other => cellOf(other) === cellOf(index)));
+				},
+				broadcastToLeaders(message) {
+					sendAll(message, others(other => other % cellSize === 0));
+				},
+			}),
+		});
+	}
+}
+
+const cellOf = (index: number) => Math.floor(index / cellSize);
+
+describe('PromptQuarantine', () => {
+	it.each([9, 200])('quarantines at all of %d entry VMs after crashes at two of them, with a bounded number of messages', async size => {
+		const fleet = SimulatedFleet.create(size);
+		await fleet.crash(1, 'e-1', ['dead', 'a']);
+		expect([fleet.countQuarantined(['dead']), fleet.messages <= 2 * size]).toEqual([0, true]);
+		await fleet.crash(size - 1, 'e-2', ['dead', 'b']);
+		expect([fleet.countQuarantined(['dead', 'x']), fleet.countQuarantined(['a', 'b']), fleet.messages <= 4 * size]).toEqual([size, 0, true]);
+	});
+
+	it.each([9, 200])('clears a part at all of %d entry VMs when one of them has an answer, with a bounded number of messages', async size => {
+		const fleet = SimulatedFleet.create(size);
+		await fleet.crash(1, 'e-1', ['shared', 'dead']);
+		await fleet.crash(2, 'e-2', ['shared', 'dead']);
+		const before = fleet.messages;
+		fleet.quarantines[size - 1]!.answered(['shared', 'own']);
+		await fleet.clock.advance(200);
+		expect([fleet.countQuarantined(['dead']), fleet.countQuarantined(['shared', 'x']), fleet.messages - before <= 2 * size]).toEqual([size, 0, true]);
+	});
+
+	it('does not suspect a part that another entry VM has seen in an answer shortly before', async () => {
+		const fleet = SimulatedFleet.create(9);
+		fleet.quarantines[5]!.answered(['shared']);
+		await fleet.crash(1, 'e-1', ['shared', 'dead']);
+		await fleet.crash(2, 'e-2', ['shared']);
+		expect(fleet.countQuarantined(['shared'])).toBe(0);
+	});
+
+	it('suspects requests that only waited less than one whose response had begun', async () => {
+		const fleet = SimulatedFleet.create(1);
+		const now = fleet.clock.now();
+		const request = (parts: string[], hasBegun: boolean) => ({
+			parts, hasBegun, sentMs: now, brokenMs: now,
+		});
+		fleet.quarantines[0]!.crashed('e-1', [request(['a'], false), request(['dead'], true)]);
+		fleet.quarantines[0]!.crashed('e-2', [request(['a'], false), request(['dead'], true)]);
+		expect([fleet.countQuarantined(['dead']), fleet.countQuarantined(['a'])]).toEqual([1, 0]);
+	});
+
+	it('tells requests in progress that they are quarantined', async () => {
+		const fleet = SimulatedFleet.create(9);
+		let calls = 0;
+		const count = () => {
+			calls++;
+		};
+
+		const end = fleet.quarantines[8]!.watch(['dead', 'x'], count);
+		fleet.quarantines[8]!.watch(['sound'], count);
+		await fleet.crash(1, 'e-1', ['dead']);
+		await fleet.crash(2, 'e-2', ['dead']);
+		end();
+		expect(calls).toBe(1);
+	});
+
+	it('gives a restarted entry VM the quarantined parts from the store and from its leader', async () => {
+		const fleet = SimulatedFleet.create(9);
+		await fleet.crash(1, 'e-1', ['dead']);
+		await fleet.crash(2, 'e-2', ['dead']);
+		for (const vm of [3, 4]) {
+			fleet.restart(vm);
+		}
+
+		expect(fleet.countQuarantined(['dead'])).toBe(7);
+		fleet.quarantines[3]!.applyRecords(fleet.topic.all());
+		fleet.quarantines[0]!.linkUp(fleet.linkBetween(0, 4));
+		await fleet.clock.advance(50);
+		expect(fleet.countQuarantined(['dead'])).toBe(9);
+	});
+
+	it('writes quarantined parts to the store once it is back, and removes those that are cleared', async () => {
+		const fleet = SimulatedFleet.create(9);
+		fleet.quarantines[0]!.start();
+		fleet.topic.isDown = true;
+		await fleet.crash(1, 'e-1', ['a', 'dead']);
+		await fleet.crash(2, 'e-2', ['a', 'dead']);
+		fleet.topic.isDown = false;
+		await fleet.clock.advance(3000);
+		const [first] = fleet.topic.records.keys();
+		fleet.quarantines[5]!.answered(['a']);
+		await fleet.clock.advance(3000);
+		expect([fleet.topic.records.size, fleet.topic.records.has(first!)]).toEqual([1, false]);
+		fleet.quarantines[5]!.answered(['dead']);
+		await fleet.clock.advance(3000);
+		expect(fleet.topic.records.size).toBe(0);
+		fleet.quarantines[0]!.close();
+	});
+
+	it('lifts a quarantine whose record is removed, and ignores a record that describes none', async () => {
+		const fleet = SimulatedFleet.create(1);
+		await fleet.crash(0, 'e-1', ['dead']);
+		await fleet.crash(0, 'e-2', ['dead']);
+		const [key] = fleet.topic.records.keys();
+		fleet.quarantines[0]!.applyRecords([{key: 'other', value: new TextEncoder().encode('{"parts":3}')}]);
+		expect(fleet.countQuarantined(['dead'])).toBe(1);
+		fleet.quarantines[0]!.applyRecords([{key: key!, value: undefined}]);
+		expect(fleet.countQuarantined(['dead'])).toBe(0);
+	});
+});
--- /dev/null
+++ b/src/quarantine/prompt-quarantine.ts
@@ -0,0 +1,290 @@
+import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
+import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
+import type {PartLogger} from '../logging/index.js';
+import type {KeyedRecord, KeyedWriter} from '../topics/index.js';
+import {partsKey, weightOf, type Suspicion} from './suspicion.js';
+import {SuspicionLedger, type LedgerChange} from './suspicion-ledger.js';
+import {decodeRecord, encodeRecord, recordKey} from './suspicion-record.js';
+
+/** Weight of the evidence of a crash against a request whose response had begun, and against one that only waited. */
+const begunWeight = 1;
+const waitingWeight = 0.5;
+/** Interval at which old suspicions are dropped, and the records in the store are compared with the quarantined sets. */
+const reconcileMs: Ms = 2000;
+/** Maximum number of requests of one crash that come under suspicion. */
+const maxRequestsPerCrash = 16;
+/** Maximum number of shared parts of a prompt that come under suspicion. */
+const maxSuspectedParts = 256;
+
+/** Link message with evidence. */
+export type SuspicionMessage = LinkMessage & {type: 'prompt-suspicions'};
+
+/** Operations of the mesh that the quarantine uses. */
+export type QuarantineMesh = Pick<RelayMesh, 'leader' | 'isInCell' | 'broadcast' | 'broadcastToLeaders'>;
+
+/** A request that a crash of its target cut off. */
+export interface CrashedRequest {
+	/** Prompt parts that other requests may share. */
+	readonly parts: readonly string[];
+	/** Whether its response had begun. */
+	readonly hasBegun: boolean;
+	readonly sentMs: Ms;
+	readonly brokenMs: Ms;
+}
+
+/** Dependencies of {@link PromptQuarantine}. */
+export interface PromptQuarantineOptions {
+	readonly clock: Clock;
+	readonly logger: PartLogger;
+	readonly mesh: () => QuarantineMesh | undefined;
+	/** Writer of the topic in which quarantined sets outlast the processes. */
+	readonly writer: KeyedWriter;
+}
+
+/**
+ * Rejects requests with prompt parts that crash targets, at every entry VM: evidence goes over the links to the leader of
+ * the cell, which passes it on and keeps the quarantined sets in the store.
+ *
+ * @example
+ * quarantine.crashed('engine-1 1000', requests);
+ * quarantine.isQuarantined(['a', 'b']);
+ */
+export class PromptQuarantine {
+	static create(options: PromptQuarantineOptions): PromptQuarantine {
+		return new PromptQuarantine(options);
+	}
+
+	readonly #ledger = SuspicionLedger.create();
+	readonly #watchers = new Set<{readonly parts: readonly string[]; readonly onQuarantined: () => void}>();
+	/** Keys of the records in the store. */
+	readonly #recordKeys = new Set<string>();
+	#cancelTimer: CancelTimer = () => undefined;
+	#isReconciling = false;
+
+	private constructor(private readonly options: PromptQuarantineOptions) {}
+
+	/** Starts to keep the records in the store up to date. */
+	start(): void {
+		this.#cancelTimer = this.options.clock.after(reconcileMs, () => {
+			void this.#reconcile();
+			this.start();
+		});
+	}
+
+	/** Stops the timer. */
+	close(): void {
+		this.#cancelTimer();
+	}
+
+	/** Number of quarantined sets of parts. */
+	get size(): number {
+		return this.#ledger.quarantined().length;
+	}
+
+	/** Whether a request with these parts is to be rejected. */
+	isQuarantined(parts: readonly string[]): boolean {
+		return this.#ledger.isQuarantined(parts);
+	}
+
+	/** Calls `onQuarantined` once a request with these parts is to be rejected; returns a function that ends the watch. */
+	watch(parts: readonly string[], onQuarantined: () => void): () => void {
+		const watcher = {parts, onQuarantined};
+		this.#watchers.add(watcher);
+		return () => {
+			this.#watchers.delete(watcher);
+		};
+	}
+
+	/** Handles a crash of a target, which is named by `crash` with its incarnation. Requests whose response had begun are suspected before those that only waited. */
+	crashed(crash: string, requests: readonly CrashedRequest[]): void {
+		const begun = requests.filter(({hasBegun}) => hasBegun);
+		const weight = begun.length > 0 ? begunWeight : waitingWeight;
+		this.#apply({
+			suspicions: (begun.length > 0 ? begun : requests).slice(0, maxRequestsPerCrash).flatMap(({parts, sentMs, brokenMs}) => parts.length === 0
+				? []
+				: {
+					parts: [...new Set(parts)].toSorted().slice(0, maxSuspectedParts), crashes: new Map([[crash, weight]]), sentMs, crashedMs: brokenMs, quarantinedMs: undefined,
+				}),
+			answered: new Map(),
+		});
+	}
+
+	/** Handles an answer to a request with these parts. */
+	answered(parts: readonly string[]): void {
+		const now = this.options.clock.now();
+		this.#passOnCleared(this.#ledger.answered(parts, now), undefined);
+	}
+
+	/** Handles evidence of a peer. */
+	receive(link: Link, message: SuspicionMessage): void {
+		const now = this.options.clock.now();
+		this.#apply({
+			suspicions: message.suspicions.map(([parts, crashes, sentAgoMs, crashedAgoMs, quarantinedAgoMs]) => ({
+				parts: parts.toSorted(), crashes: new Map(crashes), sentMs: now - sentAgoMs, crashedMs: now - crashedAgoMs, quarantinedMs: quarantinedAgoMs === null ? undefined : now - quarantinedAgoMs,
+			})),
+			answered: new Map(message.answered.map(([part, agoMs]) => [part, now - agoMs])),
+		}, link);
+	}
+
+	/** Sends all suspicions to a peer that has just been linked. */
+	linkUp(link: Link): void {
+		const suspicions = this.#ledger.all();
+		if (suspicions.length > 0) {
+			link.send(this.#encode(suspicions, new Map()));
+		}
+	}
+
+	/** Applies records of the store. */
+	applyRecords(records: readonly KeyedRecord[]): void {
+		for (const {key, value} of records) {
+			const suspicion = value && decodeRecord(value, this.#clockReading());
+			if (suspicion) {
+				this.#recordKeys.add(key);
+				this.#apply({suspicions: [suspicion], answered: new Map()});
+				continue;
+			}
+
+			this.#recordKeys.delete(key);
+			if (value) {
+				this.options.logger.warn('Ignored a record that describes no quarantined prompt parts.', {record: key.slice(0, 80), bytes: value.length});
+			}
+
+			for (const {parts} of this.#ledger.quarantined().filter(quarantined => recordKey(quarantined.parts) === key)) {
+				this.#ledger.remove(parts);
+				this.options.logger.info('Lifted the quarantine of prompt parts that another entry VM has lifted.', {parts});
+			}
+		}
+	}
+
+	/** Applies evidence, and passes on what is new. */
+	#apply({suspicions, answered}: {suspicions: readonly Suspicion[]; answered: ReadonlyMap<string, Ms>}, from?: Link): void {
+		const now = this.options.clock.now();
+		for (const [part, answeredMs] of answered) {
+			this.#passOnCleared(this.#ledger.answered([part], answeredMs), from);
+		}
+
+		const changes = suspicions.map(suspicion => this.#ledger.add(suspicion, now));
+		const added = changes.flatMap(change => change.added ?? []);
+		const quarantined = changes.flatMap(change => change.quarantined);
+		this.#log(added, quarantined, from);
+		if (added.length > 0) {
+			this.#passOn(this.#encode([...added, ...quarantined], new Map()), from);
+		}
+
+		// Parts that this entry VM knows to be sound are news to the sender of the suspicion.
+		if (from) {
+			for (const change of changes) {
+				this.#passOnCleared(change, undefined);
+			}
+		}
+
+		if (quarantined.length > 0) {
+			this.#onQuarantined();
+		}
+	}
+
+	#passOnCleared({cleared}: LedgerChange, from: Link | undefined): void {
+		if (cleared.size > 0) {
+			if (!from) {
+				this.options.logger.info('Cleared suspected prompt parts: a request with them was answered.', {parts: partsKey([...cleared.keys()]), quarantined: this.size});
+			}
+
+			this.#passOn(this.#encode([], cleared), from);
+		}
+	}
+
+	#log(added: readonly Suspicion[], quarantined: readonly Suspicion[], from: Link | undefined): void {
+		const {logger} = this.options;
+		const source = from?.peer.name ?? 'self';
+		for (const suspicion of from ? [] : added) {
+			logger.info('Suspected prompt parts of a request at a crash.', this.#logFields(suspicion));
+		}
+
+		for (const suspicion of quarantined) {
+			logger.warn('Quarantined prompt parts that crash targets.', {...this.#logFields(suspicion), source});
+		}
+	}
+
+	/** Rejects the requests in progress that have just been quarantined, and stores the quarantine. */
+	#onQuarantined(): void {
+		for (const {parts, onQuarantined} of this.#watchers) {
+			if (this.isQuarantined(parts)) {
+				onQuarantined();
+			}
+		}
+
+		void this.#reconcile();
+	}
+
+	/** Passes a message on: a leader to its cell and, unless it comes from another cell, to the leaders of other cells; a member to its leader unless it comes from a peer. */
+	#passOn(message: SuspicionMessage, from: Link | undefined): void {
+		const mesh = this.options.mesh();
+		const leader = mesh?.leader();
+		if (leader) {
+			if (!from) {
+				leader.send(message);
+			}
+		} else if (mesh) {
+			mesh.broadcast(message);
+			if (!from || mesh.isInCell(from.peer.zone)) {
+				mesh.broadcastToLeaders(message);
+			}
+		}
+	}
+
+	/** Drops old suspicions and, at a leader, makes the records in the store match the quarantined sets. */
+	async #reconcile(): Promise<void> {
+		const {writer, logger, clock, mesh} = this.options;
+		this.#ledger.expire(clock.now());
+		if (this.#isReconciling || !mesh() || mesh()?.leader()) {
+			return;
+		}
+
+		this.#isReconciling = true;
+		try {
+			const quarantined = new Map(this.#ledger.quarantined().map(suspicion => [recordKey(suspicion.parts), suspicion]));
+			for (const [key, suspicion] of quarantined) {
+				if (!this.#recordKeys.has(key)) {
+					await writer.put(key, encodeRecord(suspicion, this.#clockReading()));
+					this.#recordKeys.add(key);
+				}
+			}
+
+			for (const key of this.#recordKeys) {
+				if (!quarantined.has(key)) {
+					await writer.remove(key);
+					this.#recordKeys.delete(key);
+				}
+			}
+		} catch (err) {
+			logger.warn('Cannot write the quarantined prompt parts to the store; retrying.', {error: errorMessage(err), retry_ms: reconcileMs});
+		} finally {
+			this.#isReconciling = false;
+		}
+	}
+
+	#encode(suspicions: readonly Suspicion[], answered: ReadonlyMap<string, Ms>): SuspicionMessage {
+		const now = this.options.clock.now();
+		const ago = (ms: Ms) => Math.max(0, now - ms);
+		return {
+			type: 'prompt-suspicions',
+			suspicions: suspicions.map(({parts, crashes, sentMs, crashedMs, quarantinedMs}) => [
+				[...parts], [...crashes], ago(sentMs), ago(crashedMs), quarantinedMs === undefined ? null : ago(quarantinedMs),
+			]),
+			answered: [...answered].map(([part, answeredMs]): [string, Ms] => [part, ago(answeredMs)]),
+		};
+	}
+
+	#logFields(suspicion: Suspicion): Record<string, unknown> {
+		const now = this.options.clock.now();
+		return {
+			parts: partsKey(suspicion.parts), crashes: [...suspicion.crashes.keys()], weight: weightOf(suspicion), age_ms: Math.round(now - suspicion.crashedMs),
+		};
+	}
+
+	#clockReading() {
+		const {clock} = this.options;
+		return {nowMs: clock.now(), wallMs: clock.wall()};
+	}
+}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -9,13 +9,16 @@
 import {
 	MeshStageRunner, PoolHost, ServiceRetryBudget, type RetryLimits, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
+import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {TargetRegistry, type RelayTarget, type TargetEntry} from '../registry/index.js';
 import {
 	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, TargetPools, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
-import {TopicFollower, type KeyedRecord, type KeyedTopic} from '../topics/index.js';
+import {
+	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter,
+} from '../topics/index.js';
 import type {VmList} from '../vms/index.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
@@ -23,6 +26,11 @@
 
 /** Long-poll duration of configuration reads; a half-open connection is detected after this time. */
 const configLongPollMs: Ms = 2000;
+/** Long-poll duration of reads of the quarantined prompt parts, which links carry as well, and the pause between them. */
+const quarantineLongPollMs: Ms = 10_000;
+const quarantinePollMs: Ms = 100;
+/** Time after the first configuration for which requests are rejected while the quarantined prompt parts are unknown. */
+const quarantineTimeoutMs: Ms = 1000;
 /** Pause between reads of the target entries. */
 const targetPollIntervalMs: Ms = 800;
 /** Time after SIGTERM in which new requests are accepted, since the load balancer routes connections here until two readiness checks have failed. */
@@ -77,6 +85,9 @@
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	readonly configTopic: KeyedTopic;
 	readonly targetTopic: KeyedTopic;
+	/** Topic of the quarantined prompt parts. */
+	readonly quarantineTopic: KeyedTopic;
+	readonly quarantineWriter: KeyedWriter;
 	/** Decodes the configuration; returns `undefined` for a record without one. */
 	readonly decodeDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
 	/** Decodes a target entry; returns `undefined` for a record without one. */
@@ -111,6 +122,7 @@
 		inFlight: () => this.#server.inFlight,
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
+		quarantined: () => this.#quarantine.size,
 	});
 
 	readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
@@ -125,6 +137,9 @@
 	#mesh: RelayMesh | undefined;
 	readonly #distributor = TopicDistributor.create(() => this.#mesh);
 	readonly #stages: MeshStageRunner;
+	readonly #quarantine: PromptQuarantine;
+	readonly #quarantineFollower: TopicFollower;
+	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
@@ -183,6 +198,25 @@
 				this.#registry.storeRecovered(outageMs);
 			},
 		});
+		this.#quarantine = PromptQuarantine.create({
+			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
+		});
+		this.#quarantineFollower = TopicFollower.create({
+			name: 'quarantine',
+			topic: options.quarantineTopic,
+			clock,
+			logger,
+			pollMs: quarantinePollMs,
+			waitMs: quarantineLongPollMs,
+			hasFeeder: () => this.#distributor.hasFeeder,
+			onSnapshot: ({records}) => {
+				this.#quarantine.applyRecords(records);
+			},
+			onRecords: records => {
+				this.#quarantine.applyRecords(records);
+			},
+		});
+		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
 		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
 		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#isTargetNews(record)});
 		if (options.vmListFollower) {
@@ -251,6 +285,8 @@
 		this.#isClosed = true;
 		this.#configFollower.stop();
 		this.#targetFollower.stop();
+		this.#quarantineFollower.stop();
+		this.#quarantine.close();
 		this.#stages.close();
 		await this.#server.close();
 		await this.#control.close();
@@ -265,7 +301,7 @@
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
 		this.#server = await RelayServer.create({
 			listen: options.callers,
-			table: () => this.#table,
+			table: () => this.#isQuarantineKnown ? this.#table : undefined,
 			isRejecting: () => this.#lifecycle.state === 'rejecting',
 			context: {
 				clock,
@@ -286,10 +322,12 @@
 					clock,
 					logger: createLogger('targets'),
 					probe: options.probe,
-					onCrash: () => {
+					onCrash: ({target, attempts}) => {
 						this.#metrics.recordCrash();
+						this.#quarantine.crashed(`${target.id} ${target.entry.startedMs ?? ''}`, attempts);
 					},
 				}),
+				quarantine: this.#quarantine,
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
 			},
@@ -300,6 +338,8 @@
 		await this.#startMetrics();
 		this.#configFollower.start();
 		this.#targetFollower.start();
+		this.#quarantineFollower.start();
+		this.#quarantine.start();
 		void this.#startMesh();
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
@@ -350,12 +390,17 @@
 			},
 			regionOf: this.options.regionOf,
 			onMessage: (link, message) => {
-				if (message.type === 'topic-news') {
+				if (message.type === 'prompt-suspicions') {
+					this.#quarantine.receive(link, message);
+				} else if (message.type === 'topic-news') {
 					this.#distributor.receive(link, message);
 				} else if (message.type.startsWith('stage-')) {
 					this.#stages.receive(link, message as StageMessage);
 				}
 			},
+			onUp: link => {
+				this.#quarantine.linkUp(link);
+			},
 			onLost: link => {
 				this.#stages.linkLost(link);
 				this.#distributor.linkLost(link);
@@ -379,6 +424,7 @@
 			}
 
 			this.#table = RouteTable.create(declarations);
+			this.#configuredMs ??= this.options.clock.now();
 			this.#server.applyLimits(this.#table);
 			this.#lifecycle.send({type: 'CONFIGURED'});
 			logger.info('Applied a version.', {
@@ -387,6 +433,11 @@
 		}
 	}
 
+	/** Whether the quarantined prompt parts have been read from the store, or the store has not provided them in time. */
+	get #isQuarantineKnown(): boolean {
+		return this.#quarantineFollower.offset >= 0 || (this.#configuredMs !== undefined && this.options.clock.now() - this.#configuredMs >= quarantineTimeoutMs);
+	}
+
 	/** Whether a record of the target topic changes the registry; most only show that a target is alive. */
 	#isTargetNews(record: KeyedRecord): boolean {
 		const entry = this.#decodeTarget(record);
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,6 +1,7 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {ServiceRetryBudget, StageRunner} from '../pools/index.js';
+import type {PromptQuarantine} from '../quarantine/index.js';
 import type {Random} from '../random/index.js';
 import type {RelayTarget, TargetRegistry} from '../registry/index.js';
 import type {CrashWatch} from './crash-watch.js';
@@ -31,6 +32,7 @@
 	/** Resolves to true if the target responds on a separate connection. */
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	readonly crashWatch: CrashWatch;
+	readonly quarantine: Pick<PromptQuarantine, 'isQuarantined' | 'watch' | 'answered'>;
 	/** Age of the target data: time since the last successful read of the targets from the store. */
 	readonly targetsAgeMs: () => Ms;
 	/** True while responses tell callers to close their connections. */
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -22,6 +22,8 @@
 
 /** Maximum number of retries of a request after attempts in which no byte of it reached the target. */
 const maxUnsentRetries = 3;
+/** Delay after which a caller may ask again for a prompt that crashes targets; it stays rejected for much longer. */
+const quarantineRetryAfterMs: Ms = 30_000;
 /** Status with which an engine refuses a request when a stage result among its inputs no longer exists. */
 const inputGoneStatus = 409;
 
@@ -62,12 +64,17 @@
 	#possibleRunCount = 0;
 	#isCallerGone = false;
 	#isFinished = false;
+	#isAnswered = false;
+	#isAttempting = false;
 	#errorResponse: TargetResponse | undefined;
+	/** Prompt parts that other requests may share. */
+	readonly #sharedParts: readonly string[];
 
 	private constructor(private readonly context: RelayContext, private readonly request: RoutedRequest) {
 		const {route, head, arrivedMs, res} = request;
 		this.#record = RequestRecord.create(arrivedMs);
 		this.#timeBudget = TimeBudget.create({route, head, arrivedMs});
+		this.#sharedParts = head.prompt ? sharedPartIds(head.prompt) : [];
 		this.#service = pickService(route, context.random.float());
 		this.#streamWriter = route.kind === 'stream' ? StreamWriter.create(res, {isClosing: context.isClosing}) : undefined;
 	}
@@ -86,17 +93,26 @@
 			this.#onTimeout();
 		});
 		res.on('close', onClose);
+		const endWatch = this.context.quarantine.watch(this.#sharedParts, () => {
+			this.#onQuarantined();
+		});
 		this.context.retryBudget(this.#service).recordRequest(this.context.clock.now());
 		try {
 			await this.#serve();
 		} finally {
 			cancelTimeout();
+			endWatch();
 			res.off('close', onClose);
 			this.#releaseStageResults();
 		}
 	}
 
 	async #serve(): Promise<void> {
+		if (this.context.quarantine.isQuarantined(this.#sharedParts)) {
+			this.#onQuarantined();
+			return;
+		}
+
 		let inputs = await this.#runStages();
 		while (inputs && !this.#abortController.signal.aborted) {
 			const target = this.#chooseTarget();
@@ -200,6 +216,7 @@
 			}
 		};
 
+		this.#isAttempting = true;
 		const outcome = await runAttempt({
 			clock,
 			pools,
@@ -237,13 +254,18 @@
 					prefixCache.recordRequest(target.id, prompt.parts, clock.now());
 				}
 			},
+			onAnswered: () => {
+				this.#isAnswered = true;
+				context.quarantine.answered(this.#sharedParts);
+			},
 		});
+		this.#isAttempting = false;
 		removePendingTokens();
 		this.#record.recordAttempt(target, outcome, {startedMs, now: clock.now()});
 		metrics.recordAttempt(outcome.kind === 'failed' ? outcome.failure : outcome.kind);
 		if (prompt && outcome.kind === 'failed' && outcome.failure === 'broken' && outcome.progress !== 'answered') {
 			context.crashWatch.attemptBroken(target, {
-				attemptId, parts: sharedPartIds(prompt), hasBegun: outcome.progress === 'begun', sentMs: startedMs, brokenMs: clock.now(),
+				attemptId, parts: this.#sharedParts, hasBegun: outcome.progress === 'begun', sentMs: startedMs, brokenMs: clock.now(),
 			});
 		}
 
@@ -353,6 +375,18 @@
 		}
 	}
 
+	/** Ends a request without an answer whose prompt crashes targets. */
+	#onQuarantined(): void {
+		if (this.#isFinished || this.#isCallerGone || this.#isAnswered) {
+			return;
+		}
+
+		// An attempt in progress may have started to run.
+		const mayHaveRun = this.#possibleRunCount > 0 || this.#isAttempting;
+		this.#reject({status: mayHaveRun ? 502 : 503, reason: 'prompt_quarantined', ...(mayHaveRun ? {} : {retryAfterMs: quarantineRetryAfterMs})});
+		this.#abortController.abort();
+	}
+
 	/** Ends the request at its deadline. */
 	#onTimeout(): void {
 		if (this.#isFinished || this.#isCallerGone) {
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -72,6 +72,8 @@
 	readonly signal: AbortSignal;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
 	readonly onResponseStart?: () => void;
+	/** Called when the first whole event or the whole response has arrived, unless the target refused the request. */
+	readonly onAnswered?: () => void;
 }
 
 /**
@@ -188,7 +190,7 @@
 		const events = this.#splitter.push(chunk);
 		if (events.length > 0) {
 			this.#lastProgressMs = this.options.clock.now();
-			this.#progress = 'answered';
+			this.#recordAnswer();
 			this.options.sink!.writeEvents(events);
 		}
 
@@ -213,7 +215,11 @@
 			this.#finish({
 				kind: 'failed', failure: 'refused', reason: `target refused with status ${response.status}`, progress: 'answered', response,
 			});
-		} else if (response.status >= 500 || notRunStatuses.has(response.status)) {
+			return;
+		}
+
+		this.#recordAnswer();
+		if (response.status >= 500 || notRunStatuses.has(response.status)) {
 			this.#recordOutcome('failed');
 			this.#finish({
 				kind: 'failed', failure: notRunStatuses.has(response.status) ? 'broken' : 'error', reason: `target failed with status ${response.status}`, progress: 'answered', response,
@@ -224,6 +230,13 @@
 		}
 	}
 
+	#recordAnswer(): void {
+		if (this.#progress !== 'answered') {
+			this.#progress = 'answered';
+			this.options.onAnswered?.();
+		}
+	}
+
 	/** Calls `#onSilence` once no data has arrived for `silenceMs`; replaces the check scheduled before. */
 	#scheduleSilenceCheck(silenceMs: Ms): void {
 		const {clock} = this.options;
