Treat a stream without a length that ends inside an event as broken off

Callers saw: a stream that looked complete although its engine had broken it off inside an event, or before the first one. Cause: a response that ends with its connection counted as complete whenever the connection ended gracefully. Change: without a length or chunks, a stream is complete only after at least one whole event and with nothing after the last one; else the attempt has failed, and goes on elsewhere or is reset. Evidence: the new test failed before ([200, ''] after one attempt) and passes now. Ruled out: probing the engine at each such end; a whole last event is all that the users' pages ask for.

--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -201,6 +201,12 @@
 
 	#onEnd(): void {
 		if (this.#isStream) {
+			// Without a length or chunks, the end of the connection does not tell a complete stream from one that was broken off.
+			if (!this.#isFramed && (this.#progress !== 'answered' || this.#splitter.remainder.length > 0)) {
+				this.#fail('broken', 'connection ended before an event of the stream was complete');
+				return;
+			}
+
 			this.options.sink!.end(this.#splitter.remainder);
 			this.#recordOutcome('ok');
 			this.#finish({kind: 'streamed'});
