Log and count the limits that targets name

Cause: the logs did not show the header Server-Limit, so an entry VM that knows of a limit could not be told from one that does not. Change: each response is read for a limit; the first one, a changed one and its end are log lines, and a gauge counts the targets. A number that cannot be read is ignored with one line, zero is a limit, one above 1,000 a second is none. No decision depends on it.

--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,1 @@
+export {TargetLimits, type TargetLimitsOptions} from './target-limits.js';
--- a/src/registry/relay-target.ts
+++ b/src/registry/relay-target.ts
@@ -43,6 +43,10 @@
 	latencyMs: Ms = 0;
 	/** Moving average of the fraction of calls that failed, 0 to 1. */
 	failureRate = 0;
+	/** Requests per second that the target takes from all entry VMs together, and when it last said so; `undefined` without a limit. */
+	limit: {readonly perSecond: number; readonly seenMs: Ms} | undefined;
+	/** Whether the target has named a limit that cannot be read, which is logged once. */
+	hasUnreadableLimit = false;
 	#avoidUntilMs: Ms = 0;
 	#backoffMs: Ms = initialBackoffMs;
 
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -5,6 +5,7 @@
 import {
 	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKeyStore,
 } from '../links/index.js';
+import {TargetLimits} from '../limits/index.js';
 import type {LoggerFactory} from '../logging/index.js';
 import {
 	MeshStageRunner, PoolHost, ServiceRetryBudget, type RetryLimits, type StageMessage, type StageTargetPort,
@@ -123,6 +124,7 @@
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
 		quarantined: () => this.#quarantine.size,
+		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
 	});
 
 	readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
@@ -327,6 +329,7 @@
 						this.#quarantine.crashed(`${target.id} ${target.entry.startedMs ?? ''}`, attempts);
 					},
 				}),
+				limits: TargetLimits.create({clock, logger: createLogger('targets')}),
 				quarantine: this.#quarantine,
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
--- a/src/relay/relay-codec.ts
+++ b/src/relay/relay-codec.ts
@@ -55,6 +55,8 @@
 	readonly isSigned: boolean;
 	/** True if the target reports that it did not run the request. */
 	readonly isNotRun: boolean;
+	/** Requests per second that the target takes from all entry VMs together; `undefined` without a limit, NaN if it cannot be read. */
+	readonly limitPerSecond: number | undefined;
 	/** Headers forwarded to the caller unchanged. */
 	readonly forwardedHeaders: Record<string, string | string[]>;
 }
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,4 +1,5 @@
 import type {Clock, Ms} from '../clock/index.js';
+import type {TargetLimits} from '../limits/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {ServiceRetryBudget, StageRunner} from '../pools/index.js';
 import type {PromptQuarantine} from '../quarantine/index.js';
@@ -32,6 +33,7 @@
 	/** Resolves to true if the target responds on a separate connection. */
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	readonly crashWatch: CrashWatch;
+	readonly limits: TargetLimits;
 	readonly quarantine: Pick<PromptQuarantine, 'isQuarantined' | 'watch' | 'answered'>;
 	/** Age of the target data: time since the last successful read of the targets from the store. */
 	readonly targetsAgeMs: () => Ms;
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -245,6 +245,9 @@
 					lastEventId: this.#streamWriter?.lastEventId === undefined ? head.lastEventId : String(this.#streamWriter.lastEventId),
 				}),
 			},
+			onHead(targetHead) {
+				context.limits.observe(target, {perSecond: targetHead.limitPerSecond, sentMs: startedMs});
+			},
 			onResponseStart: () => {
 				this.#record.recordFirstByte(clock.now());
 				removePendingTokens();
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -70,6 +70,8 @@
 	readonly mayRetry: boolean;
 	/** Aborted when the caller disconnects or the deadline has passed. */
 	readonly signal: AbortSignal;
+	/** Called with the headers of each response that belongs to the attempt. */
+	readonly onHead?: (head: TargetHead) => void;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
 	readonly onResponseStart?: () => void;
 	/** Called when the first whole event or the whole response has arrived, unless the target refused the request. */
@@ -155,6 +157,7 @@
 			return;
 		}
 
+		this.options.onHead?.(head);
 		this.#status = status;
 		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		this.#head = head;
