--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -15,4 +15,5 @@
 export {RankCache} from './rank-cache.js';
 export {RelayMesh, type RelayMeshOptions} from './relay-mesh.js';
 export {rankByRendezvous} from './rendezvous.js';
+export {passOn} from './pass-on.js';
 export type {PeerState} from './peer-state.js';
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -1,6 +1,8 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
-import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
+import {
+	passOn, type Link, type LinkMessage, type RelayMesh,
+} from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {KeyedRecord, KeyedWriter} from '../topics/index.js';
 import {partsKey, weightOf, type Suspicion} from './suspicion.js';
@@ -217,19 +219,10 @@
 		void this.#reconcile();
 	}
 
-	/** Passes a message on: a leader to its cell and, unless it comes from another cell, to the leaders of other cells; a member to its leader unless it comes from a peer. */
 	#passOn(message: SuspicionMessage, from: Link | undefined): void {
 		const mesh = this.options.mesh();
-		const leader = mesh?.leader();
-		if (leader) {
-			if (!from) {
-				leader.send(message);
-			}
-		} else if (mesh) {
-			mesh.broadcast(message);
-			if (!from || mesh.isInCell(from.peer.zone)) {
-				mesh.broadcastToLeaders(message);
-			}
+		if (mesh) {
+			passOn(mesh, message, from);
 		}
 	}
 
