Keep the limits that targets name, over all entry VMs together

Class: a bound of the whole fleet that no one keeps for the fleet. Change: entry VMs tell each other of a named limit, and ask the leader of the cell of the target's zone for a place before each request to such a target. A request takes another target first, waits for a place that lies in its time, or is rejected at once with 503 and the time until one is free. Ruled out: shares of 1/N, which leave most of a small limit unused; one sender by hash, which rejects everything at the others when all targets of a service are limited. Found by the message test: entry VMs asked again while an answer was under way (7,030 messages instead of at most 5,600 for seven places at 200 entry VMs); they ask one at a time now.

--- a/src/limits/index.ts
+++ b/src/limits/index.ts
@@ -1,1 +1,2 @@
-export {TargetLimits, type TargetLimitsOptions} from './target-limits.js';
+export type {Reservation} from './rate-schedule.js';
+export {TargetLimits, type LimitsMesh, type TargetLimitsOptions} from './target-limits.js';
--- a/src/limits/rate-schedule.ts
+++ b/src/limits/rate-schedule.ts
@@ -17,7 +17,7 @@
  * schedule.reserve(clock.now(), 0); // {retryAfterMs: 2000}
  */
 export class RateSchedule {
-	/** Starts without a free place, since others may have used the rate until now. */
+	/** Starts without a burst, since others may have used the rate until now. */
 	static create(perSecond: number, now: Ms): RateSchedule {
 		const schedule = new RateSchedule(Math.max(minPerSecond, perSecond));
 		schedule.#nextMs = now + schedule.#intervalMs;
--- a/src/limits/target-limits.test.ts
+++ b/src/limits/target-limits.test.ts
@@ -1,14 +1,19 @@
 import {describe, expect, it} from 'vitest';
+import {SimulatedMesh} from '../../test/support/simulated-mesh.js';
 import {ManualClock} from '../clock/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
 import {RelayTarget} from '../registry/index.js';
-import {TargetLimits} from './target-limits.js';
+import {TargetLimits, type LimitMessage} from './target-limits.js';
+
+const createTarget = (zone: string) => RelayTarget.create({
+	id: 'e-1', service: 'engines', address: '127.0.0.1:1', zone, slots: 4, isDraining: false, startedMs: 1,
+});
 
 function setUp() {
 	const clock = ManualClock.create({now: 1000});
-	const limits = TargetLimits.create({clock, logger: silentLoggerFactory('targets')});
-	const target = RelayTarget.create({
-		id: 'e-1', service: 'engines', address: '127.0.0.1:1', zone: 'riga-a', slots: 4, isDraining: false, startedMs: 1,
+	const target = createTarget('riga-a');
+	const limits = TargetLimits.create({
+		clock, logger: silentLoggerFactory('targets'), mesh: () => undefined, share: () => 1, findTarget: () => target,
 	});
 	return {clock, limits, target};
 }
@@ -39,3 +44,122 @@
 		expect(target.limit).toBeUndefined();
 	});
 });
+
+/** Entry VMs that know the same target with a limit, in the zone of one of them. */
+class SimulatedFleet {
+	static create(options: {size: number; perSecond: number; zone?: string}): SimulatedFleet {
+		return new SimulatedFleet(options);
+	}
+
+	readonly clock = ManualClock.create({now: 10_000});
+	readonly mesh: SimulatedMesh;
+	readonly targets: RelayTarget[] = [];
+	readonly limits: TargetLimits[] = [];
+	/** Times at which requests were sent to the target. */
+	readonly sentMs: number[] = [];
+
+	private constructor({size, perSecond, zone = 'zone-0'}: {size: number; perSecond: number; zone?: string}) {
+		const {clock} = this;
+		this.mesh = SimulatedMesh.create({
+			size,
+			clock,
+			deliver: (vm, link, message) => {
+				this.limits[vm]!.receive(link, message as LimitMessage);
+			},
+		});
+		for (let vm = 0; vm < size; vm++) {
+			const target = createTarget(zone);
+			this.targets.push(target);
+			this.limits.push(TargetLimits.create({
+				clock, logger: silentLoggerFactory('targets'), mesh: () => this.mesh.at(vm), share: () => 1, findTarget: () => target,
+			}));
+		}
+
+		this.limits[size - 1]!.observe(this.targets[size - 1]!, {perSecond, sentMs: 9900});
+	}
+
+	/** Asks for a place at every entry VM that has one in reach, again and again. */
+	async askAll(durationMs: number, {maxWaitMs = 0, isWanted = () => true}: {maxWaitMs?: number; isWanted?: (vm: number) => boolean} = {}): Promise<void> {
+		const {clock} = this;
+		for (const endMs = clock.now() + durationMs; clock.now() < endMs;) {
+			for (const [vm, target] of this.targets.entries()) {
+				if (isWanted(vm) && !target.isLimited(clock.now())) {
+					void this.#ask(vm, maxWaitMs);
+				}
+			}
+
+			await clock.advance(50);
+		}
+	}
+
+	mostInWindow(windowMs = 4000): number {
+		return Math.max(0, ...this.sentMs.map(start => this.sentMs.filter(at => at >= start && at < start + windowMs).length));
+	}
+
+	async #ask(vm: number, maxWaitMs: number): Promise<void> {
+		const reservation = await this.limits[vm]!.reserve(this.targets[vm]!, maxWaitMs);
+		if ('waitMs' in reservation) {
+			await this.clock.sleep(reservation.waitMs);
+			this.sentMs.push(this.clock.now());
+		}
+	}
+}
+
+describe('TargetLimits in a fleet', () => {
+	it.each([{size: 9, perSecond: 1}, {size: 9, perSecond: 0.25}, {size: 9, perSecond: 20}, {size: 200, perSecond: 1}, {size: 200, perSecond: 0.25}, {size: 200, perSecond: 20}])('keeps a limit of $perSecond a second over $size entry VMs, and uses it', async ({size, perSecond}) => {
+		const fleet = SimulatedFleet.create({size, perSecond});
+		await fleet.clock.advance(500);
+		expect(fleet.targets.filter(({limit}) => limit?.perSecond === perSecond)).toHaveLength(size);
+		await fleet.askAll(20_000);
+		expect(fleet.mostInWindow()).toBeLessThanOrEqual((1.5 * perSecond * 4) + 5);
+		expect(fleet.sentMs.length).toBeGreaterThanOrEqual(perSecond * 20 * 0.8);
+	});
+
+	it('asks with a bounded number of messages, since an entry VM without a place asks again only when one is free', async () => {
+		const fleet = SimulatedFleet.create({size: 200, perSecond: 0.5});
+		await fleet.clock.advance(500);
+		const before = fleet.mesh.messages;
+		await fleet.askAll(10_000);
+		// Five places are free in this time; each may be asked for by all, over two links and back.
+		expect(fleet.mesh.messages - before).toBeLessThanOrEqual(7 * 200 * 4);
+	});
+
+	it('gives waiting requests the next places, and keeps the limit', async () => {
+		const fleet = SimulatedFleet.create({size: 9, perSecond: 2});
+		await fleet.clock.advance(500);
+		await fleet.askAll(8000, {maxWaitMs: 1000});
+		expect([fleet.mostInWindow() <= (1.5 * 2 * 4) + 5, fleet.sentMs.length >= 12]).toEqual([true, true]);
+	});
+
+	it('gives the places at a target in a zone without entry VMs at one of them', async () => {
+		const fleet = SimulatedFleet.create({size: 60, perSecond: 1, zone: 'elsewhere'});
+		await fleet.clock.advance(500);
+		await fleet.askAll(10_000);
+		expect([fleet.mostInWindow() <= 11, fleet.sentMs.length >= 8]).toEqual([true, true]);
+	});
+
+	it('gives no place where the entry VM that gives them is cut off', async () => {
+		const fleet = SimulatedFleet.create({size: 9, perSecond: 1});
+		await fleet.clock.advance(500);
+		fleet.mesh.cutOff.add(0);
+		await fleet.askAll(5000, {isWanted: vm => vm !== 0});
+		expect(fleet.sentMs).toEqual([]);
+	});
+
+	it('ends a limit everywhere when one entry VM sees that it is over', async () => {
+		const fleet = SimulatedFleet.create({size: 200, perSecond: 1});
+		await fleet.clock.advance(500);
+		fleet.limits[3]!.observe(fleet.targets[3]!, {perSecond: undefined, sentMs: fleet.clock.now()});
+		await fleet.clock.advance(500);
+		expect(fleet.targets.filter(({limit}) => limit !== undefined)).toEqual([]);
+	});
+
+	it('does not apply what a peer tells about another start of a target', async () => {
+		const fleet = SimulatedFleet.create({size: 2, perSecond: 1});
+		await fleet.clock.advance(500);
+		fleet.limits[0]!.receive(fleet.mesh.link(0, 1), {
+			type: 'target-limit', target: 'e-1', startedMs: 999, perSecond: 7, agoMs: 0,
+		});
+		expect(fleet.targets[0]!.limit?.perSecond).toBe(1);
+	});
+});
--- a/src/links/index.ts
+++ b/src/links/index.ts
@@ -6,7 +6,7 @@
 export type {LinkIdentity} from './link-identity.js';
 export {LinkKey, minLinkKeyBytes} from './link-key.js';
 export {LinkMesh, type LinkMeshOptions, type LinkSettings} from './link-mesh.js';
-export type {LinkMessage} from './link-message.js';
+export {maxLimitHops, type LinkMessage} from './link-message.js';
 export {pingIntervalMs, silenceTimeoutMs, type Link} from './link.js';
 export {
 	gatewaysPerZone, Membership, type Member, type PeerAddress,
@@ -16,4 +16,5 @@
 export {RelayMesh, type RelayMeshOptions} from './relay-mesh.js';
 export {rankByRendezvous} from './rendezvous.js';
 export {passOn} from './pass-on.js';
+export {PendingReplies} from './pending-replies.js';
 export type {PeerState} from './peer-state.js';
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -12,6 +12,8 @@
 const maxHandles = 50_000;
 const maxNewsRecords = 20_000;
 const maxStageServices = 1000;
+/** Maximum number of entry VMs between one that asks for a place at a limited target and the one that gives it. */
+export const maxLimitHops = 3;
 const maxSuspicions = 500;
 const maxPromptParts = 2000;
 const promptPart = z.string().min(1).max(16_384);
@@ -114,6 +116,18 @@
 		suspicions: z.array(z.tuple([z.array(promptPart).min(1).max(maxPromptParts), z.array(z.tuple([z.string().max(1000), z.number().positive()])).min(1).max(100), agoMs, agoMs, agoMs.nullable()])).max(maxSuspicions),
 		answered: z.array(z.tuple([promptPart, agoMs])).max(maxPromptParts),
 	}),
+	// The limit that a start of a target names, in requests per second, and the time since it was seen; null if the target no longer names one.
+	z.strictObject({
+		type: z.literal('target-limit'), target: name, startedMs: z.number().nullable(), perSecond: z.number().nonnegative().nullable(), agoMs,
+	}),
+	// Asks for a place within `maxWaitMs` among the requests to a target with a limit; `hops` counts the entry VMs that pass it on.
+	z.strictObject({
+		type: z.literal('limit-request'), id, target: name, startedMs: z.number().nullable(), zone: z.string().max(200), perSecond: z.number().nonnegative(), maxWaitMs: z.number().nonnegative(), hops: count.max(maxLimitHops),
+	}),
+	// The place is `waitMs` away, or null if none is free in time; another request makes sense after `retryAfterMs`.
+	z.strictObject({
+		type: z.literal('limit-reply'), id, waitMs: z.number().nonnegative().nullable(), retryAfterMs: z.number().nonnegative(),
+	}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -75,6 +75,17 @@
 		expect([leaderOf(oldest), leaderOf(younger)]).toEqual(['itself', 'c']);
 	});
 
+	it('agrees on the one member that decides about the targets of a zone', async () => {
+		const oldest = await start('c', '1');
+		const younger = await start('b', '2');
+		await until(() => leaderOf(younger) === 'c');
+		const coordinators = ['riga-a', 'elsewhere'].map(zone => [oldest, younger].map(mesh => {
+			const coordinator = mesh.coordinatorOf(zone);
+			return typeof coordinator === 'object' ? coordinator.peer.name : coordinator;
+		}));
+		expect(coordinators).toEqual([['self', 'c'], ['self', 'c']]);
+	});
+
 	it('is led by the next member as soon as the leader announces its shutdown', async () => {
 		const oldest = await start('d', '1');
 		const second = await start('e', '2');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -185,6 +185,27 @@
 		return undefined;
 	}
 
+	/**
+	 * Returns the link towards the one entry VM that decides for the whole fleet about targets of a zone: the leader of the
+	 * cell of the zone, or of the first cell if the zone has no entry VM. `self` if it is this one, `undefined` if it is not
+	 * reachable.
+	 */
+	coordinatorOf(zone: string): Link | 'self' | undefined {
+		const leader = this.leader();
+		if (leader) {
+			return leader;
+		}
+
+		const {cells, key, others} = this.#ownCell();
+		const keys = [key, ...others.keys()].toSorted();
+		const cell = keys.find(other => other === cells.of(zone)) ?? keys[0]!;
+		if (cell === key) {
+			return 'self';
+		}
+
+		return others.get(cell)!.map(name => this.#links.byName(name)).find(link => link && !this.#leavingIncarnations.has(link.peer.incarnation));
+	}
+
 	/** Announces to the others that this entry VM is shutting down. */
 	leave(): void {
 		this.#isLeaving = true;
--- a/src/quarantine/prompt-quarantine.test.ts
+++ b/src/quarantine/prompt-quarantine.test.ts
@@ -1,12 +1,10 @@
 import {describe, expect, it} from 'vitest';
+import {SimulatedMesh} from '../../test/support/simulated-mesh.js';
 import {ManualClock} from '../clock/index.js';
-import type {Link, LinkMessage} from '../links/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
 import type {KeyedRecord, KeyedWriter} from '../topics/index.js';
 import {PromptQuarantine, type SuspicionMessage} from './prompt-quarantine.js';
 
-const cellSize = 25;
-
 /** Records of the quarantine topic; `fail` makes writes throw. */
 class MemoryTopic implements KeyedWriter {
 	static create(): MemoryTopic {
@@ -39,7 +37,7 @@
 	}
 }
 
-/** Entry VMs in cells of at most `cellSize`. Members are linked to the first of their cell, its leader; leaders are linked to each other. */
+/** Entry VMs with a quarantine each. */
 class SimulatedFleet {
 	static create(size: number): SimulatedFleet {
 		return new SimulatedFleet(size);
@@ -48,14 +46,26 @@
 	readonly clock = ManualClock.create({now: 10_000});
 	readonly topic = MemoryTopic.create();
 	readonly quarantines: PromptQuarantine[] = [];
-	messages = 0;
+	readonly mesh: SimulatedMesh;
 
 	private constructor(size: number) {
-		for (let index = 0; index < size; index++) {
-			this.quarantines.push(this.#createQuarantine(index));
+		this.mesh = SimulatedMesh.create({
+			size,
+			clock: this.clock,
+			deliver: (vm, link, message) => {
+				this.quarantines[vm]!.receive(link, message as SuspicionMessage);
+			},
+		});
+		for (let vm = 0; vm < size; vm++) {
+			this.restart(vm);
 		}
 	}
 
+	/** Number of messages sent. */
+	get messages(): number {
+		return this.mesh.messages;
+	}
+
 	/** Crashes a target under a request that an entry VM has sent after the crash before it. */
 	async crash(vm: number, target: string, parts: readonly string[]): Promise<void> {
 		const sentMs = this.clock.now();
@@ -71,51 +81,12 @@
 	}
 
 	restart(vm: number): void {
-		this.quarantines[vm] = this.#createQuarantine(vm);
-	}
-
-	/** Returns the link of one entry VM to another one; messages arrive after 20 ms. */
-	linkBetween(from: number, to: number): Link {
-		const deliver = (message: LinkMessage) => {
-			this.messages++;
-			this.clock.after(20, () => {
-				this.quarantines[to]!.receive(this.linkBetween(to, from), message as SuspicionMessage);
-			});
-			return true;
-		};
-
-		return {peer: {name: `vm-${to}`, zone: `zone-${cellOf(to)}`}, send: deliver} as unknown as Link;
-	}
-
-	#createQuarantine(index: number): PromptQuarantine {
-		const size = () => this.quarantines.length;
-		const others = (isWanted: (other: number) => boolean) => Array.from({length: size()}, (_, other) => other).filter(other => other !== index && isWanted(other));
-		const sendAll = (message: LinkMessage, members: readonly number[]) => {
-			for (const member of members) {
-				this.linkBetween(index, member).send(message);
-			}
-		};
-
-		return PromptQuarantine.create({
-			clock: this.clock,
-			logger: silentLoggerFactory('targets'),
-			writer: this.topic,
-			mesh: () => ({
-				leader: () => index % cellSize === 0 ? undefined : this.linkBetween(index, index - (index % cellSize)),
-				isInCell: zone => zone === `zone-${cellOf(index)}`,
-				broadcast(message) {
-					sendAll(message, others(other => cellOf(other) === cellOf(index)));
-				},
-				broadcastToLeaders(message) {
-					sendAll(message, others(other => other % cellSize === 0));
-				},
-			}),
+		this.quarantines[vm] = PromptQuarantine.create({
+			clock: this.clock, logger: silentLoggerFactory('targets'), writer: this.topic, mesh: () => this.mesh.at(vm),
 		});
 	}
 }
 
-const cellOf = (index: number) => Math.floor(index / cellSize);
-
 describe('PromptQuarantine', () => {
 	it.each([9, 200])('quarantines at all of %d entry VMs after crashes at two of them, with a bounded number of messages', async size => {
 		const fleet = SimulatedFleet.create(size);
@@ -179,7 +150,7 @@
 
 		expect(fleet.countQuarantined(['dead'])).toBe(7);
 		fleet.quarantines[3]!.applyRecords(fleet.topic.all());
-		fleet.quarantines[0]!.linkUp(fleet.linkBetween(0, 4));
+		fleet.quarantines[0]!.linkUp(fleet.mesh.link(0, 4));
 		await fleet.clock.advance(50);
 		expect(fleet.countQuarantined(['dead'])).toBe(9);
 	});
--- a/src/registry/relay-target.ts
+++ b/src/registry/relay-target.ts
@@ -45,6 +45,10 @@
 	failureRate = 0;
 	/** Requests per second that the target takes from all entry VMs together, and when it last said so; `undefined` without a limit. */
 	limit: {readonly perSecond: number; readonly seenMs: Ms} | undefined;
+	/** Time at which the limit, or its end, was last seen by any entry VM. */
+	limitSeenMs: Ms = -Infinity;
+	/** Time until which the limit leaves no place for requests from this entry VM, as far as it knows. */
+	limitedUntilMs: Ms = 0;
 	/** Whether the target has named a limit that cannot be read, which is logged once. */
 	hasUnreadableLimit = false;
 	#avoidUntilMs: Ms = 0;
@@ -68,6 +72,11 @@
 		return now < this.#avoidUntilMs;
 	}
 
+	/** True while the limit that the target names leaves no place for a request from this entry VM. */
+	isLimited(now: Ms): boolean {
+		return this.limit !== undefined && now < this.limitedUntilMs;
+	}
+
 	/** Updates the target's health with the outcome of a call that took `tookMs`. */
 	recordCall(outcome: CallOutcome, now: Ms, tookMs: Ms): void {
 		if (outcome === 'busy') {
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -62,6 +62,11 @@
 		return !existing || !isSameIncarnation(existing.entry, entry) || (entry.isDraining && !existing.isDraining) || this.#pendingRemovals.has(entry.id);
 	}
 
+	/** Returns the target with an id. */
+	get(id: string): RelayTarget | undefined {
+		return this.#targets.get(id);
+	}
+
 	/** Whether a target with this id is known. */
 	has(id: string): boolean {
 		return this.#targets.has(id);
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -140,6 +140,7 @@
 	readonly #distributor = TopicDistributor.create(() => this.#mesh);
 	readonly #stages: MeshStageRunner;
 	readonly #quarantine: PromptQuarantine;
+	readonly #targetLimits: TargetLimits;
 	readonly #quarantineFollower: TopicFollower;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
@@ -203,6 +204,9 @@
 		this.#quarantine = PromptQuarantine.create({
 			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
 		});
+		this.#targetLimits = TargetLimits.create({
+			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), findTarget: id => this.#registry.get(id),
+		});
 		this.#quarantineFollower = TopicFollower.create({
 			name: 'quarantine',
 			topic: options.quarantineTopic,
@@ -329,7 +333,7 @@
 						this.#quarantine.crashed(`${target.id} ${target.entry.startedMs ?? ''}`, attempts);
 					},
 				}),
-				limits: TargetLimits.create({clock, logger: createLogger('targets')}),
+				limits: this.#targetLimits,
 				quarantine: this.#quarantine,
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
@@ -393,12 +397,31 @@
 			},
 			regionOf: this.options.regionOf,
 			onMessage: (link, message) => {
-				if (message.type === 'prompt-suspicions') {
-					this.#quarantine.receive(link, message);
-				} else if (message.type === 'topic-news') {
-					this.#distributor.receive(link, message);
-				} else if (message.type.startsWith('stage-')) {
-					this.#stages.receive(link, message as StageMessage);
+				switch (message.type) {
+					case 'prompt-suspicions': {
+						this.#quarantine.receive(link, message);
+
+						break;
+					}
+
+					case 'target-limit':
+					case 'limit-request':
+					case 'limit-reply': {
+						this.#targetLimits.receive(link, message);
+
+						break;
+					}
+
+					case 'topic-news': {
+						this.#distributor.receive(link, message);
+
+						break;
+					}
+
+					default: {if (message.type.startsWith('stage-')) {
+						this.#stages.receive(link, message as StageMessage);
+					}
+					}
 				}
 			},
 			onUp: link => {
@@ -407,6 +430,7 @@
 			onLost: link => {
 				this.#stages.linkLost(link);
 				this.#distributor.linkLost(link);
+				this.#targetLimits.linkLost(link);
 			},
 		});
 	}
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -22,6 +22,8 @@
 
 /** Maximum number of retries of a request after attempts in which no byte of it reached the target. */
 const maxUnsentRetries = 3;
+/** Maximum number of targets that are asked for a place within their limits before the request waits for one. */
+const maxLimitedTargets = 4;
 /** Delay after which a caller may ask again for a prompt that crashes targets; it stays rejected for much longer. */
 const quarantineRetryAfterMs: Ms = 30_000;
 /** Status with which an engine refuses a request when a stage result among its inputs no longer exists. */
@@ -115,10 +117,9 @@
 
 		let inputs = await this.#runStages();
 		while (inputs && !this.#abortController.signal.aborted) {
-			const target = this.#chooseTarget();
+			const target = await this.#acquireTarget();
 			if (!target) {
-				this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'no_target', retryAfterMs: 300});
-				return;
+				break;
 			}
 
 			const outcome = await this.#attempt(target, inputs);
@@ -328,11 +329,49 @@
 		return false;
 	}
 
-	#chooseTarget(): RelayTarget | undefined {
+	/** Chooses a target and waits for a place there if it names a limit; rejects the request if there is none in time. */
+	async #acquireTarget(): Promise<RelayTarget | undefined> {
+		const {clock, limits} = this.context;
+		for (let asked = 0; asked < maxLimitedTargets; asked++) {
+			const target = this.#chooseTarget({isWithinLimits: true});
+			if (!target) {
+				break;
+			}
+
+			if ('waitMs' in await limits.reserve(target, 0)) {
+				return target;
+			}
+		}
+
+		const limitedTarget = this.#firstFreeTarget();
+		if (!limitedTarget) {
+			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'no_target', retryAfterMs: 300});
+			return undefined;
+		}
+
+		const reservation = await limits.reserve(limitedTarget, Math.max(0, this.#timeBudget.stagesDeadlineMs - clock.now()));
+		if ('waitMs' in reservation) {
+			await clock.sleep(reservation.waitMs, this.#abortController.signal);
+			return this.#abortController.signal.aborted ? undefined : limitedTarget;
+		}
+
+		this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'target_limited', retryAfterMs: reservation.retryAfterMs});
+		return undefined;
+	}
+
+	/** Returns the target that was not tried and whose limit is the first to have a place. */
+	#firstFreeTarget(): RelayTarget | undefined {
+		const [first] = this.context.registry.acceptingTargets(this.#service).filter(target => !this.#tried.has(target)).toSorted((a, b) => a.limitedUntilMs - b.limitedUntilMs);
+		return first;
+	}
+
+	/** Chooses the best target that was not tried; with `isWithinLimits`, one that may have a place within the limit that it names. */
+	#chooseTarget({isWithinLimits = false} = {}): RelayTarget | undefined {
 		const {registry, clock, random, prefixCache, distance, rank} = this.context;
 		const {prompt} = this.request.head;
-		const targets = registry.acceptingTargets(this.#service);
-		const options = {now: clock.now(), tried: this.#tried, distance};
+		const now = clock.now();
+		const targets = registry.acceptingTargets(this.#service).filter(target => !isWithinLimits || !target.isLimited(now));
+		const options = {now, tried: this.#tried, distance};
 		return prompt
 			? chooseEngine(targets, {
 				...options, prompt, bodyBytes: this.request.body.length, stageResults: this.#stageResults, prefixCache, rank,
