Keep the limits that stage targets name

Change: the host of a stage pool, the only caller of its targets, spaces the calls to a target with a limit; the other targets take the work meanwhile. Evidence: the new test fails without the change (the target is called as fast as it answers) and passes with it.

--- a/src/limits/rate-schedule.ts
+++ b/src/limits/rate-schedule.ts
@@ -38,10 +38,14 @@
 		this.perSecond = Math.max(minPerSecond, perSecond);
 	}
 
+	/** Returns the time of the next free place. */
+	freeAt(now: Ms): Ms {
+		return Math.max(now, this.#nextMs - (burst * this.#intervalMs));
+	}
+
 	/** Takes the next place if it is free within `maxWaitMs`. */
 	reserve(now: Ms, maxWaitMs: Ms): Reservation {
-		const atMs = Math.max(now, this.#nextMs - (burst * this.#intervalMs));
-		const waitMs = atMs - now;
+		const waitMs = this.freeAt(now) - now;
 		if (waitMs > maxWaitMs) {
 			return {retryAfterMs: waitMs - maxWaitMs};
 		}
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -51,7 +51,7 @@
 
 /** Outcome of a call to a stage target; piece results are in the order of the call. `refused` means that no piece ran. */
 export type StageCallOutcome =
-	| {readonly kind: 'done'; readonly results: readonly PieceResult[]}
-	| {readonly kind: 'refused'}
+	| {readonly kind: 'done'; readonly results: readonly PieceResult[]; readonly limitPerSecond?: number | undefined}
+	| {readonly kind: 'refused'; readonly limitPerSecond?: number | undefined}
 	| {readonly kind: 'unreachable'}
-	| {readonly kind: 'failed'};
+	| {readonly kind: 'failed'; readonly limitPerSecond?: number | undefined};
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -393,4 +393,40 @@
 		expect(failed.length).toBeLessThan(outcomes.size / 5);
 		expect(pieces / calls).toBeGreaterThan(5);
 	});
+
+	// Guards against a stage target that had named a limit and got calls as fast as it answered them.
+	it('keeps the limit of calls that a target names, uses other targets meanwhile, and ends it with the first response without it', () => {
+		const {pool, submit} = create([target('t1'), target('t2')]);
+		const perSecond = 0.5;
+		const callsMs: number[] = [];
+		let otherCalls = 0;
+		let now = 0;
+		const runRounds = (count: number, limitPerSecond: number | undefined) => {
+			for (let round = 0; round < count; round++) {
+				submit(job(`r${now}`, {startByMs: now + 1000, deadlineMs: now + 6000}), now);
+				submit(job(`s${now}`, {startByMs: now + 1000, deadlineMs: now + 6000, pieces: 7}), now);
+				const calls = pool.nextCalls(now);
+				now += 100;
+				for (const call of calls) {
+					if (call.target.id === 't1') {
+						callsMs.push(now);
+					} else {
+						otherCalls++;
+					}
+
+					const made = results(call);
+					pool.endCall(call.id, {kind: 'done', results: made, ...(call.target.id === 't1' ? {limitPerSecond} : {})}, now);
+					for (const {handle} of made as Array<{handle: string}>) {
+						pool.removeResult(handle, now);
+					}
+				}
+			}
+		};
+
+		runRounds(120, perSecond);
+		const most = Math.max(...callsMs.map(start => callsMs.filter(at => at >= start && at < start + 4000).length));
+		expect([most <= (1.5 * perSecond * 4) + 5, otherCalls > 40]).toEqual([true, true]);
+		runRounds(60, undefined);
+		expect(callsMs.filter(at => at > 15_000).length).toBeGreaterThan(20);
+	});
 });
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -257,6 +257,10 @@
 		const {call, startedMs, expectedMs} = running;
 		const target = this.#targets.get(call.target.id);
 		target?.endCall(call.id, {end: end.kind, tookMs: now - startedMs, expectedMs}, now);
+		if (end.kind !== 'unreachable') {
+			target?.setLimit(end.limitPerSecond, now);
+		}
+
 		if (end.kind === 'done' && end.results.some(result => 'problem' in result && result.problem === 'room')) {
 			target?.reduceMemoryShare(now);
 		}
@@ -353,7 +357,7 @@
 			id, target: target.target, pieces, isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
 		};
 		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowdown(now))});
-		target.startCall(id, {memoryMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs});
+		target.startCall(id, {memoryMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs}, now);
 		for (const {job, piece} of pieces) {
 			const state = this.#jobs.get(job.id)!;
 			state.inCall++;
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -1,4 +1,5 @@
 import type {Ms} from '../clock/index.js';
+import {RateSchedule} from '../limits/index.js';
 import type {StageCallOutcome} from './stage-job.js';
 
 /** A target of a stage pool. */
@@ -53,6 +54,8 @@
 	#releaseCount = 0;
 	#backoffUntilMs: Ms = -Infinity;
 	#backoffMs: Ms = initialBackoffMs;
+	/** Places for calls while the target names a limit. A pool has one host, so that no one else sends calls. */
+	#schedule: RateSchedule | undefined;
 
 	private constructor(readonly target: StageTarget) {}
 
@@ -66,14 +69,14 @@
 		return this.#calls.size;
 	}
 
-	/** Whether calls may be sent to the target, that is, whether it is not in backoff. */
+	/** Whether calls may be sent to the target, that is, whether it is not in backoff and its limit has a place. */
 	isUsable(now: Ms): boolean {
-		return now >= this.#backoffUntilMs;
+		return this.usableAt(now) <= now;
 	}
 
 	/** Returns the earliest time at which the target is usable. */
 	usableAt(now: Ms): Ms {
-		return Math.max(now, this.#backoffUntilMs);
+		return Math.max(now, this.#backoffUntilMs, this.#schedule?.freeAt(now) ?? now);
 	}
 
 	/** Returns the time by which the calls in progress are expected to end. */
@@ -127,9 +130,20 @@
 		return Math.min(maxMemoryShare, this.#memoryShare + ((now - this.#memoryShareAtMs) * memoryShareGrowthPerMs));
 	}
 
-	/** Records the start of a call, which takes memory until it ends. */
-	startCall(callId: number, call: {memoryMb: number; endsMs: Ms}): void {
+	/** Records the start of a call, which takes memory until it ends, and a place within the limit. */
+	startCall(callId: number, call: {memoryMb: number; endsMs: Ms}, now: Ms): void {
 		this.#calls.set(callId, call);
+		this.#schedule?.reserve(now, 0);
+	}
+
+	/** Applies the limit that a response names, in calls per second; `undefined` ends it, and what is no limit is ignored. */
+	setLimit(perSecond: number | undefined, now: Ms): void {
+		if (perSecond === undefined) {
+			this.#schedule = undefined;
+		} else if (perSecond >= 0) {
+			this.#schedule ??= RateSchedule.create(perSecond, now);
+			this.#schedule.setRate(perSecond);
+		}
 	}
 
 	/** Records the end of a call: a successful one updates the slowdown, any other starts a backoff. */
