Tell a newly linked peer of the limits that targets name

Cause: an entry VM that restarts, or is linked again after a cut, heard of a limit only from a response of the target; until then each of a fleet could send to it freely. Change: limits are sent over a new link, like suspicions. Ruled out: starting a new leader's schedule one interval later.

--- a/src/limits/target-limits.ts
+++ b/src/limits/target-limits.ts
@@ -3,7 +3,7 @@
 	maxLimitHops, passOn, PendingReplies, type Link, type LinkMessage, type RelayMesh,
 } from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
-import type {RelayTarget} from '../registry/index.js';
+import type {RelayTarget, TargetRegistry} from '../registry/index.js';
 import {RateSchedule, type Reservation} from './rate-schedule.js';
 
 /** Limit above which a target takes all that it is sent, in requests per second. */
@@ -28,7 +28,7 @@
 	readonly mesh: () => LimitsMesh | undefined;
 	/** Share of a limit that this entry VM gives away, from 0 to 1: less than 1 where others may do so too. */
 	readonly share: () => number;
-	readonly findTarget: (id: string) => RelayTarget | undefined;
+	readonly targets: Pick<TargetRegistry, 'get' | 'all'>;
 }
 
 /** A target with a limit, as entry VMs name it to each other. */
@@ -104,7 +104,7 @@
 	receive(link: Link, message: LimitMessage): void {
 		switch (message.type) {
 			case 'target-limit': {
-				const target = this.options.findTarget(message.target);
+				const target = this.options.targets.get(message.target);
 				if (target && (target.entry.startedMs ?? null) === message.startedMs) {
 					this.#apply(target, message.perSecond ?? undefined, this.options.clock.now() - message.agoMs, link);
 				}
@@ -124,6 +124,15 @@
 		}
 	}
 
+	/** Tells a peer that has just been linked of the limits that are known here. */
+	linkUp(link: Link): void {
+		for (const target of this.options.targets.all()) {
+			if (target.limit) {
+				link.send(this.#encode(target));
+			}
+		}
+	}
+
 	/** Ends the requests for places that were sent over a link. */
 	linkLost(link: Link): void {
 		this.#replies.linkLost(link);
@@ -150,16 +159,20 @@
 		});
 		const links = mesh();
 		if (links) {
-			passOn(links, {
-				type: 'target-limit', target: target.id, startedMs: target.entry.startedMs ?? null, perSecond: perSecond ?? null, agoMs: Math.max(0, clock.now() - seenMs),
-			}, from);
+			passOn(links, this.#encode(target), from);
 		}
 	}
 
+	#encode(target: RelayTarget): LimitMessage {
+		return {
+			type: 'target-limit', target: target.id, startedMs: target.entry.startedMs ?? null, perSecond: target.limit?.perSecond ?? null, agoMs: Math.max(0, this.options.clock.now() - target.limitSeenMs),
+		};
+	}
+
 	/** Finds a place, and remembers until when there is none. */
 	async #findPlace(request: PlaceRequest): Promise<Reservation> {
-		const {clock, findTarget} = this.options;
-		const found = findTarget(request.target);
+		const {clock, targets} = this.options;
+		const found = targets.get(request.target);
 		const target = (found?.entry.startedMs ?? null) === request.startedMs ? found : undefined;
 		const freeInMs = (target?.limitedUntilMs ?? 0) - clock.now() - request.maxWaitMs;
 		if (freeInMs > 0) {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -205,7 +205,7 @@
 			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
 		});
 		this.#targetLimits = TargetLimits.create({
-			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), findTarget: id => this.#registry.get(id),
+			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), targets: this.#registry,
 		});
 		this.#quarantineFollower = TopicFollower.create({
 			name: 'quarantine',
@@ -426,6 +426,7 @@
 			},
 			onUp: link => {
 				this.#quarantine.linkUp(link);
+				this.#targetLimits.linkUp(link);
 			},
 			onLost: link => {
 				this.#stages.linkLost(link);
