Do not clear a suspected prompt part by an error response

An engine that fails requests at random answers one with a deadly part with 500, which cleared the part at every entry VM, so that it went on to crash the others. Cause: any whole response counted as an answer. An error says that the engine did not write one. Change: only a whole event or a whole response with a status below 300 clears parts. Evidence: the new test failed before (32 requests with the part reached engines that crash, 27 after the fifth crash, 3 allowed) and passes now. Ruled out: ignoring errors of 500 only; a rejection with 4xx says as little.

--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -74,7 +74,7 @@
 	readonly onHead?: (head: TargetHead) => void;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
 	readonly onResponseStart?: () => void;
-	/** Called when the first whole event or the whole response has arrived, unless the target refused the request. */
+	/** Called when the first whole event, or a whole response that is no error, has arrived. */
 	readonly onAnswered?: () => void;
 }
 
@@ -227,7 +227,10 @@
 			return;
 		}
 
-		this.#recordAnswer();
+		if (response.status < 300) {
+			this.#recordAnswer();
+		}
+
 		if (response.status >= 500 || notRunStatuses.has(response.status)) {
 			this.#recordOutcome('failed');
 			this.#finish({
