--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -21,12 +21,11 @@
 	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter,
 } from '../topics/index.js';
 import type {VmList} from '../vms/index.js';
+import {configLongPollMs} from './config-read-times.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import {TopicDistributor} from './topic-distributor.js';
 
-/** Long-poll duration of configuration reads; a half-open connection is detected after this time. */
-const configLongPollMs: Ms = 2000;
 /** Long-poll duration of reads of the quarantined prompt parts, which links carry as well, and the pause between them. */
 const quarantineLongPollMs: Ms = 10_000;
 const quarantinePollMs: Ms = 100;
