Do not send a request that waited for a place to a target that is draining by then

Cause: the target was checked when it was chosen, before the wait. Change: after the wait, a target that takes no more work is given up, and another one is looked for.

--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -338,7 +338,7 @@
 				break;
 			}
 
-			if ('waitMs' in await limits.reserve(target, 0)) {
+			if ('waitMs' in await limits.reserve(target, 0) && target.isAccepting) {
 				return target;
 			}
 		}
@@ -352,7 +352,12 @@
 		const reservation = await limits.reserve(limitedTarget, Math.max(0, this.#timeBudget.stagesDeadlineMs - clock.now()));
 		if ('waitMs' in reservation) {
 			await clock.sleep(reservation.waitMs, this.#abortController.signal);
-			return this.#abortController.signal.aborted ? undefined : limitedTarget;
+			if (this.#abortController.signal.aborted) {
+				return undefined;
+			}
+
+			// The target may have started to drain meanwhile.
+			return limitedTarget.isAccepting ? limitedTarget : this.#acquireTarget();
 		}
 
 		this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'target_limited', retryAfterMs: reservation.retryAfterMs});
