Log and count the histories of the store's log

Cause: the logs of the restored store could not tell which copy of the store an entry VM had read, nor that news of another history were left out. Gauge guavamill_relay_store_era; a line for news that are left out. Positions do not use the era yet: no decision changes.

--- a/src/relay-vm/config-read-times.test.ts
+++ b/src/relay-vm/config-read-times.test.ts
@@ -15,11 +15,13 @@
 	const follower = TopicFollower.create({
 		name: 'configuration',
 		topic: {
-			newest: async () => ({records: [], end: 0}),
+			newest: async () => ({records: [], end: 0, era: 1}),
 			async read(from, waitMs) {
 				reads++;
 				await clock.sleep(waitMs);
-				return {kind: 'records', records: [], next: from};
+				return {
+					kind: 'records', records: [], next: from, era: 1,
+				};
 			},
 		},
 		clock,
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -92,6 +92,8 @@
 	readonly decodeDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
 	/** Decodes a target entry; returns `undefined` for a record without one. */
 	readonly decodeTarget: (record: KeyedRecord) => TargetEntry | undefined;
+	/** Returns the latest era that the store has named; 0 before the first. */
+	readonly storeEra: () => number;
 	readonly limits: RelayLimits;
 }
 
@@ -117,6 +119,7 @@
 	readonly #prefixCache = PrefixCacheTracker.create();
 	readonly #metrics = RelayMetrics.create({
 		configVersion: () => this.configVersion,
+		storeEra: () => this.options.storeEra(),
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
--- a/src/relay-vm/topic-distributor.test.ts
+++ b/src/relay-vm/topic-distributor.test.ts
@@ -12,6 +12,7 @@
 class FakeTopic {
 	readonly records: KeyedRecord[] = [];
 	readonly unreachableFor = new Set<number>();
+	era = 1;
 	calls = 0;
 
 	readerOf(member: number): KeyedTopic {
@@ -25,11 +26,15 @@
 		return {
 			newest: async (): Promise<KeyedSnapshot> => {
 				call();
-				return {records: [...this.records], end: this.records.length};
+				return {records: [...this.records], end: this.records.length, era: this.era};
 			},
 			read: async (from: number): Promise<KeyedPage> => {
 				call();
-				return {kind: 'records', records: this.records.slice(from), next: this.records.length};
+				return from > this.records.length
+					? {kind: 'expired', era: this.era}
+					: {
+						kind: 'records', records: this.records.slice(from), next: this.records.length, era: this.era,
+					};
 			},
 		};
 	}
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -9,6 +9,8 @@
 /** Callbacks that provide the gauge values when metrics are collected. */
 export interface RelayMetricSources {
 	readonly configVersion: () => number;
+	/** Era of the store's history, which rises each time the store comes back from an older copy. */
+	readonly storeEra: () => number;
 	/** Time since the last successful read of the targets from the store. */
 	readonly targetsAgeMs: () => Ms;
 	readonly targets: () => number;
@@ -64,6 +66,7 @@
 		};
 
 		gauge('guavamill_relay_config_version', 'Version of the configuration in force; -1 before the first.', sources.configVersion);
+		gauge('guavamill_relay_store_era', 'Latest era of the history of the store\'s log; it rises when the store comes back from an older copy.', sources.storeEra);
 		gauge('guavamill_relay_targets_age_seconds', 'Time since the store last answered about targets.', () => sources.targetsAgeMs() / 1000);
 		gauge('guavamill_relay_targets', 'Targets known.', sources.targets);
 		gauge('guavamill_relay_in_flight', 'Requests whose answers are not sent yet.', sources.inFlight);
--- a/src/topics/index.ts
+++ b/src/topics/index.ts
@@ -1,3 +1,4 @@
+export {EraTracker} from './era-tracker.js';
 export type {
 	KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic, KeyedWriter,
 } from './keyed-topic.js';
--- a/src/topics/keyed-topic.ts
+++ b/src/topics/keyed-topic.ts
@@ -6,14 +6,17 @@
 	readonly value: Uint8Array | undefined;
 }
 
-/** The newest record of each key; `end` is the offset at which to continue reading. */
+/** The newest record of each key; `end` is the offset at which to continue reading, in the history of `era`. */
 export interface KeyedSnapshot {
 	readonly records: readonly KeyedRecord[];
 	readonly end: number;
+	readonly era: number;
 }
 
-/** Records from an offset on; `expired` if the store no longer has some of them or the topic ends before the offset. */
-export type KeyedPage = {readonly kind: 'records'; readonly records: readonly KeyedRecord[]; readonly next: number} | {readonly kind: 'expired'};
+/** Records from an offset on, in the history of `era`; `expired` if the store does not have some of them or the topic ends before the offset. */
+export type KeyedPage =
+	| {readonly kind: 'records'; readonly records: readonly KeyedRecord[]; readonly next: number; readonly era: number}
+	| {readonly kind: 'expired'; readonly era: number};
 
 /** Read access to one keyed topic of the store. Both methods throw if the store does not respond. */
 export interface KeyedTopic {
--- a/src/topics/topic-follower.test.ts
+++ b/src/topics/topic-follower.test.ts
@@ -13,19 +13,25 @@
 class FakeTopic implements KeyedTopic {
 	records: KeyedRecord[] = [];
 	first = 0;
+	era = 1;
 	isDown = false;
 	reads = 0;
 
 	async newest(): Promise<KeyedSnapshot> {
 		this.#check();
 		const newest = new Map(this.records.map(each => [each.key, each]));
-		return {records: [...newest.values()], end: this.records.length};
+		return {records: [...newest.values()], end: this.records.length, era: this.era};
 	}
 
 	async read(from: number): Promise<KeyedPage> {
 		this.reads++;
 		this.#check();
-		return from < this.first || from > this.records.length ? {kind: 'expired'} : {kind: 'records', records: this.records.slice(from), next: this.records.length};
+		const {era} = this;
+		return from < this.first || from > this.records.length
+			? {kind: 'expired', era}
+			: {
+				kind: 'records', records: this.records.slice(from), next: this.records.length, era,
+			};
 	}
 
 	#check(): void {
--- a/src/topics/topic-follower.ts
+++ b/src/topics/topic-follower.ts
@@ -102,7 +102,9 @@
 
 	/** Applies news that a peer has read. News that do not continue at the offset of this follower make it read the store. */
 	receive({from, next, records, outageMs}: TopicNews): void {
-		const {clock, pollMs, waitMs, onRecords} = this.options;
+		const {
+			name, clock, logger, pollMs, waitMs, onRecords,
+		} = this.options;
 		if (this.#nextOffset === undefined || from > this.#nextOffset) {
 			this.#fedUntilMs = -Infinity;
 			this.#endPause();
@@ -110,6 +112,9 @@
 		}
 
 		if (next < this.#nextOffset) {
+			logger.info('Left out news of a topic that end before its next offset.', {
+				topic: name, from, next, offset: this.#nextOffset,
+			});
 			return;
 		}
 
@@ -173,7 +178,9 @@
 				const snapshot = await topic.newest();
 				this.#recordResponse();
 				this.#nextOffset = snapshot.end;
-				logger.info('Read a snapshot of a topic.', {topic: name, records: snapshot.records.length, offset: snapshot.end});
+				logger.info('Read a snapshot of a topic.', {
+					topic: name, records: snapshot.records.length, offset: snapshot.end, era: snapshot.era,
+				});
 				onSnapshot(snapshot);
 				return true;
 			}
@@ -184,7 +191,7 @@
 				// News of a peer may have arrived meanwhile, and then the offset that was read does not matter.
 				if (this.#nextOffset === from) {
 					this.#recordResponse();
-					logger.warn('Cannot continue reading a topic: the store does not have its next offset. Reading a new snapshot.', {topic: name, offset: from});
+					logger.warn('Cannot continue reading a topic: the store does not have its next offset. Reading a new snapshot.', {topic: name, offset: from, era: page.era});
 					this.#nextOffset = undefined;
 				}
 
--- a/src/vms/topic-vm-list.test.ts
+++ b/src/vms/topic-vm-list.test.ts
@@ -10,14 +10,15 @@
 
 /** In-memory topic whose reads wait for records. */
 class FakeTopic implements KeyedTopic, KeyedWriter {
-	readonly records: KeyedRecord[] = [];
+	records: KeyedRecord[] = [];
+	era = 1;
 	isDown = false;
 
 	constructor(private readonly clock: ManualClock) {}
 
 	async newest(): Promise<KeyedSnapshot> {
 		const newest = new Map(this.records.map(record => [record.key, record]));
-		return {records: [...newest.values()].filter(record => record.value), end: this.records.length};
+		return {records: [...newest.values()].filter(record => record.value), end: this.records.length, era: this.era};
 	}
 
 	async read(from: number, waitMs: number): Promise<KeyedPage> {
@@ -25,7 +26,9 @@
 			await this.clock.sleep(50);
 		}
 
-		return {kind: 'records', records: this.records.slice(from), next: this.records.length};
+		return {
+			kind: 'records', records: this.records.slice(from), next: this.records.length, era: this.era,
+		};
 	}
 
 	async put(key: string, value: Uint8Array): Promise<void> {
