--- a/src/relay-vm/topic-distributor.test.ts
+++ b/src/relay-vm/topic-distributor.test.ts
@@ -151,6 +151,25 @@
 		expect(cell.topic.calls - calls).toBeLessThanOrEqual((60_000 / 800) + 1);
 	});
 
+	// Guards against a confirmed change that stays out of force at most entry VMs: the leader has read the restored store,
+	// and its news end at an offset that the others have reached in the lost history.
+	it('brings members of a lost history to that of the leader when the store has been restored', async () => {
+		const cell = start(20);
+		cell.topic.records.push(record('c', '1'), record('d', '1'));
+		await cell.clock.advance(2000);
+		for (let member = 1; member < 20; member++) {
+			cell.topic.unreachableFor.add(member);
+		}
+
+		cell.topic.era++;
+		cell.topic.records.splice(2);
+		await cell.clock.advance(1700);
+		cell.topic.unreachableFor.clear();
+		cell.topic.records.push(record('c', '2'), record('a', '2'));
+		await cell.clock.advance(1700);
+		expect([...new Set(cell.members.map(({state}) => `${state.get('a')} ${state.get('c')}`))]).toEqual(['2 2']);
+	});
+
 	// Guards against passing on the records by which targets only show that they are alive.
 	it('passes on only records that change something, and all records of a key after the first such one', async () => {
 		const cell = start(3);
--- a/src/topics/topic-follower.test.ts
+++ b/src/topics/topic-follower.test.ts
@@ -115,6 +115,20 @@
 		expect(seen).toEqual(['snapshot a=2', 'snapshot a=1']);
 	});
 
+	// Guards against records that nobody reads: the store came back from an older copy, and writers have carried the topic
+	// past the offset that the follower had reached in the lost history.
+	it('reads a new snapshot when the store has been restored, although the topic has its offset', async () => {
+		const topic = new FakeTopic();
+		topic.records.push(record('a', '1'), record('b', '1'));
+		const {clock, seen} = follow(topic);
+		await clock.advance(1);
+		topic.era++;
+		topic.records.splice(1);
+		topic.records.push(record('c', '1'), record('a', '2'));
+		await clock.advance(2001);
+		expect(seen).toEqual(['snapshot a=1 b=1', 'snapshot a=2 c=1']);
+	});
+
 	// Guards against a read by every VM for each record when many VMs write to a topic at once.
 	it('spaces long polls while each of them brings records at once', async () => {
 		const topic = new FakeTopic();
