Let positions in the store's log mean nothing outside of their history

Callers saw: after the store had come back from an older copy, routes of a confirmed version were not served at most entry VMs until the next version. Cause: followers kept their offset over the restore, and news between entry VMs named offsets only. News of the new history that ended at or below an offset of the lost one looked old and were dropped, yet kept the followers from reading the store themselves; records written past the old offset hid those below it. Class: a position is used without the history that it belongs to. Change: a position of a follower is an era and an offset. News carry the era: those of a later one make the receiver read the store, those of an earlier one are left out, and a leader that has read a restored store announces it at once. What is news about targets is judged by the records of one history (TargetNews), not by what the leader happens to know. Ruled out: that entry VMs only find out too late; they never did.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -102,9 +102,9 @@
 	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
 	// The sender is shutting down: it completes the work that it has accepted and accepts no more.
 	z.strictObject({type: z.literal('leaving')}),
-	// What the sender has read from a topic of the store, by key; a record without a value deletes its key.
+	// What the sender has read from a topic of the store, by key; a record without a value deletes its key. Builds before the era was introduced send none.
 	z.strictObject({
-		type: z.literal('topic-news'), topic: name, from: count, next: count, outageMs: z.number().nonnegative(), records: z.array(z.tuple([z.string().max(1000), z.custom<Uint8Array | null>(value => value === null || value instanceof Uint8Array)])).max(maxNewsRecords),
+		type: z.literal('topic-news'), topic: name, era: count.optional(), from: count, next: count, outageMs: z.number().nonnegative(), records: z.array(z.tuple([z.string().max(1000), z.custom<Uint8Array | null>(value => value === null || value instanceof Uint8Array)])).max(maxNewsRecords),
 	}),
 	// A heartbeat that promises the next one within the shorter interval.
 	z.strictObject({type: z.literal('beat')}),
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -56,22 +56,11 @@
 		return this.#targets.values();
 	}
 
-	/** Whether `put` would change anything for an entry, including the cancellation of a pending removal. */
-	isNews(entry: TargetEntry): boolean {
-		const existing = this.#targets.get(entry.id);
-		return !existing || !isSameIncarnation(existing.entry, entry) || (entry.isDraining && !existing.isDraining) || this.#pendingRemovals.has(entry.id);
-	}
-
 	/** Returns the target with an id. */
 	get(id: string): RelayTarget | undefined {
 		return this.#targets.get(id);
 	}
 
-	/** Whether a target with this id is known. */
-	has(id: string): boolean {
-		return this.#targets.has(id);
-	}
-
 	/** Adds a target, or updates it from its current entry. */
 	put(entry: TargetEntry): void {
 		const target = this.#put(entry);
--- a/src/relay-vm/config-read-times.test.ts
+++ b/src/relay-vm/config-read-times.test.ts
@@ -36,7 +36,7 @@
 	// The read under way ends before the last news do.
 	await clock.advance(configLongPollMs - 10);
 	follower.receive({
-		from: 0, next: 0, records: [], outageMs: 0,
+		era: 1, from: 0, next: 0, records: [], outageMs: 0,
 	});
 	await clock.advance(20);
 	const before = reads;
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -24,6 +24,7 @@
 import {configLongPollMs} from './config-read-times.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
+import {TargetNews} from './target-news.js';
 import {TopicDistributor} from './topic-distributor.js';
 
 /** Long-poll duration of reads of the quarantined prompt parts, which links carry as well, and the pause between them. */
@@ -136,6 +137,7 @@
 	#table: RouteTable | undefined;
 	#hasTargets = false;
 	readonly #decodedTargets = new WeakMap<KeyedRecord, TargetEntry | undefined>();
+	readonly #targetNews = TargetNews.create(record => this.#decodeTarget(record));
 	#isClosed = false;
 	#limits: RelayLimits;
 	#mesh: RelayMesh | undefined;
@@ -192,11 +194,13 @@
 			pollMs: targetPollIntervalMs,
 			waitMs: 0,
 			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}) => {
+			onSnapshot: ({records}, origin) => {
 				this.#hasTargets = true;
-				this.#registry.replace(records.flatMap(record => options.decodeTarget(record) ?? []));
+				this.#targetNews.applySnapshot(records, origin);
+				this.#registry.replace(records.flatMap(record => this.#decodeTarget(record) ?? []));
 			},
 			onRecords: records => {
+				this.#targetNews.apply(records);
 				this.#updateTargets(records);
 			},
 			onRecovered: outageMs => {
@@ -226,7 +230,7 @@
 		});
 		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
 		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
-		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#isTargetNews(record)});
+		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#targetNews.isNews(record)});
 		if (options.vmListFollower) {
 			this.#distributor.add({name: 'entry VMs', follower: options.vmListFollower});
 		}
@@ -468,13 +472,7 @@
 		return this.#quarantineFollower.offset >= 0 || (this.#configuredMs !== undefined && this.options.clock.now() - this.#configuredMs >= quarantineTimeoutMs);
 	}
 
-	/** Whether a record of the target topic changes the registry; most only show that a target is alive. */
-	#isTargetNews(record: KeyedRecord): boolean {
-		const entry = this.#decodeTarget(record);
-		return entry ? this.#registry.isNews(entry) : record.value === undefined && this.#registry.has(record.key);
-	}
-
-	/** Decodes a record once, although it is read both to pass it on and to apply it. */
+	/** Decodes a record once, although it is read to pass it on, to compare later ones with it, and to apply it. */
 	#decodeTarget(record: KeyedRecord): TargetEntry | undefined {
 		if (!this.#decodedTargets.has(record)) {
 			this.#decodedTargets.set(record, this.options.decodeTarget(record));
--- /dev/null
+++ b/src/relay-vm/target-news.test.ts
@@ -0,0 +1,48 @@
+import {Buffer} from 'node:buffer';
+import {describe, expect, it} from 'vitest';
+import type {TargetEntry} from '../registry/index.js';
+import type {KeyedRecord} from '../topics/index.js';
+import {TargetNews} from './target-news.js';
+
+const record = (key: string, state: string | undefined): KeyedRecord => ({key, value: state === undefined ? undefined : Buffer.from(state)});
+
+/** Decodes the values `ready` and `draining`; others are malformed. */
+function decode({key, value}: KeyedRecord): TargetEntry | undefined {
+	const state = value?.toString();
+	return state === 'ready' || state === 'draining'
+		? {
+			id: key, service: 'desk', address: '10.0.0.1:80', zone: 'riga-a', slots: 1, isDraining: state === 'draining', startedMs: 1,
+		}
+		: undefined;
+}
+
+/** Returns which of successive records are news. */
+function newsOf(news: TargetNews, records: readonly KeyedRecord[]): boolean[] {
+	return records.map(each => {
+		const isNews = news.isNews(each);
+		news.apply([each]);
+		return isNews;
+	});
+}
+
+describe('TargetNews', () => {
+	it('leaves out records that change nothing, and malformed ones', () => {
+		const news = TargetNews.create(decode);
+		news.applySnapshot([record('a', 'ready')], 'continued');
+		expect(newsOf(news, [
+			record('a', 'ready'), record('a', 'garbled'), record('a', 'draining'), record('a', 'draining'), record('a', undefined), record('a', undefined), record('b', undefined), record('b', 'ready'),
+		])).toEqual([false, false, true, false, true, false, false, true]);
+	});
+
+	// Guards against an entry VM that never hears of a target: its leader has known it since before the restore, the copy
+	// does not have it, and the entry that the target writes again changes nothing at the leader.
+	it('takes the first record of each target after a restore for news', () => {
+		const news = TargetNews.create(decode);
+		news.applySnapshot([], 'continued');
+		news.apply([record('a', 'ready')]);
+		news.applySnapshot([record('b', 'ready')], 'restored');
+		expect(newsOf(news, [
+			record('a', 'ready'), record('a', 'ready'), record('b', 'ready'), record('b', 'ready'), record('c', undefined), record('c', undefined),
+		])).toEqual([true, false, true, false, true, false]);
+	});
+});
--- a/src/relay-vm/topic-distributor.ts
+++ b/src/relay-vm/topic-distributor.ts
@@ -50,10 +50,10 @@
 	}
 
 	/** Handles news from a peer. */
-	receive(link: Link, {topic, from, next, outageMs, records}: TopicNewsMessage): void {
+	receive(link: Link, {topic, era = 0, from, next, outageMs, records}: TopicNewsMessage): void {
 		this.#feeder = link;
 		this.#topics.get(topic)?.follower.receive({
-			from, next, outageMs, records: records.map(([key, value]) => ({key, value: value ?? undefined})),
+			era, from, next, outageMs, records: records.map(([key, value]) => ({key, value: value ?? undefined})),
 		});
 	}
 
@@ -68,7 +68,7 @@
 		}
 	}
 
-	#publish({name, isNews}: DistributedTopic, {from, next, records, outageMs}: TopicNews): void {
+	#publish({name, isNews}: DistributedTopic, {era, from, next, records, outageMs}: TopicNews): void {
 		const mesh = this.mesh();
 		if (!mesh || mesh.leader()) {
 			return;
@@ -80,6 +80,7 @@
 		mesh.broadcast({
 			type: 'topic-news',
 			topic: name,
+			era,
 			// Receivers cannot continue from the end of the news without having read them, so they read the store.
 			from: isSentAlong ? from : next,
 			next,
--- a/src/topics/topic-follower.ts
+++ b/src/topics/topic-follower.ts
@@ -17,6 +17,8 @@
 
 /** Records that a follower has read, to be passed on to the followers of peers. */
 export interface TopicNews {
+	/** Era of the history that the offsets belong to. */
+	readonly era: number;
 	/** Offset after the records that the receiver must have for the news to be complete. */
 	readonly from: number;
 	/** Offset after the news. */
@@ -26,6 +28,12 @@
 	readonly outageMs: Ms;
 }
 
+/**
+ * Whether a snapshot follows on what the follower knew (`continued`) or is of a store that came back from an older copy
+ * (`restored`): it may then lack what is known and hold what is known to be over.
+ */
+export type SnapshotOrigin = 'continued' | 'restored';
+
 /** Dependencies and listeners of a `TopicFollower`. */
 export interface TopicFollowerOptions {
 	/** Name of the topic in log messages. */
@@ -38,7 +46,7 @@
 	/** Long-poll timeout: the time for which the store may hold a read until a record is available. */
 	readonly waitMs: Ms;
 	/** Called with the whole content of the topic at the start, and again if the store no longer has the next offset. */
-	readonly onSnapshot: (snapshot: KeyedSnapshot) => void;
+	readonly onSnapshot: (snapshot: KeyedSnapshot, origin: SnapshotOrigin) => void;
 	readonly onRecords: (records: readonly KeyedRecord[]) => void;
 	/** Called when the store responds again after an outage of `outageMs`. */
 	readonly onRecovered?: (outageMs: Ms) => void;
@@ -46,9 +54,13 @@
 	readonly hasFeeder?: () => boolean;
 }
 
+/** Offset in one history of a topic. */
+type Position = {readonly era: number; readonly offset: number};
+
 /**
  * Follows a keyed topic, starting with a snapshot of its newest records. During an outage no listener is called;
- * afterwards reading continues at the same offset, or with a new snapshot if the store no longer has that offset.
+ * afterwards reading continues at the same offset, or with a new snapshot if the store no longer has that offset or has
+ * come back from an older copy: the offset then belongs to a lost history, even if the store has it again.
  * While a peer passes on the news that it reads, the follower does not read the store itself.
  *
  * @example
@@ -63,7 +75,10 @@
 	#isStopped = false;
 	/** Ends the current pause of the read loop. */
 	#wake = new AbortController();
-	#nextOffset: number | undefined;
+	/** Position of the next record; `undefined` while a snapshot is needed. */
+	#position: Position | undefined;
+	/** Era of the latest snapshot. */
+	#snapshotEra: number | undefined;
 	#lastResponseMs: Ms;
 	#isReachable = true;
 	#failureCount = 0;
@@ -78,7 +93,7 @@
 
 	/** Offset of the next record; -1 before the first snapshot. */
 	get offset(): number {
-		return this.#nextOffset ?? -1;
+		return this.#position?.offset ?? -1;
 	}
 
 	/** Time since the last response from the store, its own or one that a peer passed on. */
@@ -100,29 +115,32 @@
 		this.#listeners.push(listener);
 	}
 
-	/** Applies news that a peer has read. News that do not continue at the offset of this follower make it read the store. */
-	receive({from, next, records, outageMs}: TopicNews): void {
+	/**
+	 * Applies news that a peer has read. News that do not continue at the position of this follower make it read the store;
+	 * those of an earlier era than its own are left out, since the peer has not heard of the restore yet.
+	 */
+	receive({era, from, next, records, outageMs}: TopicNews): void {
 		const {
 			name, clock, logger, pollMs, waitMs, onRecords,
 		} = this.options;
-		if (this.#nextOffset === undefined || from > this.#nextOffset) {
+		const position = this.#position;
+		if (!position || era > position.era || (era === position.era && from > position.offset)) {
 			this.#fedUntilMs = -Infinity;
 			this.#endPause();
 			return;
 		}
 
-		if (next < this.#nextOffset) {
+		if (era < position.era || next < position.offset) {
 			logger.info('Left out news of a topic that end before its next offset.', {
-				topic: name, from, next, offset: this.#nextOffset,
+				topic: name, from, next, news_era: era, ...position,
 			});
 			return;
 		}
 
 		this.#recordResponse(outageMs);
 		this.#fedUntilMs = clock.now() + pollMs + waitMs + newsSlackMs;
-		const isNew = next > this.#nextOffset;
-		this.#nextOffset = next;
-		if (isNew && records.length > 0) {
+		this.#position = {era, offset: next};
+		if (next > position.offset && records.length > 0) {
 			onRecords(records);
 		}
 	}
@@ -172,33 +190,26 @@
 	}
 
 	async #readOnce(): Promise<boolean> {
-		const {name, topic, logger, waitMs, onSnapshot} = this.options;
+		const {name, topic, logger, waitMs} = this.options;
 		try {
-			if (this.#nextOffset === undefined) {
-				const snapshot = await topic.newest();
-				this.#recordResponse();
-				this.#nextOffset = snapshot.end;
-				logger.info('Read a snapshot of a topic.', {
-					topic: name, records: snapshot.records.length, offset: snapshot.end, era: snapshot.era,
-				});
-				onSnapshot(snapshot);
-				return true;
-			}
+			const position = this.#position;
+			if (position) {
+				const page = await topic.read(position.offset, waitMs);
+				if (page.kind === 'records' && page.era === position.era) {
+					this.#applyPage(position, page);
+					return true;
+				}
 
-			const from = this.#nextOffset;
-			const page = await topic.read(from, waitMs);
-			if (page.kind === 'expired') {
-				// News of a peer may have arrived meanwhile, and then the offset that was read does not matter.
-				if (this.#nextOffset === from) {
-					this.#recordResponse();
-					logger.warn('Cannot continue reading a topic: the store does not have its next offset. Reading a new snapshot.', {topic: name, offset: from, era: page.era});
-					this.#nextOffset = undefined;
+				// News of a peer may have arrived meanwhile, and then the position that was read does not matter.
+				if (this.#position !== position) {
+					return true;
 				}
 
-				return true;
+				logger.warn('Cannot continue reading a topic: the store does not have its next offset in the same history. Reading a new snapshot.', {topic: name, ...position, store_era: page.era});
+				this.#position = undefined;
 			}
 
-			this.#applyPage(from, page);
+			this.#applySnapshot(await topic.newest());
 			return true;
 		} catch (err) {
 			if (this.#isReachable && !this.#isStopped) {
@@ -210,28 +221,52 @@
 		}
 	}
 
-	/** Applies the records of a page that was read from an offset, without those that news of a peer have brought meanwhile. */
-	#applyPage(from: number, {next, records}: KeyedPage & {kind: 'records'}): void {
+	#applySnapshot(snapshot: KeyedSnapshot): void {
+		const {name, logger, onSnapshot} = this.options;
+		const {era, end, records} = snapshot;
+		const outageMs = this.#recordResponse();
+		const origin = this.#snapshotEra === undefined || this.#snapshotEra === era ? 'continued' : 'restored';
+		this.#snapshotEra = era;
+		this.#position = {era, offset: end};
+		logger.info('Read a snapshot of a topic.', {
+			topic: name, records: records.length, offset: end, era, origin,
+		});
+		if (origin === 'restored') {
+			// Followers of peers learn of the restore by this, and read the store themselves.
+			this.#notify({
+				era, from: end, next: end, records: [], outageMs,
+			});
+		}
+
+		onSnapshot(snapshot, origin);
+	}
+
+	/** Applies the records of a page that was read from a position, without those that news of a peer have brought meanwhile. */
+	#applyPage(from: Position, {next, records, era}: KeyedPage & {kind: 'records'}): void {
 		const outageMs = this.#recordResponse();
 		this.#busyCount = records.length > 0 ? this.#busyCount + 1 : 0;
-		const known = this.#nextOffset! - from;
+		const {offset} = this.#position!;
+		const known = offset - from.offset;
 		if (known > records.length) {
 			return;
 		}
 
 		const unknown = records.slice(known);
-		for (const listener of this.#listeners) {
-			listener({
-				from: this.#nextOffset!, next, records: unknown, outageMs,
-			});
-		}
-
-		this.#nextOffset = next;
+		this.#notify({
+			era, from: offset, next, records: unknown, outageMs,
+		});
+		this.#position = {era, offset: next};
 		if (unknown.length > 0) {
 			this.options.onRecords(unknown);
 		}
 	}
 
+	#notify(news: TopicNews): void {
+		for (const listener of this.#listeners) {
+			listener(news);
+		}
+	}
+
 	/** Records a response and returns the length of the outage that it ended; `peerOutageMs` is that of the peer that read it. */
 	#recordResponse(peerOutageMs: Ms = 0): Ms {
 		const {name, logger, onRecovered} = this.options;
