Keep what is known of targets when the store comes back from an older copy

Targets that had left since the copy came back as ready, an earlier start could replace a later one, and targets that were added since were removed at once. A target that is gone, or a start that a later one followed, is not taken back until its entry is written again; draining is for good; what the copy lacks is kept for the two seconds that targets have to write again.

--- a/src/registry/target-registry.test.ts
+++ b/src/registry/target-registry.test.ts
@@ -77,6 +77,72 @@
 		expect(registry.size).toBe(0);
 	});
 
+	// Guards against requests to targets that have left: the copy from which the store was restored still lists them.
+	it('does not take back a target that it knows to be gone, until its entry is written again', () => {
+		const {registry} = create();
+		registry.put(entry('a'));
+		registry.remove('a');
+		registry.merge([entry('a')]);
+		expect(registry.acceptingTargets('desk')).toEqual([]);
+		registry.put(entry('a'));
+		expect(ids(registry.acceptingTargets('desk'))).toEqual(['a']);
+	});
+
+	// Guards against requests to a target that was seen draining before the store was restored.
+	it('keeps a target draining that was removed and is listed again', () => {
+		const {registry} = create();
+		registry.put(entry('a', {isDraining: true}));
+		registry.remove('a');
+		registry.merge([entry('a')]);
+		registry.put(entry('a'));
+		expect(registry.acceptingTargets('desk')).toEqual([]);
+	});
+
+	// Guards against requests to an earlier start of a target, whose address may be in use by another service.
+	it('keeps the latest start of a target when an older copy lists an earlier one', () => {
+		const {registry} = create();
+		registry.put(entry('a', {startedMs: 2000, address: '10.0.0.2:80'}));
+		registry.merge([entry('a', {startedMs: 1000})]);
+		expect(registry.acceptingTargets('desk').map(target => target.entry.address)).toEqual(['10.0.0.2:80']);
+	});
+
+	it('takes back no earlier start of a target that is gone', () => {
+		const {registry} = create();
+		registry.put(entry('a', {startedMs: 2000}));
+		registry.remove('a');
+		registry.merge([entry('a', {startedMs: 1000})]);
+		expect(registry.size).toBe(0);
+	});
+
+	// Guards against the loss of targets that were added after the copy was made.
+	it('keeps a target that an older copy does not list until it has had time to write its entry again', async () => {
+		const {registry, clock} = create();
+		registry.put(entry('a'));
+		registry.put(entry('b', {address: '10.0.0.2:80'}));
+		registry.merge([]);
+		await clock.advance(1000);
+		registry.put(entry('a'));
+		expect(ids(registry.acceptingTargets('desk'))).toEqual(['a', 'b']);
+		await clock.advance(1100);
+		expect(ids(registry.acceptingTargets('desk'))).toEqual(['a']);
+	});
+
+	it('takes over what is new in an older copy', () => {
+		const {registry} = create();
+		registry.put(entry('a'));
+		registry.merge([entry('a', {isDraining: true}), entry('b', {address: '10.0.0.2:80'})]);
+		expect(ids(registry.acceptingTargets('desk'))).toEqual(['b']);
+	});
+
+	it('forgets targets that have been gone for long', async () => {
+		const {registry, clock} = create();
+		registry.put(entry('a', {isDraining: true}));
+		registry.remove('a');
+		await clock.advance(700_000);
+		registry.merge([entry('a')]);
+		expect(ids(registry.acceptingTargets('desk'))).toEqual(['a']);
+	});
+
 	it('removes targets that are not in a complete list', () => {
 		const {registry} = create();
 		registry.put(entry('a'));
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -1,5 +1,6 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logging/index.js';
+import {GoneTargets} from './gone-targets.js';
 import {RelayTarget, type TargetEntry} from './relay-target.js';
 
 /** Time after a store outage within which targets rewrite the entries that expired during it. */
@@ -35,7 +36,11 @@
 	readonly #pendingRemovals = new Map<string, CancelTimer>();
 	#graceUntilMs: Ms = 0;
 
-	private constructor(private readonly options: TargetRegistryOptions) {}
+	readonly #gone: GoneTargets;
+
+	private constructor(private readonly options: TargetRegistryOptions) {
+		this.#gone = GoneTargets.create(options.clock);
+	}
 
 	/** Returns the targets of a service that accept new work. */
 	acceptingTargets(service: string): readonly RelayTarget[] {
@@ -88,7 +93,9 @@
 			this.#remove(existing, 'replaced by another incarnation with the same id');
 		}
 
+		const gone = this.#gone.get(entry.id);
 		const target = RelayTarget.create(entry);
+		target.isDraining ||= gone?.isDraining === true && isSameIncarnation(gone.entry, entry);
 		this.#targets.set(entry.id, target);
 		this.#zones.set(entry.address, entry.zone);
 		this.#services.set(entry.service, [...this.#services.get(entry.service) ?? [], target]);
@@ -125,13 +132,44 @@
 		this.options.logger.info('Read all targets.', {targets: entries.length, added: added.length, draining: entries.filter(entry => entry.isDraining).length});
 	}
 
+	/**
+	 * Merges a complete list that may be older than what is known, from a store that came back from a copy. What is known
+	 * to be over stays over: targets that are gone, draining or replaced by a later start. Targets that are not in the list
+	 * are kept until they have had time to write their entries again.
+	 */
+	merge(entries: readonly TargetEntry[]): void {
+		this.#startGrace();
+		const listed = new Set(entries.map(entry => entry.id));
+		const missing = [...this.#targets.keys()].filter(id => !listed.has(id));
+		for (const id of missing) {
+			this.remove(id);
+		}
+
+		const current = entries.filter(entry => !this.#isOver(entry));
+		const added = current.flatMap(entry => this.#put(entry) ?? []);
+		this.options.logger.info('Merged the targets of a restored store.', {
+			targets: entries.length, added: added.length, over: entries.length - current.length, missing: missing.length,
+		});
+	}
+
 	/** Handles the end of a store outage: starts the grace period if entries may have expired during it. */
 	storeRecovered(outageMs: Ms): void {
 		if (outageMs >= minExpiringOutageMs) {
-			this.#graceUntilMs = this.options.clock.now() + outageGraceMs;
+			this.#startGrace();
 		}
 	}
 
+	#startGrace(): void {
+		this.#graceUntilMs = this.options.clock.now() + outageGraceMs;
+	}
+
+	/** Whether an entry of an older list describes a target that is known to be gone, or a start that is followed by a later one. */
+	#isOver(entry: TargetEntry): boolean {
+		const gone = this.#gone.get(entry.id)?.entry;
+		const latest = this.#targets.get(entry.id)?.entry ?? gone;
+		return (gone !== undefined && isSameIncarnation(gone, entry)) || (latest?.startedMs !== undefined && entry.startedMs !== undefined && entry.startedMs < latest.startedMs);
+	}
+
 	/** Marks a target as draining, as reported by a source other than its entry. */
 	markDraining(id: string): void {
 		const target = this.#targets.get(id);
@@ -148,6 +186,7 @@
 
 	#remove(target: RelayTarget, reason: string): void {
 		target.isRemoved = true;
+		this.#gone.add(target);
 		this.#targets.delete(target.id);
 		const {service} = target.entry;
 		this.#services.set(service, this.#services.get(service)!.filter(other => other !== target));
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -197,7 +197,12 @@
 			onSnapshot: ({records}, origin) => {
 				this.#hasTargets = true;
 				this.#targetNews.applySnapshot(records, origin);
-				this.#registry.replace(records.flatMap(record => this.#decodeTarget(record) ?? []));
+				const entries = records.flatMap(record => this.#decodeTarget(record) ?? []);
+				if (origin === 'restored') {
+					this.#registry.merge(entries);
+				} else {
+					this.#registry.replace(entries);
+				}
 			},
 			onRecords: records => {
 				this.#targetNews.apply(records);
