--- a/src/vms/topic-vm-list.test.ts
+++ b/src/vms/topic-vm-list.test.ts
@@ -5,6 +5,7 @@
 import type {
 	KeyedPage, KeyedRecord, KeyedSnapshot, KeyedTopic, KeyedWriter,
 } from '../topics/index.js';
+import {Random} from '../random/index.js';
 import {TopicVmList} from './topic-vm-list.js';
 import type {Vm} from './vm-list.js';
 
@@ -26,11 +27,20 @@
 			await this.clock.sleep(50);
 		}
 
+		if (this.records.length < from) {
+			return {kind: 'expired', era: this.era};
+		}
+
 		return {
 			kind: 'records', records: this.records.slice(from), next: this.records.length, era: this.era,
 		};
 	}
 
+	restore(copy: KeyedRecord[]): void {
+		this.records = [...copy];
+		this.era++;
+	}
+
 	async put(key: string, value: Uint8Array): Promise<void> {
 		if (this.isDown) {
 			throw new Error('down');
@@ -51,9 +61,10 @@
 function create() {
 	const clock = ManualClock.create();
 	const topic = new FakeTopic(clock);
+	let seed = 0;
 	const start = (self: Vm) => {
 		const list = TopicVmList.create({
-			topic, writer: topic, clock, logger: silentLoggerFactory('links'), self,
+			topic, writer: topic, clock, logger: silentLoggerFactory('links'), random: Random.create(++seed), self,
 		});
 		list.start();
 		return list;
@@ -110,4 +121,42 @@
 		await clock.advance(1000);
 		expect(await starts(first)).toEqual(['a 1']);
 	});
+
+	describe('when the store comes back from an older copy', () => {
+		// Guards against an entry VM that nobody finds: the copy is from before its start.
+		it('keeps the VMs that the copy lacks, which write their records again, also for VMs that start then', async () => {
+			const {clock, topic, start, starts} = create();
+			const first = start(vm('a', '1'));
+			await clock.advance(200);
+			const copy = [...topic.records];
+			start(vm('b', '2'));
+			await clock.advance(200);
+			topic.restore(copy);
+			await clock.advance(300);
+			expect(await starts(first)).toEqual(['a 1', 'b 2']);
+			await clock.advance(14_000);
+			const third = start(vm('c', '3'));
+			await clock.advance(200);
+			expect(await starts(third)).toEqual(['a 1', 'b 2', 'c 3']);
+		});
+
+		// Guards against entry VMs that have left and come back for five minutes, and against a removal by every VM.
+		it('leaves out VMs that had left, whose records are removed again by few', async () => {
+			const {clock, topic, start, starts} = create();
+			const lists = Array.from({length: 100}, (_, index) => start(vm(`a${index}`, '1')));
+			const leaving = start(vm('b', '2'));
+			await clock.advance(2000);
+			const copy = [...topic.records];
+			await leaving.stop();
+			await clock.advance(2000);
+			topic.restore(copy);
+			await clock.advance(12_500);
+			expect(await starts(lists[0]!)).not.toContain('b 2');
+			await clock.advance(10_000);
+			expect(topic.records.slice(copy.length).filter(({key}) => key === 'b 2').length).toBeLessThan(20);
+			const late = start(vm('c', '3'));
+			await clock.advance(200);
+			expect(await starts(late)).not.toContain('b 2');
+		});
+	});
 });
--- a/src/vms/topic-vm-list.ts
+++ b/src/vms/topic-vm-list.ts
@@ -1,8 +1,9 @@
 import type {Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logging/index.js';
+import type {Random} from '../random/index.js';
 import {
-	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter,
+	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter, type SnapshotOrigin,
 } from '../topics/index.js';
 import type {Vm, VmList, VmSnapshot} from './vm-list.js';
 
@@ -16,6 +17,10 @@
 const maxRecordAgeMs: Ms = 300_000;
 /** Delay before retrying a failed write. */
 const retryDelayMs: Ms = 500;
+/** Time over which the VMs spread the writes that make up for what a restored store has lost. */
+const rewriteSpreadMs: Ms = 2000;
+/** Time over which the VMs spread the removals of records that have come back: the first one spares the others theirs. */
+const removalSpreadMs: Ms = 10_000;
 
 /** Dependencies of a `TopicVmList`. */
 export interface TopicVmListOptions {
@@ -23,6 +28,7 @@
 	readonly writer: KeyedWriter;
 	readonly clock: Clock;
 	readonly logger: PartLogger;
+	readonly random: Random;
 	/** Record that this VM publishes about itself. */
 	readonly self: Vm;
 }
@@ -31,7 +37,9 @@
 
 /**
  * The entry VMs of a deployment, as records of a keyed topic: each VM writes a record when it starts and removes it
- * when it shuts down. The record of a lost VM remains until it is stale; links detect lost VMs sooner.
+ * when it shuts down. The record of a lost VM remains until it is stale; links detect lost VMs sooner. When the store
+ * comes back from an older copy, each VM writes its own record again if it is lost, and one of them removes the records
+ * of VMs that have left since.
  *
  * @example
  * list.start();
@@ -43,7 +51,11 @@
 	}
 
 	readonly #entries = new Map<string, VmEntry>();
+	/** Times at which records were removed, by key, oldest first. */
+	readonly #removedMs = new Map<string, Ms>();
 	readonly #stopped = new AbortController();
+	/** Ends the current pause of the refresh loop. */
+	#wake = new AbortController();
 	readonly #follower: TopicFollower;
 
 	private constructor(private readonly options: TopicVmListOptions) {
@@ -55,9 +67,8 @@
 			logger,
 			pollMs,
 			waitMs,
-			onSnapshot: ({records}) => {
-				this.#entries.clear();
-				this.#apply(records);
+			onSnapshot: ({records}, origin) => {
+				this.#applySnapshot(records, origin);
 			},
 			onRecords: records => {
 				this.#apply(records);
@@ -112,7 +123,47 @@
 				pauseMs = retryDelayMs;
 			}
 
-			await clock.sleep(pauseMs, this.#stopped.signal);
+			await clock.sleep(pauseMs, AbortSignal.any([this.#stopped.signal, this.#wake.signal]));
+		}
+	}
+
+	/** Applies all records of the topic. Those of a restored store are merged with what is known. */
+	#applySnapshot(records: readonly KeyedRecord[], origin: SnapshotOrigin): void {
+		if (origin === 'continued') {
+			this.#entries.clear();
+			this.#apply(records);
+			return;
+		}
+
+		this.#apply(records.filter(({key}) => !this.#removedMs.has(key)));
+		for (const {key} of records) {
+			if (this.#removedMs.has(key)) {
+				void this.#removeAgain(key);
+			}
+		}
+
+		if (!records.some(({key}) => key === keyOf(this.options.self))) {
+			this.options.clock.after(this.options.random.float() * rewriteSpreadMs, () => {
+				this.#wake.abort();
+				this.#wake = new AbortController();
+			});
+		}
+	}
+
+	/** Removes a record that has come back with an older copy of the store, unless another VM does so first. */
+	async #removeAgain(key: string): Promise<void> {
+		const {clock, random, writer, logger} = this.options;
+		const restoredMs = clock.now();
+		await clock.sleep(random.float() * removalSpreadMs, this.#stopped.signal);
+		if (this.#stopped.signal.aborted || this.#removedMs.get(key)! > restoredMs) {
+			return;
+		}
+
+		try {
+			await writer.remove(key);
+			logger.info('Removed the record of an entry VM that had left before the store was restored.', {record: key});
+		} catch (err) {
+			logger.warn('Cannot remove the record of an entry VM that had left; other VMs ignore it once it is stale.', {record: key, error: errorMessage(err)});
 		}
 	}
 
@@ -129,8 +180,10 @@
 		for (const {key, value} of records) {
 			const entry = value && readEntry(value);
 			if (entry) {
+				this.#removedMs.delete(key);
 				this.#entries.set(key, entry);
 			} else {
+				this.#noteRemoval(key);
 				if (value !== undefined) {
 					this.options.logger.warn('Ignored a record that does not describe an entry VM.', {record: key.slice(0, 80), bytes: value.length});
 				}
@@ -139,6 +192,20 @@
 			}
 		}
 	}
+
+	/** Remembers a removal for as long as a copy of the record could count. */
+	#noteRemoval(key: string): void {
+		const now = this.options.clock.now();
+		this.#removedMs.delete(key);
+		this.#removedMs.set(key, now);
+		for (const [other, removedMs] of this.#removedMs) {
+			if (now - removedMs < maxRecordAgeMs) {
+				break;
+			}
+
+			this.#removedMs.delete(other);
+		}
+	}
 }
 
 /** Each start has its own key, so that a late write by one start does not overwrite the record of another. */
