Write quarantined prompt parts again when a restored store has lost them

Missing records are written again after a restore; without one they mean that another entry VM has lifted the quarantine.

--- a/src/quarantine/prompt-quarantine.test.ts
+++ b/src/quarantine/prompt-quarantine.test.ts
@@ -183,4 +183,36 @@
 		fleet.quarantines[0]!.applyRecords([{key: key!, value: undefined}]);
 		expect(fleet.countQuarantined(['dead'])).toBe(0);
 	});
+
+	// Guards against a quarantine that is lost for entry VMs that start later: the store came back from a copy of before it.
+	it('writes the records again that a restored store has lost, and removes those that have come back', async () => {
+		const fleet = SimulatedFleet.create(1);
+		const quarantine = fleet.quarantines[0]!;
+		await fleet.crash(0, 'e-1', ['sound']);
+		await fleet.crash(0, 'e-2', ['sound']);
+		const copy = fleet.topic.all();
+		quarantine.applySnapshot(copy, 'continued');
+		quarantine.start();
+		quarantine.answered(['sound']);
+		await fleet.crash(0, 'e-3', ['dead']);
+		await fleet.crash(0, 'e-4', ['dead']);
+		await fleet.clock.advance(3000);
+		const written = [...fleet.topic.records.keys()];
+		fleet.topic.records.clear();
+		fleet.topic.records.set(copy[0]!.key, copy[0]!.value!);
+		quarantine.applySnapshot(copy, 'restored');
+		await fleet.clock.advance(3000);
+		expect([...fleet.topic.records.keys()]).toEqual(written);
+		expect([fleet.countQuarantined(['dead']), fleet.countQuarantined(['sound'])]).toEqual([1, 0]);
+		quarantine.close();
+	});
+
+	it('lifts a quarantine whose record another entry VM has removed while records were dropped', async () => {
+		const fleet = SimulatedFleet.create(1);
+		await fleet.crash(0, 'e-1', ['dead']);
+		await fleet.crash(0, 'e-2', ['dead']);
+		await fleet.clock.advance(100);
+		fleet.quarantines[0]!.applySnapshot([], 'continued');
+		expect(fleet.countQuarantined(['dead'])).toBe(0);
+	});
 });
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -4,7 +4,7 @@
 	passOn, type Link, type LinkMessage, type RelayMesh,
 } from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
-import type {KeyedRecord, KeyedWriter} from '../topics/index.js';
+import type {KeyedRecord, KeyedWriter, SnapshotOrigin} from '../topics/index.js';
 import {partsKey, weightOf, type Suspicion} from './suspicion.js';
 import {SuspicionLedger, type LedgerChange} from './suspicion-ledger.js';
 import {decodeRecord, encodeRecord, recordKey} from './suspicion-record.js';
@@ -137,7 +137,22 @@
 		}
 	}
 
-	/** Applies records of the store. */
+	/**
+	 * Applies all records of the store. A quarantine whose record is missing has been lifted by another entry VM, unless the
+	 * store has come back from an older copy: its record is then written again.
+	 */
+	applySnapshot(records: readonly KeyedRecord[], origin: SnapshotOrigin): void {
+		const keys = new Set(records.map(({key}) => key));
+		const missing = [...this.#recordKeys].filter(key => !keys.has(key));
+		this.#recordKeys.clear();
+		if (origin === 'continued') {
+			this.applyRecords(missing.map(key => ({key, value: undefined})));
+		}
+
+		this.applyRecords(records);
+	}
+
+	/** Applies records of the store that follow on those before. */
 	applyRecords(records: readonly KeyedRecord[]): void {
 		for (const {key, value} of records) {
 			const suspicion = value && decodeRecord(value, this.#clockReading());
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -226,8 +226,8 @@
 			pollMs: quarantinePollMs,
 			waitMs: quarantineLongPollMs,
 			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}) => {
-				this.#quarantine.applyRecords(records);
+			onSnapshot: ({records}, origin) => {
+				this.#quarantine.applySnapshot(records, origin);
 			},
 			onRecords: records => {
 				this.#quarantine.applyRecords(records);
