Store the link key again when a restored store has lost it

Cause: the link key is created by the first entry VM that finds none. After a restore from a copy of before that, an entry VM that started then created a second key, and could never link to those with the first one: it hosted stage pools of its own beside theirs and heard no news. Change: when the store's era changes, each entry VM checks the stored key within a second: it stores its own if there is none, and takes over another one for links to be made. The stored key is that of all.

--- a/src/links/link-key.ts
+++ b/src/links/link-key.ts
@@ -27,6 +27,11 @@
 		return this.#bytes;
 	}
 
+	/** Whether another key has the same secret. */
+	equals(other: LinkKey): boolean {
+		return this.#bytes.equals(other.reveal());
+	}
+
 	toString(): string {
 		return '[link key]';
 	}
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -73,8 +73,10 @@
 	#refusalLoggedMs = -Infinity;
 	#cancelTick: () => void = () => undefined;
 	#isClosed = false;
+	#key: LinkKey;
 
 	private constructor(private readonly options: PeerLinksOptions) {
+		this.#key = options.key;
 		this.#startedMs = options.clock.now();
 		this.#lastTickMs = this.#startedMs;
 	}
@@ -117,6 +119,11 @@
 		return this.#links.has(name) || !dial || ((dial.attempt === 0 || (dial.attempt === 1 && dial.link !== undefined)) && this.linkMissingMs(name) < answerMs);
 	}
 
+	/** Replaces the key for links to be made; those that exist go on. */
+	setKey(key: LinkKey): void {
+		this.#key = key;
+	}
+
 	/** Accepts an incoming connection. */
 	accept(socket: LinkSocket): Link {
 		return this.#createLink(socket, 'server');
@@ -204,11 +211,11 @@
 	}
 
 	#createLink(socket: LinkSocket, role: 'client' | 'server', expectedName?: string): Link {
-		const {self, key, clock, metrics, distanceTo, fastPing, onMessage, onDropped} = this.options;
+		const {self, clock, metrics, distanceTo, fastPing, onMessage, onDropped} = this.options;
 		const link = Link.create({
 			socket,
 			role,
-			key,
+			key: this.#key,
 			self,
 			clock,
 			metrics,
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -31,11 +31,11 @@
 		dialled.length = 0;
 	});
 
-	async function start(name: string, incarnation: string): Promise<RelayMesh> {
+	async function start(name: string, incarnation: string, ownKey = key): Promise<RelayMesh> {
 		const clock = SystemClock.create();
 		const mesh = await RelayMesh.create({
 			self: {name, zone: 'riga-a', incarnation},
-			key,
+			key: ownKey,
 			listen: {host: '127.0.0.1', port: 0},
 			clock,
 			random: Random.create(1),
@@ -66,6 +66,17 @@
 		}
 	}
 
+	// Guards against entry VMs that stay apart after a restore of the store, since one of them has created a second key.
+	it('links to members with another key once it has taken over that key', async () => {
+		const oldest = await start('a', '1');
+		const younger = await start('b', '2', LinkKey.create('another key for tests of the mesh'));
+		await until(() => younger.size === 2);
+		expect(leaderOf(younger)).toBe('itself');
+		younger.setKey(key);
+		await until(() => leaderOf(younger) === 'a');
+		expect(leaderOf(oldest)).toBe('itself');
+	});
+
 	it('is led by the member that has run longest, also after one with a smaller name has started', async () => {
 		const oldest = await start('c', '1');
 		const younger = await start('b', '2');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -206,6 +206,11 @@
 		return others.get(cell)!.map(name => this.#links.byName(name)).find(link => link && !this.#leavingIncarnations.has(link.peer.incarnation));
 	}
 
+	/** Replaces the key for links to be made; those that exist go on. */
+	setKey(key: LinkKey): void {
+		this.#links.setKey(key);
+	}
+
 	/** Announces to the others that this entry VM is shutting down. */
 	leave(): void {
 		this.#isLeaving = true;
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -3,7 +3,7 @@
 import {errorMessage} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
-	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKeyStore,
+	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKey, type LinkKeyStore,
 } from '../links/index.js';
 import {TargetLimits} from '../limits/index.js';
 import type {LoggerFactory} from '../logging/index.js';
@@ -18,7 +18,7 @@
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
-	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter,
+	TopicFollower, type EraTracker, type KeyedRecord, type KeyedTopic, type KeyedWriter,
 } from '../topics/index.js';
 import type {VmList} from '../vms/index.js';
 import {configLongPollMs} from './config-read-times.js';
@@ -44,6 +44,8 @@
 const drainCheckIntervalMs: Ms = 100;
 /** Delay before another attempt to start the mesh. */
 const meshRetryDelayMs: Ms = 500;
+/** Time over which the entry VMs spread the check of the link key in a restored store. */
+const linkKeySpreadMs: Ms = 1000;
 /** Intervals between reads of the list of entry VMs, which is in memory and cheap to read. */
 const vmListIntervals = {busyMs: 250, quietMs: 1000, quietAfterMs: 3000};
 /** Capacity of the ring of link events; events of the relay are logged instead. */
@@ -93,8 +95,8 @@
 	readonly decodeDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
 	/** Decodes a target entry; returns `undefined` for a record without one. */
 	readonly decodeTarget: (record: KeyedRecord) => TargetEntry | undefined;
-	/** Returns the latest era that the store has named; 0 before the first. */
-	readonly storeEra: () => number;
+	/** Eras of the history of the store's log. */
+	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
 	readonly limits: RelayLimits;
 }
 
@@ -120,7 +122,7 @@
 	readonly #prefixCache = PrefixCacheTracker.create();
 	readonly #metrics = RelayMetrics.create({
 		configVersion: () => this.configVersion,
-		storeEra: () => this.options.storeEra(),
+		storeEra: () => this.options.storeEras.current ?? 0,
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
@@ -141,6 +143,8 @@
 	#isClosed = false;
 	#limits: RelayLimits;
 	#mesh: RelayMesh | undefined;
+	#linkKey: LinkKey | undefined;
+	readonly #random: Random;
 	readonly #distributor = TopicDistributor.create(() => this.#mesh);
 	readonly #stages: MeshStageRunner;
 	readonly #quarantine: PromptQuarantine;
@@ -154,6 +158,7 @@
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
+		this.#random = Random.create(options.seed + 3);
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
 			clock,
@@ -359,6 +364,9 @@
 		this.#quarantineFollower.start();
 		this.#quarantine.start();
 		void this.#startMesh();
+		options.storeEras.onChange(() => {
+			void this.#restoreLinkKey();
+		});
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
 
@@ -391,9 +399,10 @@
 	async #createMesh(): Promise<void> {
 		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
 		const logger = createLogger('links');
+		this.#linkKey ??= await getOrCreateLinkKey({store: linkKeyStore, clock, logger});
 		this.#mesh = await RelayMesh.create({
 			self,
-			key: await getOrCreateLinkKey({store: linkKeyStore, clock, logger}),
+			key: this.#linkKey,
 			listen: links,
 			clock,
 			random: Random.create(seed + 1),
@@ -447,6 +456,33 @@
 		});
 	}
 
+	/**
+	 * Stores the link key again, or takes over the one that another entry VM has stored meanwhile, after the store has come
+	 * back from a copy that may be older than the key.
+	 */
+	async #restoreLinkKey(): Promise<void> {
+		const {linkKeyStore, clock, createLogger} = this.options;
+		const current = this.#linkKey;
+		if (!current) {
+			return;
+		}
+
+		const logger = createLogger('links');
+		await clock.sleep(this.#random.float() * linkKeySpreadMs);
+		if (this.#isClosed) {
+			return;
+		}
+
+		const key = await getOrCreateLinkKey({
+			store: linkKeyStore, clock, logger, current,
+		});
+		if (!key.equals(current)) {
+			this.#linkKey = key;
+			this.#mesh?.setKey(key);
+			logger.warn('Replaced the link key by the one that another entry VM has stored.');
+		}
+	}
+
 	/** Applies the newest configuration among records; versions that are not newer than the current one are skipped. */
 	#applyConfiguration(records: readonly KeyedRecord[]): void {
 		const logger = this.options.createLogger('config');
