Judge configurations by version over all histories of the store

Cause: a version that is not newer was skipped, whatever it held. When the operator gives a version another content after a restore, entry VMs that run and those that start would differ for good. Change: judgeDeclarations: an older version never replaces a newer one; of two with the same version the one read last is applied, with a warning; a malformed one leaves the current one in force, as before.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -23,6 +23,7 @@
 import type {VmList} from '../vms/index.js';
 import {configLongPollMs} from './config-read-times.js';
 import {startControlServer, type ControlServer} from './control-server.js';
+import {judgeDeclarations} from './judge-declarations.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import {TargetNews} from './target-news.js';
 import {TopicDistributor} from './topic-distributor.js';
@@ -483,7 +484,7 @@
 		}
 	}
 
-	/** Applies the newest configuration among records; versions that are not newer than the current one are skipped. */
+	/** Applies the newest configuration among records. */
 	#applyConfiguration(records: readonly KeyedRecord[]): void {
 		const logger = this.options.createLogger('config');
 		for (const record of records) {
@@ -493,11 +494,16 @@
 			}
 
 			const current = this.#table?.version;
-			if (current !== undefined && declarations.version <= current) {
-				logger.info('Skipped a configuration version that is not newer than the current one.', {version: declarations.version, current});
+			const verdict = judgeDeclarations(this.#table?.declarations, declarations);
+			if (verdict !== 'apply') {
+				logger.info('Skipped a configuration version that is not newer than the current one.', {version: declarations.version, current, verdict});
 				continue;
 			}
 
+			if (declarations.version === current) {
+				logger.warn('A configuration version has another content than before; the one read last is applied.', {version: current});
+			}
+
 			this.#table = RouteTable.create(declarations);
 			this.#configuredMs ??= this.options.clock.now();
 			this.#server.applyLimits(this.#table);
