Free results of stages at the host that produced them

Callers saw: a request whose connection was closed without an answer at the end of a planned restart (LOST); it had waited four seconds for its stage plan. Cause: results are counted against the memory of their targets at the host that ran the plan, but were freed at the leader of the moment. A host that shuts down is no longer the leader: it heard of no freed result, took its targets for full and sent no call until the results would have expired. Class: an answer is sent to who leads now instead of who asked. Not the restore's doing: it comes with any planned restart of a busy host; the silence is logged by nobody. Change: an entry VM remembers which host produced a result and frees it there; only if that host is not linked any more at the current one. Measured: the test fails before (freed at the second host). Ruled out: a lost message; the plan's next calls began at once when the results had expired (28.5 to 31.2 s).

--- a/src/pools/foreign-results.ts
+++ b/src/pools/foreign-results.ts
@@ -4,8 +4,8 @@
 const resultTtlMs: Ms = 60_000;
 
 /**
- * Remembers which host of another cell produced a result, by handle: the memory of a result is counted there, so it has to
- * be freed there.
+ * Remembers which other host produced a result, by handle: the memory of a result is counted there, so it has to be freed
+ * there.
  *
  * @example
  * results.add(['10.1.64.7:8080/91bd3f06'], link);
--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -115,6 +115,63 @@
 		expect(hostEvents).toEqual(['run', 'takeOver', 'run', 'run']);
 	});
 
+	// Guards against a host that waits for memory which its results no longer take: it shuts down, its plans go on there, and
+	// their results were freed at the next host, which does not count them.
+	it('frees results at the host that produced them after another one has become the leader', async () => {
+		const {stages, lead, hostEvents} = create([]);
+		const freed: string[] = [];
+		const link = (name: string) => ({
+			peer: {name},
+			send(message: Sent & {handles?: string[]}) {
+				if (message.type === 'stage-plan') {
+					stages.receive(first as never, {type: 'stage-results', id: message.id, results: [{handle: 'r/1', zone: 'riga-a', bytes: 1}]});
+				} else {
+					freed.push(`${name} ${message.type} ${message.handles?.join(',')}`);
+				}
+
+				return true;
+			},
+		});
+		const first = link('first');
+		lead(first);
+		await stages.run(plan, new AbortController().signal);
+		lead(link('second'));
+		stages.free(['r/1']);
+		lead(first);
+		await stages.run(plan, new AbortController().signal);
+		lead(undefined);
+		stages.free(['r/1']);
+		expect(freed).toEqual(['first stage-free r/1', 'first stage-free r/1']);
+		expect(hostEvents).toEqual([]);
+	});
+
+	it('frees results at the current leader when the host that produced them is lost', async () => {
+		const {stages, lead} = create([]);
+		const freed: string[] = [];
+		const second = {
+			peer: {name: 'second'},
+			send(message: {type: string}) {
+				freed.push(message.type);
+				return true;
+			},
+		};
+		const first = {
+			peer: {name: 'first'},
+			send(message: Sent) {
+				if (message.type === 'stage-plan') {
+					stages.receive(first as never, {type: 'stage-results', id: message.id, results: [{handle: 'r/1', zone: 'riga-a', bytes: 1}]});
+				}
+
+				return message.type === 'stage-plan';
+			},
+		};
+		lead(first);
+		await stages.run(plan, new AbortController().signal);
+		lead(second);
+		stages.free(['r/1']);
+		expect(freed).toEqual(['stage-free']);
+	});
+
 	it('hands over its plans only when there is another host', () => {
 		const {stages, lead, hostEvents} = create([]);
 		stages.handOver();
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -43,8 +43,8 @@
 	#localRunMs: Ms = -Infinity;
 
 	readonly #foreignHosts = ForeignHosts.create();
-	/** Results that hosts of other cells produced for plans of this one. */
-	readonly #foreignResults: ForeignResults<Link>;
+	/** Hosts that produced the results of plans of this entry VM, or of plans that run here; without one, this host did. */
+	readonly #producers: ForeignResults<Link>;
 	#cancelReport: CancelTimer = () => undefined;
 	readonly #replies: PendingReplies<StagePlanOutcome>;
 	/** Plans of other entry VMs that run here, by link and id. */
@@ -52,7 +52,7 @@
 
 	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined) {
 		this.#replies = PendingReplies.create(clock);
-		this.#foreignResults = ForeignResults.create(clock);
+		this.#producers = ForeignResults.create(clock);
 		this.#startedMs = clock.now();
 		this.#reportLoad();
 	}
@@ -86,6 +86,10 @@
 			}
 
 			if (typeof outcome !== 'string' && !('failure' in outcome && outcome.failure === 'host_left')) {
+				if (link && 'results' in outcome) {
+					this.#producers.add(outcome.results.map(({handle}) => handle), link);
+				}
+
 				return outcome;
 			}
 
@@ -107,12 +111,18 @@
 		this.#cancelReport();
 	}
 
+	/** Frees results at the hosts that produced them; those of a lost host at the current one, which frees them at their targets. */
 	free(handles: readonly string[]): void {
-		const link = this.mesh()?.leader();
-		for (let at = 0; at < handles.length; at += handlesPerMessage) {
-			const batch = handles.slice(at, at + handlesPerMessage);
-			if (!link?.send({type: 'stage-free', handles: batch})) {
-				this.#freeAtHosts(batch);
+		for (const [producer, produced] of this.#producers.takeByHost(handles)) {
+			for (let at = 0; producer && at < produced.length; at += handlesPerMessage) {
+				const batch = produced.slice(at, at + handlesPerMessage);
+				if (!producer.send({type: 'stage-free', handles: batch}) && !this.mesh()?.leader()?.send({type: 'stage-free', handles: batch})) {
+					this.host.free(batch);
+				}
+			}
+
+			if (!producer) {
+				this.host.free(produced);
 			}
 		}
 	}
@@ -146,7 +156,7 @@
 			}
 
 			case 'stage-free': {
-				this.#freeAtHosts(message.handles);
+				this.free(message.handles);
 				break;
 			}
 
@@ -177,7 +187,7 @@
 
 		const outcome = await this.#runRemotely(link, plan, signal, true);
 		if (typeof outcome !== 'string' && 'results' in outcome) {
-			this.#foreignResults.add(outcome.results.map(({handle}) => handle), link);
+			this.#producers.add(outcome.results.map(({handle}) => handle), link);
 			return outcome;
 		}
 
@@ -207,15 +217,6 @@
 		return mesh!.linkTo(name);
 	}
 
-	/** Frees results at the hosts that produced them, whose pools count the memory of their results. */
-	#freeAtHosts(handles: readonly string[]): void {
-		for (const [link, batch] of this.#foreignResults.takeByHost(handles)) {
-			if (!link?.send({type: 'stage-free', handles: batch})) {
-				this.host.free(batch);
-			}
-		}
-	}
-
 	/** Reports the load of the pools that are hosted here to the hosts of other cells. */
 	#reportLoad(): void {
 		const mesh = this.mesh();
@@ -287,7 +288,7 @@
 				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs),
 			});
 		if (!isSent && 'results' in outcome) {
-			this.#freeAtHosts(outcome.results.map(({handle}) => handle));
+			this.free(outcome.results.map(({handle}) => handle));
 		}
 	}
 }
