Answer the requests that a shutdown still holds before it closes their connections

Callers saw: a connection closed without an answer at the end of a planned restart (LOST). Cause: at the end of the grace period all connections were closed at once, whatever was on them. Class: a shutdown that counts on work to end in time. Change: a second before that, requests that only wait for their stages or for a place are rejected with 503, 'shutting_down', not run: a target could hardly complete them. At the end, requests at a target get 502, streams are reset, and the answers are written before the connections are closed.

--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -114,15 +114,19 @@
 	/** Frees results at the hosts that produced them; those of a lost host at the current one, which frees them at their targets. */
 	free(handles: readonly string[]): void {
 		for (const [producer, produced] of this.#producers.takeByHost(handles)) {
-			for (let at = 0; producer && at < produced.length; at += handlesPerMessage) {
-				const batch = produced.slice(at, at + handlesPerMessage);
-				if (!producer.send({type: 'stage-free', handles: batch}) && !this.mesh()?.leader()?.send({type: 'stage-free', handles: batch})) {
-					this.host.free(batch);
-				}
+			if (producer) {
+				this.#freeAt(producer, produced);
+			} else {
+				this.host.free(produced);
 			}
+		}
+	}
 
-			if (!producer) {
-				this.host.free(produced);
+	#freeAt(producer: Link, handles: readonly string[]): void {
+		for (let at = 0; at < handles.length; at += handlesPerMessage) {
+			const batch = handles.slice(at, at + handlesPerMessage);
+			if (!producer.send({type: 'stage-free', handles: batch}) && !this.mesh()?.leader()?.send({type: 'stage-free', handles: batch})) {
+				this.host.free(batch);
 			}
 		}
 	}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -41,6 +41,11 @@
 const minDrainMs: Ms = 3000;
 /** End of the grace period that is reserved for closing connections. */
 const closeMarginMs: Ms = 500;
+/** Time before that within which a request that still waits is rejected: a target could hardly complete it. */
+const minRunMs: Ms = 1000;
+/** Maximum time in which the last responses are written before their connections are closed. */
+const flushTimeoutMs: Ms = 200;
+const flushCheckIntervalMs: Ms = 10;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
 /** Delay before another attempt to start the mesh. */
@@ -294,15 +299,38 @@
 				this.#server.closeIdleConnections();
 			}
 
+			if (elapsedMs >= this.#limits.graceMs - closeMarginMs - minRunMs) {
+				this.#server.rejectWaiting();
+			}
+
 			if ((elapsedMs >= minDrainMs && this.#server.inFlight === 0 && this.#stages.hostedPlans === 0) || elapsedMs >= this.#limits.graceMs - closeMarginMs) {
 				this.#lifecycle.send({type: 'STOP'});
 			}
 		}
 
+		await this.#endRequests();
 		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
 		await this.close();
 	}
 
+	/** Gives the requests in progress their last answers and waits until these are written. */
+	async #endRequests(): Promise<void> {
+		const {clock, createLogger} = this.options;
+		if (this.#server.inFlight === 0) {
+			return;
+		}
+
+		createLogger('entry-vm').warn('Ending the requests that are still in progress at the end of the grace period.', {in_flight: this.#server.inFlight});
+		this.#server.endRequests();
+		const endMs = clock.now() + flushTimeoutMs;
+		while (this.#server.inFlight > 0 && clock.now() < endMs) {
+			await clock.sleep(flushCheckIntervalMs);
+		}
+
+		// A response counts as sent once the kernel has it; the caller reads it after that.
+		await clock.sleep(flushCheckIntervalMs);
+	}
+
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
 		this.#isClosed = true;
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -47,6 +47,7 @@
 	}
 
 	readonly #server: Server;
+	readonly #handlers = new Set<RequestHandler>();
 	#inFlight = 0;
 	#port = 0;
 
@@ -81,6 +82,20 @@
 		this.#server.closeIdleConnections();
 	}
 
+	/** Rejects the requests that wait for their stages or for a place at a target. */
+	rejectWaiting(): void {
+		for (const handler of this.#handlers) {
+			handler.rejectIfWaiting();
+		}
+	}
+
+	/** Ends all requests in progress with an answer, or resets the connections of streams that have begun. */
+	endRequests(): void {
+		for (const handler of this.#handlers) {
+			handler.end();
+		}
+	}
+
 	/** Stops listening and closes all connections immediately. */
 	async close(): Promise<void> {
 		await closeServer(this.#server);
@@ -128,9 +143,15 @@
 			return;
 		}
 
-		await RequestHandler.create(context, {
+		const handler = RequestHandler.create(context, {
 			req, res, head, attemptId: head.attemptId!, body, route: route!, team, table, arrivedMs,
-		}).run();
+		});
+		this.#handlers.add(handler);
+		try {
+			await handler.run();
+		} finally {
+			this.#handlers.delete(handler);
+		}
 	}
 
 	#reject(res: ServerResponse, rejection: Rejection, id: string | undefined, isClosing = false, version?: number): void {
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -109,6 +109,18 @@
 		}
 	}
 
+	/** Rejects the request if it only waits: for its stages or a place at a target. */
+	rejectIfWaiting(): void {
+		if (!this.#isAttempting && !this.#streamWriter?.hasHead) {
+			this.#end('shutting_down');
+		}
+	}
+
+	/** Ends the request, wherever it is, with an answer that is true. */
+	end(): void {
+		this.#end('shutting_down');
+	}
+
 	async #serve(): Promise<void> {
 		if (this.context.quarantine.isQuarantined(this.#sharedParts)) {
 			this.#onQuarantined();
@@ -424,13 +436,20 @@
 
 	/** Ends a request without an answer whose prompt crashes targets. */
 	#onQuarantined(): void {
-		if (this.#isFinished || this.#isCallerGone || this.#isAnswered) {
+		if (!this.#isAnswered) {
+			this.#end('prompt_quarantined', quarantineRetryAfterMs);
+		}
+	}
+
+	/** Ends the request without the response of a target; "not run" is told only if no target can have run it. */
+	#end(reason: RejectionReason, retryAfterMs: Ms = 0): void {
+		if (this.#isFinished || this.#isCallerGone) {
 			return;
 		}
 
 		// An attempt in progress may have started to run.
 		const mayHaveRun = this.#possibleRunCount > 0 || this.#isAttempting;
-		this.#reject({status: mayHaveRun ? 502 : 503, reason: 'prompt_quarantined', ...(mayHaveRun ? {} : {retryAfterMs: quarantineRetryAfterMs})});
+		this.#reject(mayHaveRun ? {status: 502, reason} : {status: 503, reason, retryAfterMs});
 		this.#abortController.abort();
 	}
 
