--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -25,6 +25,7 @@
 import type {VmList} from '../vms/index.js';
 import {configLongPollMs} from './config-read-times.js';
 import {startControlServer, type ControlServer} from './control-server.js';
+import {EventLoopWatch} from './event-loop-watch.js';
 import {judgeDeclarations} from './judge-declarations.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import {TargetNews} from './target-news.js';
@@ -152,6 +153,7 @@
 	readonly #targetLimits: TargetLimits;
 	readonly #drainingReports: DrainingReports;
 	readonly #quarantineFollower: TopicFollower;
+	readonly #eventLoopWatch: EventLoopWatch;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -247,6 +249,11 @@
 				this.#quarantine.applyRecords(records);
 			},
 		});
+		this.#eventLoopWatch = EventLoopWatch.create({
+			clock, logger: createLogger('entry-vm'), onDelay: delayMs => {
+				this.#metrics.recordHeldUp(delayMs);
+			},
+		});
 		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
 		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
 		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#targetNews.isNews(record)});
@@ -346,6 +353,7 @@
 		this.#targetFollower.stop();
 		this.#quarantineFollower.stop();
 		this.#quarantine.close();
+		this.#eventLoopWatch.close();
 		this.#stages.close();
 		await this.#server.close();
 		await this.#control.close();
@@ -403,6 +411,7 @@
 		this.#targetFollower.start();
 		this.#quarantineFollower.start();
 		this.#quarantine.start();
+		this.#eventLoopWatch.start();
 		void this.#startMesh();
 		options.storeEras.onChange(() => {
 			void this.#restoreLinkKey();
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -48,6 +48,10 @@
 		name: 'guavamill_relay_target_crashes_total', help: 'Crashes of targets while requests of this entry VM waited for their first event.', registers: [this.registry],
 	});
 
+	readonly #heldUp = new Counter({
+		name: 'guavamill_relay_event_loop_held_seconds_total', help: 'Time for which the event loop was held up for longer than callers should notice.', registers: [this.registry],
+	});
+
 	readonly #firstByte = new Histogram({
 		name: 'guavamill_relay_first_byte_seconds', help: 'Time from arrival to the first byte of a target\'s answer.', buckets: secondsBuckets, registers: [this.registry],
 	});
@@ -107,6 +111,11 @@
 		this.#crashes.inc();
 	}
 
+	/** Records that the event loop was held up. */
+	recordHeldUp(delayMs: Ms): void {
+		this.#heldUp.inc(delayMs / 1000);
+	}
+
 	/** Records the duration of the stages of a request. */
 	recordStages(tookMs: Ms): void {
 		this.#stages.observe(tookMs / 1000);
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -305,6 +305,11 @@
 					prefixCache.recordRequest(target.id, prompt.parts, clock.now());
 				}
 			},
+			onSlowData({tookMs, bytes}) {
+				context.logger.warn('Data of a response took long to handle.', {
+					id: attemptId, target: target.id, took_ms: Math.round(tookMs), bytes,
+				});
+			},
 			onAnswered: () => {
 				this.#isAnswered = true;
 				context.quarantine.answered(this.#suspectedParts);
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -15,6 +15,8 @@
 const maxResponseBytes = 8 * 1024 * 1024;
 /** Maximum size of one event of a stream; bytes without an end of an event are no response. */
 const maxEventBytes = 1024 * 1024;
+/** Time to handle one chunk of a response from which it is reported. */
+const slowDataMs: Ms = 50;
 const eventStreamType = 'text/event-stream';
 /** Statuses that would wrongly promise the caller that the request did not run if they came from a target that ran it. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -90,6 +92,8 @@
 	readonly onHead?: (head: TargetHead) => void;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
 	readonly onResponseStart?: () => void;
+	/** Called when data of the response has taken long to handle, so that nothing else was served meanwhile. */
+	readonly onSlowData?: (data: {readonly tookMs: Ms; readonly bytes: number}) => void;
 	/** Called when the first whole event, or a whole response that is no error, has arrived. */
 	readonly onAnswered?: () => void;
 }
@@ -215,6 +219,16 @@
 	}
 
 	#onData(chunk: Buffer): void {
+		const {clock, onSlowData} = this.options;
+		const startedMs = clock.now();
+		this.#handleData(chunk);
+		const tookMs = clock.now() - startedMs;
+		if (tookMs >= slowDataMs) {
+			onSlowData?.({tookMs, bytes: chunk.length});
+		}
+	}
+
+	#handleData(chunk: Buffer): void {
 		if (this.#isStream) {
 			this.#onStreamData(chunk);
 			return;
