Bound the work for one read of a response

Cause: the search for the end of an event went through the rest of the buffer twice for each event.

Events of a chunk are one write; events that the caller has are no progress.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -16,7 +16,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RouteDurations, ShutdownSchedule, TargetPools, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
@@ -378,6 +378,7 @@
 				codec: options.codec,
 				registry: this.#registry,
 				pools: this.#pools,
+				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
 				zone: options.self.zone,
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -17,3 +17,4 @@
 export {RouteDurations, type DurationEstimate} from './route-durations.js';
 export {ShutdownSchedule, type ScheduledRequest} from './shutdown-schedule.js';
 export {TargetPools} from './target-pools.js';
+export {TurnBudget} from './turn-budget.js';
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -14,6 +14,7 @@
 import type {ShutdownSchedule} from './shutdown-schedule.js';
 import type {ProbeResult} from './target-attempt.js';
 import type {TargetPools} from './target-pools.js';
+import type {TurnBudget} from './turn-budget.js';
 
 /** Shared services of the process that request handlers depend on. */
 export interface RelayContext {
@@ -24,6 +25,7 @@
 	readonly codec: RelayCodec;
 	readonly registry: TargetRegistry;
 	readonly pools: TargetPools;
+	readonly turnBudget: TurnBudget;
 	readonly stages: StageRunner;
 	readonly prefixCache: PrefixCacheTracker;
 	readonly zone: string;
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -1,11 +1,11 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
-	closeServer, ConnectionTracker, listen, type ListenAddress,
+	closeServer, ConnectionTracker, GrowingBuffer, listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
 import type {CallerHead} from './relay-codec.js';
@@ -225,18 +225,16 @@
 		req.on('close', () => {
 			signal.removeEventListener('abort', onAbort);
 		});
-		const chunks: Buffer[] = [];
-		let bytes = 0;
+		const body = GrowingBuffer.create();
 		req.on('data', (chunk: Buffer) => {
-			bytes += chunk.length;
-			if (bytes > maxBytes) {
+			if (body.length + chunk.length > maxBytes) {
 				resolve('too_large');
 			} else {
-				chunks.push(chunk);
+				body.append(chunk);
 			}
 		});
 		req.on('end', () => {
-			resolve(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+			resolve(body.bytes);
 		});
 		req.on('error', () => {
 			resolve('disconnected');
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -238,7 +238,9 @@
 
 	async #attempt(target: RelayTarget, inputs: readonly string[]): Promise<AttemptOutcome> {
 		const {context, request} = this;
-		const {clock, codec, pools, prefixCache, probe, metrics} = context;
+		const {
+			clock, codec, pools, turnBudget, prefixCache, probe, metrics,
+		} = context;
 		const {head, attemptId, body, req, route, team} = request;
 		const startedMs = clock.now();
 		const mayRetry = this.#sentCount + 1 < route.maxAttempts && isRetryable(route);
@@ -261,6 +263,7 @@
 		const outcome = await runAttempt({
 			clock,
 			pools,
+			turnBudget,
 			codec,
 			target,
 			attemptId,
--- a/src/relay/stream-writer.ts
+++ b/src/relay/stream-writer.ts
@@ -1,4 +1,4 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Clock, Ms} from '../clock/index.js';
 import type {ServerSentEvent} from './event-splitter.js';
@@ -34,6 +34,10 @@
 		return this.#firstResponse !== undefined;
 	}
 
+	get pendingBytes(): number {
+		return this.res.writableLength;
+	}
+
 	/** Id of the last event that was written; `undefined` before the first. */
 	get lastEventId(): number | undefined {
 		return this.#lastEventId;
@@ -70,21 +74,27 @@
 		this.res.flushHeaders();
 	}
 
-	writeEvents(events: readonly ServerSentEvent[]): void {
+	writeEvents(events: readonly ServerSentEvent[]): number {
+		const newEvents: Buffer[] = [];
 		for (const {id, bytes} of events) {
-			if (id !== undefined && this.#lastEventId !== undefined && id <= this.#lastEventId) {
-				continue;
+			if (id === undefined || this.#lastEventId === undefined || id > this.#lastEventId) {
+				this.#lastEventId = id ?? this.#lastEventId;
+				newEvents.push(bytes);
 			}
+		}
 
-			this.#lastEventId = id ?? this.#lastEventId;
+		if (newEvents.length > 0) {
 			this.#lastEventMs = this.clock.now();
-			this.#eventCount++;
-			this.res.write(bytes);
+			this.#eventCount += newEvents.length;
+			// One write for all, as each takes memory and time of its own.
+			this.res.write(newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents));
 		}
 
-		if (this.res.writableLength > highWaterBytes) {
+		if (this.pendingBytes > highWaterBytes) {
 			this.#flowControl?.pause();
 		}
+
+		return newEvents.length;
 	}
 
 	end(remainder: Buffer): void {
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -1,6 +1,7 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
+import {GrowingBuffer} from '../http/index.js';
 import type {RelayTarget} from '../registry/index.js';
 import {EventSplitter, type ServerSentEvent} from './event-splitter.js';
 import type {AttemptFailure} from './decide-retry.js';
@@ -8,6 +9,7 @@
 import type {HttpHeaders, RelayCodec, TargetHead} from './relay-codec.js';
 import {startExchange, type Exchange, type ExchangeRequest} from './target-exchange.js';
 import type {TargetPools} from './target-pools.js';
+import type {TurnBudget} from './turn-budget.js';
 
 /** Time without an event in a stream after which the target is probed, as events normally arrive every few ms to tens of ms; doubles with each further probe. */
 const streamSilenceMs: Ms = 350;
@@ -15,6 +17,9 @@
 const maxResponseBytes = 8 * 1024 * 1024;
 /** Maximum size of one event of a stream; bytes without an end of an event are no response. */
 const maxEventBytes = 1024 * 1024;
+/** Work for one chunk besides that for its bytes, and work from which the reading may be deferred: smaller responses never wait for larger ones. */
+const chunkUnits = 64;
+const minDeferredUnits = 32 * 1024;
 /** Time to handle one chunk of a response from which it is reported. */
 const slowDataMs: Ms = 50;
 const eventStreamType = 'text/event-stream';
@@ -38,7 +43,8 @@
 	accepts(response: Pick<TargetResponse, 'status' | 'head'>): boolean;
 	/** Called once per attempt, before its first event. */
 	writeHead(response: Pick<TargetResponse, 'status' | 'head' | 'isFramed'>, flowControl: Pick<Exchange, 'pause' | 'resume'>): void;
-	writeEvents(events: readonly ServerSentEvent[]): void;
+	/** Writes those of the events that the caller does not have yet, and returns their number. */
+	writeEvents(events: readonly ServerSentEvent[]): number;
 	/** Called at the end of a complete stream, with the bytes after its last complete event. */
 	end(remainder: Buffer): void;
 }
@@ -63,6 +69,7 @@
 export interface TargetAttemptOptions {
 	readonly clock: Clock;
 	readonly pools: TargetPools;
+	readonly turnBudget: TurnBudget;
 	readonly codec: RelayCodec;
 	readonly target: RelayTarget;
 	readonly attemptId: string;
@@ -114,8 +121,7 @@
 class TargetAttempt {
 	readonly #startedMs: Ms;
 	readonly #splitter = EventSplitter.create();
-	readonly #chunks: Buffer[] = [];
-	#bytes = 0;
+	readonly #body = GrowingBuffer.create();
 	#exchange: Exchange | undefined;
 	#status = 0;
 	#head: TargetHead | undefined;
@@ -127,6 +133,10 @@
 	#isFinished = false;
 	/** Whether reading waits for the caller, so that silence tells nothing about the target. */
 	#isPaused = false;
+	/** Whether reading waits for a later turn of the event loop. */
+	#isDeferred = false;
+	/** Work done for data since the reading was last deferred. */
+	#unitsInTurn = 0;
 	/** Time of the last data, or of the last complete event of a stream: single bytes of an event are no progress. */
 	#lastProgressMs: Ms;
 	#cancelSilenceCheck: CancelTimer = () => undefined;
@@ -211,7 +221,7 @@
 				resume: () => {
 					this.#isPaused = false;
 					this.#recordProgress();
-					this.#exchange!.resume();
+					this.#resume();
 				},
 			});
 			this.#scheduleSilenceCheck();
@@ -219,13 +229,36 @@
 	}
 
 	#onData(chunk: Buffer): void {
-		const {clock, onSlowData} = this.options;
+		const {clock, onSlowData, turnBudget} = this.options;
+		turnBudget.begin();
 		const startedMs = clock.now();
 		this.#handleData(chunk);
+		if (this.#isFinished) {
+			return;
+		}
+
 		const tookMs = clock.now() - startedMs;
 		if (tookMs >= slowDataMs) {
 			onSlowData?.({tookMs, bytes: chunk.length});
 		}
+
+		this.#unitsInTurn += chunk.length + chunkUnits;
+		if (!this.#isDeferred && this.#unitsInTurn >= minDeferredUnits && turnBudget.isUsedUp()) {
+			this.#isDeferred = true;
+			this.#unitsInTurn = 0;
+			this.#exchange!.pause();
+			turnBudget.onLaterTurn(() => {
+				this.#isDeferred = false;
+				this.#resume();
+			});
+		}
+	}
+
+	/** Reads on, unless something else still holds up the reading. */
+	#resume(): void {
+		if (!this.#isPaused && !this.#isDeferred && !this.#isFinished) {
+			this.#exchange!.resume();
+		}
 	}
 
 	#handleData(chunk: Buffer): void {
@@ -235,24 +268,23 @@
 		}
 
 		this.#recordProgress();
-		this.#bytes += chunk.length;
-		if (this.#bytes > maxResponseBytes) {
+		if (this.#body.length + chunk.length > maxResponseBytes) {
 			this.#abort('broken', `response exceeds ${maxResponseBytes} bytes`);
 			return;
 		}
 
-		this.#chunks.push(chunk);
+		this.#body.append(chunk);
 	}
 
 	#onStreamData(chunk: Buffer): void {
 		const events = this.#splitter.push(chunk);
-		if (events.length > 0) {
+		// Events that the caller has already are no progress: a target may send them without end.
+		if (events.length > 0 && this.options.sink!.writeEvents(events) > 0) {
 			this.#recordProgress();
 			this.#recordAnswer();
-			this.options.sink!.writeEvents(events);
 		}
 
-		if (this.#splitter.remainder.length > maxEventBytes) {
+		if (this.#splitter.remainderLength > maxEventBytes) {
 			this.#abort('broken', `an event exceeds ${maxEventBytes} bytes`);
 		}
 	}
@@ -260,7 +292,7 @@
 	#onEnd(): void {
 		if (this.#isStream) {
 			// Without a length or chunks, the end of the connection does not tell a complete stream from one that was broken off.
-			const isCutOff = this.#splitter.remainder.length > 0 && (!this.#isFramed || this.#isResumed || this.#head!.mediaType === eventStreamType);
+			const isCutOff = this.#splitter.isInsideEvent && (!this.#isFramed || this.#isResumed || this.#head!.mediaType === eventStreamType);
 			if (isCutOff || (!this.#isFramed && this.#progress !== 'answered')) {
 				this.#fail('broken', 'response ended before an event of the stream was complete');
 				return;
@@ -273,7 +305,7 @@
 		}
 
 		const response: TargetResponse = {
-			status: this.#status, head: this.#head!, body: Buffer.concat(this.#chunks), isFramed: this.#isFramed,
+			status: this.#status, head: this.#head!, body: this.#body.bytes, isFramed: this.#isFramed,
 		};
 		if (response.head.isNotRun) {
 			this.options.target.recordCall('busy', this.options.clock.now(), 0);
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -5,6 +5,9 @@
 import {currentCloseEvent} from './close-aware-connector.js';
 import {connectOptions, type TargetPools} from './target-pools.js';
 
+/** Maximum number of interim responses (1xx) to a request; a target may send them without end. */
+const maxInterimResponses = 32;
+
 /** One HTTP request to a target. */
 export interface ExchangeRequest {
 	readonly address: string;
@@ -61,6 +64,7 @@
 	/** A chunked body has an end marker, so it is truncated if the connection ends before it; a body without a length ends with its connection. */
 	#isChunked = false;
 	#abortReason: string | undefined;
+	#interimResponses = 0;
 
 	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined) {}
 
@@ -92,11 +96,23 @@
 		this.#controller = controller;
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: HttpHeaders): void {
-		this.#isChunked = headers['transfer-encoding'] !== undefined;
-		if (!this.#isEnded && status >= 200) {
-			this.listener.onHead(status, headers);
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: HttpHeaders): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		if (status < 200) {
+			if (++this.#interimResponses > maxInterimResponses) {
+				const err = new GuavamillError(`more than ${maxInterimResponses} interim responses`);
+				controller.abort(err);
+				this.onResponseError(controller, err);
+			}
+
+			return;
 		}
+
+		this.#isChunked = headers['transfer-encoding'] !== undefined;
+		this.listener.onHead(status, headers);
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
