Bound the memory of all responses together

Cause: each response was bounded, all of them together were not. Heads are bounded by the HTTP library at 16 KB.

Change: ResponseMemory counts what attempts, complete responses and waiting streams hold; beyond 48 MiB the largest response that is still received is ended as broken, and logged.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -16,7 +16,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
@@ -41,6 +41,8 @@
 /** Maximum time in which the last responses are written before their connections are closed. */
 const flushTimeoutMs: Ms = 200;
 const flushCheckIntervalMs: Ms = 10;
+/** Memory for the responses of all requests in progress: a small entry VM has 250 MB, of which the process without them takes about half. */
+const maxResponseMemoryBytes = 48 * 1024 * 1024;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
 /** Delay before another attempt to start the mesh. */
@@ -378,6 +380,7 @@
 				codec: options.codec,
 				registry: this.#registry,
 				pools: this.#pools,
+				memory: ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')}),
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -14,6 +14,7 @@
 export type {RelayContext} from './relay-context.js';
 export {RelayServer, type RelayServerOptions} from './relay-server.js';
 export type {ProbeResult} from './target-attempt.js';
+export {ResponseMemory} from './response-memory.js';
 export {RouteDurations, type DurationEstimate} from './route-durations.js';
 export {ShutdownSchedule, type ScheduledRequest} from './shutdown-schedule.js';
 export {TargetPools} from './target-pools.js';
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -13,6 +13,7 @@
 import type {RouteDurations} from './route-durations.js';
 import type {ShutdownSchedule} from './shutdown-schedule.js';
 import type {ProbeResult} from './target-attempt.js';
+import type {ResponseMemory} from './response-memory.js';
 import type {TargetPools} from './target-pools.js';
 import type {TurnBudget} from './turn-budget.js';
 
@@ -25,6 +26,8 @@
 	readonly codec: RelayCodec;
 	readonly registry: TargetRegistry;
 	readonly pools: TargetPools;
+	/** Memory of the responses that the process holds. */
+	readonly memory: ResponseMemory;
 	readonly turnBudget: TurnBudget;
 	readonly stages: StageRunner;
 	readonly prefixCache: PrefixCacheTracker;
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -239,7 +239,7 @@
 	async #attempt(target: RelayTarget, inputs: readonly string[]): Promise<AttemptOutcome> {
 		const {context, request} = this;
 		const {
-			clock, codec, pools, turnBudget, prefixCache, probe, metrics,
+			clock, codec, pools, memory, turnBudget, prefixCache, probe, metrics,
 		} = context;
 		const {head, attemptId, body, req, route, team} = request;
 		const startedMs = clock.now();
@@ -263,6 +263,7 @@
 		const outcome = await runAttempt({
 			clock,
 			pools,
+			memory,
 			turnBudget,
 			codec,
 			target,
@@ -527,6 +528,12 @@
 			return;
 		}
 
+		// The body stays in memory until the caller has read it.
+		const lease = this.context.memory.lease();
+		lease.set(response.body.length);
+		res.once('close', () => {
+			lease.release();
+		});
 		writeResponseHead(res, response, {isClosing: this.context.isClosing(), bytes: response.body.length});
 		res.end(response.body);
 		this.#finish({outcome: 'answered', reason: '', status: response.status});
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -8,6 +8,7 @@
 import {judgeSilence, type SilenceLimits} from './judge-silence.js';
 import type {HttpHeaders, RelayCodec, TargetHead} from './relay-codec.js';
 import {startExchange, type Exchange, type ExchangeRequest} from './target-exchange.js';
+import type {MemoryLease, ResponseMemory} from './response-memory.js';
 import type {TargetPools} from './target-pools.js';
 import type {TurnBudget} from './turn-budget.js';
 
@@ -39,6 +40,8 @@
 export interface StreamSink {
 	/** Whether an earlier attempt has written the head of the stream. */
 	readonly hasHead: boolean;
+	/** Bytes that the caller has not read yet. */
+	readonly pendingBytes: number;
 	/** Whether a response can go on with the stream. */
 	accepts(response: Pick<TargetResponse, 'status' | 'head'>): boolean;
 	/** Called once per attempt, before its first event. */
@@ -69,6 +72,7 @@
 export interface TargetAttemptOptions {
 	readonly clock: Clock;
 	readonly pools: TargetPools;
+	readonly memory: ResponseMemory;
 	readonly turnBudget: TurnBudget;
 	readonly codec: RelayCodec;
 	readonly target: RelayTarget;
@@ -122,6 +126,7 @@
 	readonly #startedMs: Ms;
 	readonly #splitter = EventSplitter.create();
 	readonly #body = GrowingBuffer.create();
+	readonly #memory: MemoryLease;
 	#exchange: Exchange | undefined;
 	#status = 0;
 	#head: TargetHead | undefined;
@@ -148,11 +153,15 @@
 	constructor(private readonly options: TargetAttemptOptions, private readonly resolve: (outcome: AttemptOutcome) => void) {
 		this.#startedMs = options.clock.now();
 		this.#lastProgressMs = this.#startedMs;
+		this.#memory = options.memory.lease(() => {
+			this.#abort('broken', 'the memory for responses is used up');
+		});
 	}
 
 	start(): void {
 		const {target, signal, pools, request} = this.options;
 		if (signal.aborted) {
+			this.#memory.release();
 			this.resolve({kind: 'aborted'});
 			return;
 		}
@@ -229,7 +238,7 @@
 	}
 
 	#onData(chunk: Buffer): void {
-		const {clock, onSlowData, turnBudget} = this.options;
+		const {clock, onSlowData, turnBudget, sink} = this.options;
 		turnBudget.begin();
 		const startedMs = clock.now();
 		this.#handleData(chunk);
@@ -237,6 +246,7 @@
 			return;
 		}
 
+		this.#memory.set(this.#isStream ? this.#splitter.heldBytes + sink!.pendingBytes : this.#body.capacity);
 		const tookMs = clock.now() - startedMs;
 		if (tookMs >= slowDataMs) {
 			onSlowData?.({tookMs, bytes: chunk.length});
@@ -458,6 +468,7 @@
 		}
 
 		this.#isFinished = true;
+		this.#memory.release();
 		this.#cancelSilenceCheck();
 		this.#reservation?.abort();
 		this.options.signal.removeEventListener('abort', this.#onAbort);
