Tell a reset from the end of a response without a length

Cause: Node.js reports 'end' where a reset arrives with the last data; a script with a bare socket showed it in 200 of 200 connections. That the relay handles the wrong event is ruled out: the socket reports no other. Attempts log 'unframed' now.

Change: the connector writes no bytes in the 'end' event, which fails exactly after a reset (200 of 200, and 0 of 200 after an end); a response that ends with its connection is whole only if it did not.

Not measured on x86-64 or other Node.js versions; close-aware-connector.test.ts would notice.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,6 +1,5 @@
 export {ConnectionTracker} from './connection-tracker.js';
 export {GrowingBuffer} from './growing-buffer.js';
 export {closeServer, listen, type ListenAddress} from './listen.js';
-export {readBounded} from './read-bounded.js';
 export {BodyError, readJsonBody} from './read-json-body.js';
 export {sendJson} from './send-json.js';
--- a/src/relay/close-aware-connector.ts
+++ b/src/relay/close-aware-connector.ts
@@ -1,13 +1,14 @@
 import {buildConnector} from 'undici';
 import type {Ms} from '../clock/index.js';
 
-/** Connect timeout; the slowest round trips between regions take about 40 ms. */
-const connectTimeoutMs: Ms = 400;
+/** Close event of a connection that is being handled: none, its end, or an error such as a reset. */
+export type ConnectionCloseEvent =
+	| {readonly kind: 'none' | 'failed'}
+	/** Node.js reports an end also where a reset has arrived together with the last data; `wasReset` tells them apart. */
+	| {readonly kind: 'ended'; readonly wasReset: Promise<boolean>};
 
-/** Close event that undici is handling: none, an orderly end by the target, or an error such as a reset. */
-export type ConnectionCloseEvent = 'none' | 'ended' | 'failed';
-
-let closeEvent: ConnectionCloseEvent = 'none';
+const noEvent: ConnectionCloseEvent = {kind: 'none'};
+let closeEvent: ConnectionCloseEvent = noEvent;
 
 /**
  * Returns the close event of a connection that is being handled in this tick. undici reports a response on a connection
@@ -19,30 +20,40 @@
 	return closeEvent;
 }
 
-const connect = buildConnector({timeout: connectTimeoutMs});
-
 /**
- * Opens connections whose close events are reported by `currentCloseEvent` while undici handles them.
+ * Returns a connector for undici whose connections' close events are reported by `currentCloseEvent` while undici handles
+ * them.
  *
- * @internal
+ * @example
+ * const pool = new Pool(origin, {connect: createCloseAwareConnector(400)});
  */
-export const connectCloseAware: buildConnector.connector = (options, callback) => {
-	connect(options, (...args: buildConnector.CallbackArgs) => {
-		const socket = args[1];
-		// Registered before undici's own listeners, so that the event is set when those run.
-		socket?.on('error', () => {
-			setCloseEvent('failed');
+export function createCloseAwareConnector(connectTimeoutMs: Ms): buildConnector.connector {
+	const connect = buildConnector({timeout: connectTimeoutMs});
+	return (options, callback) => {
+		connect(options, (...args: buildConnector.CallbackArgs) => {
+			const socket = args[1];
+			// Registered before undici's own listeners, so that the event is set when those run.
+			socket?.on('error', () => {
+				setCloseEvent({kind: 'failed'});
+			});
+			socket?.on('end', () => {
+				const wasReset = new Promise<boolean>(resolve => {
+					// Sends nothing, and fails if the kernel has received a reset. After an orderly end the target may reset the
+					// connection too (EPIPE), since it takes no more data.
+					socket.write('', err => {
+						resolve(err !== undefined && err !== null && (err as NodeJS.ErrnoException).code !== 'EPIPE');
+					});
+				});
+				setCloseEvent({kind: 'ended', wasReset});
+			});
+			callback(...args);
 		});
-		socket?.on('end', () => {
-			setCloseEvent('ended');
-		});
-		callback(...args);
-	});
-};
+	};
+}
 
 function setCloseEvent(event: ConnectionCloseEvent): void {
 	closeEvent = event;
 	queueMicrotask(() => {
-		closeEvent = 'none';
+		closeEvent = noEvent;
 	});
 }
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -1,5 +1,6 @@
 export {chooseEngine, type ChooseEngineOptions} from './choose-engine.js';
 export {chooseTarget, type ChooseTargetOptions, type ZoneDistance} from './choose-target.js';
+export {createCloseAwareConnector} from './close-aware-connector.js';
 export {CrashWatch, type BrokenAttempt, type TargetCrash} from './crash-watch.js';
 export {EventSplitter, type ServerSentEvent} from './event-splitter.js';
 export {
@@ -14,6 +15,7 @@
 export type {RelayContext} from './relay-context.js';
 export {RelayServer, type RelayServerOptions} from './relay-server.js';
 export type {ProbeResult} from './target-attempt.js';
+export {requestWhole, type WholeResponse} from './request-whole.js';
 export {ResponseMemory} from './response-memory.js';
 export {RouteDurations, type DurationEstimate} from './route-durations.js';
 export {ShutdownSchedule, type ScheduledRequest} from './shutdown-schedule.js';
--- a/src/relay/request-record.ts
+++ b/src/relay/request-record.ts
@@ -3,7 +3,7 @@
 import type {RetryDenial} from './decide-retry.js';
 import type {AttemptOutcome, ProbeResult} from './target-attempt.js';
 
-type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string; probe?: ProbeResult};
+type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string; unframed?: boolean; probe?: ProbeResult};
 type RunningAttempt = {readonly target: RelayTarget; readonly startedMs: Ms; probe?: ProbeResult};
 
 /** How a request ended. */
@@ -61,7 +61,10 @@
 	/** Records the end of the attempt in progress. */
 	endAttempt(outcome: AttemptOutcome, now: Ms): void {
 		if (this.#running) {
-			this.#attempts.push(this.#describe(this.#running, outcome.kind === 'failed' ? outcome.failure : outcome.kind, now, outcome.kind === 'failed' ? outcome.reason : undefined));
+			const attempt = this.#describe(this.#running, outcome.kind === 'failed' ? outcome.failure : outcome.kind, now, outcome.kind === 'failed' ? outcome.reason : undefined);
+			// Only the end of its connection tells that such a response is whole.
+			const isUnframed = (outcome.kind === 'streamed' && !outcome.isFramed) || (outcome.kind === 'answer' && !outcome.response.isFramed);
+			this.#attempts.push(isUnframed ? {...attempt, unframed: true} : attempt);
 			this.#running = undefined;
 		}
 	}
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -58,7 +58,7 @@
 /** How an attempt ended. */
 export type AttemptOutcome =
 	| {readonly kind: 'answer'; readonly response: TargetResponse}
-	| {readonly kind: 'streamed'}
+	| {readonly kind: 'streamed'; readonly isFramed: boolean}
 	| {readonly kind: 'aborted'}
 	| {readonly kind: 'failed'; readonly failure: AttemptFailure; readonly reason: string; readonly progress: ResponseProgress; readonly response?: TargetResponse};
 
@@ -310,7 +310,7 @@
 
 			this.options.sink!.end(this.#splitter.remainder);
 			this.#recordOutcome('ok');
-			this.#finish({kind: 'streamed'});
+			this.#finish({kind: 'streamed', isFramed: this.#isFramed});
 			return;
 		}
 
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -8,6 +8,8 @@
 /** Maximum number of interim responses (1xx) to a request; a target may send them without end. */
 const maxInterimResponses = 32;
 
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+
 /** One HTTP request to a target. */
 export interface ExchangeRequest {
 	readonly address: string;
@@ -45,8 +47,17 @@
  */
 export function startExchange(pools: TargetPools, request: ExchangeRequest, listener: ExchangeListener): Exchange {
 	const client = request.usesNewConnection ? new Client(`http://${request.address}`, connectOptions) : undefined;
-	const handler = new ExchangeHandler(listener, client);
-	const dispatcher: Dispatcher = client ?? pools.get(request.address);
+	return dispatchExchange(client ?? pools.get(request.address), request, listener, client);
+}
+
+/**
+ * Sends one request over a dispatcher whose connections are made by `createCloseAwareConnector`; `ownClient` is destroyed
+ * after the exchange.
+ *
+ * @internal
+ */
+export function dispatchExchange(dispatcher: Dispatcher, request: Pick<ExchangeRequest, 'method' | 'path' | 'headers' | 'body'>, listener: ExchangeListener, ownClient?: Client): Exchange {
+	const handler = new ExchangeHandler(listener, ownClient, request.method);
 	dispatcher.dispatch({
 		method: request.method,
 		path: request.path,
@@ -61,12 +72,11 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	#controller: Dispatcher.DispatchController | undefined;
 	#isEnded = false;
-	/** A chunked body has an end marker, so it is truncated if the connection ends before it; a body without a length ends with its connection. */
-	#isChunked = false;
+	#framing: 'chunked' | 'length' | 'connection' = 'length';
 	#abortReason: string | undefined;
 	#interimResponses = 0;
 
-	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined) {}
+	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined, private readonly method: string) {}
 
 	abort(reason: string): void {
 		if (this.#isEnded) {
@@ -111,7 +121,7 @@
 			return;
 		}
 
-		this.#isChunked = headers['transfer-encoding'] !== undefined;
+		this.#framing = this.#framingOf(status, headers);
 		this.listener.onHead(status, headers);
 	}
 
@@ -123,15 +133,44 @@
 
 	onResponseEnd(): void {
 		const closeEvent = currentCloseEvent();
-		if (closeEvent === 'failed' || (closeEvent === 'ended' && this.#isChunked)) {
-			this.onResponseError(undefined, new GuavamillError(`connection ${closeEvent} before the response was complete`));
-		} else if (!this.#isEnded) {
+		if (closeEvent.kind === 'none' && this.#framing !== 'connection') {
+			this.#end();
+		} else if (closeEvent.kind === 'ended' && this.#framing !== 'chunked') {
+			void this.#endUnlessReset(closeEvent.wasReset);
+		} else {
+			this.#failIncomplete(closeEvent.kind === 'none' ? 'closed' : closeEvent.kind);
+		}
+	}
+
+	async #endUnlessReset(wasReset: Promise<boolean>): Promise<void> {
+		if (await wasReset) {
+			this.#failIncomplete('reset');
+		} else {
+			this.#end();
+		}
+	}
+
+	#end(): void {
+		if (!this.#isEnded) {
 			this.#isEnded = true;
 			this.listener.onEnd();
 			this.#release();
 		}
 	}
 
+	#failIncomplete(how: string): void {
+		this.onResponseError(undefined, new GuavamillError(`connection ${how} before the response was complete`));
+	}
+
+	/** How the end of the body is known: by its last chunk, by its length, which may be none, or only by the end of the connection. */
+	#framingOf(status: number, headers: HttpHeaders): 'chunked' | 'length' | 'connection' {
+		if (headers['transfer-encoding'] !== undefined) {
+			return 'chunked';
+		}
+
+		return headers['content-length'] !== undefined || this.method === 'HEAD' || statusesWithoutBody.has(status) ? 'length' : 'connection';
+	}
+
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
 		if (!this.#isEnded) {
 			this.#isEnded = true;
--- a/src/relay/target-pools.ts
+++ b/src/relay/target-pools.ts
@@ -1,7 +1,9 @@
 import {Pool} from 'undici';
 import type {Ms} from '../clock/index.js';
-import {connectCloseAware} from './close-aware-connector.js';
+import {createCloseAwareConnector} from './close-aware-connector.js';
 
+/** Connect timeout; the slowest round trips between regions take about 40 ms. */
+const connectTimeoutMs: Ms = 400;
 /** Idle timeout of connections to targets that send no keep-alive timeout. */
 const keepAliveMs: Ms = 4000;
 /** Subtracted from a target's keep-alive timeout, so that no request is sent on a connection that the target is closing. */
@@ -11,7 +13,7 @@
 
 /** Options of all connections to targets. */
 export const connectOptions = {
-	connect: connectCloseAware, pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
+	connect: createCloseAwareConnector(connectTimeoutMs), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
 } as const;
 
 /**
