Leave requests to another entry VM where no target can be reached

Cause: readiness never looked at whether a target can be reached, and requests had no way over another entry VM.

Change: ReachWatch finds out, from failed attempts, probes and the peers' replies, that only this entry VM reaches no target; it is then not ready and leaves requests to the callers' port of a peer that does (ForwardedRequest), until a target responds.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -30,6 +30,8 @@
 const maxStageServices = 1000;
 /** Maximum number of entry VMs between one that asks for a place at a limited target and the one that gives it. */
 export const maxLimitHops = 3;
+/** Maximum number of entry VMs between one that asks for the reach of targets and one that replies. */
+const maxReachHops = 10;
 const maxSuspicions = 500;
 const promptPart = z.string().min(1).max(linkLimits.promptPartLength);
 const agoMs = z.number().nonnegative();
@@ -145,6 +147,10 @@
 	}),
 	// A start of a target says in its responses that it is draining.
 	z.strictObject({type: z.literal('target-draining'), target: name, startedMs: z.number().nullable()}),
+	// Asks for an entry VM that reaches targets; `hops` counts the entry VMs that pass it on.
+	z.strictObject({type: z.literal('reach-request'), id, hops: count.max(maxReachHops)}),
+	// The address for callers of one that does, or null.
+	z.strictObject({type: z.literal('reach-reply'), id, callers: z.string().max(linkLimits.nameLength).nullable()}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -164,6 +164,11 @@
 		this.#send(message, this.#links.up().filter(link => !this.isInCell(link.peer.zone)));
 	}
 
+	/** Returns all links. */
+	links(): readonly Link[] {
+		return this.#links.up();
+	}
+
 	/** Returns the link to a member. */
 	linkTo(name: string): Link | undefined {
 		return this.#links.byName(name);
--- /dev/null
+++ b/src/reach/reach-watch.test.ts
@@ -0,0 +1,77 @@
+import {describe, expect, it} from 'vitest';
+import {SimulatedMesh} from '../../test/support/simulated-mesh.js';
+import {ManualClock} from '../clock/index.js';
+import type {Link} from '../links/index.js';
+import {silentLoggerFactory} from '../logging/index.js';
+import {Random} from '../random/index.js';
+import {ReachWatch, type ProbeableTarget, type ReachMessage} from './reach-watch.js';
+
+const targets: readonly ProbeableTarget[] = ['a', 'b', 'c'].flatMap(service => [1, 2].map(number => ({id: `${service}-${number}`, entry: {service}})));
+
+/** Entry VMs in cells of 25, each linked to the leader of its cell, and leaders to each other; those in `cut` reach no target. */
+function createFleet(size: number, cut: Set<number>) {
+	const clock = ManualClock.create();
+	const watches: Array<ReachWatch<ProbeableTarget>> = [];
+	const mesh = SimulatedMesh.create({
+		size, clock, deliver(vm, link, message) {
+			watches[vm]!.receive(link, message as ReachMessage);
+		},
+	});
+	const leaders = Array.from({length: Math.ceil(size / 25)}, (_, cell) => cell * 25);
+	for (let vm = 0; vm < size; vm++) {
+		const linked = (): Link[] => leaders.includes(vm)
+			? [...leaders.filter(leader => leader !== vm), ...Array.from({length: Math.min(24, size - vm - 1)}, (_, index) => vm + index + 1)].map(other => mesh.link(vm, other))
+			: [mesh.link(vm, vm - (vm % 25))];
+		watches.push(ReachWatch.create({
+			clock, logger: silentLoggerFactory('targets'), random: Random.create(vm), zone: mesh.zoneOf(vm), callersAddress: () => `vm-${vm}`, links: linked, targets: () => targets, probe: async () => !cut.has(vm),
+		}));
+	}
+
+	const failAt = async (vm: number) => {
+		watches[vm]!.recordFailed('a-1');
+		watches[vm]!.recordFailed('b-1');
+		await clock.advance(2500);
+	};
+
+	return {clock, watches, failAt};
+}
+
+describe('ReachWatch', () => {
+	// Guards against RECOVER of review/4: an entry VM without a path to targets went on taking requests.
+	it.each([0, 7])('finds that entry VM %d alone is cut off, and who reaches targets, until one responds', async vm => {
+		const cut = new Set([vm]);
+		const {clock, watches, failAt} = createFleet(30, cut);
+		await failAt(vm);
+		expect([watches[vm]!.isCutOff, cut.has(Number(watches[vm]!.helper!.slice(3)))]).toEqual([true, false]);
+		cut.clear();
+		await clock.advance(1000);
+		expect([watches[vm]!.isCutOff, watches[vm]!.helper]).toEqual([false, undefined]);
+		watches[vm]!.close();
+	});
+
+	it('finds one in another cell when the whole own cell is cut off', async () => {
+		const {watches, failAt} = createFleet(50, new Set(Array.from({length: 25}, (_, vm) => vm)));
+		await failAt(7);
+		expect(Number(watches[7]!.helper!.slice(3))).toBeGreaterThanOrEqual(25);
+		watches[7]!.close();
+	});
+
+	// Guards against a fleet that makes itself unready when its targets are down.
+	it('is not cut off where nobody reaches a target, or a probe does', async () => {
+		const all = createFleet(30, new Set(Array.from({length: 30}, (_, vm) => vm)));
+		await all.failAt(3);
+		expect(all.watches[3]!.isCutOff).toBe(false);
+		all.watches[3]!.close();
+		const none = createFleet(30, new Set());
+		await none.failAt(3);
+		expect(none.watches[3]!.isCutOff).toBe(false);
+	});
+
+	it('ends with a response of a target', async () => {
+		const {watches, failAt} = createFleet(30, new Set([3]));
+		await failAt(3);
+		watches[3]!.recordReached();
+		expect(watches[3]!.isCutOff).toBe(false);
+		watches[3]!.close();
+	});
+});
--- /dev/null
+++ b/src/reach/reach-watch.ts
@@ -0,0 +1,179 @@
+import type {Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
+import {PendingReplies, type Link, type LinkMessage} from '../links/index.js';
+import type {PartLogger} from '../logging/index.js';
+import type {Random} from '../random/index.js';
+import {TargetReach} from './target-reach.js';
+
+/** Targets that are probed before an entry VM counts as cut off, of as many services as possible, and at each check after. */
+const probesBeforeCut = 4;
+const probesPerCheck = 2;
+/** Time between the checks whether an entry VM is still cut off. */
+const checkIntervalMs: Ms = 500;
+/** Time that a peer has to reply; it may have to probe targets and ask its own peers. */
+const replyTimeoutMs: Ms = 1200;
+/** Maximum number of peers that are asked at a time. */
+const maxAsked = 4;
+/** Maximum number of entry VMs between one that asks and one that replies: the leader of its cell and that of another one. */
+const maxHops = 2;
+
+/** Link message about the reach of targets. */
+export type ReachMessage = LinkMessage & {type: 'reach-request' | 'reach-reply'};
+
+/** A target that can be probed. */
+export interface ProbeableTarget {
+	readonly id: string;
+	readonly entry: {readonly service: string};
+}
+
+/** Dependencies of {@link ReachWatch}. */
+export interface ReachWatchOptions<Target extends ProbeableTarget> {
+	readonly clock: Clock;
+	readonly logger: PartLogger;
+	readonly random: Random;
+	readonly zone: string;
+	/** Returns the address at which this entry VM takes requests of callers. */
+	readonly callersAddress: () => string;
+	readonly links: () => readonly Link[];
+	/** Targets that are ready. */
+	readonly targets: () => readonly Target[];
+	/** Resolves to whether a target responds. */
+	readonly probe: (target: Target) => Promise<boolean>;
+}
+
+/**
+ * Finds out when this entry VM is partitioned from all targets while other entry VMs reach some: several targets fail,
+ * probes of further ones too, and a peer says that it reaches one. Where no peer does, the targets are down, and nothing
+ * would be gained by leaving requests to others. Ends as soon as one target responds.
+ *
+ * @example
+ * watch.recordFailed('engine-1');
+ * const address = watch.helper;
+ */
+export class ReachWatch<Target extends ProbeableTarget> {
+	static create<Target extends ProbeableTarget>(options: ReachWatchOptions<Target>): ReachWatch<Target> {
+		return new ReachWatch(options);
+	}
+
+	readonly #reach = TargetReach.create();
+	readonly #replies: PendingReplies<{readonly callers: string | null}>;
+	#helpers: readonly string[] = [];
+	#isChecking = false;
+	#isClosed = false;
+	#turn = 0;
+
+	private constructor(private readonly options: ReachWatchOptions<Target>) {
+		this.#replies = PendingReplies.create(options.clock);
+	}
+
+	/** Whether no target can be reached from here, but from other entry VMs. */
+	get isCutOff(): boolean {
+		return this.#helpers.length > 0;
+	}
+
+	/** Address for callers of an entry VM that reaches targets, another one at each call; `undefined` unless this one is cut off. */
+	get helper(): string | undefined {
+		return this.#helpers[this.#turn++ % this.#helpers.length];
+	}
+
+	/** Records a response of a target. */
+	recordReached(): void {
+		this.#reach.recordReached(this.options.clock.now());
+		if (this.isCutOff) {
+			this.#helpers = [];
+			this.options.logger.warn('Targets can be reached again.');
+		}
+	}
+
+	/** Records that a target could not be reached, or did not respond to a probe. */
+	recordFailed(target: string): void {
+		this.#reach.recordFailed(target);
+		if (this.#reach.isSuspicious && !this.#isChecking && !this.#isClosed) {
+			this.#isChecking = true;
+			void this.#check();
+		}
+	}
+
+	/** Handles a message of a peer. */
+	receive(link: Link, message: ReachMessage): void {
+		if (message.type === 'reach-reply') {
+			this.#replies.reply(link, message.id, {callers: message.callers});
+		} else {
+			void this.#answer(link, message.id, message.hops);
+		}
+	}
+
+	/** Ends the questions that were sent over a link. */
+	linkLost(link: Link): void {
+		this.#replies.linkLost(link);
+	}
+
+	/** Stops the checks. */
+	close(): void {
+		this.#isClosed = true;
+	}
+
+	/** Checks until a target responds, or no entry VM reaches one. */
+	async #check(): Promise<void> {
+		const {clock, logger} = this.options;
+		try {
+			let isReached = await this.#probe(probesBeforeCut);
+			while (!isReached && !this.#isClosed) {
+				const helpers = await this.#ask(0);
+				// A response may have arrived meanwhile.
+				if (!this.#reach.isSuspicious) {
+					break;
+				}
+
+				if (helpers.length > 0 && !this.isCutOff) {
+					logger.warn('Cut off from all targets, which others reach.', {failed: [...this.#reach.failed].slice(0, probesBeforeCut), helpers});
+				}
+
+				this.#helpers = helpers;
+				if (helpers.length === 0) {
+					logger.warn('No target can be reached, from other entry VMs either.', {failed: this.#reach.failed.size});
+				}
+
+				await clock.sleep(checkIntervalMs);
+				isReached = await this.#probe(probesPerCheck);
+			}
+		} catch (err) {
+			logger.error('Cannot check which targets can be reached.', {error: errorMessage(err)});
+		} finally {
+			this.#isChecking = false;
+		}
+	}
+
+	/** Probes some targets, of as many services as possible, and resolves to whether one responds. */
+	async #probe(count: number): Promise<boolean> {
+		const {targets, probe, random} = this.options;
+		const shuffled = targets().map(target => ({target, order: random.float()})).toSorted((a, b) => a.order - b.order).map(({target}) => target);
+		const services = new Set<string>();
+		const first = shuffled.filter(({entry: {service}}) => !services.has(service) && services.add(service));
+		const chosen = [...first, ...shuffled.filter(target => !first.includes(target))].slice(0, count);
+		const results = await Promise.all(chosen.map(async target => probe(target)));
+		const isReached = results.includes(true);
+		if (isReached) {
+			this.recordReached();
+		}
+
+		return isReached;
+	}
+
+	/** Resolves with the addresses for callers of entry VMs that reach targets. */
+	async #ask(hops: number, except?: Link): Promise<readonly string[]> {
+		const {links, random, zone} = this.options;
+		// Zones are partitioned as a whole more often than entry VMs of several zones are.
+		const order = new Map(links().map(link => [link, (link.peer.zone === zone ? 1 : 0) + random.float()]));
+		const asked = [...order.keys()].filter(link => link !== except).toSorted((a, b) => order.get(a)! - order.get(b)!).slice(0, maxAsked);
+		const replies = await Promise.all(asked.map(async link => this.#replies.request(link, replyTimeoutMs / (hops + 1), id => link.send({type: 'reach-request', id, hops: hops + 1}))));
+		return [...new Set(replies.flatMap(reply => typeof reply === 'string' ? [] : reply.callers ?? []))];
+	}
+
+	async #answer(link: Link, id: number, hops: number): Promise<void> {
+		const {clock, callersAddress} = this.options;
+		const isReached = !this.isCutOff && (this.#reach.isFresh(clock.now()) || await this.#probe(probesPerCheck));
+		const [other] = isReached || hops >= maxHops ? [] : await this.#ask(hops, link);
+		link.send({type: 'reach-reply', id, callers: isReached ? callersAddress() : other ?? null});
+	}
+}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -12,6 +12,7 @@
 } from '../pools/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
+import {ReachWatch, type ReachMessage} from '../reach/index.js';
 import {
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
@@ -156,6 +157,7 @@
 	readonly #drainingReports: DrainingReports;
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
+	readonly #reach: ReachWatch<RelayTarget>;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -180,8 +182,18 @@
 		this.#drainingReports = DrainingReports.create({
 			clock, logger, mesh: () => this.#mesh, registry: this.#registry,
 		});
+		this.#reach = ReachWatch.create({
+			clock,
+			logger,
+			random: Random.create(options.seed + 4),
+			zone: options.self.zone,
+			callersAddress: () => `${options.callers.host}:${this.callersPort}`,
+			links: () => this.#mesh?.links() ?? [],
+			targets: () => [...this.#registry.all()].filter(target => target.isAccepting),
+			probe: async target => await options.probe(target) === 'alive',
+		});
 		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, port: options.stageTargets, retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
+			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
 			}, service: name => this.#table?.declarations.services.get(name),
 		});
@@ -266,7 +278,7 @@
 
 	/** True while the load balancer should route connections to this VM. */
 	get isReady(): boolean {
-		return this.#lifecycle.state === 'serving' && this.#hasTargets && this.#stages.isReady;
+		return this.#lifecycle.state === 'serving' && this.#hasTargets && this.#stages.isReady && !this.#reach.isCutOff;
 	}
 
 	/** Applies changed limits. Changed retry limits reset all retry budgets, so that no retry counts against two limits. */
@@ -356,6 +368,7 @@
 		this.#quarantineFollower.stop();
 		this.#quarantine.close();
 		this.#eventLoopWatch.close();
+		this.#reach.close();
 		this.#stages.close();
 		await this.#server.close();
 		await this.#control.close();
@@ -367,6 +380,17 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		const {clock, createLogger} = options;
+		const probe = async (target: RelayTarget) => {
+			const result = await options.probe(target);
+			if (result === 'alive') {
+				this.#reach.recordReached();
+			} else {
+				this.#reach.recordFailed(target.id);
+			}
+
+			return result;
+		};
+
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
 		this.#server = await RelayServer.create({
 			listen: options.callers,
@@ -388,11 +412,11 @@
 				distance: zone => this.#distance(zone),
 				rank: (key, names) => this.#ranks.of(key, names),
 				retryBudget: service => this.#retryBudget(service),
-				probe: options.probe,
+				probe,
 				crashWatch: CrashWatch.create({
 					clock,
 					logger: createLogger('targets'),
-					probe: options.probe,
+					probe,
 					onCrash: ({target, attempts}) => {
 						this.#metrics.recordCrash();
 						this.#quarantine.crashed(`${target.id} ${target.entry.startedMs ?? ''}`, attempts);
@@ -400,6 +424,7 @@
 				}),
 				limits: this.#targetLimits,
 				drainingReports: this.#drainingReports,
+				reach: this.#reach,
 				quarantine: this.#quarantine,
 				durations: {requests: RouteDurations.create(), attempts: RouteDurations.create()},
 				shutdown: () => this.#shutdownSchedule,
@@ -491,6 +516,13 @@
 						break;
 					}
 
+					case 'reach-request':
+					case 'reach-reply': {
+						this.#reach.receive(link, message satisfies ReachMessage);
+
+						break;
+					}
+
 					case 'topic-news': {
 						this.#distributor.receive(link, message);
 
@@ -512,6 +544,7 @@
 				this.#stages.linkLost(link);
 				this.#distributor.linkLost(link);
 				this.#targetLimits.linkLost(link);
+				this.#reach.linkLost(link);
 			},
 		});
 	}
@@ -578,6 +611,24 @@
 		return this.#quarantineFollower.offset >= 0 || (this.#configuredMs !== undefined && this.options.clock.now() - this.#configuredMs >= quarantineTimeoutMs);
 	}
 
+	/** Returns a port whose calls tell whether targets can be reached. */
+	#watchReach(port: StageTargetPort): StageTargetPort {
+		return {
+			run: async call => {
+				const outcome = await port.run(call);
+				if (outcome.kind === 'unreachable') {
+					this.#reach.recordFailed(call.target.id);
+				} else {
+					this.#reach.recordReached();
+				}
+
+				return outcome;
+			},
+			free: async (producer, handles) => port.free(producer, handles),
+			producerOf: handle => port.producerOf(handle),
+		};
+	}
+
 	/** Decodes a record once, although it is read to pass it on, to compare later ones with it, and to apply it. */
 	#decodeTarget(record: KeyedRecord): TargetEntry | undefined {
 		if (!this.#decodedTargets.has(record)) {
--- /dev/null
+++ b/src/relay/forwarded-request.ts
@@ -0,0 +1,162 @@
+import type {Ms} from '../clock/index.js';
+import type {RelayContext} from './relay-context.js';
+import type {RoutedRequest} from './request-handler.js';
+import {sendRejection} from './send-rejection.js';
+import {startExchange, type Exchange} from './target-exchange.js';
+import type {HttpHeaders} from './relay-codec.js';
+
+/** Maximum number of entry VMs that a request is sent to while no byte of it has reached one. */
+const maxHelpers = 2;
+/** Time after the deadline in which the other entry VM's own answer may still arrive. */
+const answerMarginMs: Ms = 100;
+/** Number of bytes buffered for a caller above which reading is paused. */
+const highWaterBytes = 256 * 1024;
+/** Delay after which a caller may ask again, elsewhere or here. */
+const retryAfterMs: Ms = 100;
+
+/**
+ * A request that this entry VM leaves to another one, since it is cut off from all targets: it is sent there as its
+ * caller sent it, at most once, and the response is passed on as it arrives. The other entry VM chooses targets, retries,
+ * and keeps limits and quarantines; it does not leave the request to a third one.
+ *
+ * @example
+ * await ForwardedRequest.create(context, request).run();
+ */
+export class ForwardedRequest {
+	static create(context: RelayContext, request: RoutedRequest): ForwardedRequest {
+		return new ForwardedRequest(context, request);
+	}
+
+	#exchange: Exchange | undefined;
+	#isEnded = false;
+	#isSent = false;
+	#resolve: () => void = () => undefined;
+
+	private constructor(private readonly context: RelayContext, private readonly request: RoutedRequest) {}
+
+	/** Resolves when the response has been passed on, or the caller has disconnected. */
+	async run(): Promise<void> {
+		const {context, request: {res, head, route, arrivedMs}} = this;
+		const deadlineMs = arrivedMs + Math.min(head.timeoutMs ?? route.timeoutMs, route.timeoutMs);
+		const cancelTimeout = context.clock.after(deadlineMs + answerMarginMs - context.clock.now(), () => {
+			this.#fail(504, 'no response in time');
+		});
+		const onClose = () => {
+			if (!res.writableFinished) {
+				this.#end('caller left');
+			}
+		};
+
+		const onDrain = () => {
+			this.#exchange?.resume();
+		};
+
+		res.on('close', onClose);
+		res.on('drain', onDrain);
+		await new Promise<void>(resolve => {
+			this.#resolve = resolve;
+			this.#send(maxHelpers);
+		});
+		cancelTimeout();
+		res.off('close', onClose);
+		res.off('drain', onDrain);
+	}
+
+	/** The other entry VM goes on with the request while this one shuts down. */
+	rejectIfLate(): void {
+		// Nothing to do: only `end` breaks it off.
+	}
+
+	/** Ends the request, wherever it is, with an answer that is true. */
+	end(): void {
+		this.#fail(502, 'shutting down');
+	}
+
+	#send(helpersLeft: number): void {
+		const {context, request} = this;
+		const {clock, codec, pools, reach} = context;
+		const {req, head, body, arrivedMs, res} = request;
+		const address = helpersLeft > 0 ? reach.helper : undefined;
+		if (address === undefined) {
+			this.#fail(503, 'no other entry VM could be reached');
+			return;
+		}
+
+		const remainingMs = head.timeoutMs === undefined ? undefined : Math.max(1, head.timeoutMs - (clock.now() - arrivedMs));
+		this.#exchange = startExchange(pools, {
+			address, method: req.method!, path: req.url!, headers: codec.encodeForwardedHeaders(req.rawHeaders, remainingMs), body, usesNewConnection: true,
+		}, {
+			onHead: (status, headers) => {
+				this.#isSent = true;
+				this.#writeHead(status, headers);
+			},
+			onData: chunk => {
+				res.write(chunk);
+				if (res.writableLength > highWaterBytes) {
+					this.#exchange?.pause();
+				}
+			},
+			onEnd: () => {
+				res.end();
+				this.#end('answered');
+			},
+			onError: (err, isSent) => {
+				this.#isSent ||= isSent;
+				if (isSent) {
+					this.#fail(502, err.message);
+				} else if (!this.#isEnded) {
+					context.logger.info('Cannot leave a request to another entry VM.', {id: request.attemptId, address, error: err.message});
+					this.#send(helpersLeft - 1);
+				}
+			},
+		});
+	}
+
+	/** Callers come back on another connection, so that the load balancer can send them elsewhere. */
+	#writeHead(status: number, headers: HttpHeaders): void {
+		const {res} = this.request;
+		const length = headers['content-length'] as string | undefined;
+		res.writeHead(status, {
+			...this.context.codec.decodeTargetHead(headers).forwardedHeaders,
+			...(length === undefined ? {} : {'content-length': length}),
+			connection: 'close',
+		});
+		res.flushHeaders();
+	}
+
+	/** Ends the request without a whole response. "Not run" is told only if nothing can have reached another entry VM. */
+	#fail(status: 502 | 503 | 504, reason: string): void {
+		const {res} = this.request;
+		if (this.#isEnded) {
+			return;
+		}
+
+		if (res.headersSent) {
+			res.socket?.resetAndDestroy();
+		} else {
+			const isNotRun = status === 503 && !this.#isSent;
+			sendRejection(res, isNotRun ? {status, reason: 'cut_off', retryAfterMs} : {status: status === 503 ? 502 : status, reason: status === 504 ? 'timeout' : 'target_failed'}, true);
+		}
+
+		this.#exchange?.abort(reason);
+		this.#end(reason);
+	}
+
+	#end(reason: string): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		this.#exchange?.abort(reason);
+		const {context, request: {attemptId, route, res, arrivedMs}} = this;
+		const tookMs = context.clock.now() - arrivedMs;
+		context.metrics.recordRequest({
+			outcome: 'forwarded', reason: '', tookMs, firstByteMs: undefined,
+		});
+		context.logger.info('Ended a request that was left to another entry VM.', {
+			id: attemptId, route: route.name, end: reason, status: res.headersSent ? res.statusCode : 0, took_ms: Math.round(tookMs),
+		});
+		this.#resolve();
+	}
+}
--- a/src/relay/relay-codec.ts
+++ b/src/relay/relay-codec.ts
@@ -28,6 +28,8 @@
 	/** Identifies the input of pieces that depend on no stage results. */
 	readonly pieceKey: string | undefined;
 	/** Id of the last event that the caller received in an earlier attempt. */
+	/** Whether another entry VM has left the request to this one. */
+	readonly isForwarded: boolean;
 	readonly lastEventId: string | undefined;
 	/** Alternating names and values of headers forwarded to the target unchanged. */
 	readonly forwardedHeaders: readonly string[];
@@ -74,6 +76,8 @@
 	decodeCallerHead(rawHeaders: readonly string[]): CallerHead;
 	/** Encodes the headers of a request to a target as alternating names and values. */
 	encodeTargetHeaders(head: CallerHead, call: TargetCall): string[];
+	/** Encodes the headers of a request that is left to another entry VM, as its caller sent them but for the remaining time. */
+	encodeForwardedHeaders(rawHeaders: readonly string[], remainingMs: number | undefined): string[];
 	/** Decodes the headers of a target's response. */
 	decodeTargetHead(headers: HttpHeaders): TargetHead;
 }
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -4,6 +4,7 @@
 import type {ServiceRetryBudget, StageRunner} from '../pools/index.js';
 import type {PromptQuarantine} from '../quarantine/index.js';
 import type {Random} from '../random/index.js';
+import type {ReachWatch} from '../reach/index.js';
 import type {DrainingReports, RelayTarget, TargetRegistry} from '../registry/index.js';
 import type {CrashWatch} from './crash-watch.js';
 import type {ZoneDistance} from './choose-target.js';
@@ -43,6 +44,8 @@
 	readonly limits: TargetLimits;
 	readonly quarantine: Pick<PromptQuarantine, 'hasSuspicions' | 'causeOf' | 'watch' | 'answered'>;
 	readonly drainingReports: Pick<DrainingReports, 'observe'>;
+	/** Whether targets can be reached from here, and the entry VMs that requests are left to if not. */
+	readonly reach: Pick<ReachWatch<RelayTarget>, 'isCutOff' | 'helper' | 'recordReached' | 'recordFailed'>;
 	/** Age of the target data: time since the last successful read of the targets from the store. */
 	readonly targetsAgeMs: () => Ms;
 	/** Recent durations by route: of requests from arrival to the end of their answer, and of attempts at targets that gave it. */
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -8,6 +8,7 @@
 	closeServer, ConnectionTracker, GrowingBuffer, listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
+import {ForwardedRequest} from './forwarded-request.js';
 import type {CallerHead} from './relay-codec.js';
 import {RequestHandler} from './request-handler.js';
 import {sendRejection} from './send-rejection.js';
@@ -50,7 +51,7 @@
 
 	readonly #server: Server;
 	readonly #connections: ConnectionTracker;
-	readonly #handlers = new Set<RequestHandler>();
+	readonly #handlers = new Set<RequestHandler | ForwardedRequest>();
 	/** Aborted when the requests in progress are ended. */
 	readonly #endController = new AbortController();
 	#inFlight = 0;
@@ -174,9 +175,10 @@
 			return;
 		}
 
-		const handler = RequestHandler.create(context, {
+		const request = {
 			req, res, head, attemptId: head.attemptId!, body, route: route!, team, table, arrivedMs,
-		});
+		};
+		const handler = context.reach.isCutOff && !head.isForwarded ? ForwardedRequest.create(context, request) : RequestHandler.create(context, request);
 		this.#handlers.add(handler);
 		try {
 			await handler.run();
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -264,6 +264,7 @@
 			}
 		};
 
+		let hasResponded = false;
 		this.#isAttempting = true;
 		this.#record.startAttempt(target, startedMs);
 		const outcome = await runAttempt({
@@ -301,6 +302,8 @@
 				this.#record.recordProbe(result);
 			},
 			onHead(targetHead) {
+				hasResponded = true;
+				context.reach.recordReached();
 				context.limits.observe(target, {perSecond: targetHead.limitPerSecond, sentMs: startedMs});
 				if (targetHead.isDraining) {
 					context.drainingReports.observe(target);
@@ -331,6 +334,10 @@
 			context.durations.attempts.record(route.name, {tookMs: clock.now() - startedMs, size: this.#size}, clock.now());
 		}
 
+		if (!hasResponded) {
+			this.#recordNoResponse(target, outcome);
+		}
+
 		metrics.recordAttempt(outcome.kind === 'failed' ? outcome.failure : outcome.kind);
 		// A part of an answer proves nothing: what crashes targets may do so at any event.
 		if ((outcome.kind === 'streamed' && outcome.hasEvents) || (outcome.kind === 'answer' && outcome.response.status < 300)) {
@@ -344,6 +351,14 @@
 		return outcome;
 	}
 
+	/** Records a target that may be out of reach: the attempt ended without its response, and not because the caller left. */
+	#recordNoResponse(target: RelayTarget, outcome: AttemptOutcome): void {
+		const isOverdue = outcome.kind === 'aborted' && this.context.clock.now() >= this.#timeBudget.deadlineMs;
+		if (isOverdue || (outcome.kind === 'failed' && outcome.failure !== 'refused')) {
+			this.context.reach.recordFailed(target.id);
+		}
+	}
+
 	/** Handles a failed attempt; returns true if the request is retried, else ends it with a response. */
 	#retryOrFinish(outcome: AttemptOutcome & {kind: 'failed'}): boolean {
 		const {context, request} = this;
