Let the next member host the stage pools while the leader is cut off

Requests with stages failed at all entry VMs of a cell whose leader had lost the path to all targets: it went on hosting the stage pools, since the election looks only at age, links and shutdowns.

A cut-off entry VM now stands by as a leader and tells the linked members with a new type of message, which older builds ignore.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -151,6 +151,8 @@
 	z.strictObject({type: z.literal('reach-request'), id, hops: count.max(maxReachHops)}),
 	// The address for callers of one that does, or null.
 	z.strictObject({type: z.literal('reach-reply'), id, callers: z.string().max(linkLimits.nameLength).nullable()}),
+	// The sender leads its cell only if no other member can, until it says that this has ended.
+	z.strictObject({type: z.literal('standby'), isOn: z.boolean()}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -77,6 +77,31 @@
 		expect(leaderOf(oldest)).toBe('itself');
 	});
 
+	// Guards against stage pools that stay at a leader which is cut off from all targets.
+	it('is led by the next member while the oldest stands by, and by one that stands by if all do', async () => {
+		const [a, b, c] = [await start('a', '1'), await start('b', '2'), await start('c', '3')];
+		await until(() => leaderOf(b) === 'a' && leaderOf(c) === 'a' && b.links().length === 2);
+		a.setStandby(true);
+		await until(() => leaderOf(a) === 'b' && leaderOf(b) === 'itself' && leaderOf(c) === 'b');
+		b.setStandby(true);
+		c.setStandby(true);
+		await until(() => leaderOf(a) === 'itself' && leaderOf(b) === 'a' && leaderOf(c) === 'a');
+		const d = await start('d', '4');
+		await until(() => [a, b, c].every(mesh => leaderOf(mesh) === 'd') && leaderOf(d) === 'itself');
+		a.setStandby(false);
+		await until(() => [b, c, d].every(mesh => leaderOf(mesh) === 'a') && leaderOf(a) === 'itself');
+	});
+
+	it('is led by the next member also for one that starts while the oldest stands by', async () => {
+		const [a, b] = [await start('a', '1'), await start('b', '2')];
+		await until(() => leaderOf(b) === 'a');
+		a.setStandby(true);
+		const c = await start('c', '3');
+		await until(() => c.links().length === 2 && leaderOf(c) === 'b');
+		a.setStandby(false);
+		await until(() => leaderOf(c) === 'a' && leaderOf(b) === 'a');
+	});
+
 	it('is led by the member that has run longest, also after one with a smaller name has started', async () => {
 		const oldest = await start('c', '1');
 		const younger = await start('b', '2');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -49,13 +49,18 @@
 	readonly onLost: (link: Link) => void;
 }
 
-/** Own cell: its key, the names of its members in the order of succession, this entry VM included, and those of the other cells. */
-type OwnCell = {readonly cells: CellMap; readonly key: string; readonly names: readonly string[]; readonly others: ReadonlyMap<string, readonly string[]>};
+/**
+ * Own cell: its key, the names of its members in the order of succession and by age, this entry VM included, and those of
+ * the other cells in the order of succession.
+ */
+type OwnCell = {readonly cells: CellMap; readonly key: string; readonly names: readonly string[]; readonly namesByAge: readonly string[]; readonly others: ReadonlyMap<string, readonly string[]>};
+
+type OrderedMember = {readonly name: string; readonly cell: string; readonly startId: string; readonly isStandby: boolean};
 
 /**
  * Links a relaying entry VM to the others of its cell and elects the leader of the cell, which hosts the stage pools. The
  * member that has run longest leads, so that a newly started one takes no work over from a working leader. A member that
- * is shutting down cannot lead.
+ * is shutting down cannot lead, and one that stands by leads only if no other can.
  *
  * @example
  * const leader = mesh.leader();
@@ -75,10 +80,13 @@
 	readonly #vmList: VmListPoller;
 	/** Incarnations that announced their shutdown. */
 	readonly #leavingIncarnations = new Set<string>();
+	/** Linked incarnations that stand by; one says so on each new link. */
+	readonly #standbyIncarnations = new Set<string>();
 	/** Cached cell and the version of the members that it was derived from. */
 	#cell: OwnCell | undefined;
 	#cellVersion = -1;
 	#isLeaving = false;
+	#isStandby = false;
 	#hasList = false;
 	#listener: LinkListener | undefined;
 
@@ -98,6 +106,10 @@
 					link.send({type: 'leaving'});
 				}
 
+				if (this.#isStandby) {
+					link.send({type: 'standby', isOn: true});
+				}
+
 				options.onUp?.(link);
 			},
 			onMessage: (link, message) => {
@@ -106,10 +118,16 @@
 					this.#cell = undefined;
 					options.logger.info('A peer is shutting down and can no longer lead.', {peer: link.peer.name});
 				} else {
+					if (message.type === 'standby') {
+						this.#setPeerStandby(link, message.isOn);
+					}
+
 					options.onMessage(link, message);
 				}
 			},
-			onClosed(link) {
+			onClosed: link => {
+				this.#standbyIncarnations.delete(link.peer.incarnation);
+				this.#cell = undefined;
 				options.onLost(link);
 			},
 			onDropped: () => undefined,
@@ -225,6 +243,13 @@
 		}
 	}
 
+	/** Stands by as a leader, or ends that, and tells the linked members. */
+	setStandby(isOn: boolean): void {
+		this.#isStandby = isOn;
+		this.#cell = undefined;
+		this.#send({type: 'standby', isOn}, this.#links.up());
+	}
+
 	/** Closes every link. */
 	async close(): Promise<void> {
 		this.#vmList.stop();
@@ -243,8 +268,9 @@
 
 	/** Returns the members that this entry VM needs a link to: the next ones to lead its cell and, at a leader, the leaders of other cells. */
 	#neededNames(): readonly string[] {
-		const {names, others} = this.#ownCell();
-		const own = this.#firstExpected(names.filter(name => name !== this.options.self.name), linkedLeaderCandidates);
+		const {names, namesByAge, others} = this.#ownCell();
+		// Those that stand by tell only linked members when it ends.
+		const own = [...new Set([names, namesByAge].flatMap(order => this.#firstExpected(order.filter(name => name !== this.options.self.name), linkedLeaderCandidates)))];
 		return this.leader() ? own : [...own, ...[...others.values()].flatMap(other => this.#firstExpected(other, 1))];
 	}
 
@@ -261,6 +287,18 @@
 		});
 	}
 
+	#setPeerStandby(link: Link, isOn: boolean): void {
+		const {name, incarnation} = link.peer;
+		if (isOn) {
+			this.#standbyIncarnations.add(incarnation);
+		} else {
+			this.#standbyIncarnations.delete(incarnation);
+		}
+
+		this.#cell = undefined;
+		this.options.logger.info('A peer stands by as a leader, or has ended that.', {peer: name, is_on: isOn, leader: this.leader()?.peer.name ?? this.options.self.name});
+	}
+
 	#ownCell(): OwnCell {
 		if (!this.#cell || this.#cellVersion !== this.#membership.version) {
 			this.#cellVersion = this.#membership.version;
@@ -270,18 +308,25 @@
 		return this.#cell;
 	}
 
-	/** Returns the cell with its names longest-running first; this entry VM comes last while it shuts down. */
+	/** Returns the cell with its names longest-running first, behind them those that stand by; this entry VM comes last while it shuts down. */
 	#findCell(): OwnCell {
 		const {self, regionOf} = this.options;
 		const members = this.#membership.members();
 		const cells = CellMap.create({zones: [self.zone, ...members.flatMap(member => member.zone ?? [])], regionOf});
 		const key = cells.of(self.zone);
-		const starts = [
-			{name: self.name, cell: key, startId: this.#isLeaving ? unknownStartId : self.incarnation},
-			...members.flatMap(({name, zone, startId}) => zone === undefined ? [] : {name, cell: cells.of(zone), startId: startId ?? unknownStartId}),
+		const byAge: OrderedMember[] = [
+			{
+				name: self.name, cell: key, startId: this.#isLeaving ? unknownStartId : self.incarnation, isStandby: this.#isStandby || this.#isLeaving,
+			},
+			...members.flatMap(({name, zone, startId = unknownStartId}) => zone === undefined
+				? []
+				: {
+					name, cell: cells.of(zone), startId, isStandby: this.#standbyIncarnations.has(startId),
+				}),
 		]
 			.filter(({startId}) => !this.#leavingIncarnations.has(startId))
 			.toSorted((a, b) => a.startId === b.startId ? a.name.localeCompare(b.name) : (a.startId < b.startId ? -1 : 1));
+		const starts = byAge.toSorted((a, b) => Number(a.isStandby) - Number(b.isStandby));
 		const others = new Map<string, string[]>();
 		for (const {name, cell} of starts) {
 			if (cell !== key) {
@@ -289,9 +334,9 @@
 			}
 		}
 
-		const names = starts.filter(({cell}) => cell === key).map(({name}) => name);
+		const ownNames = (order: readonly OrderedMember[]) => order.filter(({cell}) => cell === key).map(({name}) => name);
 		return {
-			cells, key, names, others,
+			cells, key, names: ownNames(starts), namesByAge: ownNames(byAge), others,
 		};
 	}
 }
--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -31,6 +31,7 @@
 	const clock = ManualClock.create();
 	const hostEvents: string[] = [];
 	let leader: unknown;
+	let isCutOff = false;
 	const links = new Map<string, unknown>();
 	const reports: unknown[] = [];
 	const host = {
@@ -63,12 +64,15 @@
 		},
 	};
 	const stages = MeshStageRunner.create({
-		clock, logger: silentLoggerFactory('pools'), host: host as unknown as PoolHost, mesh: () => mesh as unknown as RelayMesh,
+		clock, logger: silentLoggerFactory('pools'), host: host as unknown as PoolHost, mesh: () => mesh as unknown as RelayMesh, isCutOff: () => isCutOff,
 	});
 	return {
 		clock, stages, hostEvents, host, links, reports, lead(link: unknown) {
 			leader = link;
 		},
+		cutOff(value: boolean) {
+			isCutOff = value;
+		},
 	};
 }
 
@@ -89,6 +93,34 @@
 		expect(hostEvents).toEqual([]);
 	});
 
+	// Guards against plans that are run, and fail, at a host that has just found that it reaches no target.
+	it('sends back the plan of a peer while it is cut off, if another one leads', async () => {
+		const {stages, lead, hostEvents, cutOff} = create([]);
+		const failures: unknown[] = [];
+		const peer = {
+			peer: {name: 'peer'}, send(message: {failure?: string}) {
+				failures.push(message.failure);
+				return true;
+			},
+		};
+		const receive = async () => {
+			stages.receive(peer as never, {
+				type: 'stage-plan', id: 1, attemptId: 'r1', stages: [], zone: 'riga-a', priority: 0, callInMs: 1000, deadlineInMs: 4000,
+			});
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		};
+
+		cutOff(true);
+		await receive();
+		lead(fakeLink('next', () => undefined));
+		await receive();
+		cutOff(false);
+		await receive();
+		expect([failures, hostEvents]).toEqual([[undefined, 'host_left', undefined], ['run', 'run']]);
+	});
+
 	it('tries the next host when this entry VM hands over its own unstarted plan', async () => {
 		const {stages, lead} = create([{failure: 'host_left', retryAfterMs: 0}]);
 		const next = fakeLink('next', sent => {
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -33,8 +33,9 @@
  * const outcome = await stages.run(plan, signal);
  */
 export class MeshStageRunner implements StageRunner {
-	static create(options: {clock: Clock; logger: PartLogger; host: PoolHost; mesh: () => RelayMesh | undefined}): MeshStageRunner {
-		return new MeshStageRunner(options.clock, options.logger, options.host, options.mesh);
+	/** `isCutOff` tells whether no stage target can be reached from here, but from other hosts. */
+	static create(options: {clock: Clock; logger: PartLogger; host: PoolHost; mesh: () => RelayMesh | undefined; isCutOff?: () => boolean}): MeshStageRunner {
+		return new MeshStageRunner(options.clock, options.logger, options.host, options.mesh, options.isCutOff ?? (() => false));
 	}
 
 	readonly #startedMs: Ms;
@@ -50,7 +51,7 @@
 	/** Plans of other entry VMs that run here, by link and id. */
 	readonly #peerPlans = new Map<Link, Map<number, AbortController>>();
 
-	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined) {
+	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined, private readonly isCutOff: () => boolean) {
 		this.#replies = PendingReplies.create(clock);
 		this.#producers = ForeignResults.create(clock);
 		this.#startedMs = clock.now();
@@ -106,6 +107,13 @@
 		}
 	}
 
+	/** Hands over all plans to the next host, if there is one, since no stage target can be reached from here. */
+	handOverAll(): void {
+		if (this.mesh()?.leader()) {
+			this.host.handOverAll();
+		}
+	}
+
 	/** Ends the reports to other hosts. */
 	close(): void {
 		this.#cancelReport();
@@ -284,7 +292,10 @@
 		const plan = {
 			...fields, pieceKey, callByMs: now + callInMs, deadlineMs: now + deadlineInMs,
 		};
-		const outcome = await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
+		// The peer has sent the plan before it was told that this host is cut off.
+		const outcome: StagePlanOutcome = this.isCutOff() && this.mesh()?.leader()
+			? {failure: 'host_left', retryAfterMs: 0}
+			: await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
 		plans.delete(id);
 		const isSent = 'results' in outcome
 			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -116,10 +116,26 @@
 
 	/** Ends the plans of which nothing has started, so that the next host runs them. The other plans continue here. */
 	handOver(): void {
+		if (this.#runs.size === 0) {
+			return;
+		}
+
 		const moved = [...this.#runs].filter(run => run.handOverIfUnstarted()).length;
 		this.options.logger.info('Handed over unstarted stage plans to the next host.', {moved, kept: this.#runs.size - moved});
 	}
 
+	/** Ends all plans, so that the next host runs them: none can be completed here. */
+	handOverAll(): void {
+		if (this.#runs.size === 0) {
+			return;
+		}
+
+		this.options.logger.warn('Handed over all stage plans to the next host.', {moved: this.#runs.size});
+		for (const run of this.#runs) {
+			run.handOver();
+		}
+	}
+
 	isUnstarted(service: string, id: string): boolean {
 		return this.#pools.get(service)?.pool.isUnstarted(id) ?? true;
 	}
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -94,11 +94,16 @@
 		};
 	}
 
+	/** Ends the plan so that another host runs it. */
+	handOver(): void {
+		this.#handOver.abort();
+	}
+
 	/** Ends the plan so that another host runs it, unless any of it has started. Returns whether it was ended. */
 	handOverIfUnstarted(): boolean {
 		const isUnstarted = this.#results.size === 0 && this.plan.stages.every(({service}, stage) => this.host.isUnstarted(service, this.#jobId(stage)));
 		if (isUnstarted) {
-			this.#handOver.abort();
+			this.handOver();
 		}
 
 		return isUnstarted;
--- a/src/reach/index.ts
+++ b/src/reach/index.ts
@@ -1,4 +1,5 @@
 export {
 	ReachWatch, type ProbeableTarget, type ReachMessage, type ReachWatchOptions,
 } from './reach-watch.js';
+export {LeaderStandby, type LeaderStandbyOptions} from './leader-standby.js';
 export {TargetReach} from './target-reach.js';
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -39,6 +39,8 @@
 	readonly targets: () => readonly Target[];
 	/** Resolves to whether a target responds. */
 	readonly probe: (target: Target) => Promise<boolean>;
+	/** Called when this entry VM is cut off, and when that has ended. */
+	readonly onChange?: (isCutOff: boolean) => void;
 }
 
 /**
@@ -82,6 +84,7 @@
 		if (this.isCutOff) {
 			this.#helpers = [];
 			this.options.logger.warn('Targets can be reached again.');
+			this.options.onChange?.(false);
 		}
 	}
 
@@ -125,11 +128,16 @@
 					break;
 				}
 
-				if (helpers.length > 0 && !this.isCutOff) {
+				const wasCutOff = this.isCutOff;
+				this.#helpers = helpers;
+				if (this.isCutOff && !wasCutOff) {
 					logger.warn('Cut off from all targets, which others reach.', {failed: [...this.#reach.failed].slice(0, probesBeforeCut), helpers});
 				}
 
-				this.#helpers = helpers;
+				if (this.isCutOff !== wasCutOff) {
+					this.options.onChange?.(this.isCutOff);
+				}
+
 				if (helpers.length === 0) {
 					logger.warn('No target can be reached, from other entry VMs either.', {failed: this.#reach.failed.size});
 				}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -12,7 +12,7 @@
 } from '../pools/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
-import {ReachWatch, type ReachMessage} from '../reach/index.js';
+import {LeaderStandby, ReachWatch, type ReachMessage} from '../reach/index.js';
 import {
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
@@ -158,6 +158,7 @@
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
+	readonly #standby: LeaderStandby;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -191,6 +192,17 @@
 			links: () => this.#mesh?.links() ?? [],
 			targets: () => [...this.#registry.all()].filter(target => target.isAccepting),
 			probe: async target => await options.probe(target) === 'alive',
+			onChange: isCutOff => {
+				this.#standby.setCutOff(isCutOff);
+				if (isCutOff) {
+					this.#stages.handOverAll();
+				}
+			},
+		});
+		this.#standby = LeaderStandby.create({
+			clock, logger, onChange: isOn => {
+				this.#mesh?.setStandby(isOn);
+			},
 		});
 		this.#poolHost = PoolHost.create({
 			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
@@ -198,7 +210,7 @@
 			}, service: name => this.#table?.declarations.services.get(name),
 		});
 		this.#stages = MeshStageRunner.create({
-			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh,
+			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff,
 		});
 		this.#configFollower = TopicFollower.create({
 			name: 'configuration',
@@ -369,6 +381,7 @@
 		this.#quarantine.close();
 		this.#eventLoopWatch.close();
 		this.#reach.close();
+		this.#standby.close();
 		this.#stages.close();
 		await this.#server.close();
 		await this.#control.close();
@@ -523,6 +536,15 @@
 						break;
 					}
 
+					case 'standby': {
+						// The plans that wait here go on at the leader that has come back.
+						if (!message.isOn) {
+							this.#stages.handOver();
+						}
+
+						break;
+					}
+
 					case 'topic-news': {
 						this.#distributor.receive(link, message);
 
@@ -547,6 +569,9 @@
 				this.#reach.linkLost(link);
 			},
 		});
+		if (this.#standby.isOn) {
+			this.#mesh.setStandby(true);
+		}
 	}
 
 	/**
