Withdraw requests that wait for a connection when their target drains

35 to 36 requests reached an engine 2.5 to 4.2 s after it had said that it drains: they waited in the pool of 64 connections of the HTTP client, and nothing looked at the target again behind that queue.

Each attempt without a connection now ends when its target drains, is removed or names a limit, and the request chooses again or is rejected with a true 503. What was not sent takes nothing from the retry budget, and the silence of a target is measured from the time at which the request has a connection: a request that only waited took a retry and made its target count as unreachable.

--- a/src/limits/target-limits.ts
+++ b/src/limits/target-limits.ts
@@ -172,6 +172,11 @@
 		if (links) {
 			passOn(links, this.#encode(target), from);
 		}
+
+		// Those that wait for a connection have no place within the limit.
+		if (!current) {
+			target.withdrawUnsent();
+		}
 	}
 
 	#encode(target: RelayTarget): LimitMessage {
--- a/src/registry/relay-target.ts
+++ b/src/registry/relay-target.ts
@@ -51,6 +51,8 @@
 	limitedUntilMs: Ms = 0;
 	/** Whether the target has named a limit that cannot be read, which is logged once. */
 	hasUnreadableLimit = false;
+	/** Listeners of requests that wait for a connection. */
+	readonly #unsent = new Set<() => void>();
 	#avoidUntilMs: Ms = 0;
 	#backoffMs: Ms = initialBackoffMs;
 
@@ -77,6 +79,21 @@
 		return this.limit !== undefined && now < this.limitedUntilMs;
 	}
 
+	/** Calls `onWithdrawn` when a request that is not sent yet must go elsewhere; returns a function that ends the watch. */
+	watchUnsent(onWithdrawn: () => void): () => void {
+		this.#unsent.add(onWithdrawn);
+		return () => {
+			this.#unsent.delete(onWithdrawn);
+		};
+	}
+
+	/** Withdraws the requests that are not sent yet: the target has stopped accepting them, or takes fewer. */
+	withdrawUnsent(): void {
+		for (const onWithdrawn of this.#unsent) {
+			onWithdrawn();
+		}
+	}
+
 	/** Updates the target's health with the outcome of a call that took `tookMs`. */
 	recordCall(outcome: CallOutcome, now: Ms, tookMs: Ms): void {
 		if (outcome === 'busy') {
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -186,6 +186,7 @@
 	#markDraining(target: RelayTarget): void {
 		target.isDraining = true;
 		this.options.logger.info('A target is draining.', {target: target.id, service: target.entry.service});
+		target.withdrawUnsent();
 		this.options.onUnavailable?.(target);
 	}
 
@@ -196,6 +197,7 @@
 		const {service} = target.entry;
 		this.#services.set(service, this.#services.get(service)!.filter(other => other !== target));
 		this.options.logger.info('Removed a target.', {target: target.id, service, reason});
+		target.withdrawUnsent();
 		this.options.onUnavailable?.(target);
 	}
 }
--- a/src/relay/decide-retry.ts
+++ b/src/relay/decide-retry.ts
@@ -7,6 +7,8 @@
 	| 'refused'
 	/** No byte of the request reached the target. */
 	| 'unsent'
+	/** The request waited for a connection when the target stopped accepting requests, or another target had a place. */
+	| 'withdrawn'
 	/** The request was sent, but no complete response arrived. */
 	| 'broken'
 	/** The request was sent, but the target stopped responding. */
@@ -52,8 +54,9 @@
  */
 export function decideRetry(state: FailedAttemptState): RetryDecision {
 	const {failure, possibleRunCount} = state;
-	// If no target was reached so far, the next attempt is the first one and takes nothing from the retry budget.
-	const denial = findRetryDenial(state) ?? (state.sentCount === 0 || state.spendRetry() ? undefined : 'no_budget');
+	// If no target was reached so far, the next attempt is the first one and takes nothing from the retry budget. After a
+	// retry that was not sent, what was taken for it still holds.
+	const denial = findRetryDenial(state) ?? (state.sentCount === 0 || isNotSent(failure) || state.spendRetry() ? undefined : 'no_budget');
 	if (denial === undefined) {
 		return {step: 'retry'};
 	}
@@ -69,6 +72,11 @@
 	return {step: 'reject', denial, rejection: {status: failure === 'silent' ? 504 : 502, reason: 'target_failed'}};
 }
 
+/** Whether an attempt has failed before any byte of the request can have reached the target. */
+export function isNotSent(failure: AttemptFailure): boolean {
+	return failure === 'unsent' || failure === 'withdrawn';
+}
+
 /** Returns why a request must not be sent to another target, apart from the retry budget; `undefined` if it may be. */
 export function findRetryDenial(state: Omit<FailedAttemptState, 'spendRetry'>): RetryDenial | undefined {
 	const {failure, sentCount, possibleRunCount, maxAttempts, isQuarantined, hasUntriedTarget, hasTime} = state;
@@ -80,7 +88,7 @@
 		return 'may_have_run';
 	}
 
-	if (failure !== 'unsent' && sentCount >= maxAttempts) {
+	if (!isNotSent(failure) && sentCount >= maxAttempts) {
 		return 'no_attempt';
 	}
 
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -8,7 +8,7 @@
 	isRetryable, pickService, type Route, type RouteTable, type TeamDeclaration,
 } from '../routes/index.js';
 import {
-	decideRetry, findRetryDenial, type AttemptFailure, type FailedAttemptState, type RetryDecision, type RetryDenial,
+	decideRetry, findRetryDenial, isNotSent, type AttemptFailure, type FailedAttemptState, type RetryDecision, type RetryDenial,
 } from './decide-retry.js';
 import type {BrokenProgress} from './crash-watch.js';
 import type {RelayContext} from './relay-context.js';
@@ -164,7 +164,7 @@
 				return;
 			}
 
-			if (outcome.kind === 'aborted' || !this.#retryOrFinish(outcome)) {
+			if (outcome.kind === 'aborted' || !this.#retryOrFinish(outcome, target)) {
 				break;
 			}
 
@@ -278,7 +278,7 @@
 			sink: this.#streamWriter,
 			signal: this.#abortController.signal,
 			probe,
-			reserveRetry: async signal => this.#reserveRetry(signal),
+			reserveRetry: async (signal, isSent) => this.#reserveRetry(signal, isSent),
 			responseTimeoutMs: this.#timeBudget.responseTimeoutMs(startedMs, mayRetry),
 			resumeStreamAfterMs: this.#timeBudget.resumeStreamAfterMs(mayRetry),
 			streamEndMs: this.#timeBudget.streamEndMs,
@@ -354,22 +354,26 @@
 	/** Records a target that may be out of reach: the attempt ended without its response, and not because the caller left. */
 	#recordNoResponse(target: RelayTarget, outcome: AttemptOutcome): void {
 		const isOverdue = outcome.kind === 'aborted' && this.context.clock.now() >= this.#timeBudget.deadlineMs;
-		if (isOverdue || (outcome.kind === 'failed' && outcome.failure !== 'refused')) {
+		if (isOverdue || (outcome.kind === 'failed' && outcome.failure !== 'refused' && outcome.failure !== 'withdrawn')) {
 			this.context.reach.recordFailed(target.id);
 		}
 	}
 
 	/** Handles a failed attempt; returns true if the request is retried, else ends it with a response. */
-	#retryOrFinish(outcome: AttemptOutcome & {kind: 'failed'}): boolean {
+	#retryOrFinish(outcome: AttemptOutcome & {kind: 'failed'}, target: RelayTarget): boolean {
 		const {context, request} = this;
 		const {failure} = outcome;
 		if (failure === 'unsent') {
 			this.#unsentCount++;
-		} else {
+		} else if (failure === 'withdrawn') {
+			this.#picker.removeTried(target);
+		}
+
+		if (!isNotSent(failure)) {
 			this.#sentCount++;
 		}
 
-		if (failure !== 'unsent' && failure !== 'refused') {
+		if (!isNotSent(failure) && failure !== 'refused') {
 			this.#possibleRunCount++;
 		}
 
@@ -421,16 +425,17 @@
 	}
 
 	/** Makes another attempt certain, so that the one in progress may be given up. */
-	async #reserveRetry(signal: AbortSignal): Promise<boolean> {
-		const denial = this.#findReservationDenial() ?? await this.#prepareRetry(signal);
+	async #reserveRetry(signal: AbortSignal, isSent: boolean): Promise<boolean> {
+		const denial = this.#findReservationDenial(isSent) ?? await this.#prepareRetry(signal, isSent);
 		this.#record.recordRetryDenial(denial);
 		return this.#reservedTarget !== undefined;
 	}
 
 	/** Returns why the attempt in progress cannot be replaced by another one now; `undefined` if it can be. */
-	#findReservationDenial(): RetryDenial | undefined {
-		const state = this.#stateAfter('silent');
-		const denial = findRetryDenial({...state, sentCount: state.sentCount + 1, possibleRunCount: state.possibleRunCount + 1});
+	#findReservationDenial(isSent: boolean): RetryDenial | undefined {
+		const state = this.#stateAfter(isSent ? 'silent' : 'withdrawn');
+		const sent = isSent ? 1 : 0;
+		const denial = findRetryDenial({...state, sentCount: state.sentCount + sent, possibleRunCount: state.possibleRunCount + sent});
 		if (denial) {
 			return denial;
 		}
@@ -439,7 +444,7 @@
 			return 'unreachable';
 		}
 
-		if (!this.context.retryBudget(this.#service).canSpend(this.context.clock.now())) {
+		if (isSent && !this.context.retryBudget(this.#service).canSpend(this.context.clock.now())) {
 			return 'no_budget';
 		}
 
@@ -450,7 +455,7 @@
 	 * Reserves inputs, a target with a place and a retry. The retry is spent last, and only if the attempt in progress is
 	 * still to be given up. Returns why there is no other attempt; `undefined` if there is one, or none is needed any more.
 	 */
-	async #prepareRetry(signal: AbortSignal): Promise<RetryDenial | undefined> {
+	async #prepareRetry(signal: AbortSignal, isSent: boolean): Promise<RetryDenial | undefined> {
 		const {clock, retryBudget} = this.context;
 		const newResults = this.#needsStages ? await this.#prepareStages(signal) : [];
 		const target = newResults && !signal.aborted ? await this.#picker.reservePlace({isProbed: true}) : undefined;
@@ -463,8 +468,8 @@
 			return 'no_inputs';
 		}
 
-		const denial = target?.isAccepting ? this.#findReservationDenial() : 'no_place';
-		if (denial !== undefined || !retryBudget(this.#service).spend(clock.now())) {
+		const denial = target?.isAccepting ? this.#findReservationDenial(isSent) : 'no_place';
+		if (denial !== undefined || (isSent && !retryBudget(this.#service).spend(clock.now()))) {
 			this.#freeResults(newResults);
 			return denial;
 		}
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -93,9 +93,10 @@
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	/**
 	 * Makes another attempt certain and resolves to true, or to false if there is none for now. The work of a target that is
-	 * silent is given up only after that. Aborted when the target makes progress or the attempt ends meanwhile.
+	 * silent is given up only after that. Aborted when the target makes progress or the attempt ends meanwhile. Unless
+	 * `isSent`, the attempt still waits for a connection, so that another one is no retry.
 	 */
-	readonly reserveRetry: (signal: AbortSignal) => Promise<boolean>;
+	readonly reserveRetry: (signal: AbortSignal, isSent: boolean) => Promise<boolean>;
 	/** Aborted when the caller disconnects or the deadline has passed. */
 	readonly signal: AbortSignal;
 	/** Called with the result of each probe that ends during the attempt. */
@@ -146,6 +147,7 @@
 	/** Time of the last data, or of the last complete event of a stream: single bytes of an event are no progress. */
 	#lastProgressMs: Ms;
 	#cancelSilenceCheck: CancelTimer = () => undefined;
+	#endUnsentWatch: () => void = () => undefined;
 	/** Whether a probe has failed since the last progress, so that the target counts as unreachable already. */
 	#isUnreachable = false;
 	/** Set while another attempt is being made certain. */
@@ -168,9 +170,21 @@
 		}
 
 		target.inFlight++;
+		if (!target.isAccepting) {
+			this.#withdraw();
+			return;
+		}
+
+		this.#endUnsentWatch = target.watchUnsent(() => {
+			this.#withdraw();
+		});
 		signal.addEventListener('abort', this.#onAbort, {once: true});
 		this.#scheduleSilenceCheck();
 		this.#exchange = startExchange(pools, request, {
+			onStart: () => {
+				this.#endUnsentWatch();
+				this.#recordProgress();
+			},
 			onHead: (status, headers) => {
 				this.#onHead(status, headers);
 			},
@@ -424,14 +438,27 @@
 
 		const reservation = new AbortController();
 		this.#reservation = reservation;
-		const isReserved = await this.options.reserveRetry(reservation.signal);
+		const isReserved = await this.options.reserveRetry(reservation.signal, this.#exchange!.isStarted);
 		this.#reservation = undefined;
 		if (isReserved && !reservation.signal.aborted) {
 			this.#leave(reason);
 		}
 	}
 
+	/** Ends the attempt, whose request waits for a connection. */
+	#withdraw(reason = 'the target accepts no more requests, or fewer'): void {
+		this.#exchange?.abort(reason);
+		this.#finish({
+			kind: 'failed', failure: 'withdrawn', reason, progress: this.#progress,
+		});
+	}
+
 	#leave(reason: string): void {
+		if (!this.#exchange!.isStarted) {
+			this.#withdraw(reason);
+			return;
+		}
+
 		if (!this.#isUnreachable) {
 			this.#recordOutcome(this.#isStream ? 'failed' : 'unreachable');
 		}
@@ -471,6 +498,7 @@
 		this.#isFinished = true;
 		this.#memory.release();
 		this.#cancelSilenceCheck();
+		this.#endUnsentWatch();
 		this.#reservation?.abort();
 		this.options.signal.removeEventListener('abort', this.#onAbort);
 		this.options.target.inFlight--;
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -24,6 +24,8 @@
 
 /** Callbacks of an exchange. Unless it is aborted, exactly one of `onEnd` and `onError` is called, as the last one. */
 export interface ExchangeListener {
+	/** Called once the request has a connection; it counts as sent from then on. */
+	onStart?(): void;
 	onHead(status: number, headers: HttpHeaders): void;
 	onData(chunk: Buffer): void;
 	onEnd(): void;
@@ -33,6 +35,8 @@
 
 /** An HTTP exchange in progress. */
 export interface Exchange {
+	/** Whether the request has had a connection; until then, no byte of it can have reached the target. */
+	readonly isStarted: boolean;
 	/** Closes the connection; no further callback is called. */
 	abort(reason: string): void;
 	pause(): void;
@@ -78,6 +82,10 @@
 
 	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined, private readonly method: string) {}
 
+	get isStarted(): boolean {
+		return this.#controller !== undefined;
+	}
+
 	abort(reason: string): void {
 		if (this.#isEnded) {
 			return;
@@ -104,6 +112,7 @@
 		}
 
 		this.#controller = controller;
+		this.listener.onStart?.();
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: HttpHeaders): void {
--- a/src/relay/target-picker.ts
+++ b/src/relay/target-picker.ts
@@ -48,6 +48,11 @@
 		this.#tried.add(target);
 	}
 
+	/** Takes a target in again, to which the request was not sent after all. */
+	removeTried(target: RelayTarget): void {
+		this.#tried.delete(target);
+	}
+
 	/**
 	 * Returns the best target that was not tried; with `isWithinLimits`, one that may have a place within the limit that it
 	 * names, and with `isReachable`, one that was not unreachable or busy just now.
