Show the bytes held of requests and responses

Adds guavamill_relay_request_bytes and guavamill_relay_response_bytes, and a log line from 32 MiB of requests on.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -130,6 +130,8 @@
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
+		requestBytes: () => this.#server.requestBytes,
+		responseBytes: () => this.#responseMemory.bytes,
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
 		quarantined: () => this.#quarantine.size,
@@ -158,6 +160,7 @@
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
+	readonly #responseMemory: ResponseMemory;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -167,6 +170,7 @@
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
+		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
 			clock,
@@ -404,7 +408,7 @@
 				codec: options.codec,
 				registry: this.#registry,
 				pools: this.#pools,
-				memory: ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')}),
+				memory: this.#responseMemory,
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -15,6 +15,9 @@
 	readonly targetsAgeMs: () => Ms;
 	readonly targets: () => number;
 	readonly inFlight: () => number;
+	/** Bytes of the bodies of callers' requests that are held, and of the responses of targets. */
+	readonly requestBytes: () => number;
+	readonly responseBytes: () => number;
 	readonly entryVms: () => number;
 	/** Number of targets that name a limit. */
 	readonly limitedTargets: () => number;
@@ -74,6 +77,8 @@
 		gauge('guavamill_relay_targets_age_seconds', 'Time since the store last answered about targets.', () => sources.targetsAgeMs() / 1000);
 		gauge('guavamill_relay_targets', 'Targets known.', sources.targets);
 		gauge('guavamill_relay_in_flight', 'Requests whose answers are not sent yet.', sources.inFlight);
+		gauge('guavamill_relay_request_bytes', 'Bytes held of the requests of callers.', sources.requestBytes);
+		gauge('guavamill_relay_response_bytes', 'Bytes held of the responses of targets.', sources.responseBytes);
 		gauge('guavamill_relay_entry_vms', 'Entry VMs known, this one included.', sources.entryVms);
 		gauge('guavamill_relay_limited_targets', 'Targets that name a limit of requests per second.', sources.limitedTargets);
 		gauge('guavamill_relay_quarantined_prompt_parts', 'Sets of prompt parts with which requests are rejected, and single requests that are, since they crash targets.', sources.quarantined);
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -25,6 +25,9 @@
 const keepAliveMarginMs: Ms = 1000;
 /** Interval of the checks for callers that send a request too slowly. */
 const checkIntervalMs: Ms = 1000;
+/** Bytes of requests from which they are logged, and the time between two such lines. */
+const loggedRequestBytes = 32 * 1024 * 1024;
+const requestBytesLogIntervalMs: Ms = 5000;
 
 /** Options of `RelayServer`. */
 export interface RelayServerOptions {
@@ -55,6 +58,8 @@
 	/** Aborted when the requests in progress are ended. */
 	readonly #endController = new AbortController();
 	#inFlight = 0;
+	#requestBytes = 0;
+	#requestBytesLoggedMs: Ms = -Infinity;
 	#port = 0;
 
 	private constructor(private readonly options: RelayServerOptions) {
@@ -76,6 +81,11 @@
 		return Math.max(this.#inFlight, this.#connections.activeRequests);
 	}
 
+	/** Bytes of the bodies of requests in progress, received so far. */
+	get requestBytes(): number {
+		return this.#requestBytes;
+	}
+
 	/** Applies the caller limits of a configuration. */
 	applyLimits(table: RouteTable): void {
 		const {headerTimeoutMs, idleTimeoutMs} = table.declarations.limits;
@@ -115,8 +125,16 @@
 		// The `close` event that follows a connection error ends the request.
 		res.on('error', () => undefined);
 		this.#inFlight++;
+		let bodyBytes = 0;
 		try {
-			const body = await readBody(req, this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes, this.#endController.signal);
+			const body = await readBody(req, {
+				maxBytes: this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes,
+				signal: this.#endController.signal,
+				onBytes: bytes => {
+					this.#countBytes(bytes - bodyBytes);
+					bodyBytes = bytes;
+				},
+			});
 			if (typeof body === 'string') {
 				this.#endIncomplete(req, res, {cause: body, arrivedMs});
 			} else {
@@ -133,6 +151,16 @@
 			}
 		} finally {
 			this.#inFlight--;
+			this.#countBytes(-bodyBytes);
+		}
+	}
+
+	#countBytes(change: number): void {
+		const {clock, logger} = this.options.context;
+		this.#requestBytes += change;
+		if (change > 0 && this.#requestBytes >= loggedRequestBytes && clock.now() - this.#requestBytesLoggedMs >= requestBytesLogIntervalMs) {
+			this.#requestBytesLoggedMs = clock.now();
+			logger.warn('The bodies of requests hold much memory.', {bytes: this.#requestBytes, requests: this.#inFlight});
 		}
 	}
 
@@ -216,8 +244,8 @@
 /** Why a body was not received as a whole: it exceeds the limit, its caller left, or the requests in progress were ended. */
 type IncompleteBody = 'too_large' | 'disconnected' | 'ended';
 
-/** Resolves with the body, or with why it is not received: `ended` if `signal` was aborted before its end. */
-async function readBody(req: IncomingMessage, maxBytes: number, signal: AbortSignal): Promise<Buffer | IncompleteBody> {
+/** Resolves with the body, or with why it is not received: `ended` if `signal` was aborted before its end. `onBytes` is told the bytes held. */
+async function readBody(req: IncomingMessage, {maxBytes, signal, onBytes}: {maxBytes: number; signal: AbortSignal; onBytes: (bytes: number) => void}): Promise<Buffer | IncompleteBody> {
 	return new Promise(resolve => {
 		const onAbort = () => {
 			resolve('ended');
@@ -233,6 +261,7 @@
 				resolve('too_large');
 			} else {
 				body.append(chunk);
+				onBytes(body.capacity);
 			}
 		});
 		req.on('end', () => {
