Let streams go on when a SIGHUP shortens the grace period of a drain

A shorter grace period was taken as the time of the forced end for all work. That time is set with SIGTERM. A stream in progress gains nothing by an earlier end: it is cut by it in either case. It now goes on until the end that SIGTERM set; all that can still be planned (admission, waiting, retries, requests whose response has not begun) follows the shorter one, and one that is over already is not followed, since the process has not been killed by it. A log line says which.

The test of a shorter and a longer one holds as it was. In shutdown-schedule.test.ts the calls got the new argument, the time of the change; their expectations are the same.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -285,13 +285,26 @@
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
 		const isChanged = JSON.stringify(retryLimits) !== JSON.stringify(this.#limits.retryLimits);
 		this.#limits = {retryLimits, graceMs};
-		this.#shutdownSchedule = this.#shutdownSchedule?.withGrace(graceMs);
+		this.#changeSchedule(graceMs);
 		if (isChanged) {
 			this.#retryBudgets.clear();
 			this.#poolHost.setRetryLimits(retryLimits);
 		}
 	}
 
+	/** Applies a changed grace period to a shutdown in progress. */
+	#changeSchedule(graceMs: Ms): void {
+		const {clock, createLogger} = this.options;
+		const schedule = this.#shutdownSchedule;
+		if (schedule) {
+			const now = clock.now();
+			this.#shutdownSchedule = schedule.withGrace(graceMs, now);
+			createLogger('entry-vm').info(this.#shutdownSchedule === schedule ? 'Kept the end of the shutdown.' : 'Brought the end of the shutdown forward.', {
+				grace_ms: graceMs, end_in_ms: Math.round(this.#shutdownSchedule.endMs - now), last_end_in_ms: Math.round(schedule.lastEndMs - now), in_flight: this.#server.inFlight,
+			});
+		}
+	}
+
 	/** Port to which callers connect. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -325,14 +338,20 @@
 		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
 			this.#server.rejectLate();
-			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.endMs - clock.now())));
+			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.nextEndMs(clock.now()) - clock.now())));
 			const now = clock.now();
 			schedule = this.#shutdownSchedule;
 			if (now >= schedule.acceptUntilMs) {
 				this.#server.closeIdleConnections();
 			}
 
-			if ((now >= schedule.idleStopMs && this.#server.inFlight === 0 && this.#stages.hostedPlans === 0) || now >= schedule.endMs) {
+			const isOver = now >= schedule.endMs;
+			if (isOver && now < schedule.lastEndMs) {
+				this.#server.endUnanswered();
+			}
+
+			const isIdle = this.#server.inFlight === 0 && (isOver || this.#stages.hostedPlans === 0);
+			if ((now >= schedule.idleStopMs && isIdle) || now >= schedule.lastEndMs) {
 				this.#lifecycle.send({type: 'STOP'});
 			}
 		}
--- a/src/relay/forwarded-request.ts
+++ b/src/relay/forwarded-request.ts
@@ -67,6 +67,13 @@
 		// Nothing to do: only `end` breaks it off.
 	}
 
+	/** Ends the request with an answer that is true, unless its response has begun. */
+	endUnanswered(): void {
+		if (!this.request.res.headersSent) {
+			this.end();
+		}
+	}
+
 	/** Ends the request, wherever it is, with an answer that is true. */
 	end(): void {
 		this.#fail(502, 'shutting down');
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -96,6 +96,13 @@
 		}
 	}
 
+	/** Ends the requests in progress whose responses have not begun with an answer; those that have not arrived completely are refused once they have. */
+	endUnanswered(): void {
+		for (const handler of this.#handlers) {
+			handler.endUnanswered();
+		}
+	}
+
 	/** Ends all requests in progress with an answer, those that have not arrived completely too, or resets the connections of streams that have begun. */
 	endRequests(): void {
 		this.#endController.abort();
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -130,6 +130,13 @@
 		}
 	}
 
+	/** Ends the request with an answer that is true, unless its response has begun. */
+	endUnanswered(): void {
+		if (!this.request.res.headersSent) {
+			this.end();
+		}
+	}
+
 	/** Ends the request, wherever it is, with an answer that is true. */
 	end(): void {
 		this.#end('shutting_down');
@@ -292,7 +299,7 @@
 				headers: codec.encodeTargetHeaders(head, {
 					targetId: target.id,
 					team: team?.name,
-					remainingMs: this.#timeBudget.remainingMs(startedMs, context.shutdown()?.targetDeadlineMs),
+					remainingMs: this.#timeBudget.remainingMs(startedMs, context.shutdown()?.deadlineOfTarget({hasBegun: this.#streamWriter?.hasHead === true})),
 					urgency: prompt ? Math.min(9, this.#priority * 2) : undefined,
 					inputs,
 					lastEventId: this.#streamWriter?.lastEventId === undefined ? head.lastEventId : String(this.#streamWriter.lastEventId),
@@ -604,7 +611,7 @@
 		}
 
 		context.logger.info('Ended a request that could not be completed before the end of the shutdown.', {
-			id: request.attemptId, from: durations, time_ms: Math.round(this.#timeBudget.deadlineMs - now), left_ms: Math.round(context.shutdown()!.targetDeadlineMs - now), recent: context.durations[durations].estimate(request.route.name, this.#size, now),
+			id: request.attemptId, from: durations, time_ms: Math.round(this.#timeBudget.deadlineMs - now), left_ms: Math.round(context.shutdown()!.deadlineOfTarget({hasBegun: this.#streamWriter?.hasHead === true}) - now), recent: context.durations[durations].estimate(request.route.name, this.#size, now),
 		});
 		this.#end('shutting_down');
 		return true;
--- a/src/relay/shutdown-schedule.test.ts
+++ b/src/relay/shutdown-schedule.test.ts
@@ -41,9 +41,23 @@
 	});
 
 	it('follows a grace period that becomes shorter, and no longer one', () => {
-		expect(schedule.withGrace(4000).endMs).toBe(4500);
-		expect(schedule.withGrace(4000).withGrace(9000).endMs).toBe(4500);
-		expect(schedule.withGrace(9000)).toBe(schedule);
+		expect(schedule.withGrace(4000, 2000).endMs).toBe(4500);
+		expect(schedule.withGrace(4000, 2000).withGrace(9000, 2000).endMs).toBe(4500);
+		expect(schedule.withGrace(9000, 2000)).toBe(schedule);
+	});
+
+	// Guards against streams that are cut at a sound engine since the settings change.
+	it('lets streams that have begun go on until the end that was set at first', () => {
+		const shorter = schedule.withGrace(6000, 2000).withGrace(4000, 2000);
+		expect([shorter.endMs, shorter.lastEndMs]).toEqual([4500, schedule.endMs]);
+		expect([shorter.nextEndMs(4499), shorter.nextEndMs(4500)]).toEqual([4500, 8500]);
+		expect([shorter.canGoOn(7900), shorter.canGoOn(7901)]).toEqual([true, false]);
+		expect([shorter.deadlineOfTarget({hasBegun: true}), shorter.deadlineOfTarget({hasBegun: false})]).toEqual([8400, 4400]);
+	});
+
+	it('does not follow one that is over already', () => {
+		expect(schedule.withGrace(4000, 5000)).toBe(schedule);
+		expect(schedule.withGrace(4000, 4999).endMs).toBe(4500);
 	});
 
 	// Guards against requests that may not be repeated and are cut at a target.
--- a/src/relay/shutdown-schedule.ts
+++ b/src/relay/shutdown-schedule.ts
@@ -39,11 +39,11 @@
  * schedule.canComplete(request, clock.now());
  */
 export class ShutdownSchedule {
-	static create(options: {startedMs: Ms; graceMs: Ms}): ShutdownSchedule {
-		return new ShutdownSchedule(options.startedMs, options.graceMs);
+	static create({startedMs, graceMs}: {startedMs: Ms; graceMs: Ms}): ShutdownSchedule {
+		return new ShutdownSchedule(startedMs, graceMs, endOf(startedMs, graceMs));
 	}
 
-	/** Time at which the requests in progress are ended. */
+	/** Time at which the requests in progress are ended, except responses that have begun. */
 	readonly endMs: Ms;
 	/** Time until which new requests are accepted. */
 	readonly acceptUntilMs: Ms;
@@ -52,21 +52,36 @@
 	/** Deadline of targets: one that cannot answer by then answers that it has failed while this VM can still pass it on. */
 	readonly targetDeadlineMs: Ms;
 
-	private constructor(private readonly startedMs: Ms, private readonly graceMs: Ms) {
-		this.endMs = startedMs + Math.max(0, graceMs - Math.min(closeMargin.ms, graceMs * closeMargin.share));
+	/** `lastEndMs` is the time at which responses that have begun are ended: that of the grace period at SIGTERM. */
+	private constructor(private readonly startedMs: Ms, private readonly graceMs: Ms, readonly lastEndMs: Ms) {
+		this.endMs = endOf(startedMs, graceMs);
 		this.acceptUntilMs = Math.min(startedMs + acceptMs, this.endMs);
 		this.idleStopMs = Math.min(startedMs + minDrainMs, this.endMs);
 		this.targetDeadlineMs = this.endMs - answerMarginMs;
 	}
 
-	/** Returns the schedule for a changed grace period. A longer one changes nothing: the time of the forced end is set with SIGTERM. */
-	withGrace(graceMs: Ms): ShutdownSchedule {
-		return graceMs < this.graceMs ? ShutdownSchedule.create({startedMs: this.startedMs, graceMs}) : this;
+	/**
+	 * Returns the schedule for a changed grace period. A longer one changes nothing: the time of the forced end is set with
+	 * SIGTERM. A shorter one may or may not move it, so that other requests end by the shorter one, but responses that have
+	 * begun, which would be cut in either case, go on. One that is over already does not count: the process still runs.
+	 */
+	withGrace(graceMs: Ms, now: Ms): ShutdownSchedule {
+		return graceMs < this.graceMs && this.startedMs + graceMs > now ? new ShutdownSchedule(this.startedMs, graceMs, this.lastEndMs) : this;
+	}
+
+	/** Next time at which something ends. */
+	nextEndMs(now: Ms): Ms {
+		return now < this.endMs ? this.endMs : this.lastEndMs;
+	}
+
+	/** Deadline of the target of a request; a stream that has begun has until the last end. */
+	deadlineOfTarget({hasBegun}: {hasBegun: boolean}): Ms {
+		return hasBegun ? this.lastEndMs - answerMarginMs : this.targetDeadlineMs;
 	}
 
 	/** Whether a stream that has begun can go on at another target for long enough to be worth it; it is broken off in either case if it does not end before. */
 	canGoOn(now: Ms): boolean {
-		return now + minRunMs <= this.targetDeadlineMs;
+		return now + minRunMs <= this.deadlineOfTarget({hasBegun: true});
 	}
 
 	/** Whether a request that is sent to a target now can end before this VM does. */
@@ -75,6 +90,10 @@
 	}
 }
 
+function endOf(startedMs: Ms, graceMs: Ms): Ms {
+	return startedMs + Math.max(0, graceMs - Math.min(closeMargin.ms, graceMs * closeMargin.share));
+}
+
 /**
  * Returns the time that a request is given. One that may be repeated costs its caller little if it is cut after all, so its
  * typical duration is enough. One that may not be repeated is lost then: it needs its whole time budget, unless recent
