Log why a process ends, memory near its limit, and unhandled errors by place

Each end that the process decides now has a last line 'Exiting.' with its status, reason, uptime and the number of unhandled errors by place. 'Memory is near its limit.' comes at 0.75, 0.85 and 0.95 of the heap limit of the engine (status 134, SIGABRT) or of the machine's memory (137), once each on the way up and every 10 s, and is written without the usual delay of 100 ms. Unhandled errors are logged by the function that threw them, the first with its stack, further ones counted once a second.

And a line that waits for its write is lost with the process: the test with an engine that runs out of heap saw 0 lines before both were changed.

--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -4,3 +4,4 @@
 export {FindingsError} from './findings-error.js';
 export {GuavamillError} from './guavamill-error.js';
 export {zodFindings} from './zod-findings.js';
+export {UnhandledErrors, type UnhandledErrorsOptions} from './unhandled-errors.js';
--- a/src/logging/line-sink.ts
+++ b/src/logging/line-sink.ts
@@ -56,6 +56,15 @@
 		return true;
 	}
 
+	/** Starts to write the buffered lines, unless a write is in progress, after which they follow. */
+	flush(): void {
+		const bytes = this.#isWriting ? undefined : this.#drainBuffer();
+		if (bytes) {
+			this.#isWriting = true;
+			this.#writeAll(bytes);
+		}
+	}
+
 	/** Writes the buffered lines synchronously. Blocks on a slow reader, so it is meant for process exit. */
 	flushSync(): void {
 		const bytes = this.#drainBuffer();
@@ -73,19 +82,11 @@
 			this.#isScheduled = true;
 			this.clock.after(flushIntervalMs, () => {
 				this.#isScheduled = false;
-				this.#flush();
+				this.flush();
 			});
 		}
 	}
 
-	#flush(): void {
-		const bytes = this.#drainBuffer();
-		if (bytes) {
-			this.#isWriting = true;
-			this.#writeAll(bytes);
-		}
-	}
-
 	#writeAll(bytes: Buffer): void {
 		this.writeBytes(this.fd, bytes, (err, written) => {
 			if (!err && written < bytes.length) {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -28,6 +28,7 @@
 import {startControlServer, type ControlServer} from './control-server.js';
 import {EventLoopWatch} from './event-loop-watch.js';
 import {judgeDeclarations} from './judge-declarations.js';
+import {MemoryWatch, readMemory} from './memory-watch.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import {TargetNews} from './target-news.js';
 import {TopicDistributor} from './topic-distributor.js';
@@ -86,6 +87,8 @@
 	readonly metrics: ListenAddress;
 	readonly clock: Clock;
 	readonly createLogger: LoggerFactory;
+	/** Starts to write the lines that have been logged, without waiting for more. */
+	readonly flushLog?: (() => void) | undefined;
 	readonly seed: number;
 	readonly codec: RelayCodec;
 	readonly stageTargets: StageTargetPort;
@@ -133,6 +136,7 @@
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
 		quarantined: () => this.#quarantine.size,
+		memory: readMemory,
 		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
 	});
 
@@ -157,6 +161,7 @@
 	readonly #drainingReports: DrainingReports;
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
+	readonly #memoryWatch: MemoryWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
@@ -268,6 +273,7 @@
 				this.#metrics.recordHeldUp(delayMs);
 			},
 		});
+		this.#memoryWatch = MemoryWatch.create({clock, logger: createLogger('entry-vm'), onLogged: options.flushLog});
 		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
 		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
 		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#targetNews.isNews(record)});
@@ -302,6 +308,11 @@
 		return this.#server.inFlight;
 	}
 
+	/** Counts an error that nothing handled, by the place that threw it. */
+	recordUnhandledError(place: string): void {
+		this.#metrics.recordUnhandledError(place);
+	}
+
 	/** Version of the current configuration; -1 before the first. */
 	get configVersion(): number {
 		return this.#table?.version ?? -1;
@@ -368,6 +379,7 @@
 		this.#quarantineFollower.stop();
 		this.#quarantine.close();
 		this.#eventLoopWatch.close();
+		this.#memoryWatch.close();
 		this.#reach.close();
 		this.#stages.close();
 		await this.#server.close();
@@ -441,6 +453,7 @@
 		this.#quarantineFollower.start();
 		this.#quarantine.start();
 		this.#eventLoopWatch.start();
+		this.#memoryWatch.start();
 		void this.#startMesh();
 		options.storeEras.onChange(() => {
 			void this.#restoreLinkKey();
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -18,6 +18,8 @@
 	readonly entryVms: () => number;
 	/** Number of targets that name a limit. */
 	readonly limitedTargets: () => number;
+	/** Memory of the process. */
+	readonly memory: () => {readonly heapBytes: number; readonly heapLimitBytes: number; readonly residentBytes: number};
 	/** Number of quarantined sets of prompt parts and quarantined requests. */
 	readonly quarantined: () => number;
 	/** Number of pieces queued at this pool host, by service. */
@@ -52,6 +54,10 @@
 		name: 'guavamill_relay_event_loop_held_seconds_total', help: 'Time for which the event loop was held up for longer than callers should notice.', registers: [this.registry],
 	});
 
+	readonly #unhandledErrors = new Counter({
+		name: 'guavamill_relay_unhandled_errors_total', help: 'Errors that nothing handled, by the place that threw them.', labelNames: ['place'], registers: [this.registry],
+	});
+
 	readonly #firstByte = new Histogram({
 		name: 'guavamill_relay_first_byte_seconds', help: 'Time from arrival to the first byte of a target\'s answer.', buckets: secondsBuckets, registers: [this.registry],
 	});
@@ -77,6 +83,9 @@
 		gauge('guavamill_relay_entry_vms', 'Entry VMs known, this one included.', sources.entryVms);
 		gauge('guavamill_relay_limited_targets', 'Targets that name a limit of requests per second.', sources.limitedTargets);
 		gauge('guavamill_relay_quarantined_prompt_parts', 'Sets of prompt parts with which requests are rejected, and single requests that are, since they crash targets.', sources.quarantined);
+		gauge('guavamill_relay_heap_bytes', 'Heap in use, without the young generation.', () => sources.memory().heapBytes);
+		gauge('guavamill_relay_heap_limit_bytes', 'Limit of the heap, beyond which the engine ends the process.', () => sources.memory().heapLimitBytes);
+		gauge('guavamill_relay_resident_bytes', 'Resident memory of the process.', () => sources.memory().residentBytes);
 		// eslint-disable-next-line no-new -- The constructor registers the gauge with the registry.
 		new Gauge({
 			name: 'guavamill_stage_backlog_pieces',
@@ -116,6 +125,11 @@
 		this.#heldUp.inc(delayMs / 1000);
 	}
 
+	/** Records an error that nothing handled. */
+	recordUnhandledError(place: string): void {
+		this.#unhandledErrors.inc({place});
+	}
+
 	/** Records the duration of the stages of a request. */
 	recordStages(tookMs: Ms): void {
 		this.#stages.observe(tookMs / 1000);
