Tell callers of a stage pool of ends only when its state is consistent

Ends are collected while the pool works and told at the end of each call; one that throws does not keep the others from being told; a job of a known id fails; a piece belongs to its job, not to the job of that id.

--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -89,6 +89,11 @@
 	/** Jobs of running plans that will be submitted once the preceding stages have ended. */
 	readonly #announced = new Map<string, {job: JobUrgency; pieces: number}>();
 	readonly #throughput = ThroughputEstimator.create();
+	/**
+	 * What callers are still to be told. They may react at once by a call of this pool, such as to cancel the other jobs of a
+	 * plan, so that they are told only when its state is consistent.
+	 */
+	readonly #notices: Array<() => void> = [];
 	#limits: StagePoolLimits;
 	#budget: ServiceRetryBudget;
 	#nextCallId = 1;
@@ -156,7 +161,7 @@
 		}
 	}
 
-	/** Queues a job; `onEnd` is called once, possibly synchronously. */
+	/** Queues a job; `onEnd` is called once, possibly synchronously. A job whose id is that of one in the pool fails. */
 	submit(job: StageJob, onEnd: (outcome: StageJobOutcome) => void, now: Ms): void {
 		this.#budget.recordRequest(now);
 		this.#announced.delete(job.id);
@@ -165,6 +170,11 @@
 			return;
 		}
 
+		if (this.#jobs.has(job.id)) {
+			onEnd({failure: 'failed', retryAfterMs: this.#limits.callMs});
+			return;
+		}
+
 		this.#jobs.set(job.id, {
 			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, onEnd,
 		});
@@ -181,6 +191,7 @@
 		const state = this.#jobs.get(id);
 		if (state) {
 			this.#fail(state, 'cancelled');
+			this.#notify();
 		}
 	}
 
@@ -221,6 +232,7 @@
 	 */
 	nextCalls(now: Ms, share = 1): StageCall[] {
 		this.#shedJobs(now);
+		this.#notify();
 		if (this.backlog === 0) {
 			return [];
 		}
@@ -275,6 +287,8 @@
 
 			this.#endPiece(piece, result, end, now);
 		}
+
+		this.#notify();
 	}
 
 	/** Returns the time at which `nextCalls` should be called again even without an event, or `undefined` when nothing waits. */
@@ -371,9 +385,10 @@
 
 	#endPiece({job, piece}: CalledPiece, result: PieceResult, end: StageCallOutcome, now: Ms): void {
 		const state = this.#jobs.get(job.id);
-		if (!state) {
+		// The job may have ended, and its id be that of a new one.
+		if (state?.job !== job) {
 			if ('handle' in result) {
-				this.options.onUnused(result.handle);
+				this.#reportUnused(result.handle);
 			}
 
 			return;
@@ -383,8 +398,7 @@
 		if ('handle' in result) {
 			state.results[piece] = result.handle;
 			if (state.results.every(handle => handle !== undefined)) {
-				this.#jobs.delete(job.id);
-				state.onEnd({results: state.results});
+				this.#end(state, {results: state.results});
 			}
 
 			return;
@@ -426,13 +440,41 @@
 	}
 
 	#fail(state: JobState, failure: StageFailure, retryAfterMs = this.#limits.callMs): void {
-		this.#jobs.delete(state.job.id);
 		for (const handle of state.results) {
 			if (handle !== undefined) {
-				this.options.onUnused(handle);
+				this.#reportUnused(handle);
+			}
+		}
+
+		this.#end(state, {failure, retryAfterMs});
+	}
+
+	#end(state: JobState, outcome: StageJobOutcome): void {
+		this.#jobs.delete(state.job.id);
+		this.#notices.push(() => {
+			state.onEnd(outcome);
+		});
+	}
+
+	#reportUnused(handle: string): void {
+		this.#notices.push(() => {
+			this.options.onUnused(handle);
+		});
+	}
+
+	/** Tells callers what has ended; an error of one of them is thrown after the others have been told. */
+	#notify(): void {
+		const errors: unknown[] = [];
+		for (let notice = this.#notices.shift(); notice; notice = this.#notices.shift()) {
+			try {
+				notice();
+			} catch (err) {
+				errors.push(err);
 			}
 		}
 
-		state.onEnd({failure, retryAfterMs});
+		if (errors.length > 0) {
+			throw errors[0];
+		}
 	}
 }
