Pass a request on only once the response before it leaves its connection open

Callers that send requests on one connection before they have read the answer to the one before lost them: all were passed on at once, then the first answer closed the connection (each does in a drain, and at any time one without a length or a stream that is broken off).

A request is now taken up once the response before it is written, and left out with its connection otherwise, so that no target has seen it. One whose time is over by then is refused as not run.

--- a/src/http/connection-tracker.test.ts
+++ b/src/http/connection-tracker.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {
 	afterEach, beforeEach, describe, expect, it,
@@ -90,4 +92,32 @@
 		await once(socket, 'close');
 		expect(bytes).toBeGreaterThan(largeBytes);
 	});
+
+	// Guards against requests that are passed on although the response before them closes their connection.
+	it.each([
+		{name: 'is written', end: (res: ServerResponse) => res.end('ok'), isUsed: true},
+		{name: 'closes the connection', end: (res: ServerResponse) => res.setHeader('connection', 'close').end('ok'), isUsed: false},
+		{name: 'is broken off', end: (res: ServerResponse) => res.socket!.resetAndDestroy(), isUsed: false},
+	])('lets requests wait for the responses before them, until the first $name', async ({end, isUsed}) => {
+		const requests: Array<{req: IncomingMessage; res: ServerResponse}> = [];
+		const all = new Promise<void>(resolve => {
+			server.on('request', (req, res) => {
+				requests.push({req, res});
+				if (requests.length === 3) {
+					resolve();
+				}
+			});
+		});
+		await open('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3), 'connection');
+		await all;
+		expect(requests.map(({res}) => tracker.hasToWait(res))).toEqual([false, true, true]);
+		const [first, second, third] = requests;
+		const turns = [second!, third!].map(async ({req, res}) => {
+			const isTurn = await tracker.waitForTurn(req, res);
+			res.end('ok');
+			return isTurn;
+		});
+		end(first!.res);
+		expect(await Promise.all(turns)).toEqual([isUsed, isUsed]);
+	});
 });
--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -1,10 +1,11 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Requests in progress on a connection, and its bytes up to the end of its last one. */
+/** Requests in progress on a connection, its bytes up to the end of its last one, and the response to its latest one. */
 interface ConnectionState {
 	activeRequests: number;
 	bytesRead: number;
+	latest: ServerResponse | undefined;
 }
 
 /**
@@ -22,15 +23,18 @@
 	}
 
 	readonly #connections = new Map<Socket, ConnectionState>();
+	/** Responses that come before others on the same connection and were not written when these were requested. */
+	readonly #previous = new WeakMap<ServerResponse, ServerResponse>();
 
 	private constructor(server: Server) {
 		server.on('connection', (socket: Socket) => {
-			this.#connections.set(socket, {activeRequests: 0, bytesRead: 0});
+			this.#connections.set(socket, {activeRequests: 0, bytesRead: 0, latest: undefined});
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
 		});
-		server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+		// Before the listener that handles the request.
+		server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
 			this.#track(req.socket, res);
 		});
 	}
@@ -45,6 +49,30 @@
 		return count;
 	}
 
+	/** Whether a response before this one on the same connection is not written yet. */
+	hasToWait(res: ServerResponse): boolean {
+		return this.#previous.get(res)?.closed === false;
+	}
+
+	/**
+	 * Resolves once the response before this one on the same connection is written, to whether the connection is still used
+	 * then: a response that closes it, or that is broken off, is its last one.
+	 */
+	async waitForTurn(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
+		const {socket} = req;
+		const previous = this.#previous.get(res);
+		if (previous && !previous.closed && !socket.destroyed) {
+			await new Promise<void>(resolve => {
+				// A response that never got its place on the connection is not told of the end of this.
+				for (const each of [previous, socket]) {
+					each.once('close', resolve);
+				}
+			});
+		}
+
+		return !socket.destroyed && !socket.writableEnded;
+	}
+
 	/** Closes the connections without a request in progress, part of a request included. */
 	closeIdle(): void {
 		for (const [socket, {activeRequests, bytesRead}] of this.#connections) {
@@ -60,6 +88,11 @@
 			return;
 		}
 
+		if (state.latest && !state.latest.closed) {
+			this.#previous.set(res, state.latest);
+		}
+
+		state.latest = res;
 		state.activeRequests++;
 		res.once('finish', () => {
 			state.activeRequests--;
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -123,6 +123,12 @@
 		res.on('error', () => undefined);
 		this.#inFlight++;
 		try {
+			// A request is passed on only once its answer can follow: the response before it may close the connection.
+			if (this.#connections.hasToWait(res) && !await this.#connections.waitForTurn(req, res)) {
+				logger.info('Left out a request behind the last response of its connection.', {id: codec.decodeCallerHead(req.rawHeaders).attemptId, waited_ms: Math.round(clock.now() - arrivedMs)});
+				return;
+			}
+
 			const body = await readBody(req, this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes, this.#endController.signal);
 			if (typeof body === 'string') {
 				this.#endIncomplete(req, res, {cause: body, arrivedMs});
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -143,6 +143,12 @@
 	}
 
 	async #serve(): Promise<void> {
+		// It may have waited behind another one on its connection.
+		if (!this.#timeBudget.hasTime(this.context.clock.now())) {
+			this.#onTimeout();
+			return;
+		}
+
 		const cause = this.context.quarantine.causeOf(this.#suspectedParts);
 		if (cause) {
 			this.#onQuarantined(cause);
