Answer requests that came at once on a connection before a drain closes it

In a drain the response to a request behind which others wait now leaves the connection open; the last one closes it. What closes it in any case (a response without a length, a stream that is broken off) still passes none on.

--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -8,6 +8,14 @@
 	latest: ServerResponse | undefined;
 }
 
+/** Responses behind which others on the same connection wait. */
+const followed = new WeakSet<ServerResponse>();
+
+/** Whether further requests have arrived on the connection of a response, which would get no answer if it closed the connection. */
+export function isFollowed(res: ServerResponse): boolean {
+	return followed.has(res);
+}
+
 /**
  * Tracks which connections of a server are idle. Unlike `Server.closeIdleConnections`, it counts a request as in progress
  * until its response is written, not only until the response is complete in memory.
@@ -90,6 +98,7 @@
 
 		if (state.latest && !state.latest.closed) {
 			this.#previous.set(res, state.latest);
+			followed.add(state.latest);
 		}
 
 		state.latest = res;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,4 +1,4 @@
-export {ConnectionTracker} from './connection-tracker.js';
+export {ConnectionTracker, isFollowed} from './connection-tracker.js';
 export {GrowingBuffer} from './growing-buffer.js';
 export {closeServer, listen, type ListenAddress} from './listen.js';
 export {BodyError, readJsonBody} from './read-json-body.js';
--- a/src/relay/send-rejection.ts
+++ b/src/relay/send-rejection.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {isFollowed} from '../http/index.js';
 import type {Rejection} from './rejection.js';
 
 /** Sends a rejection to the caller. Its body reports `not_run` only with status 503. */
@@ -8,7 +9,7 @@
 		'content-type': 'application/json',
 		'content-length': body.length,
 		...(rejection.retryAfterMs === undefined ? {} : {'retry-after': (rejection.retryAfterMs / 1000).toFixed(2)}),
-		...(isClosing ? {connection: 'close'} : {}),
+		...(isClosing && !isFollowed(res) ? {connection: 'close'} : {}),
 	});
 	res.end(body);
 }
--- a/src/relay/write-response-head.ts
+++ b/src/relay/write-response-head.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {isFollowed} from '../http/index.js';
 import type {TargetResponse} from './target-attempt.js';
 
 /**
@@ -11,6 +12,6 @@
 	res.writeHead(status, {
 		...head.forwardedHeaders,
 		...(isFramed && options.bytes !== undefined ? {'content-length': options.bytes} : {}),
-		...(options.isClosing || !isFramed ? {connection: 'close'} : {}),
+		...((options.isClosing && !isFollowed(res)) || !isFramed ? {connection: 'close'} : {}),
 	});
 }
