--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -134,6 +134,12 @@
 		this.#inFlight++;
 		let bodyBytes = 0;
 		try {
+			// A request is passed on only once its answer can follow: the response before it may close the connection.
+			if (this.#connections.hasToWait(res) && !await this.#connections.waitForTurn(req, res)) {
+				logger.info('Left out a request behind the last response of its connection.', {id: codec.decodeCallerHead(req.rawHeaders).attemptId, waited_ms: Math.round(clock.now() - arrivedMs)});
+				return;
+			}
+
 			const body = await readBody(req, {
 				maxBytes: this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes,
 				signal: this.#endController.signal,
