--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -28,6 +28,7 @@
 import {startControlServer, type ControlServer} from './control-server.js';
 import {EventLoopWatch} from './event-loop-watch.js';
 import {judgeDeclarations} from './judge-declarations.js';
+import {MemoryWatch, readMemory} from './memory-watch.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import {TargetNews} from './target-news.js';
 import {TopicDistributor} from './topic-distributor.js';
@@ -86,6 +87,8 @@
 	readonly metrics: ListenAddress;
 	readonly clock: Clock;
 	readonly createLogger: LoggerFactory;
+	/** Starts to write the lines that have been logged, without waiting for more. */
+	readonly flushLog?: (() => void) | undefined;
 	readonly seed: number;
 	readonly codec: RelayCodec;
 	readonly stageTargets: StageTargetPort;
@@ -130,9 +133,12 @@
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
+		requestBytes: () => this.#server.requestBytes,
+		responseBytes: () => this.#responseMemory.bytes,
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
 		quarantined: () => this.#quarantine.size,
+		memory: readMemory,
 		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
 	});
 
@@ -157,7 +163,9 @@
 	readonly #drainingReports: DrainingReports;
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
+	readonly #memoryWatch: MemoryWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
+	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
@@ -168,6 +176,7 @@
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
+		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
 			clock,
@@ -280,6 +289,7 @@
 				this.#metrics.recordHeldUp(delayMs);
 			},
 		});
+		this.#memoryWatch = MemoryWatch.create({clock, logger: createLogger('entry-vm'), onLogged: options.flushLog});
 		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
 		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
 		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#targetNews.isNews(record)});
@@ -297,13 +307,26 @@
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
 		const isChanged = JSON.stringify(retryLimits) !== JSON.stringify(this.#limits.retryLimits);
 		this.#limits = {retryLimits, graceMs};
-		this.#shutdownSchedule = this.#shutdownSchedule?.withGrace(graceMs);
+		this.#changeSchedule(graceMs);
 		if (isChanged) {
 			this.#retryBudgets.clear();
 			this.#poolHost.setRetryLimits(retryLimits);
 		}
 	}
 
+	/** Applies a changed grace period to a shutdown in progress. */
+	#changeSchedule(graceMs: Ms): void {
+		const {clock, createLogger} = this.options;
+		const schedule = this.#shutdownSchedule;
+		if (schedule) {
+			const now = clock.now();
+			this.#shutdownSchedule = schedule.withGrace(graceMs, now);
+			createLogger('entry-vm').info(this.#shutdownSchedule === schedule ? 'Kept the end of the shutdown.' : 'Brought the end of the shutdown forward.', {
+				grace_ms: graceMs, end_in_ms: Math.round(this.#shutdownSchedule.endMs - now), last_end_in_ms: Math.round(schedule.lastEndMs - now), in_flight: this.#server.inFlight,
+			});
+		}
+	}
+
 	/** Port to which callers connect. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -314,6 +337,11 @@
 		return this.#server.inFlight;
 	}
 
+	/** Counts an error that nothing handled, by the place that threw it. */
+	recordUnhandledError(place: string): void {
+		this.#metrics.recordUnhandledError(place);
+	}
+
 	/** Version of the current configuration; -1 before the first. */
 	get configVersion(): number {
 		return this.#table?.version ?? -1;
@@ -337,14 +365,20 @@
 		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
 			this.#server.rejectLate();
-			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.endMs - clock.now())));
+			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.nextEndMs(clock.now()) - clock.now())));
 			const now = clock.now();
 			schedule = this.#shutdownSchedule;
 			if (now >= schedule.acceptUntilMs) {
 				this.#server.closeIdleConnections();
 			}
 
-			if ((now >= schedule.idleStopMs && this.#server.inFlight === 0 && this.#stages.hostedPlans === 0) || now >= schedule.endMs) {
+			const isOver = now >= schedule.endMs;
+			if (isOver && now < schedule.lastEndMs) {
+				this.#server.endUnanswered();
+			}
+
+			const isIdle = this.#server.inFlight === 0 && (isOver || this.#stages.hostedPlans === 0);
+			if ((now >= schedule.idleStopMs && isIdle) || now >= schedule.lastEndMs) {
 				this.#lifecycle.send({type: 'STOP'});
 			}
 		}
@@ -380,6 +414,7 @@
 		this.#quarantineFollower.stop();
 		this.#quarantine.close();
 		this.#eventLoopWatch.close();
+		this.#memoryWatch.close();
 		this.#reach.close();
 		this.#standby.close();
 		this.#stages.close();
@@ -417,7 +452,7 @@
 				codec: options.codec,
 				registry: this.#registry,
 				pools: this.#pools,
-				memory: ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')}),
+				memory: this.#responseMemory,
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
@@ -454,6 +489,7 @@
 		this.#quarantineFollower.start();
 		this.#quarantine.start();
 		this.#eventLoopWatch.start();
+		this.#memoryWatch.start();
 		void this.#startMesh();
 		options.storeEras.onChange(() => {
 			void this.#restoreLinkKey();
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -130,12 +130,25 @@
 		}
 	}
 
+	/** Ends the request with an answer that is true, unless its response has begun. */
+	endUnanswered(): void {
+		if (!this.request.res.headersSent) {
+			this.end();
+		}
+	}
+
 	/** Ends the request, wherever it is, with an answer that is true. */
 	end(): void {
 		this.#end('shutting_down');
 	}
 
 	async #serve(): Promise<void> {
+		// It may have waited behind another one on its connection.
+		if (!this.#timeBudget.hasTime(this.context.clock.now())) {
+			this.#onTimeout();
+			return;
+		}
+
 		const cause = this.context.quarantine.causeOf(this.#suspectedParts);
 		if (cause) {
 			this.#onQuarantined(cause);
@@ -292,7 +305,7 @@
 				headers: codec.encodeTargetHeaders(head, {
 					targetId: target.id,
 					team: team?.name,
-					remainingMs: this.#timeBudget.remainingMs(startedMs, context.shutdown()?.targetDeadlineMs),
+					remainingMs: this.#timeBudget.remainingMs(startedMs, context.shutdown()?.deadlineOfTarget({hasBegun: this.#streamWriter?.hasHead === true})),
 					urgency: prompt ? Math.min(9, this.#priority * 2) : undefined,
 					inputs,
 					lastEventId: this.#streamWriter?.lastEventId === undefined ? head.lastEventId : String(this.#streamWriter.lastEventId),
@@ -609,7 +622,7 @@
 		}
 
 		context.logger.info('Ended a request that could not be completed before the end of the shutdown.', {
-			id: request.attemptId, from: durations, time_ms: Math.round(this.#timeBudget.deadlineMs - now), left_ms: Math.round(context.shutdown()!.targetDeadlineMs - now), recent: context.durations[durations].estimate(request.route.name, this.#size, now),
+			id: request.attemptId, from: durations, time_ms: Math.round(this.#timeBudget.deadlineMs - now), left_ms: Math.round(context.shutdown()!.deadlineOfTarget({hasBegun: this.#streamWriter?.hasHead === true}) - now), recent: context.durations[durations].estimate(request.route.name, this.#size, now),
 		});
 		this.#end('shutting_down');
 		return true;
