Quarantine requests whose pieces crash stage targets

A request that ends the stage targets which work on its pieces crashed one after the other at each of its repeats: the host of the stage pools does not know whose request a piece belongs to, so that the quarantine saw none of it, and pieces of a call that was cut off went on together, with sound requests beside them at each crash.

The host now probes the target of a call that got no response and tells the entry VM whose plan was in it, with a new type of message that older builds ignore. That one knows the request and records the evidence. A job whose call was cut off goes to one target at a time and alone until one of its calls is completed, so that sound jobs are not suspected.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -153,6 +153,10 @@
 	z.strictObject({type: z.literal('reach-reply'), id, callers: z.string().max(linkLimits.nameLength).nullable()}),
 	// The sender leads its cell only if no other member can, until it says that this has ended.
 	z.strictObject({type: z.literal('standby'), isOn: z.boolean()}),
+	// A stage target has crashed during a call with pieces of the plan `id` of the receiver, which knows the request.
+	z.strictObject({
+		type: z.literal('stage-crash'), id, crash: z.string().min(1).max(linkLimits.crashLength), sentAgoMs: agoMs, brokenAgoMs: agoMs,
+	}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,8 +1,8 @@
 export {MeshStageRunner, type StageMessage} from './mesh-stage-runner.js';
-export {PoolHost, type PoolHostOptions} from './pool-host.js';
+export {PoolHost, type LostStageCall, type PoolHostOptions} from './pool-host.js';
 export {ServiceRetryBudget, type RetryLimits} from './service-retry-budget.js';
 export type {
-	PieceResult, StageCallOutcome, StageFailure, StageJob, StageJobOutcome, ZoneTransfer,
+	PieceResult, StageCallOutcome, StageCrash, StageFailure, StageJob, StageJobOutcome, ZoneTransfer,
 } from './stage-job.js';
 export {StagePool, type CalledPiece, type StageCall} from './stage-pool.js';
 export type {
--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -41,7 +41,7 @@
 		},
 		expectedCallMs: () => 100,
 		serviceLoads: () => [{service: 'archive', waitMs: 5, msPerPiece: 1}],
-		async run() {
+		async run(_plan: StagePlan): Promise<StagePlanOutcome> {
 			hostEvents.push('run');
 			return outcomes.shift() ?? {results: []};
 		},
@@ -93,6 +93,56 @@
 		expect(hostEvents).toEqual([]);
 	});
 
+	// Guards against requests that are never quarantined, since the host of the stage pools does not know them.
+	it('passes a crash on to the entry VM whose plan was in the call, also after the end of the plan', async () => {
+		const {stages, lead, clock} = create([]);
+		const crashes: unknown[] = [];
+		const host = fakeLink('host', sent => {
+			stages.receive(host as never, {type: 'stage-results', id: sent.id, results: []});
+		});
+		const receive = (id: number) => {
+			stages.receive(host as never, {
+				type: 'stage-crash', id, crash: 's-1 1000', sentAgoMs: 60, brokenAgoMs: 20,
+			});
+		};
+
+		lead(host);
+		await clock.advance(100);
+		await stages.run({...plan, onCrash: crash => crashes.push(crash)}, new AbortController().signal);
+		receive(1);
+		receive(2);
+		expect(crashes).toEqual([{crash: 's-1 1000', sentMs: 40, brokenMs: 80}]);
+		await clock.advance(3000);
+		receive(1);
+		expect(crashes).toHaveLength(1);
+	});
+
+	it('tells the entry VM whose plan it runs of a crash', async () => {
+		const {stages, host, clock} = create([]);
+		const sent: unknown[] = [];
+		let tell: StagePlan['onCrash'];
+		host.run = async ({onCrash}: StagePlan) => {
+			tell = onCrash;
+			return {results: []};
+		};
+
+		const peer = {
+			peer: {name: 'peer'}, send(message: unknown) {
+				sent.push(message);
+				return true;
+			},
+		};
+
+		await clock.advance(100);
+		stages.receive(peer as never, {
+			type: 'stage-plan', id: 7, attemptId: 'r1', stages: [], zone: 'riga-a', priority: 0, callInMs: 1000, deadlineInMs: 4000,
+		});
+		tell!({crash: 's-1 1000', sentMs: 40, brokenMs: 80});
+		expect(sent[0]).toEqual({
+			type: 'stage-crash', id: 7, crash: 's-1 1000', sentAgoMs: 60, brokenAgoMs: 20,
+		});
+	});
+
 	// Guards against plans that are run, and fail, at a host that has just found that it reaches no target.
 	it('sends back the plan of a peer while it is cut off, if another one leads', async () => {
 		const {stages, lead, hostEvents, cutOff} = create([]);
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -5,6 +5,7 @@
 import {ForeignHosts} from './foreign-hosts.js';
 import {ForeignResults} from './foreign-results.js';
 import type {PoolHost} from './pool-host.js';
+import type {StageCrash} from './stage-job.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
 import {objectiveMarginMs} from './stage-plan-run.js';
 
@@ -19,11 +20,13 @@
 const loadIntervalMs: Ms = 400;
 /** Time for a plan to travel to a host in another cell and back, across regions. */
 const foreignRoundTripMs: Ms = 50;
+/** Time after the end of a plan in which its host may still tell of a crash; the target is probed before. */
+const crashNewsMs: Ms = 3000;
 /** Maximum number of handles per message. */
 const handlesPerMessage = 1000;
 
 /** Link messages about stages. */
-export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free' | 'stage-load'};
+export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free' | 'stage-load' | 'stage-crash'};
 
 /**
  * Runs stage plans on the entry VM that leads the mesh, which hosts the stage pools for all entry VMs; the others send it
@@ -48,6 +51,8 @@
 	readonly #producers: ForeignResults<Link>;
 	#cancelReport: CancelTimer = () => undefined;
 	readonly #replies: PendingReplies<StagePlanOutcome>;
+	/** Listeners for crashes of targets that had pieces of plans sent to other hosts, by link and id of the plan. */
+	readonly #crashListeners = new Map<Link, Map<number, (crash: StageCrash) => void>>();
 	/** Plans of other entry VMs that run here, by link and id. */
 	readonly #peerPlans = new Map<Link, Map<number, AbortController>>();
 
@@ -172,6 +177,12 @@
 				break;
 			}
 
+			case 'stage-crash': {
+				const now = this.clock.now();
+				this.#crashListeners.get(link)?.get(message.id)?.({crash: message.crash, sentMs: now - message.sentAgoMs, brokenMs: now - message.brokenAgoMs});
+				break;
+			}
+
 			case 'stage-load': {
 				this.#foreignHosts.update(link.peer.name, message.services.map(([service, waitMs, msPerPiece]) => ({service, waitMs, msPerPiece})), this.clock.now());
 				break;
@@ -183,6 +194,7 @@
 	linkLost(link: Link): void {
 		this.#replies.linkLost(link);
 		this.#foreignHosts.remove(link.peer.name);
+		this.#crashListeners.delete(link);
 		for (const controller of this.#peerPlans.get(link)?.values() ?? []) {
 			controller.abort();
 		}
@@ -253,7 +265,7 @@
 
 	async #runRemotely(link: Link, plan: StagePlan, signal: AbortSignal, isSpilled = false): Promise<StagePlanOutcome | 'timeout' | 'link_lost' | 'unsent'> {
 		const now = this.clock.now();
-		const {callByMs, deadlineMs, pieceKey, stages, ...fields} = plan;
+		const {callByMs, deadlineMs, pieceKey, stages, onCrash, ...fields} = plan;
 		let planId = 0;
 		const cancel = () => {
 			link.send({type: 'stage-cancel', id: planId});
@@ -262,6 +274,7 @@
 		signal.addEventListener('abort', cancel, {once: true});
 		const reply = await this.#replies.request(link, Math.max(1, deadlineMs - now), id => {
 			planId = id;
+			this.#listenForCrashes(link, id, onCrash);
 			return link.send({
 				type: 'stage-plan',
 				id,
@@ -274,6 +287,9 @@
 			});
 		});
 		signal.removeEventListener('abort', cancel);
+		this.clock.after(crashNewsMs, () => {
+			this.#crashListeners.get(link)?.delete(planId);
+		});
 		if (reply === 'timeout') {
 			cancel();
 		}
@@ -281,6 +297,13 @@
 		return reply;
 	}
 
+	#listenForCrashes(link: Link, id: number, onCrash: StagePlan['onCrash']): void {
+		if (onCrash) {
+			const listeners = this.#crashListeners.get(link) ?? new Map<number, (crash: StageCrash) => void>();
+			this.#crashListeners.set(link, listeners.set(id, onCrash));
+		}
+	}
+
 	async #runForPeer(link: Link, message: StageMessage & {type: 'stage-plan'}): Promise<void> {
 		this.#noteLocalRun();
 		const {id, type, callInMs, deadlineInMs, pieceKey, isSpilled = false, ...fields} = message;
@@ -290,7 +313,16 @@
 		this.#peerPlans.set(link, plans);
 		plans.set(id, controller);
 		const plan = {
-			...fields, pieceKey, callByMs: now + callInMs, deadlineMs: now + deadlineInMs,
+			...fields,
+			pieceKey,
+			callByMs: now + callInMs,
+			deadlineMs: now + deadlineInMs,
+			onCrash: ({crash, sentMs, brokenMs}: StageCrash) => {
+				const atMs = this.clock.now();
+				link.send({
+					type: 'stage-crash', id, crash, sentAgoMs: atMs - sentMs, brokenAgoMs: atMs - brokenMs,
+				});
+			},
 		};
 		// The peer has sent the plan before it was told that this host is cut off.
 		const outcome: StagePlanOutcome = this.isCutOff() && this.mesh()?.leader()
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -10,7 +10,7 @@
 import {PlanForecast} from './plan-forecast.js';
 import {objectiveMarginMs, StagePlanRun, type PlanHost} from './stage-plan-run.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
-import {StagePool, type StageCall} from './stage-pool.js';
+import {StagePool, type CalledPiece, type StageCall} from './stage-pool.js';
 import type {StageTargetPort} from './stage-target-port.js';
 
 /** This host's fraction of the retry slack. The host of a pool sends nearly all its calls; the rest is left to a second host during a change of hosts. */
@@ -29,10 +29,20 @@
 	readonly isOwnZone: (zone: string) => boolean;
 	/** Called with a target that says in a response that it is draining. */
 	readonly onDraining?: (target: RelayTarget) => void;
+	/** Called with each call that was sent and got no whole response. */
+	readonly onLostCall?: (call: LostStageCall) => void;
 	/** Returns the current declaration of a service. */
 	readonly service: (name: string) => ServiceDeclaration | undefined;
 }
 
+/** A call that was sent and got no whole response. */
+export interface LostStageCall {
+	readonly target: RelayTarget;
+	readonly pieces: readonly CalledPiece[];
+	readonly sentMs: Ms;
+	readonly lostMs: Ms;
+}
+
 /** Urgency of a job behind all others that can meet their objectives. */
 const anyJobOnTime: JobUrgency = {
 	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
@@ -281,7 +291,7 @@
 	}
 
 	async #sendCall(service: string, pool: StagePool, call: StageCall): Promise<void> {
-		const {clock, port, logger, registry, onDraining} = this.options;
+		const {clock, port, logger, registry, onDraining, onLostCall} = this.options;
 		const startedMs = clock.now();
 		const target = registry.get(call.target.id);
 		const end = await port.run({...call, now: startedMs});
@@ -302,6 +312,12 @@
 			onDraining?.(target);
 		}
 
+		if (target && end.kind === 'unreachable' && end.lost) {
+			onLostCall?.({
+				target, pieces: call.pieces, sentMs: startedMs, lostMs: clock.now(),
+			});
+		}
+
 		pool.endCall(call.id, end, clock.now());
 		this.#dispatch(service);
 	}
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -32,6 +32,16 @@
 	readonly deadlineMs: Ms;
 	/** Whether at least half of the request's path is done, by expected time, so that dropping the job would waste that work. */
 	readonly isCommitted: boolean;
+	/** Called for each crash of a target that had pieces of the request. */
+	readonly onCrash?: ((crash: StageCrash) => void) | undefined;
+}
+
+/** A crash of a stage target during a call with pieces of a request. */
+export interface StageCrash {
+	/** Id and start of the target. */
+	readonly crash: string;
+	readonly sentMs: Ms;
+	readonly brokenMs: Ms;
 }
 
 /**
@@ -61,4 +71,5 @@
 export type StageCallOutcome =
 	| ({readonly kind: 'done'; readonly results: readonly PieceResult[]} & StageTargetNotices)
 	| ({readonly kind: 'refused' | 'failed'} & StageTargetNotices)
-	| {readonly kind: 'unreachable'};
+	/** `lost` if the call was sent: the connection ended, or no response arrived in time. */
+	| {readonly kind: 'unreachable'; readonly lost?: 'broken' | 'silent'};
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -151,7 +151,7 @@
 	}
 
 	async #runStage(stage: number, signal: AbortSignal): StageRun {
-		const {attemptId, pieceKey} = this.plan;
+		const {attemptId, pieceKey, onCrash} = this.plan;
 		const {after, service, resultBytes, pieces} = this.#stage(stage);
 		const inputOutcomes = await Promise.all(after.map(async other => this.#start(other, signal)));
 		const failure = inputOutcomes.find(outcome => 'failure' in outcome);
@@ -173,6 +173,7 @@
 			inputs,
 			resultBytes,
 			transfers: this.#transfers(stage),
+			onCrash,
 			...this.#urgency(stage),
 		}, signal);
 		if ('results' in outcome) {
--- a/src/pools/stage-plan.ts
+++ b/src/pools/stage-plan.ts
@@ -1,5 +1,5 @@
 import type {Ms} from '../clock/index.js';
-import type {StageFailure} from './stage-job.js';
+import type {StageCrash, StageFailure} from './stage-job.js';
 
 /** One stage of a plan. */
 export interface PlannedStage {
@@ -27,6 +27,8 @@
 	readonly callByMs: Ms;
 	/** Time after which the results are no longer useful. */
 	readonly deadlineMs: Ms;
+	/** Called for each crash of a target that had pieces of the plan, also a short time after the plan has ended. */
+	readonly onCrash?: ((crash: StageCrash) => void) | undefined;
 }
 
 /** Result of a final stage, that is, one whose results no other stage takes as input. */
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -59,6 +59,37 @@
 const idsOf = (call: StageCall | undefined) => call?.pieces.map(piece => piece.job.id);
 
 describe('StagePool', () => {
+	// Guards against sound requests that come under suspicion at each crash, since their pieces go on in the same calls as the deadly ones.
+	it('sends the pieces of a call that was cut off again by job, and each job to one target at a time until one of its calls ends well', () => {
+		const targets = ['t1', 't2', 't3', 't4'].map(id => target(id));
+		const {pool, submit} = create([targets[0]!]);
+		submit(job('a', {pieces: 3}));
+		submit(job('b'));
+		const [first] = pool.nextCalls(0);
+		expect(idsOf(first)).toEqual(['a', 'a', 'a', 'b']);
+		pool.setTargets(targets);
+		pool.endCall(first!.id, {kind: 'unreachable', lost: 'broken'}, 100);
+		submit(job('c'));
+		submit(job('d'));
+		const calls = pool.nextCalls(100);
+		expect(calls.map(call => idsOf(call)!.join(' ')).toSorted((a, b) => a.localeCompare(b))).toEqual(['a a a', 'b', 'c d']);
+		for (const call of calls) {
+			pool.endCall(call.id, idsOf(call)!.includes('a') ? {kind: 'refused'} : {kind: 'done', results: results(call)}, 150);
+		}
+
+		submit(job('e'), 150);
+		expect(pool.nextCalls(150).map(call => idsOf(call)!.join(' ')).toSorted((a, b) => a.localeCompare(b))).toEqual(['a a a', 'e']);
+	});
+
+	it('batches the pieces of a call without a response in time as before', () => {
+		const {pool, submit} = create([target('t1'), target('t2')]);
+		submit(job('a'));
+		submit(job('b'));
+		const [first] = pool.nextCalls(0);
+		pool.endCall(first!.id, {kind: 'unreachable', lost: 'silent'}, 100);
+		expect(pool.nextCalls(100).map(call => idsOf(call)!.toSorted())).toEqual([['a', 'b']]);
+	});
+
 	it('batches jobs that arrive while a target is busy', () => {
 		const {pool, submit} = create();
 		submit(job('a'));
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -54,6 +54,8 @@
 	waiting: number[];
 	/** Number of pieces in a call. */
 	inCall: number;
+	/** Whether one of its calls was cut off, and no other one has been completed since, so that its pieces may have ended their target. */
+	isSuspect: boolean;
 	readonly onEnd: (outcome: StageJobOutcome) => void;
 };
 
@@ -176,7 +178,7 @@
 		}
 
 		this.#jobs.set(job.id, {
-			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, onEnd,
+			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, isSuspect: false, onEnd,
 		});
 	}
 
@@ -325,6 +327,11 @@
 			}
 
 			const state = this.#jobs.get(job.id)!;
+			// What ended its target goes to one target at a time and without other jobs, which would come under suspicion with it.
+			if (state.isSuspect && (chosen.length > 0 || state.inCall > 0)) {
+				continue;
+			}
+
 			const pieceMb = job.resultBytes / 1e6;
 			const batchLeft = this.#limits.batch - chosen.length;
 			const usableMb = isLate ? freeMb - (this.#limits.resultMemoryMb * onTimeMemoryShare) : freeMb;
@@ -340,7 +347,7 @@
 			}
 
 			freeMb -= pieceMb * Math.min(fitting, job.pieces);
-			if (chosen.length >= this.#limits.batch) {
+			if (chosen.length >= this.#limits.batch || (state.isSuspect && chosen.length > 0)) {
 				break;
 			}
 		}
@@ -395,6 +402,7 @@
 		}
 
 		state.inCall--;
+		state.isSuspect = (state.isSuspect && end.kind !== 'done') || (end.kind === 'unreachable' && end.lost === 'broken');
 		if ('handle' in result) {
 			state.results[piece] = result.handle;
 			if (state.results.every(handle => handle !== undefined)) {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -8,7 +8,7 @@
 import {TargetLimits} from '../limits/index.js';
 import type {LoggerFactory} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, ServiceRetryBudget, type RetryLimits, type StageMessage, type StageTargetPort,
+	MeshStageRunner, PoolHost, ServiceRetryBudget, type LostStageCall, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
@@ -17,7 +17,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
@@ -107,6 +107,14 @@
 	readonly limits: RelayLimits;
 }
 
+/** Stages of a request that were in a call which got no whole response. */
+type LostStageAttempt = BrokenAttempt & {readonly onCrash: (crash: StageCrash) => void};
+
+/** Names a start of a target. */
+function nameStart({id, entry: {startedMs}}: RelayTarget): string {
+	return `${id} ${startedMs ?? ''}`;
+}
+
 /**
  * Entry VM that relays requests: follows configuration and targets in the store, serves callers, and drains on shutdown.
  *
@@ -167,6 +175,7 @@
 	readonly #reach: ReachWatch<RelayTarget>;
 	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
+	readonly #stageCrashWatch: CrashWatch<LostStageAttempt>;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -216,7 +225,20 @@
 		this.#poolHost = PoolHost.create({
 			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
-			}, service: name => this.#table?.declarations.services.get(name),
+			}, service: name => this.#table?.declarations.services.get(name), onLostCall: call => {
+				this.#watchLostCall(call);
+			},
+		});
+		this.#stageCrashWatch = CrashWatch.create({
+			clock,
+			logger,
+			probe: async target => this.#probe(target),
+			onCrash: ({target, attempts}) => {
+				this.#metrics.recordCrash();
+				for (const {onCrash, sentMs, brokenMs} of attempts) {
+					onCrash({crash: nameStart(target), sentMs, brokenMs});
+				}
+			},
 		});
 		this.#stages = MeshStageRunner.create({
 			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff,
@@ -428,17 +450,7 @@
 	async #start(): Promise<void> {
 		const {options} = this;
 		const {clock, createLogger} = options;
-		const probe = async (target: RelayTarget) => {
-			const result = await options.probe(target);
-			if (result === 'alive') {
-				this.#reach.recordReached();
-			} else {
-				this.#reach.recordFailed(target.id);
-			}
-
-			return result;
-		};
-
+		const probe = async (target: RelayTarget) => this.#probe(target);
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
 		this.#server = await RelayServer.create({
 			listen: options.callers,
@@ -467,7 +479,7 @@
 					probe,
 					onCrash: ({target, attempts}) => {
 						this.#metrics.recordCrash();
-						this.#quarantine.crashed(`${target.id} ${target.entry.startedMs ?? ''}`, attempts);
+						this.#quarantine.crashed(nameStart(target), attempts);
 					},
 				}),
 				limits: this.#targetLimits,
@@ -497,6 +509,30 @@
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
 
+	/** Probes a target; the result tells of the reach of targets as well. */
+	async #probe(target: RelayTarget): Promise<ProbeResult> {
+		const result = await this.options.probe(target);
+		if (result === 'alive') {
+			this.#reach.recordReached();
+		} else {
+			this.#reach.recordFailed(target.id);
+		}
+
+		return result;
+	}
+
+	/** Finds out whether a stage target has crashed, and tells the plans whose pieces were in the call. */
+	#watchLostCall({target, pieces, sentMs, lostMs}: LostStageCall): void {
+		const jobs = new Map(pieces.map(({job}) => [job.attemptId, job]));
+		for (const {attemptId, onCrash} of jobs.values()) {
+			if (onCrash) {
+				this.#stageCrashWatch.attemptBroken(target, {
+					attemptId, parts: [], progress: 'waiting', sentMs, brokenMs: lostMs, onCrash,
+				});
+			}
+		}
+	}
+
 	/** Starts the metrics endpoint; if its address cannot be bound, requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
 		const {metrics, createLogger} = this.options;
--- a/src/relay/crash-watch.ts
+++ b/src/relay/crash-watch.ts
@@ -20,18 +20,18 @@
 }
 
 /** A crash of a target, as seen by one entry VM. */
-export interface TargetCrash {
+export interface TargetCrash<Attempt extends BrokenAttempt = BrokenAttempt> {
 	readonly target: RelayTarget;
-	readonly attempts: readonly BrokenAttempt[];
+	readonly attempts: readonly Attempt[];
 }
 
 /** Dependencies of {@link CrashWatch}. */
-export interface CrashWatchOptions {
+export interface CrashWatchOptions<Attempt extends BrokenAttempt = BrokenAttempt> {
 	readonly clock: Clock;
 	readonly logger: PartLogger;
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	/** Called for each crash that cut off attempts from this entry VM; again if further attempts turn out to be cut off by it. */
-	readonly onCrash: (crash: TargetCrash) => void;
+	readonly onCrash: (crash: TargetCrash<Attempt>) => void;
 }
 
 /**
@@ -41,18 +41,18 @@
  * @example
  * watch.attemptBroken(target, {attemptId, parts, progress: 'begun', sentMs, brokenMs: clock.now()});
  */
-export class CrashWatch {
-	static create(options: CrashWatchOptions): CrashWatch {
+export class CrashWatch<Attempt extends BrokenAttempt = BrokenAttempt> {
+	static create<Attempt extends BrokenAttempt = BrokenAttempt>(options: CrashWatchOptions<Attempt>): CrashWatch<Attempt> {
 		return new CrashWatch(options);
 	}
 
 	/** Attempts whose targets are being probed. */
-	readonly #pending = new Map<RelayTarget, BrokenAttempt[]>();
+	readonly #pending = new Map<RelayTarget, Attempt[]>();
 
-	private constructor(private readonly options: CrashWatchOptions) {}
+	private constructor(private readonly options: CrashWatchOptions<Attempt>) {}
 
 	/** Handles an attempt that was cut off or given up before a whole response had arrived. */
-	attemptBroken(target: RelayTarget, attempt: BrokenAttempt): void {
+	attemptBroken(target: RelayTarget, attempt: Attempt): void {
 		if (target.isDraining) {
 			return;
 		}
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -42,7 +42,7 @@
 	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
 	readonly crashWatch: CrashWatch;
 	readonly limits: TargetLimits;
-	readonly quarantine: Pick<PromptQuarantine, 'hasSuspicions' | 'causeOf' | 'watch' | 'answered'>;
+	readonly quarantine: Pick<PromptQuarantine, 'hasSuspicions' | 'causeOf' | 'watch' | 'answered' | 'crashed'>;
 	readonly drainingReports: Pick<DrainingReports, 'observe'>;
 	/** Whether targets can be reached from here, and the entry VMs that requests are left to if not. */
 	readonly reach: Pick<ReachWatch<RelayTarget>, 'isCutOff' | 'helper' | 'recordReached' | 'recordFailed'>;
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -218,8 +218,16 @@
 	async #requestStages(signal: AbortSignal): Promise<StagePlanOutcome> {
 		const {context, request} = this;
 		const {route, head, attemptId} = request;
+		const {quarantine} = context;
 		const startedMs = context.clock.now();
+		// Stages know nothing of the prompt, so that its parts don't come under suspicion. The listener outlives the request, but not its body.
+		const parts = [this.#id];
 		const outcome = await context.stages.run({
+			onCrash({crash, sentMs, brokenMs}) {
+				quarantine.crashed(crash, [{
+					parts, progress: 'waiting', sentMs, brokenMs,
+				}]);
+			},
 			attemptId,
 			stages: route.stages.map((stage, index) => ({...stage, pieces: head.pieces[index] ?? 0})),
 			pieceKey: head.pieceKey,
@@ -537,11 +545,16 @@
 
 	/** Prompt parts that other requests may share, and the id of this request. */
 	get #parts(): readonly string[] {
+		return [...this.#sharedParts, this.#id];
+	}
+
+	/** Id that the request shares with its repeats. */
+	get #id(): string {
 		const {req, team, body} = this.request;
 		this.#requestId ??= requestId({
 			method: req.method!, path: req.url!, caller: team?.name, body,
 		});
-		return [...this.#sharedParts, this.#requestId];
+		return this.#requestId;
 	}
 
 	/** The parts that make a difference to the quarantine; without suspicions, the body is not hashed. */
--- a/src/relay/request-whole.ts
+++ b/src/relay/request-whole.ts
@@ -18,6 +18,8 @@
 	readonly maxBytes: number;
 	/** Aborted when the response is no longer waited for. */
 	readonly signal: AbortSignal;
+	/** Called once the request has a connection; it counts as sent from then on. */
+	readonly onStart?: () => void;
 }
 
 /**
@@ -28,7 +30,7 @@
  * @example
  * const {status, body} = await requestWhole(pool, {method: 'GET', path: '/report', headers: [], body}, {maxBytes: 1024, signal});
  */
-export async function requestWhole(dispatcher: Dispatcher, request: Pick<ExchangeRequest, 'method' | 'path' | 'headers' | 'body'>, {maxBytes, signal}: RequestWholeOptions): Promise<WholeResponse> {
+export async function requestWhole(dispatcher: Dispatcher, request: Pick<ExchangeRequest, 'method' | 'path' | 'headers' | 'body'>, {maxBytes, signal, onStart}: RequestWholeOptions): Promise<WholeResponse> {
 	return new Promise((resolve, reject) => {
 		const body = GrowingBuffer.create();
 		let head: {status: number; headers: HttpHeaders} | undefined;
@@ -51,6 +53,7 @@
 		};
 
 		const exchange = dispatchExchange(dispatcher, request, {
+			...(onStart ? {onStart} : {}),
 			onHead(status, headers) {
 				head = {status, headers};
 			},
