End stage calls and plans that end with an error

What callers saw: nothing yet; by reading what may be unhandled at the host of the stage pools. An error in a stage call (of the client, or of telling others that the target drains) left its place at the target taken for good and its pieces waiting until their deadline; one in a plan left the peer that had sent it without a reply until its request was over, and the plan counted as running for good, so that a planned stop waits for it; one in a report of the load ended the reports, so that the other cells no longer saw the host.

Errors are logged, calls and plans end as failed, the stages of a plan with an error are cancelled and its results freed, and timers are set again before their work.

--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -247,4 +247,45 @@
 			expect(reports).toHaveLength(count);
 		});
 	});
+
+	// Guards against a peer that waits until the deadline of its request, since its plan ended with an error here that
+	// nothing handled.
+	it('replies to a peer whose plan ends with an error', async () => {
+		const {clock, stages, host} = create([]);
+		const replies: unknown[] = [];
+		const peer = {
+			peer: {name: 'peer'}, isUp: true, send(message: unknown) {
+				replies.push(message);
+				return true;
+			},
+		};
+		host.canMeetObjective = () => {
+			throw new Error('thrown by the host');
+		};
+
+		const {callByMs, deadlineMs, ...fields} = plan;
+		stages.receive(peer as never, {
+			...fields, type: 'stage-plan', id: 7, stages: [], callInMs: callByMs, deadlineInMs: deadlineMs, pieceKey: 'k',
+		});
+		await clock.advance(1);
+		expect(replies).toEqual([{
+			type: 'stage-failure', id: 7, failure: 'failed', retryAfterMs: 0,
+		}]);
+		expect(stages.hostedPlans).toBe(0);
+	});
+
+	// Guards against a host that the other cells count as gone after a single error.
+	it('goes on reporting its load after an error', async () => {
+		const {clock, host, reports} = create([]);
+		const {serviceLoads} = host;
+		host.serviceLoads = () => {
+			throw new Error('thrown by the host');
+		};
+
+		await expect(clock.advance(400)).rejects.toThrow('thrown by the host');
+		host.serviceLoads = serviceLoads;
+		const before = reports.length;
+		await clock.advance(400);
+		expect(reports).toHaveLength(before + 1);
+	});
 });
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -1,4 +1,5 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
 import {PendingReplies} from '../links/pending-replies.js';
 import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
@@ -223,14 +224,14 @@
 
 	/** Reports the load of the pools that are hosted here to the hosts of other cells. */
 	#reportLoad(): void {
+		// The next report is due whatever becomes of this one.
+		this.#cancelReport = this.clock.after(loadIntervalMs, () => {
+			this.#reportLoad();
+		});
 		const mesh = this.mesh();
 		if (mesh && !mesh.leader()) {
 			mesh.broadcastToLeaders({type: 'stage-load', services: this.host.serviceLoads().map(({service, waitMs, msPerPiece}): [string, number, number] => [service, waitMs, msPerPiece])});
 		}
-
-		this.#cancelReport = this.clock.after(loadIntervalMs, () => {
-			this.#reportLoad();
-		});
 	}
 
 	/** Records that a plan runs here, and detects that this entry VM has taken over from another host. */
@@ -284,8 +285,19 @@
 		const plan = {
 			...fields, pieceKey, callByMs: now + callInMs, deadlineMs: now + deadlineInMs,
 		};
-		const outcome = await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
-		plans.delete(id);
+		let outcome: StagePlanOutcome;
+		try {
+			outcome = await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
+		} catch (err) {
+			// Without a reply, the peer would wait until the deadline of its request.
+			this.logger.error('Cannot run a stage plan of a peer.', {
+				id: plan.attemptId, peer: link.peer.name, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined,
+			});
+			outcome = {failure: 'failed', retryAfterMs: 0};
+		} finally {
+			plans.delete(id);
+		}
+
 		const isSent = 'results' in outcome
 			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
 			: link.send({
--- a/src/pools/pool-host.test.ts
+++ b/src/pools/pool-host.test.ts
@@ -14,13 +14,14 @@
 class FakeTargets implements StageTargetPort {
 	readonly calls: StageTargetCall[] = [];
 	isFailing = false;
+	isDraining = false;
 
 	constructor(private readonly clock: ManualClock) {}
 
 	async run(call: StageTargetCall): Promise<StageCallOutcome> {
 		this.calls.push(call);
 		await this.clock.sleep(300);
-		return this.isFailing ? {kind: 'failed'} : {kind: 'done', results: call.pieces.map(({job, piece}) => ({handle: `10.0.0.1:80/${job.id}/${piece}`}))};
+		return this.isFailing ? {kind: 'failed'} : {kind: 'done', isDraining: this.isDraining, results: call.pieces.map(({job, piece}) => ({handle: `10.0.0.1:80/${job.id}/${piece}`}))};
 	}
 
 	async free(): Promise<void> {
@@ -32,7 +33,7 @@
 	}
 }
 
-function create(isOwnZone: (zone: string) => boolean = () => true) {
+function create(isOwnZone: (zone: string) => boolean = () => true, onDraining: () => void = () => undefined) {
 	const clock = ManualClock.create();
 	const logger = silentLoggerFactory('pools');
 	const registry = TargetRegistry.create({clock, logger});
@@ -48,6 +49,7 @@
 		retryLimits: {windowMs: 10_000, ratio: 0.2, slack: 50},
 		share: () => 1,
 		isOwnZone,
+		onDraining,
 		service: name => ({
 			name, maxConnections: 10, engineSlots: undefined, stagePool: limits,
 		}),
@@ -136,4 +138,57 @@
 		await expect(second).resolves.toMatchObject({failure: 'failed'});
 		expect(port.calls).toHaveLength(2);
 	});
+
+	// Guards against a place at a target that is taken for good, with pieces that wait until their deadline, after an error
+	// that nothing handled.
+	it('ends a call that ends with an error, and makes it again', async () => {
+		const {clock, host, port} = create();
+		const {run} = port;
+		port.run = async () => {
+			throw new Error('thrown by the port');
+		};
+
+		const outcome = host.run(plan('r1'), new AbortController().signal);
+		await clock.advance(50);
+		port.run = run;
+		await clock.advance(2000);
+		await expect(outcome).resolves.toHaveProperty('results.length', 4);
+		expect(host.load()).toEqual([{service: 'archive', backlog: 0, calls: 0}]);
+	});
+
+	it('ends a call although its target says that it drains and telling others fails', async () => {
+		const {clock, host, port} = create(undefined, () => {
+			throw new Error('thrown by the mesh');
+		});
+		port.isDraining = true;
+		const outcome = host.run(plan('r1'), new AbortController().signal);
+		await clock.advance(50);
+		await clock.advance(1000);
+		await expect(outcome).resolves.toHaveProperty('results.length', 4);
+	});
+
+	// Guards against a caller that waits until its deadline, and a plan that counts as running for good.
+	it.each([[0], [5]])('fails a plan whose stage takes results of stage %i, which it cannot', async other => {
+		const {host} = create();
+		const {stages, ...fields} = plan('r1');
+		await expect(host.run({...fields, stages: [{...stages[0]!, after: [other]}]}, new AbortController().signal)).resolves.toEqual({failure: 'failed', retryAfterMs: 0});
+	});
+
+	it('fails a plan that ends with an error, and cancels its other stages', async () => {
+		const {clock, host, registry} = create();
+		const {stages, ...fields} = plan('r1');
+		const {zoneAt} = registry;
+		registry.zoneAt = () => {
+			throw new Error('thrown by the registry');
+		};
+
+		const outcome = host.run({...fields, stages: [stages[0]!, {...stages[0]!, after: [0]}, {...stages[0]!, pieces: 40}]}, new AbortController().signal);
+		for (let step = 0; step < 20; step++) {
+			await clock.advance(100);
+		}
+
+		await expect(outcome).resolves.toEqual({failure: 'failed', retryAfterMs: 0});
+		expect(host.load()).toEqual([{service: 'archive', backlog: 0, calls: 0}]);
+		registry.zoneAt = zoneAt;
+	});
 });
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -1,4 +1,5 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {RelayTarget, TargetRegistry} from '../registry/index.js';
 import type {ServiceDeclaration} from '../routes/index.js';
@@ -6,7 +7,7 @@
 import type {JobUrgency} from './job-order.js';
 import {ServiceRetryBudget, type RetryLimits} from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
-import type {StageJob, StageJobOutcome} from './stage-job.js';
+import type {StageCallOutcome, StageJob, StageJobOutcome} from './stage-job.js';
 import {PlanForecast} from './plan-forecast.js';
 import {objectiveMarginMs, StagePlanRun, type PlanHost} from './stage-plan-run.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
@@ -76,12 +77,27 @@
 		});
 	}
 
+	/** Runs a plan. Never rejects: a plan that cannot be run fails. */
 	async run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+		try {
+			return await this.#run(plan, signal);
+		} catch (err) {
+			this.options.logger.error('Cannot run a stage plan.', {id: plan.attemptId, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
+			return {failure: 'failed', retryAfterMs: 0};
+		}
+	}
+
+	async #run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
 		this.#planCount++;
 		const run = StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#planCount}`);
 		this.#runs.add(run);
-		const outcome = await run.run(signal);
-		this.#runs.delete(run);
+		let outcome: StagePlanOutcome;
+		try {
+			outcome = await run.run(signal);
+		} finally {
+			this.#runs.delete(run);
+		}
+
 		if ('failure' in outcome && outcome.failure !== 'cancelled') {
 			this.options.logger.info('Stage plan ended without results.', {
 				id: plan.attemptId,
@@ -250,12 +266,16 @@
 		const hostedPool = this.#pools.get(service)!;
 		const {clock} = this.options;
 		this.#updateTargets(service, hostedPool.pool);
-		for (const call of hostedPool.pool.nextCalls(clock.now(), this.options.share())) {
-			void this.#sendCall(service, hostedPool.pool, call);
-		}
-
 		hostedPool.cancelWakeup?.();
 		hostedPool.cancelWakeup = undefined;
+		try {
+			for (const call of hostedPool.pool.nextCalls(clock.now(), this.options.share())) {
+				void this.#sendCall(service, hostedPool.pool, call);
+			}
+		} catch (err) {
+			this.options.logger.error('Cannot send the calls of a stage pool; retrying.', {service, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
+		}
+
 		const wakeMs = hostedPool.pool.wakeAt(clock.now());
 		if (wakeMs !== undefined) {
 			hostedPool.cancelWakeup = clock.after(wakeMs - clock.now(), () => {
@@ -265,10 +285,33 @@
 	}
 
 	async #sendCall(service: string, pool: StagePool, call: StageCall): Promise<void> {
-		const {clock, port, logger, registry, onDraining} = this.options;
+		const {clock, port, logger} = this.options;
 		const startedMs = clock.now();
-		const target = registry.get(call.target.id);
-		const end = await port.run({...call, now: startedMs});
+		// The target may have run the call.
+		let end: StageCallOutcome = {kind: 'failed'};
+		try {
+			const target = this.options.registry.get(call.target.id);
+			end = await port.run({...call, now: startedMs});
+			this.#logCall(service, pool, {call, end, startedMs});
+			if (target && end.kind !== 'unreachable' && end.isDraining) {
+				this.options.onDraining?.(target);
+			}
+		} catch (err) {
+			logger.error('Cannot handle a stage call.', {
+				service, target: call.target.id, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined,
+			});
+		}
+
+		try {
+			// Without it, the place at the target would be taken for good, and the pieces would wait until their deadline.
+			pool.endCall(call.id, end, clock.now());
+		} finally {
+			this.#dispatch(service);
+		}
+	}
+
+	#logCall(service: string, pool: StagePool, {call, end, startedMs}: {call: StageCall; end: StageCallOutcome; startedMs: Ms}): void {
+		const {clock, logger} = this.options;
 		const problems = end.kind === 'done' ? end.results.flatMap(result => 'problem' in result ? [result.problem] : []) : [];
 		logger.info('A stage call ended.', {
 			service,
@@ -282,11 +325,5 @@
 			took_ms: Math.round(clock.now() - startedMs),
 			expected_ms: Math.round(call.expectedMs),
 		});
-		if (target && end.kind !== 'unreachable' && end.isDraining) {
-			onDraining?.(target);
-		}
-
-		pool.endCall(call.id, end, clock.now());
-		this.#dispatch(service);
 	}
 }
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -70,22 +70,11 @@
 		this.#announce();
 		const failed = new AbortController();
 		const stop = AbortSignal.any([signal, failed.signal, this.#handOver.signal]);
-		const outcomes = await Promise.all(plan.stages.map(async (_, stage) => {
-			const outcome = await this.#start(stage, stop);
-			if ('failure' in outcome) {
-				failed.abort();
-			}
-
-			return outcome;
-		}));
-		this.#withdraw();
+		const outcomes = await this.#runStages(stop, failed);
 		const failures = outcomes.filter(outcome => 'failure' in outcome);
 		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
 		if (failure) {
-			for (const stage of this.#results.keys()) {
-				this.#free(stage);
-			}
-
+			this.#freeAll();
 			return this.#handOver.signal.aborted ? {failure: 'host_left', retryAfterMs: 0} : failure;
 		}
 
@@ -94,6 +83,31 @@
 		};
 	}
 
+	/** Resolves once all stages have ended; the failure of one, or an error, cancels the others. */
+	async #runStages(stop: AbortSignal, failed: AbortController): Promise<StageJobOutcome[]> {
+		const settled = await Promise.allSettled(this.plan.stages.map(async (_, stage) => {
+			try {
+				const outcome = await this.#start(stage, stop);
+				if ('failure' in outcome) {
+					failed.abort();
+				}
+
+				return outcome;
+			} catch (err) {
+				failed.abort();
+				throw err;
+			}
+		}));
+		this.#withdraw();
+		const rejected = settled.find(each => each.status === 'rejected');
+		if (rejected) {
+			this.#freeAll();
+			throw rejected.reason as Error;
+		}
+
+		return settled.flatMap(each => each.status === 'fulfilled' ? each.value : []);
+	}
+
 	/** Ends the plan so that another host runs it, unless any of it has started. Returns whether it was ended. */
 	handOverIfUnstarted(): boolean {
 		const isUnstarted = this.#results.size === 0 && this.plan.stages.every(({service}, stage) => this.host.isUnstarted(service, this.#jobId(stage)));
@@ -211,6 +225,12 @@
 		}
 	}
 
+	#freeAll(): void {
+		for (const stage of this.#results.keys()) {
+			this.#free(stage);
+		}
+	}
+
 	#free(stage: number): void {
 		const handles = this.#results.get(stage) ?? [];
 		this.#results.set(stage, []);
