--- a/src/relay-vm/event-loop-watch.ts
+++ b/src/relay-vm/event-loop-watch.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logging/index.js';
 
@@ -12,11 +13,18 @@
 	readonly logger: PartLogger;
 	/** Called with each delay that is logged. */
 	readonly onDelay: (delayMs: Ms) => void;
+	/** Returns the processor time that the process has used so far, in ms; by default that of this process. */
+	readonly cpuTimeMs?: () => Ms;
+}
+
+function ownCpuTimeMs(): Ms {
+	const {user, system} = process.cpuUsage();
+	return (user + system) / 1000;
 }
 
 /**
- * Logs when the process has served nothing for a while: its event loop was held up by one long callback, or the process
- * was not scheduled.
+ * Logs when the process has served nothing for a while: its event loop was held up by one long callback, which takes about
+ * as much processor time, or the process was not scheduled, for which it takes far less.
  *
  * @example
  * const watch = EventLoopWatch.create({clock, logger, onDelay});
@@ -33,12 +41,13 @@
 
 	/** Starts the checks. */
 	start(): void {
-		const {clock, logger, onDelay} = this.options;
+		const {clock, logger, onDelay, cpuTimeMs = ownCpuTimeMs} = this.options;
+		const startedCpuMs = cpuTimeMs();
 		const dueMs = clock.now() + checkIntervalMs;
 		this.#cancelTimer = clock.after(checkIntervalMs, () => {
 			const delayMs = clock.now() - dueMs;
 			if (delayMs >= minDelayMs) {
-				logger.warn('The event loop was held up.', {held_ms: Math.round(delayMs)});
+				logger.warn('The event loop was held up.', {held_ms: Math.round(delayMs), cpu_ms: Math.round(cpuTimeMs() - startedCpuMs)});
 				onDelay(delayMs);
 			}
 
