Start the mesh and the metrics again until their ports are free

What was seen: a link port that is in use at the start for a moment leaves an entry VM without links for good; a metrics port leaves it without metrics. Ports busy for 1.5 s, looked at 6 s later: neither was bound, and 13 tries of the mesh had ended with `A metric with the name guavamill_link_bytes_total has already been registered.`

Cause: a try registered the metrics of the links before it bound the port, so that each further try met what the first had left. The metrics port was tried once only.

Change: the mesh binds its address before it registers anything, and gives the address back if what follows fails. Both are tried again, 0.5 to 2 s apart, with a warning each, until they succeed or the entry VM closes. A mesh that is complete only after the shutdown has begun announces that, or is closed.

--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -31,17 +31,17 @@
 		dialled.length = 0;
 	});
 
-	async function start(name: string, incarnation: string, ownKey = key): Promise<RelayMesh> {
+	async function start(name: string, incarnation: string, ownKey = key, {port = 0, registry = new Registry()} = {}): Promise<RelayMesh> {
 		const clock = SystemClock.create();
 		const mesh = await RelayMesh.create({
 			self: {name, zone: 'riga-a', incarnation},
 			key: ownKey,
-			listen: {host: '127.0.0.1', port: 0},
+			listen: {host: '127.0.0.1', port},
 			clock,
 			random: Random.create(1),
 			vmList: list,
 			intervals: {busyMs: 50, quietMs: 50, quietAfterMs: 1000},
-			registry: new Registry(),
+			registry,
 			logger: silentLoggerFactory('links'),
 			events: EventRing.create({process: name, clock}),
 			distanceTo: () => 'same_zone',
@@ -66,6 +66,28 @@
 		}
 	}
 
+	// Guards against a port that is in use once and keeps an entry VM without links for good: the next try met the metrics of
+	// the first.
+	it('starts in a further try once its port is free', async () => {
+		const holder = createServer();
+		servers.push(holder);
+		await new Promise<void>(resolve => {
+			holder.listen(0, '127.0.0.1', resolve);
+		});
+		const options = {port: (holder.address() as AddressInfo).port, registry: new Registry()};
+		for (let tries = 0; tries < 3; tries++) {
+			await expect(start('a', '1', key, options)).rejects.toThrow(/EADDRINUSE/u);
+		}
+
+		await new Promise<void>(resolve => {
+			holder.close(() => {
+				resolve();
+			});
+		});
+		const mesh = await start('a', '1', key, options);
+		expect(mesh.port).toBe(options.port);
+	});
+
 	// Guards against entry VMs that stay apart after a restore of the store, since one of them has created a second key.
 	it('links to members with another key once it has taken over that key', async () => {
 		const oldest = await start('a', '1');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -63,8 +63,16 @@
 export class RelayMesh {
 	/** Starts listening and dialling. Throws when the address cannot be bound. */
 	static async create(options: RelayMeshOptions): Promise<RelayMesh> {
-		const mesh = new RelayMesh(options);
-		mesh.#listener = await LinkListener.create({listen: options.listen, accept: socket => mesh.#links.accept(socket)});
+		// The address is bound before anything is registered, so that a failed try leaves nothing that the next one meets.
+		let mesh: RelayMesh | undefined;
+		const listener = await LinkListener.create({listen: options.listen, accept: socket => mesh!.#links.accept(socket)});
+		try {
+			mesh = new RelayMesh(options, listener);
+		} catch (err) {
+			await listener.close();
+			throw err;
+		}
+
 		mesh.#links.start();
 		mesh.#vmList.start();
 		return mesh;
@@ -80,9 +88,8 @@
 	#cellVersion = -1;
 	#isLeaving = false;
 	#hasList = false;
-	#listener: LinkListener | undefined;
 
-	private constructor(private readonly options: RelayMeshOptions) {
+	private constructor(private readonly options: RelayMeshOptions, private readonly listener: LinkListener) {
 		const {self, events, clock, random, vmList, logger, intervals} = options;
 		this.#membership = Membership.create({self, peers: [], events});
 		this.#links = PeerLinks.create({
@@ -129,7 +136,7 @@
 
 	/** Port on which peers connect. */
 	get port(): number {
-		return this.#listener!.port;
+		return this.listener.port;
 	}
 
 	/** Number of members that are not gone, including this entry VM. */
@@ -229,7 +236,7 @@
 	async close(): Promise<void> {
 		this.#vmList.stop();
 		this.#links.close();
-		await this.#listener?.close();
+		await this.listener.close();
 	}
 
 	#send(message: LinkMessage, links: readonly Link[]): void {
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -6,7 +6,7 @@
 	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKey, type LinkKeyStore,
 } from '../links/index.js';
 import {TargetLimits} from '../limits/index.js';
-import type {LoggerFactory} from '../logging/index.js';
+import type {LoggerFactory, PartLogger} from '../logging/index.js';
 import {
 	MeshStageRunner, PoolHost, ServiceRetryBudget, type RetryLimits, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
@@ -19,6 +19,7 @@
 import {
 	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
+import {retry} from '../retry/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
 	TopicFollower, type EraTracker, type KeyedRecord, type KeyedTopic, type KeyedWriter,
@@ -46,8 +47,8 @@
 const maxResponseMemoryBytes = 48 * 1024 * 1024;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
-/** Delay before another attempt to start the mesh. */
-const meshRetryDelayMs: Ms = 500;
+/** Tries to bind the addresses for metrics and links, without which requests are served meanwhile. */
+const backgroundSchedule = {timeoutMs: Infinity, initialDelayMs: 500, maxDelayMs: 2000};
 /** Time over which the entry VMs spread the check of the link key in a restored store. */
 const linkKeySpreadMs: Ms = 1000;
 /** Intervals between reads of the list of entry VMs, which is in memory and cheap to read. */
@@ -144,7 +145,7 @@
 	#hasTargets = false;
 	readonly #decodedTargets = new WeakMap<KeyedRecord, TargetEntry | undefined>();
 	readonly #targetNews = TargetNews.create(record => this.#decodeTarget(record));
-	#isClosed = false;
+	readonly #closing = new AbortController();
 	#limits: RelayLimits;
 	#shutdownSchedule: ShutdownSchedule | undefined;
 	#mesh: RelayMesh | undefined;
@@ -292,6 +293,10 @@
 		}
 	}
 
+	get #isClosed(): boolean {
+		return this.#closing.signal.aborted;
+	}
+
 	/** Port to which callers connect. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -362,7 +367,7 @@
 
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
-		this.#isClosed = true;
+		this.#closing.abort();
 		this.#configFollower.stop();
 		this.#targetFollower.stop();
 		this.#quarantineFollower.stop();
@@ -435,7 +440,7 @@
 		this.#control = await startControlServer({
 			listen: options.control, paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
 		});
-		await this.#startMetrics();
+		void this.#startMetrics();
 		this.#configFollower.start();
 		this.#targetFollower.start();
 		this.#quarantineFollower.start();
@@ -448,29 +453,47 @@
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
 
-	/** Starts the metrics endpoint; if its address cannot be bound, requests are served without metrics. */
+	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
 		const {metrics, createLogger} = this.options;
 		const {registry} = this.#metrics;
-		try {
-			this.#metricsServer = await startControlServer({
+		await this.#startInBackground('Cannot serve metrics yet; requests are still served, and it is tried again.', createLogger('entry-vm'), async () => {
+			const server = await startControlServer({
 				listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
 			});
-		} catch (err) {
-			createLogger('entry-vm').error('Cannot serve metrics; requests are still served.', {error: errorMessage(err)});
-		}
+			this.#metricsServer = server;
+			if (this.#isClosed) {
+				await server.close();
+			}
+		});
 	}
 
-	/** Starts the mesh once the link key is available, with retries while the port is in use; until then this entry VM has no links. */
+	/** Starts the mesh once the link key is available, with tries while its port is in use; until then this entry VM has no links. */
 	async #startMesh(): Promise<void> {
-		const {clock, createLogger} = this.options;
-		while (!this.#mesh && !this.#isClosed) {
-			try {
-				await this.#createMesh();
-			} catch (err) {
-				createLogger('links').error('Cannot start the mesh; running without links and retrying.', {error: errorMessage(err)});
-				await clock.sleep(meshRetryDelayMs);
-			}
+		const logger = this.options.createLogger('links');
+		await this.#startInBackground('Cannot start the mesh yet; running without links, and it is tried again.', logger, async () => this.#createMesh());
+	}
+
+	/** Repeats an act until it succeeds or this entry VM closes, while requests are served. */
+	async #startInBackground(message: string, logger: PartLogger, act: () => Promise<void>): Promise<void> {
+		let failures = 0;
+		try {
+			await retry(act, {
+				clock: this.options.clock,
+				schedule: backgroundSchedule,
+				signal: this.#closing.signal,
+				onRetry({err, tries, delayMs}) {
+					failures = tries;
+					logger.warn(message, {error: errorMessage(err), tries, next_in_ms: delayMs});
+				},
+			});
+		} catch (err) {
+			logger.warn('Gave up an address since this entry VM closes.', {error: errorMessage(err)});
+			return;
+		}
+
+		if (failures > 0) {
+			logger.info('Bound an address after further tries.', {tries: failures + 1});
 		}
 	}
 
@@ -478,7 +501,7 @@
 		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
 		const logger = createLogger('links');
 		this.#linkKey ??= await getOrCreateLinkKey({store: linkKeyStore, clock, logger});
-		this.#mesh = await RelayMesh.create({
+		const mesh = await RelayMesh.create({
 			self,
 			key: this.#linkKey,
 			listen: links,
@@ -547,6 +570,13 @@
 				this.#reach.linkLost(link);
 			},
 		});
+		this.#mesh = mesh;
+		// The shutdown may have begun while the port was in use.
+		if (this.#isClosed) {
+			await mesh.close();
+		} else if (this.#lifecycle.state === 'draining') {
+			mesh.leave();
+		}
 	}
 
 	/**
