Try to bind the callers' and readiness ports for up to a minute

What was seen: an entry VM whose port for callers or readiness is in use when it starts ends with status 1 about 0.25 s after its first line, also beside a process that still drains.

Cause: one try; the start took an obstacle that ends by itself for a lasting one.

Change: tries for 60 s, 0.1 to 1 s apart, each with a line that names port and cause, then status 1 with a last line that does. `listen` leaves no listeners behind, which after a success had swallowed the first error of a server.

--- a/src/http/listen.ts
+++ b/src/http/listen.ts
@@ -8,15 +8,31 @@
 	readonly port: number;
 }
 
-/** Starts a server and returns the port that it listens on. Rejects with `GuavamillError` when the address cannot be bound. */
+/**
+ * Starts a server and returns the port that it listens on. Rejects with `GuavamillError` when the address cannot be bound;
+ * the same server may then be started again.
+ */
 export async function listen(server: Server, address: ListenAddress): Promise<number> {
 	return new Promise((resolve, reject) => {
-		server.once('error', err => {
+		const onError = (err: Error) => {
+			server.off('error', onError);
+			server.off('listening', onListening);
 			reject(new GuavamillError(`Cannot listen on ${address.host}:${address.port}: ${err.message}`, {cause: err}));
-		});
-		server.listen(address.port, address.host, () => {
+		};
+
+		const onListening = () => {
+			server.off('error', onError);
 			resolve((server.address() as AddressInfo).port);
-		});
+		};
+
+		server.once('error', onError);
+		server.once('listening', onListening);
+		try {
+			server.listen(address.port, address.host);
+		} catch (err) {
+			// A port out of range is thrown at once.
+			onError(err as Error);
+		}
 	});
 }
 
--- a/src/relay-vm/control-server.ts
+++ b/src/relay-vm/control-server.ts
@@ -1,6 +1,8 @@
 import {createServer, type ServerResponse} from 'node:http';
 import {errorMessage} from '../errors/index.js';
-import {closeServer, listen, type ListenAddress} from '../http/index.js';
+import {
+	closeServer, listen, type Listen, type ListenAddress,
+} from '../http/index.js';
 
 /** HTTP server for readiness or metrics. */
 export interface ControlServer {
@@ -15,12 +17,12 @@
 	readonly contentType?: string;
 }
 
-/** Starts a server with one handler per path; other paths return 404. Throws if the address cannot be bound. */
-export async function startControlServer(options: {listen: ListenAddress; paths: Readonly<Record<string, () => Promise<ControlResponse>>>}): Promise<ControlServer> {
+/** Starts a server with one handler per path; other paths return 404. Throws if `bind`, by default one try, cannot bind the address. */
+export async function startControlServer(options: {listen: ListenAddress; bind?: Listen; paths: Readonly<Record<string, () => Promise<ControlResponse>>>}): Promise<ControlServer> {
 	const server = createServer((req, res) => {
 		void respond(res, options.paths[req.url ?? '']);
 	});
-	await listen(server, options.listen);
+	await (options.bind ?? listen)(server, options.listen);
 	return {
 		async close() {
 			await closeServer(server);
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,5 +1,5 @@
 import type {Clock, Ms} from '../clock/index.js';
-import type {ListenAddress} from '../http/index.js';
+import {listenWithRetry, type Listen, type ListenAddress} from '../http/index.js';
 import {errorMessage} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
@@ -17,7 +17,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
@@ -47,6 +47,8 @@
 const maxResponseMemoryBytes = 48 * 1024 * 1024;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
+/** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
+const listenSchedule = {timeoutMs: 60_000, initialDelayMs: 100, maxDelayMs: 1000};
 /** Tries to bind the addresses for metrics and links, without which requests are served meanwhile. */
 const backgroundSchedule = {timeoutMs: Infinity, initialDelayMs: 500, maxDelayMs: 2000};
 /** Time over which the entry VMs spread the check of the link key in a restored store. */
@@ -103,6 +105,8 @@
 	/** Eras of the history of the store's log. */
 	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
 	readonly limits: RelayLimits;
+	/** Ends the tries to bind addresses at once; `create` then throws. */
+	readonly signal?: AbortSignal | undefined;
 }
 
 /**
@@ -113,7 +117,10 @@
  * await vm.shutdown();
  */
 export class RelayVm {
-	/** Starts to follow the store and to listen. Throws if the address for callers or readiness checks cannot be bound. */
+	/**
+	 * Starts to follow the store and to listen. Throws if the address for callers or readiness checks cannot be bound in time;
+	 * nothing has been accepted then, and nothing is left open.
+	 */
 	static async create(options: RelayVmOptions): Promise<RelayVm> {
 		const vm = new RelayVm(options);
 		await vm.#start();
@@ -383,6 +390,37 @@
 	}
 
 	async #start(): Promise<void> {
+		const {options} = this;
+		const {clock, createLogger} = options;
+		const bind = (purpose: string): Listen => async (server, address) => listenWithRetry(server, address, {
+			clock, logger: createLogger('entry-vm'), schedule: listenSchedule, signal: options.signal, purpose,
+		});
+		this.#control = await startControlServer({
+			listen: options.control, bind: bind('readiness'), paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
+		});
+		// Bound last, and with nothing to wait for afterwards: a start that is given up has accepted no request.
+		try {
+			options.signal?.throwIfAborted();
+			this.#server = await RelayServer.create(this.#serverOptions(bind('callers')));
+		} catch (err) {
+			await this.#control.close();
+			throw err;
+		}
+
+		this.#configFollower.start();
+		this.#targetFollower.start();
+		this.#quarantineFollower.start();
+		this.#quarantine.start();
+		this.#eventLoopWatch.start();
+		void this.#startMetrics();
+		void this.#startMesh();
+		options.storeEras.onChange(() => {
+			void this.#restoreLinkKey();
+		});
+		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+	}
+
+	#serverOptions(bind: Listen): RelayServerOptions {
 		const {options} = this;
 		const {clock, createLogger} = options;
 		const probe = async (target: RelayTarget) => {
@@ -397,8 +435,9 @@
 		};
 
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
-		this.#server = await RelayServer.create({
+		return {
 			listen: options.callers,
+			bind,
 			table: () => this.#isQuarantineKnown ? this.#table : undefined,
 			isRejecting: () => clock.now() >= (this.#shutdownSchedule?.acceptUntilMs ?? Infinity),
 			context: {
@@ -436,21 +475,7 @@
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
 			},
-		});
-		this.#control = await startControlServer({
-			listen: options.control, paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
-		});
-		void this.#startMetrics();
-		this.#configFollower.start();
-		this.#targetFollower.start();
-		this.#quarantineFollower.start();
-		this.#quarantine.start();
-		this.#eventLoopWatch.start();
-		void this.#startMesh();
-		options.storeEras.onChange(() => {
-			void this.#restoreLinkKey();
-		});
-		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+		};
 	}
 
 	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -5,7 +5,7 @@
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
-	closeServer, ConnectionTracker, GrowingBuffer, listen, type ListenAddress,
+	closeServer, ConnectionTracker, GrowingBuffer, listen, type Listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
 import {ForwardedRequest} from './forwarded-request.js';
@@ -30,6 +30,8 @@
 export interface RelayServerOptions {
 	readonly context: RelayContext;
 	readonly listen: ListenAddress;
+	/** Binds the address; by default with one try. */
+	readonly bind?: Listen;
 	/** Returns the current configuration; `undefined` before the first one is loaded. */
 	readonly table: () => RouteTable | undefined;
 	/** True while new requests are rejected because the process is shutting down. */
@@ -45,7 +47,7 @@
 export class RelayServer {
 	static async create(options: RelayServerOptions): Promise<RelayServer> {
 		const server = new RelayServer(options);
-		server.#port = await listen(server.#server, options.listen);
+		server.#port = await (options.bind ?? listen)(server.#server, options.listen);
 		return server;
 	}
 
