Go on after any number of unhandled errors while requests are answered

What callers saw: FAULT and LOST: the 21st unhandled error within 10 s ended the process at once, with all its requests. 'throw null' ended the process at the first one, with status 7, since the handler itself failed on it.

An error ends the process only if it cannot work: more than 20 in a window of 10 s in which 10 requests or more arrive and none is answered. It then drains as after SIGTERM, bounded by the grace time and 1 s. While requests are answered, or none come, any number is tolerable: ending the process would only break off what works.

--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -1,5 +1,5 @@
 export {errorMessage} from './error-message.js';
-export {ErrorTolerance, type ErrorToleranceOptions} from './error-tolerance.js';
+export {ErrorTolerance, type ErrorToleranceOptions, type RequestProgress} from './error-tolerance.js';
 export {formatFinding, type Finding} from './finding.js';
 export {FindingsError} from './findings-error.js';
 export {GuavamillError} from './guavamill-error.js';
--- a/src/errors/unhandled-errors.ts
+++ b/src/errors/unhandled-errors.ts
@@ -15,7 +15,8 @@
 	readonly logger: PartLogger;
 }
 
-type PlaceState = {count: number; loggedCount: number; loggedMs: Ms};
+/** Errors of a place; `isWaiting` while further ones are collected for the next line. */
+type PlaceState = {count: number; loggedCount: number; isWaiting: boolean; message: string};
 
 /**
  * Logs errors that nothing has handled, by the place that threw them: the first of a place with its stack, further ones by
@@ -40,24 +41,37 @@
 
 	/** Records whatever was thrown, and returns its place. */
 	record(thrown: unknown): string {
-		const {clock, logger} = this.options;
-		const now = clock.now();
 		const {message, stack} = describe(thrown);
 		const found = placeOf(message, stack);
 		const place = this.#places.has(found) || this.#places.size < maxPlaces ? found : 'other';
-		const state = this.#places.get(place) ?? {count: 0, loggedCount: 0, loggedMs: -Infinity};
+		const state = this.#places.get(place) ?? {
+			count: 0, loggedCount: 0, isWaiting: false, message,
+		};
 		this.#places.set(place, state);
 		state.count++;
-		if (now - state.loggedMs >= repeatMs) {
-			logger.error('An error was not handled; the process goes on.', {
-				place, error: message, ...(state.loggedCount === 0 ? {stack} : {}), errors: state.count - state.loggedCount, total: state.count,
-			});
-			state.loggedCount = state.count;
-			state.loggedMs = now;
+		state.message = message;
+		if (!state.isWaiting) {
+			this.#log(place, state, state.loggedCount === 0 ? stack : undefined);
 		}
 
 		return place;
 	}
+
+	/** Logs the errors of a place since its last line, and collects further ones for a while. */
+	#log(place: string, state: PlaceState, stack?: string): void {
+		const {clock, logger} = this.options;
+		logger.error('An error was not handled; the process goes on.', {
+			place, error: state.message, ...(stack === undefined ? {} : {stack}), errors: state.count - state.loggedCount, total: state.count,
+		});
+		state.loggedCount = state.count;
+		state.isWaiting = true;
+		clock.after(repeatMs, () => {
+			state.isWaiting = false;
+			if (state.count > state.loggedCount) {
+				this.#log(place, state);
+			}
+		});
+	}
 }
 
 /** Returns the text and the stack of whatever was thrown; values that throw when they are read have neither. */
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,6 +1,6 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {ListenAddress} from '../http/index.js';
-import {errorMessage} from '../errors/index.js';
+import {errorMessage, type RequestProgress} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
 	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKey, type LinkKeyStore,
@@ -308,6 +308,12 @@
 		return this.#server.inFlight;
 	}
 
+	/** Counts of requests since the start. */
+	get requestProgress(): RequestProgress {
+		const {ended, answered} = this.#metrics.requestCounts;
+		return {arrived: ended + this.inFlight, answered};
+	}
+
 	/** Counts an error that nothing handled, by the place that threw it. */
 	recordUnhandledError(place: string): void {
 		this.#metrics.recordUnhandledError(place);
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -70,6 +70,9 @@
 		name: 'guavamill_relay_stages_seconds', help: 'Time that the stages of a request took.', buckets: secondsBuckets, registers: [this.registry],
 	});
 
+	#ended = 0;
+	#answered = 0;
+
 	private constructor(sources: RelayMetricSources) {
 		const gauge = (name: string, help: string, read: () => number) => {
 			addGauge(this.registry, {name, help, read});
@@ -101,8 +104,18 @@
 		});
 	}
 
+	/** Number of requests that have ended, and of those among them that got an answer of whatever kind. */
+	get requestCounts(): {readonly ended: number; readonly answered: number} {
+		return {ended: this.#ended, answered: this.#answered};
+	}
+
 	/** Records the end of a request. */
 	recordRequest(request: {outcome: string; reason: string; tookMs: Ms; firstByteMs: Ms | undefined}): void {
+		this.#ended++;
+		if (request.outcome !== 'left') {
+			this.#answered++;
+		}
+
 		this.#requests.inc({outcome: request.outcome, reason: request.reason});
 		this.#duration.observe({outcome: request.outcome}, request.tookMs / 1000);
 		if (request.firstByteMs !== undefined) {
