Keep duties going after an error that nothing handles

What callers saw: nothing yet; audit of what is left behind by an error. The process goes on after one, so that what it was doing must not stay half done: - links: the timer of the heartbeats was set again at the end of its work, so that after one error the entry VM lost all links and made none any more; - limits: the mark that a place is being asked for stayed, and each further request for the target failed with the old error; - crash watch: a probe with an error left its target marked as being probed, so that no later crash of it was found; - reach: a peer that asked got no reply and waited for 1.2 s. None of them is shown to have happened.

--- a/src/limits/target-limits.test.ts
+++ b/src/limits/target-limits.test.ts
@@ -37,6 +37,27 @@
 		expect(target.limit?.perSecond).toBe(2);
 	});
 
+	// Guards against a target that gets no request any more after a single error while a place was asked for.
+	it('asks for a place again after an error', async () => {
+		const clock = ManualClock.create({now: 1000});
+		const target = createTarget('riga-a');
+		let isFailing = false;
+		const limits = TargetLimits.create({
+			clock, logger: silentLoggerFactory('targets'), mesh: () => undefined, targets: {get: () => target, all: () => [target]}, share() {
+				if (isFailing) {
+					throw new Error('thrown by the mesh');
+				}
+
+				return 1;
+			},
+		});
+		limits.observe(target, {perSecond: 2, sentMs: 900});
+		isFailing = true;
+		await expect(limits.reserve(target, 0)).rejects.toThrow('thrown by the mesh');
+		isFailing = false;
+		await expect(limits.reserve(target, 1000)).resolves.toHaveProperty('waitMs');
+	});
+
 	it('takes zero as a limit, and a very large one as none', () => {
 		const {limits, target} = setUp();
 		limits.observe(target, {perSecond: 0, sentMs: 900});
--- a/src/limits/target-limits.ts
+++ b/src/limits/target-limits.ts
@@ -100,8 +100,13 @@
 			target: target.id, startedMs: entry.startedMs ?? null, zone: entry.zone, perSecond: limit.perSecond, maxWaitMs: Math.max(0, untilMs - clock.now()), hops: 0,
 		});
 		this.#asking.set(target, reserving);
-		const reservation = await reserving;
-		this.#asking.delete(target);
+		let reservation: Reservation;
+		try {
+			reservation = await reserving;
+		} finally {
+			this.#asking.delete(target);
+		}
+
 		if (!('waitMs' in reservation)) {
 			return reservation;
 		}
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -149,6 +149,10 @@
 	#tick(): void {
 		const {clock} = this.options;
 		const now = clock.now();
+		// Without the next tick, no link would have heartbeats any more.
+		this.#cancelTick = clock.after(this.#tickMs, () => {
+			this.#tick();
+		});
 		const isLate = now - this.#lastTickMs > 2 * this.#tickMs;
 		this.#lastTickMs = now;
 		for (const link of this.#links.values()) {
@@ -157,11 +161,6 @@
 
 		this.#closeUnneeded(now);
 		this.#dialDue(now);
-		if (!this.#isClosed) {
-			this.#cancelTick = clock.after(this.#tickMs, () => {
-				this.#tick();
-			});
-		}
 	}
 
 	/** Returns the members that this entry VM needs a link to. Members of unknown zone are dialled to learn their zone. */
--- a/src/reach/reach-watch.test.ts
+++ b/src/reach/reach-watch.test.ts
@@ -74,4 +74,24 @@
 		expect(watches[3]!.isCutOff).toBe(false);
 		watches[3]!.close();
 	});
+
+	// Guards against a peer that waits for its whole time since the probes here ended with an error that nothing handled.
+	it('replies to a peer although its own probes end with an error', async () => {
+		const clock = ManualClock.create();
+		const sent: unknown[] = [];
+		const link = {
+			peer: {name: 'peer', zone: 'riga-a', incarnation: 'i'}, send(message: unknown) {
+				sent.push(message);
+				return true;
+			},
+		} as unknown as Link;
+		const watch = ReachWatch.create({
+			clock, logger: silentLoggerFactory('targets'), random: Random.create(1), zone: 'riga-a', callersAddress: () => 'vm-1', links: () => [link], targets: () => targets, async probe() {
+				throw new Error('thrown by a probe');
+			},
+		});
+		watch.receive(link, {type: 'reach-request', id: 7, hops: 2});
+		await clock.advance(10);
+		expect(sent).toEqual([{type: 'reach-reply', id: 7, callers: null}]);
+	});
 });
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -171,9 +171,17 @@
 	}
 
 	async #answer(link: Link, id: number, hops: number): Promise<void> {
-		const {clock, callersAddress} = this.options;
-		const isReached = !this.isCutOff && (this.#reach.isFresh(clock.now()) || await this.#probe(probesPerCheck));
-		const [other] = isReached || hops >= maxHops ? [] : await this.#ask(hops, link);
-		link.send({type: 'reach-reply', id, callers: isReached ? callersAddress() : other ?? null});
+		const {clock, callersAddress, logger} = this.options;
+		let callers: string | null = null;
+		try {
+			const isReached = !this.isCutOff && (this.#reach.isFresh(clock.now()) || await this.#probe(probesPerCheck));
+			const [other] = isReached || hops >= maxHops ? [] : await this.#ask(hops, link);
+			callers = isReached ? callersAddress() : other ?? null;
+		} catch (err) {
+			// Without a reply, the peer would wait for its whole time.
+			logger.error('Cannot tell a peer whether targets can be reached.', {peer: link.peer.name, error: errorMessage(err)});
+		}
+
+		link.send({type: 'reach-reply', id, callers});
 	}
 }
--- a/src/relay/crash-watch.test.ts
+++ b/src/relay/crash-watch.test.ts
@@ -15,12 +15,19 @@
 function createWatch(...results: ProbeResult[]) {
 	const crashes: TargetCrash[] = [];
 	let probes = 0;
+	let failure: Error | undefined;
 	const clock = ManualClock.create();
 	const watch = CrashWatch.create({
 		clock,
 		logger: silentLoggerFactory('targets'),
 		async probe() {
 			probes++;
+			if (failure) {
+				const err = failure;
+				failure = undefined;
+				throw err;
+			}
+
 			return results[Math.min(probes, results.length) - 1]!;
 		},
 		onCrash(crash) {
@@ -28,7 +35,9 @@
 		},
 	});
 	return {
-		watch, crashes, probes: () => probes, settle: async () => clock.advance(1),
+		watch, crashes, probes: () => probes, settle: async () => clock.advance(1), fail(err: Error) {
+			failure = err;
+		},
 	};
 }
 
@@ -65,4 +74,17 @@
 		await settle();
 		expect(probes()).toBe(0);
 	});
+
+	// Guards against a target that is never probed again after one probe with an error, which nothing handled.
+	it('probes a target anew after a probe with an error', async () => {
+		const {watch, crashes, probes, settle, fail} = createWatch('gone');
+		const engine = target();
+		fail(new Error('thrown by the probe'));
+		watch.attemptBroken(engine, attempt('1'));
+		await settle();
+		expect([probes(), crashes]).toEqual([1, []]);
+		watch.attemptBroken(engine, attempt('2'));
+		await settle();
+		expect([probes(), crashes.map(({attempts}) => attempts.map(({attemptId}) => attemptId))]).toEqual([2, [['2']]]);
+	});
 });
--- a/src/relay/crash-watch.ts
+++ b/src/relay/crash-watch.ts
@@ -1,4 +1,5 @@
 import type {Clock, Ms} from '../clock/index.js';
+import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {RelayTarget} from '../registry/index.js';
 import type {ProbeResult} from './target-attempt.js';
@@ -68,12 +69,26 @@
 	}
 
 	async #check(target: RelayTarget): Promise<void> {
-		const {clock, logger, probe, onCrash} = this.options;
-		const firstResult = await probe(target);
-		// The end of the target cuts off a probe that has just connected; the next one is refused.
-		const result = firstResult === 'silent' ? await probe(target) : firstResult;
-		const attempts = this.#pending.get(target)!;
+		const {logger, probe} = this.options;
+		try {
+			const firstResult = await probe(target);
+			// The end of the target cuts off a probe that has just connected; the next one is refused.
+			const result = firstResult === 'silent' ? await probe(target) : firstResult;
+			this.#judge(target, this.#takePending(target), result);
+		} catch (err) {
+			logger.error('Cannot tell whether a target has ended.', {target: target.id, attempts: this.#takePending(target).length, error: errorMessage(err)});
+		}
+	}
+
+	/** Takes the attempts of a target, so that the next one is probed anew. */
+	#takePending(target: RelayTarget): readonly BrokenAttempt[] {
+		const attempts = this.#pending.get(target) ?? [];
 		this.#pending.delete(target);
+		return attempts;
+	}
+
+	#judge(target: RelayTarget, attempts: readonly BrokenAttempt[], result: ProbeResult): void {
+		const {clock, logger, onCrash} = this.options;
 		const fields = {
 			target: target.id,
 			service: target.entry.service,
