Complete the requests in progress although a step of the shutdown fails

What callers saw: nothing yet; audit of rejections inside the shutdown. An error in one step (telling peers, handing over plans, rejecting late requests, closing) ended the shutdown and the process with status 1, before the requests in progress were complete; the steps after it were left out.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -337,11 +337,15 @@
 		let schedule = ShutdownSchedule.create({startedMs, graceMs: this.#limits.graceMs});
 		this.#shutdownSchedule = schedule;
 		this.#lifecycle.send({type: 'SHUTDOWN'});
-		this.#mesh?.leave();
-		this.#stages.handOver();
+		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
+		await this.#tryStep('hand over stage plans', () => {
+			this.#stages.handOver();
+		});
 		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
-			this.#server.rejectLate();
+			await this.#tryStep('reject late requests', () => {
+				this.#server.rejectLate();
+			});
 			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.endMs - clock.now())));
 			const now = clock.now();
 			schedule = this.#shutdownSchedule;
@@ -354,7 +358,7 @@
 			}
 		}
 
-		await this.#endRequests();
+		await this.#tryStep('end requests', async () => this.#endRequests());
 		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
 		await this.close();
 	}
@@ -388,13 +392,22 @@
 		this.#memoryWatch.close();
 		this.#reach.close();
 		this.#stages.close();
-		await this.#server.close();
-		await this.#control.close();
-		await this.#metricsServer?.close();
-		await this.#mesh?.close();
+		await this.#tryStep('close the server for callers', async () => this.#server.close());
+		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
+		await this.#tryStep('close the metrics endpoint', async () => this.#metricsServer?.close());
+		await this.#tryStep('close the mesh', async () => this.#mesh?.close());
 		this.#pools.destroy();
 	}
 
+	/** Takes a step of the shutdown. After one that fails, the others matter no less: requests in progress depend on them. */
+	async #tryStep(step: string, take: () => void | Promise<void>): Promise<void> {
+		try {
+			await take();
+		} catch (err) {
+			this.options.createLogger('entry-vm').error('A step of the shutdown failed; going on.', {step, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
+		}
+	}
+
 	async #start(): Promise<void> {
 		const {options} = this;
 		const {clock, createLogger} = options;
