Forget the calls of a stage pool that its estimate no longer needs

What callers saw: nothing yet; audit of what grows. Each on-time call was remembered until the throughput that late work may use was asked for, which happens only while a plan or job is late: 61 MB for 1,000,000 calls without one, of a heap of 160 MB. Calls are dropped when one is recorded, too.

--- a/src/pools/throughput-estimator.ts
+++ b/src/pools/throughput-estimator.ts
@@ -23,18 +23,30 @@
 	#batchFill = 1;
 	/** Moving average of the pieces per call. */
 	#averagePieces = 0;
-	#onTimeCalls: Array<{at: Ms; pieces: number}> = [];
+	readonly #onTimeCalls: Array<{at: Ms; pieces: number}> = [];
 
 	/** Records a call that was sent; `hasBacklog` tells whether pieces were left waiting. Without a backlog, a call counts as full. */
 	recordCall(call: {pieces: number; batch: number; hasBacklog: boolean; isLate: boolean}, now: Ms): void {
 		const fill = call.hasBacklog ? call.pieces / call.batch : 1;
 		this.#batchFill += batchSmoothing * (fill - this.#batchFill);
 		this.#averagePieces += batchSmoothing * (call.pieces - this.#averagePieces);
+		// Calls are dropped here too: their sum is asked for only while there is late work.
+		this.#dropOldCalls(now);
 		if (!call.isLate) {
 			this.#onTimeCalls.push({at: now, pieces: call.pieces});
 		}
 	}
 
+	/** Number of on-time calls that are remembered. */
+	get rememberedCalls(): number {
+		return this.#onTimeCalls.length;
+	}
+
+	#dropOldCalls(now: Ms): void {
+		const firstKept = this.#onTimeCalls.findIndex(({at}) => at >= now - onTimeWindowMs);
+		this.#onTimeCalls.splice(0, firstKept === -1 ? this.#onTimeCalls.length : firstKept);
+	}
+
 	/** Expected pieces per call while there is a backlog. */
 	piecesPerCall({batch}: StagePoolLimits): number {
 		return Math.max(1, batch * this.#batchFill);
@@ -54,7 +66,7 @@
 	/** Throughput that on-time jobs leave for late ones, in pieces per ms. */
 	sparePiecesPerMs(targets: number, limits: StagePoolLimits, now: Ms): number {
 		const piecesPerMs = this.piecesPerMs(targets, limits);
-		this.#onTimeCalls = this.#onTimeCalls.filter(({at}) => at >= now - onTimeWindowMs);
+		this.#dropOldCalls(now);
 		const usedPiecesPerMs = this.#onTimeCalls.reduce((sum, {pieces}) => sum + pieces, 0) / onTimeWindowMs;
 		return Math.max(piecesPerMs * minSpareShare, piecesPerMs - usedPiecesPerMs);
 	}
