Remember the prompts of engines by numbers instead of texts

What callers saw: a process that runs out of heap ends by itself (status 134) with all its requests; that this is the end of the users' runs is not shown. For each engine the tracker kept the text of up to 400 prefixes, each as long as all parts before it together. The engine of JavaScript shares these texts at first and copies them when they are looked up again: three times the same prompt of 800 parts (a header of 14 KB) at each of 40 engines took 373 MB, where the heap of an entry VM has 160 MB, and 3.1 s of processor time. Prefixes are numbered by a running hash of 53 bits, which ends at the first part that an engine does not have.

--- a/src/relay/prefix-cache-tracker.ts
+++ b/src/relay/prefix-cache-tracker.ts
@@ -18,7 +18,8 @@
 		return new PrefixCacheTracker();
 	}
 
-	readonly #engines = new Map<string, Map<string, Ms>>();
+	/** Times of the last use by key of the prefix. */
+	readonly #engines = new Map<string, Map<number, Ms>>();
 
 	private constructor() {}
 
@@ -44,13 +45,14 @@
 	cachedTokens(engine: string, parts: readonly PromptPart[], now: Ms): number {
 		const lastUsed = this.#engines.get(engine);
 		let tokens = 0;
-		for (const [index, key] of prefixKeys(parts).entries()) {
+		let index = 0;
+		for (const key of prefixKeys(parts)) {
 			const lastUsedMs = lastUsed?.get(key);
 			if (lastUsedMs === undefined || now - lastUsedMs > partTtlMs) {
 				break;
 			}
 
-			tokens += parts[index]!.tokens;
+			tokens += parts[index++]!.tokens;
 		}
 
 		return tokens;
@@ -62,10 +64,20 @@
 	}
 }
 
-function prefixKeys(parts: readonly PromptPart[]): string[] {
-	let key = '';
-	return parts.map(part => {
-		key += `/${part.id}`;
-		return key;
-	});
+/**
+ * Returns a number for each prefix, of 53 bits: the texts of all prefixes of a long prompt would take the square of its
+ * length. Equal numbers of different prefixes only make an estimate wrong.
+ */
+function * prefixKeys(parts: readonly PromptPart[]): Generator<number> {
+	let [low, high] = [0xDE_AD_BE_EF, 0x41_C6_CE_57];
+	for (const part of parts) {
+		for (const char of `/${part.id}`) {
+			const code = char.codePointAt(0)!;
+			low = Math.imul(low ^ code, 2_654_435_761);
+			high = Math.imul(high ^ code, 1_597_334_677);
+			low = (low << 13) | (low >>> 19);
+		}
+
+		yield ((high >>> 0) % (2 ** 21) * (2 ** 32)) + (low >>> 0);
+	}
 }
