Bound the memory of the requests of all callers

Callers saw (FAULT, LOST): an entry VM over its memory limit is killed with all its requests. Bodies were each bounded, all of them together were not, and they were kept even where the head told the refusal already: 404, 401, 400, 413 and 503 came only after the whole body.

Cause: readBody kept whatever arrived on any connection. Class: a bound for one request in place of one for all.

Why it works: what the head refuses is answered at once; the rest of its body is thrown away within bounds, so that the caller gets the answer and not a reset. RequestMemory admits a request with its length before its body is read, 40 MiB in all; the others wait unread for 0.8 s at most. Small requests and teams that hold little go first, senders that stop lose their room while others wait, and who gets none is told 503, which is true. A body with a length is received into one block instead of blocks that are copied in the end.

--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -30,9 +30,11 @@
 				this.#connections.delete(socket);
 			});
 		});
-		server.on('request', (req: IncomingMessage, res: ServerResponse) => {
-			this.#track(req.socket, res);
-		});
+		for (const event of ['request', 'checkContinue']) {
+			server.on(event, (req: IncomingMessage, res: ServerResponse) => {
+				this.#track(req.socket, res);
+			});
+		}
 	}
 
 	/** Number of requests whose responses are not written yet, on open connections. */
--- a/src/http/growing-buffer.ts
+++ b/src/http/growing-buffer.ts
@@ -13,8 +13,9 @@
  * res.end(buffer.bytes);
  */
 export class GrowingBuffer {
-	static create(): GrowingBuffer {
-		return new GrowingBuffer();
+	/** With `expectedBytes`, so many are collected in one block, and not copied in the end. */
+	static create(expectedBytes = 0): GrowingBuffer {
+		return new GrowingBuffer(expectedBytes);
 	}
 
 	#blocks: Buffer[] = [];
@@ -23,7 +24,7 @@
 	#length = 0;
 	#capacity = 0;
 
-	private constructor() {}
+	private constructor(private readonly expectedBytes: number) {}
 
 	get length(): number {
 		return this.#length;
@@ -44,13 +45,19 @@
 		return this.#blocks.length === 1 ? last : Buffer.concat([...this.#blocks.slice(0, -1), last]);
 	}
 
+	/** Returns the collected bytes in no more memory than twice their length. */
+	trim(): Buffer {
+		const {bytes} = this;
+		return this.#blocks.length === 1 && this.#capacity > 2 * bytes.length ? Buffer.from(bytes) : bytes;
+	}
+
 	append(chunk: Uint8Array): void {
 		let offset = 0;
 		while (offset < chunk.length) {
 			const missing = chunk.length - offset;
 			const last = this.#blocks.at(-1);
 			if (!last || this.#used === last.length) {
-				const size = last ? Math.max(blockBytes, missing) : Math.max(minBlockBytes, missing);
+				const size = last ? Math.max(blockBytes, missing) : Math.max(this.expectedBytes, minBlockBytes, missing);
 				this.#blocks.push(Buffer.allocUnsafe(size));
 				this.#capacity += size;
 				this.#used = 0;
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -17,7 +17,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
 } from '../relay/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
@@ -44,6 +44,8 @@
 const flushCheckIntervalMs: Ms = 10;
 /** Memory for the responses of all requests in progress: a small entry VM has 250 MB, of which the process without them takes about half. */
 const maxResponseMemoryBytes = 48 * 1024 * 1024;
+/** Memory for the requests of all callers. */
+const maxRequestMemoryBytes = 40 * 1024 * 1024;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
 /** Delay before another attempt to start the mesh. */
@@ -130,7 +132,7 @@
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
-		requestBytes: () => this.#server.requestBytes,
+		requestBytes: () => this.#requestMemory.bytes,
 		responseBytes: () => this.#responseMemory.bytes,
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
@@ -160,6 +162,7 @@
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
+	readonly #requestMemory: RequestMemory;
 	readonly #responseMemory: ResponseMemory;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
@@ -170,6 +173,7 @@
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
+		this.#requestMemory = RequestMemory.create({maxBytes: maxRequestMemoryBytes, clock, logger: createLogger('requests')});
 		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
@@ -409,6 +413,7 @@
 				registry: this.#registry,
 				pools: this.#pools,
 				memory: this.#responseMemory,
+				requestMemory: this.#requestMemory,
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -18,6 +18,7 @@
 export {RelayServer, type RelayServerOptions} from './relay-server.js';
 export type {ProbeResult} from './target-attempt.js';
 export {requestWhole, type WholeResponse} from './request-whole.js';
+export {RequestMemory} from './request-memory.js';
 export {ResponseMemory} from './response-memory.js';
 export {RouteDurations, type DurationEstimate} from './route-durations.js';
 export {ShutdownSchedule, type ScheduledRequest} from './shutdown-schedule.js';
--- /dev/null
+++ b/src/relay/read-body.ts
@@ -0,0 +1,186 @@
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {GrowingBuffer} from '../http/index.js';
+import {smallRequestBytes, type RequestLease, type RequestMemory} from './request-memory.js';
+import {RequestPacer} from './request-pacer.js';
+import type {TurnBudget} from './turn-budget.js';
+
+/** A body that was received as a whole, and the memory that it takes until `lease` is released. */
+export interface ReceivedBody {
+	readonly body: Buffer;
+	readonly lease: RequestLease;
+}
+
+/**
+ * Why a body was not received as a whole: it exceeds the limit, its caller left, the requests in progress were ended, or
+ * there was no memory for it.
+ */
+export type IncompleteBody = 'too_large' | 'disconnected' | 'ended' | 'no_memory';
+
+/** Options of {@link readBody}. */
+export interface ReadBodyOptions {
+	readonly maxBytes: number;
+	/** Memory that the head takes, in bytes. */
+	readonly headBytes: number;
+	/** Who sends the request; the memory is shared between owners. */
+	readonly owner: string;
+	readonly memory: RequestMemory;
+	readonly turnBudget: TurnBudget;
+	/** Aborted when requests that have not arrived are ended. */
+	readonly signal: AbortSignal;
+}
+
+/**
+ * Reads the body of a request as far as there is memory and time in this turn for it; resolves with why not if it is not
+ * received as a whole. The request is then no longer read.
+ *
+ * @example
+ * const received = await readBody(req, {maxBytes, headBytes, owner, memory, turnBudget, signal});
+ */
+export async function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<ReceivedBody | IncompleteBody> {
+	return new Promise(resolve => {
+		new BodyReader(req, options, resolve).start();
+	});
+}
+
+class BodyReader {
+	readonly #pacer: RequestPacer;
+	/** Length that the head tells; `undefined` for a body in chunks. */
+	readonly #length: number | undefined;
+	#body: GrowingBuffer;
+	#lease: RequestLease | undefined;
+	#isGranted = false;
+	/** Whether a body in chunks has asked for the memory of the largest one. */
+	#isLarge = false;
+	#isEnded = false;
+	#isFinished = false;
+
+	constructor(private readonly req: IncomingMessage, private readonly options: ReadBodyOptions, private readonly resolve: (outcome: ReceivedBody | IncompleteBody) => void) {
+		this.#pacer = RequestPacer.create(req, {
+			turnBudget: options.turnBudget,
+			onDeferred: isDeferred => {
+				this.#lease?.setDeferred(isDeferred);
+			},
+		});
+		this.#length = req.headers['transfer-encoding'] === undefined ? Number(req.headers['content-length'] ?? 0) : undefined;
+		this.#body = GrowingBuffer.create(this.#length);
+	}
+
+	start(): void {
+		const {req, options: {signal, memory, owner, headBytes, maxBytes}} = this;
+		req.on('readable', this.#onReadable);
+		req.on('end', this.#onEnd);
+		req.on('error', this.#onDisconnected);
+		req.on('close', this.#onDisconnected);
+		req.socket.on('close', this.#onDisconnected);
+		signal.addEventListener('abort', this.#onAbort);
+		this.#pacer.setHeld(true);
+		const lease = memory.claim({
+			bytes: headBytes + (this.#length ?? Math.min(smallRequestBytes - headBytes, maxBytes)),
+			owner,
+			onRefused: () => {
+				this.#finish('no_memory');
+			},
+		}, () => {
+			this.#onGranted();
+		});
+		this.#lease = lease;
+		if (signal.aborted) {
+			this.#onAbort();
+		}
+
+		if (this.#isFinished) {
+			lease.release();
+		} else {
+			this.#completeIfWhole();
+		}
+	}
+
+	readonly #onGranted = () => {
+		this.#isGranted = true;
+		this.#pacer.setHeld(false);
+		this.#completeIfWhole();
+	};
+
+	/** Takes all that has been read at once: bytes of many small chunks cost much less so. */
+	readonly #onReadable = () => {
+		for (let chunk = this.#read(); chunk; chunk = this.#read()) {
+			this.#take(chunk);
+		}
+	};
+
+	#read(): Buffer | undefined {
+		return this.#isFinished ? undefined : (this.req.read() as Buffer | null) ?? undefined;
+	}
+
+	#take(chunk: Buffer): void {
+		const {maxBytes, headBytes} = this.options;
+		this.#pacer.count(chunk.length);
+		if (this.#body.length + chunk.length > maxBytes) {
+			this.#finish('too_large');
+			return;
+		}
+
+		this.#body.append(chunk);
+		this.#lease?.received(chunk.length);
+		if (this.#length === undefined && !this.#isLarge && this.#body.length > smallRequestBytes - headBytes) {
+			this.#growLarge();
+		}
+	}
+
+	/** Asks for the memory of the largest body, since the length of one in chunks is not known before its end. */
+	#growLarge(): void {
+		const {maxBytes, headBytes} = this.options;
+		this.#isLarge = true;
+		this.#isGranted = false;
+		const small = this.#body;
+		// Memory that is not written to is not resident.
+		this.#body = GrowingBuffer.create(maxBytes);
+		this.#body.append(small.bytes);
+		this.#pacer.setHeld(true);
+		this.#lease!.resize(headBytes + maxBytes, this.#onGranted);
+	}
+
+	/** What arrived in one read with the head may be whole before there is memory for it. */
+	readonly #onEnd = () => {
+		this.#isEnded = true;
+		this.req.off('close', this.#onDisconnected);
+		this.#completeIfWhole();
+	};
+
+	#completeIfWhole(): void {
+		if (this.#isEnded && this.#isGranted && !this.#isFinished) {
+			const bytes = this.#body.trim();
+			this.#lease!.complete(this.options.headBytes + bytes.length);
+			this.#finish({body: bytes, lease: this.#lease!});
+		}
+	}
+
+	readonly #onDisconnected = () => {
+		this.#finish('disconnected');
+	};
+
+	readonly #onAbort = () => {
+		this.#finish('ended');
+	};
+
+	#finish(outcome: ReceivedBody | IncompleteBody): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		this.#isFinished = true;
+		this.#pacer.stop();
+		const {req, options: {signal}} = this;
+		signal.removeEventListener('abort', this.#onAbort);
+		req.off('readable', this.#onReadable);
+		req.off('end', this.#onEnd);
+		req.socket.off('close', this.#onDisconnected);
+		this.#body = GrowingBuffer.create();
+		if (typeof outcome === 'string') {
+			this.#lease?.release();
+		}
+
+		this.resolve(outcome);
+	}
+}
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -14,6 +14,7 @@
 import type {RouteDurations} from './route-durations.js';
 import type {ShutdownSchedule} from './shutdown-schedule.js';
 import type {ProbeResult} from './target-attempt.js';
+import type {RequestMemory} from './request-memory.js';
 import type {ResponseMemory} from './response-memory.js';
 import type {TargetPools} from './target-pools.js';
 import type {TurnBudget} from './turn-budget.js';
@@ -29,6 +30,8 @@
 	readonly pools: TargetPools;
 	/** Memory of the responses that the process holds. */
 	readonly memory: ResponseMemory;
+	/** Memory of the requests that the process holds. */
+	readonly requestMemory: RequestMemory;
 	readonly turnBudget: TurnBudget;
 	readonly stages: StageRunner;
 	readonly prefixCache: PrefixCacheTracker;
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -1,16 +1,20 @@
 import type {Buffer} from 'node:buffer';
+import {setMaxListeners} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
-	closeServer, ConnectionTracker, GrowingBuffer, listen, type ListenAddress,
+	closeServer, ConnectionTracker, listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
+import {hasBody, sendEarlyRejection} from './early-rejection.js';
 import {ForwardedRequest} from './forwarded-request.js';
 import type {CallerHead} from './relay-codec.js';
+import {readBody, type IncompleteBody} from './read-body.js';
 import {RequestHandler} from './request-handler.js';
+import type {RequestLease} from './request-memory.js';
 import {sendRejection} from './send-rejection.js';
 import type {RelayContext} from './relay-context.js';
 import type {Rejection} from './rejection.js';
@@ -25,9 +29,12 @@
 const keepAliveMarginMs: Ms = 1000;
 /** Interval of the checks for callers that send a request too slowly. */
 const checkIntervalMs: Ms = 1000;
-/** Bytes of requests from which they are logged, and the time between two such lines. */
-const loggedRequestBytes = 32 * 1024 * 1024;
-const requestBytesLogIntervalMs: Ms = 5000;
+/** Memory that a request takes besides the text of its headers. */
+const requestOverheadBytes = 4096;
+/** Delay after which a caller may ask again that found no memory for its request. */
+const noMemoryRetryAfterMs: Ms = 500;
+/** Part of `Expect` by which a caller waits for a sign before it sends a body. */
+const continueExpectation = /100-continue/i;
 
 /** Options of `RelayServer`. */
 export interface RelayServerOptions {
@@ -58,8 +65,6 @@
 	/** Aborted when the requests in progress are ended. */
 	readonly #endController = new AbortController();
 	#inFlight = 0;
-	#requestBytes = 0;
-	#requestBytesLoggedMs: Ms = -Infinity;
 	#port = 0;
 
 	private constructor(private readonly options: RelayServerOptions) {
@@ -68,6 +73,11 @@
 		}, (req, res) => {
 			void this.#handle(req, res);
 		});
+		// Each request that is received listens.
+		setMaxListeners(0, this.#endController.signal);
+		this.#server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
+			void this.#handle(req, res);
+		});
 		this.#connections = ConnectionTracker.create(this.#server);
 	}
 
@@ -81,11 +91,6 @@
 		return Math.max(this.#inFlight, this.#connections.activeRequests);
 	}
 
-	/** Bytes of the bodies of requests in progress, received so far. */
-	get requestBytes(): number {
-		return this.#requestBytes;
-	}
-
 	/** Applies the caller limits of a configuration. */
 	applyLimits(table: RouteTable): void {
 		const {headerTimeoutMs, idleTimeoutMs} = table.declarations.limits;
@@ -120,25 +125,36 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock, codec, logger} = this.options.context;
+		const {
+			clock, codec, logger, requestMemory, turnBudget,
+		} = this.options.context;
 		const arrivedMs = clock.now();
 		// The `close` event that follows a connection error ends the request.
 		res.on('error', () => undefined);
 		this.#inFlight++;
-		let bodyBytes = 0;
+		let lease: RequestLease | undefined;
 		try {
-			const body = await readBody(req, {
-				maxBytes: this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes,
-				signal: this.#endController.signal,
-				onBytes: bytes => {
-					this.#countBytes(bytes - bodyBytes);
-					bodyBytes = bytes;
-				},
+			const head = codec.decodeCallerHead(req.rawHeaders);
+			const table = this.options.table();
+			const maxBytes = table?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes;
+			const refusal = this.#findRefusal(req, head) ?? (Number(req.headers['content-length'] ?? 0) > maxBytes ? {status: 413, reason: 'body_too_large'} as const : undefined);
+			if (refusal) {
+				this.#reject(req, res, refusal, {id: head.attemptId, version: table?.version});
+				return;
+			}
+
+			if (continueExpectation.test(req.headers.expect ?? '')) {
+				res.writeContinue();
+			}
+
+			const received = await readBody(req, {
+				maxBytes, headBytes: headBytesOf(req), owner: table!.team(head.teamKey)?.name ?? '', memory: requestMemory, turnBudget, signal: this.#endController.signal,
 			});
-			if (typeof body === 'string') {
-				this.#endIncomplete(req, res, {cause: body, arrivedMs});
+			if (typeof received === 'string') {
+				this.#endIncomplete(req, res, {cause: received, id: head.attemptId, arrivedMs});
 			} else {
-				await this.#run(req, res, body, arrivedMs);
+				lease = received.lease;
+				await this.#run(req, res, {head, body: received.body, arrivedMs});
 			}
 		} catch (err) {
 			logger.error('Cannot serve a request.', {
@@ -151,58 +167,59 @@
 			}
 		} finally {
 			this.#inFlight--;
-			this.#countBytes(-bodyBytes);
-		}
-	}
-
-	#countBytes(change: number): void {
-		const {clock, logger} = this.options.context;
-		this.#requestBytes += change;
-		if (change > 0 && this.#requestBytes >= loggedRequestBytes && clock.now() - this.#requestBytesLoggedMs >= requestBytesLogIntervalMs) {
-			this.#requestBytesLoggedMs = clock.now();
-			logger.warn('The bodies of requests hold much memory.', {bytes: this.#requestBytes, requests: this.#inFlight});
+			lease?.release();
 		}
 	}
 
 	/** Ends a request whose body was not received as a whole. */
-	#endIncomplete(req: IncomingMessage, res: ServerResponse, {cause, arrivedMs}: {cause: IncompleteBody; arrivedMs: Ms}): void {
-		const {clock, codec, logger} = this.options.context;
+	#endIncomplete(req: IncomingMessage, res: ServerResponse, {cause, id, arrivedMs}: {cause: IncompleteBody; id: string | undefined; arrivedMs: Ms}): void {
+		const {clock, logger} = this.options.context;
 		switch (cause) {
 			case 'too_large': {
-				this.#reject(res, {status: 413, reason: 'body_too_large'}, undefined);
+				this.#reject(req, res, {status: 413, reason: 'body_too_large'}, {id});
 				break;
 			}
 
 			case 'ended': {
-				this.#reject(res, {status: 503, reason: 'shutting_down', retryAfterMs: 50}, undefined, true);
+				this.#reject(req, res, {status: 503, reason: 'shutting_down', retryAfterMs: 50}, {id, isClosing: true});
+				break;
+			}
+
+			case 'no_memory': {
+				this.#reject(req, res, {status: 503, reason: 'no_memory', retryAfterMs: noMemoryRetryAfterMs}, {id});
 				break;
 			}
 
 			case 'disconnected': {
 				logger.info('A caller left before its request was complete.', {
-					id: codec.decodeCallerHead(req.rawHeaders).attemptId, took_ms: Math.round(clock.now() - arrivedMs), rejecting: this.options.isRejecting(),
+					id, took_ms: Math.round(clock.now() - arrivedMs), rejecting: this.options.isRejecting(),
 				});
 			}
 		}
 	}
 
-	async #run(req: IncomingMessage, res: ServerResponse, body: Buffer, arrivedMs: Ms): Promise<void> {
-		const {context, isRejecting} = this.options;
-		const head = context.codec.decodeCallerHead(req.rawHeaders);
+	/** Returns why a request cannot be relayed, by the configuration of this moment; `undefined` for one that can. */
+	#findRefusal(req: IncomingMessage, head: CallerHead): Rejection | undefined {
 		const table = this.options.table();
-		if (!table || isRejecting()) {
-			this.#reject(res, {status: 503, reason: table ? 'shutting_down' : 'not_configured', retryAfterMs: 50}, head.attemptId, true);
-			return;
+		if (!table || this.options.isRejecting()) {
+			return {status: 503, reason: table ? 'shutting_down' : 'not_configured', retryAfterMs: 50};
 		}
 
-		const route = table.route(head.host, req.url!);
-		const team = table.team(head.teamKey);
-		const rejection = findRejection(route, table, team, head);
-		if (rejection) {
-			this.#reject(res, rejection, head.attemptId, false, table.version);
+		return findRejection(table.route(head.host, req.url!), table, table.team(head.teamKey), head);
+	}
+
+	/** Relays a request that has arrived as a whole. The configuration may have changed since its head. */
+	async #run(req: IncomingMessage, res: ServerResponse, {head, body, arrivedMs}: {head: CallerHead; body: Buffer; arrivedMs: Ms}): Promise<void> {
+		const {context} = this.options;
+		const table = this.options.table()!;
+		const refusal = this.#findRefusal(req, head);
+		if (refusal) {
+			this.#reject(req, res, refusal, {id: head.attemptId, version: table.version});
 			return;
 		}
 
+		const route = table.route(head.host, req.url!);
+		const team = table.team(head.teamKey);
 		const request = {
 			req, res, head, attemptId: head.attemptId!, body, route: route!, team, table, arrivedMs,
 		};
@@ -215,8 +232,10 @@
 		}
 	}
 
-	#reject(res: ServerResponse, rejection: Rejection, id: string | undefined, isClosing = false, version?: number): void {
-		const {logger, metrics, isClosing: isServerClosing} = this.options.context;
+	#reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection, {id, version, isClosing = false}: {id: string | undefined; version?: number | undefined; isClosing?: boolean}): void {
+		const {
+			logger, metrics, isClosing: isServerClosing, clock, turnBudget,
+		} = this.options.context;
 		const {reason} = rejection;
 		metrics.recordRequest({
 			outcome: 'rejected', reason, tookMs: 0, firstByteMs: undefined,
@@ -224,7 +243,14 @@
 		logger.info('Rejected a request.', {
 			id, reason, status: rejection.status, config: version,
 		});
-		sendRejection(res, rejection, isClosing || isServerClosing());
+		const isLast = isClosing || reason === 'not_configured' || reason === 'shutting_down' || isServerClosing();
+		if (req.readableEnded || !hasBody(req)) {
+			sendRejection(res, rejection, isLast);
+		} else {
+			sendEarlyRejection(req, res, rejection, {
+				clock, turnBudget, maxDrainBytes: this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes, isClosing: isLast, signal: this.#endController.signal,
+			});
+		}
 	}
 }
 
@@ -241,37 +267,12 @@
 	return head.attemptId === undefined ? {status: 400, reason: 'bad_request'} : undefined;
 }
 
-/** Why a body was not received as a whole: it exceeds the limit, its caller left, or the requests in progress were ended. */
-type IncompleteBody = 'too_large' | 'disconnected' | 'ended';
-
-/** Resolves with the body, or with why it is not received: `ended` if `signal` was aborted before its end. `onBytes` is told the bytes held. */
-async function readBody(req: IncomingMessage, {maxBytes, signal, onBytes}: {maxBytes: number; signal: AbortSignal; onBytes: (bytes: number) => void}): Promise<Buffer | IncompleteBody> {
-	return new Promise(resolve => {
-		const onAbort = () => {
-			resolve('ended');
-		};
+/** Estimates the memory that the head of a request takes. */
+function headBytesOf({rawHeaders, url}: IncomingMessage): number {
+	let bytes = requestOverheadBytes + url!.length;
+	for (const text of rawHeaders) {
+		bytes += text.length;
+	}
 
-		signal.addEventListener('abort', onAbort);
-		req.on('close', () => {
-			signal.removeEventListener('abort', onAbort);
-		});
-		const body = GrowingBuffer.create();
-		req.on('data', (chunk: Buffer) => {
-			if (body.length + chunk.length > maxBytes) {
-				resolve('too_large');
-			} else {
-				body.append(chunk);
-				onBytes(body.capacity);
-			}
-		});
-		req.on('end', () => {
-			resolve(body.bytes);
-		});
-		req.on('error', () => {
-			resolve('disconnected');
-		});
-		req.on('close', () => {
-			resolve('disconnected');
-		});
-	});
+	return bytes;
 }
--- a/src/relay/turn-budget.ts
+++ b/src/relay/turn-budget.ts
@@ -31,7 +31,7 @@
 	#startedMs: Ms | undefined;
 	/** Time that was taken when the budget was found to be used up; 0 before. */
 	#usedMs: Ms = 0;
-	readonly #waiting: Array<() => void> = [];
+	readonly #waiting: Array<{fn: () => void; isReadLater: boolean}> = [];
 
 	private constructor(private readonly clock: Pick<Clock, 'now' | 'after'>, private readonly defer: (fn: () => void) => void) {}
 
@@ -58,7 +58,13 @@
 	/** Calls `fn` in one of the next turns, after those that have waited longer. */
 	onLaterTurn(fn: () => void): void {
 		this.begin();
-		this.#waiting.push(fn);
+		this.#waiting.push({fn, isReadLater: false});
+	}
+
+	/** Like `onLaterTurn`, for an `fn` after which data is handled in the turn that follows: one such is called in a turn. */
+	beforeLaterTurn(fn: () => void): void {
+		this.begin();
+		this.#waiting.push({fn, isReadLater: true});
 	}
 
 	#endTurn(): void {
@@ -79,8 +85,11 @@
 			this.begin();
 		}
 
-		while (this.#waiting.length > 0 && !this.isUsedUp()) {
-			this.#waiting.shift()!();
+		let isReadLater = false;
+		while (this.#waiting.length > 0 && !isReadLater && !this.isUsedUp()) {
+			const next = this.#waiting.shift()!;
+			isReadLater = next.isReadLater;
+			next.fn();
 		}
 	}
 }
