--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -42,9 +42,11 @@
 			});
 		});
 		// Before the listener that handles the request.
-		server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
-			this.#track(req.socket, res);
-		});
+		for (const event of ['request', 'checkContinue']) {
+			server.prependListener(event, (req: IncomingMessage, res: ServerResponse) => {
+				this.#track(req.socket, res);
+			});
+		}
 	}
 
 	/** Number of requests whose responses are not written yet, on open connections. */
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -3,4 +3,5 @@
 export {closeServer, listen, type ListenAddress} from './listen.js';
 export {listenWithRetry, type Listen, type ListenRetryOptions} from './listen-with-retry.js';
 export {BodyError, readJsonBody} from './read-json-body.js';
+export {ReadingGate} from './reading-gate.js';
 export {sendJson} from './send-json.js';
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -17,7 +17,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
@@ -46,6 +46,8 @@
 const flushCheckIntervalMs: Ms = 10;
 /** Memory for the responses of all requests in progress: a small entry VM has 250 MB, of which the process without them takes about half. */
 const maxResponseMemoryBytes = 48 * 1024 * 1024;
+/** Memory for the requests of all callers. */
+const maxRequestMemoryBytes = 40 * 1024 * 1024;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
@@ -141,7 +143,7 @@
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
-		requestBytes: () => this.#server.requestBytes,
+		requestBytes: () => this.#requestMemory.bytes,
 		responseBytes: () => this.#responseMemory.bytes,
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
@@ -173,6 +175,7 @@
 	readonly #eventLoopWatch: EventLoopWatch;
 	readonly #memoryWatch: MemoryWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
+	readonly #requestMemory: RequestMemory;
 	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
 	#configuredMs: Ms | undefined;
@@ -184,6 +187,7 @@
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
+		this.#requestMemory = RequestMemory.create({maxBytes: maxRequestMemoryBytes, clock, logger: createLogger('requests')});
 		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
@@ -517,6 +521,7 @@
 				registry: this.#registry,
 				pools: this.#pools,
 				memory: this.#responseMemory,
+				requestMemory: this.#requestMemory,
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
