--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,12 +1,12 @@
 import type {Clock, Ms} from '../clock/index.js';
-import type {ListenAddress} from '../http/index.js';
-import {errorMessage} from '../errors/index.js';
+import {listenWithRetry, type Listen, type ListenAddress} from '../http/index.js';
+import {errorMessage, type RequestProgress} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
 	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKey, type LinkKeyStore,
 } from '../links/index.js';
 import {TargetLimits} from '../limits/index.js';
-import type {LoggerFactory} from '../logging/index.js';
+import type {LoggerFactory, PartLogger} from '../logging/index.js';
 import {
 	MeshStageRunner, PoolHost, ServiceRetryBudget, type LostStageCall, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
@@ -17,8 +17,9 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type ZoneDistance,
+	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
+import {retry} from '../retry/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
 import {
 	TopicFollower, type EraTracker, type KeyedRecord, type KeyedTopic, type KeyedWriter,
@@ -45,10 +46,14 @@
 const flushCheckIntervalMs: Ms = 10;
 /** Memory for the responses of all requests in progress: a small entry VM has 250 MB, of which the process without them takes about half. */
 const maxResponseMemoryBytes = 48 * 1024 * 1024;
+/** Memory for the requests of all callers. */
+const maxRequestMemoryBytes = 40 * 1024 * 1024;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
-/** Delay before another attempt to start the mesh. */
-const meshRetryDelayMs: Ms = 500;
+/** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
+const listenSchedule = {timeoutMs: 60_000, initialDelayMs: 100, maxDelayMs: 1000};
+/** Tries to bind the addresses for metrics and links, without which requests are served meanwhile. */
+const backgroundSchedule = {timeoutMs: Infinity, initialDelayMs: 500, maxDelayMs: 2000};
 /** Time over which the entry VMs spread the check of the link key in a restored store. */
 const linkKeySpreadMs: Ms = 1000;
 /** Intervals between reads of the list of entry VMs, which is in memory and cheap to read. */
@@ -105,6 +110,8 @@
 	/** Eras of the history of the store's log. */
 	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
 	readonly limits: RelayLimits;
+	/** Ends the tries to bind addresses at once; `create` then throws. */
+	readonly signal?: AbortSignal | undefined;
 }
 
 /** Stages of a request that were in a call which got no whole response. */
@@ -123,7 +130,10 @@
  * await vm.shutdown();
  */
 export class RelayVm {
-	/** Starts to follow the store and to listen. Throws if the address for callers or readiness checks cannot be bound. */
+	/**
+	 * Starts to follow the store and to listen. Throws if the address for callers or readiness checks cannot be bound in time;
+	 * nothing has been accepted then, and nothing is left open.
+	 */
 	static async create(options: RelayVmOptions): Promise<RelayVm> {
 		const vm = new RelayVm(options);
 		await vm.#start();
@@ -141,7 +151,7 @@
 		targetsAgeMs: () => this.#targetFollower.ageMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
-		requestBytes: () => this.#server.requestBytes,
+		requestBytes: () => this.#requestMemory.bytes,
 		responseBytes: () => this.#responseMemory.bytes,
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
@@ -158,7 +168,7 @@
 	#hasTargets = false;
 	readonly #decodedTargets = new WeakMap<KeyedRecord, TargetEntry | undefined>();
 	readonly #targetNews = TargetNews.create(record => this.#decodeTarget(record));
-	#isClosed = false;
+	readonly #closing = new AbortController();
 	#limits: RelayLimits;
 	#shutdownSchedule: ShutdownSchedule | undefined;
 	#mesh: RelayMesh | undefined;
@@ -173,6 +183,7 @@
 	readonly #eventLoopWatch: EventLoopWatch;
 	readonly #memoryWatch: MemoryWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
+	readonly #requestMemory: RequestMemory;
 	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
 	readonly #stageCrashWatch: CrashWatch<LostStageAttempt>;
@@ -185,6 +196,7 @@
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
+		this.#requestMemory = RequestMemory.create({maxBytes: maxRequestMemoryBytes, clock, logger: createLogger('requests')});
 		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
@@ -349,6 +361,10 @@
 		}
 	}
 
+	get #isClosed(): boolean {
+		return this.#closing.signal.aborted;
+	}
+
 	/** Port to which callers connect. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -359,6 +375,12 @@
 		return this.#server.inFlight;
 	}
 
+	/** Counts of requests since the start. */
+	get requestProgress(): RequestProgress {
+		const {ended, answered} = this.#metrics.requestCounts;
+		return {arrived: ended + this.inFlight, answered};
+	}
+
 	/** Counts an error that nothing handled, by the place that threw it. */
 	recordUnhandledError(place: string): void {
 		this.#metrics.recordUnhandledError(place);
@@ -382,11 +404,15 @@
 		let schedule = ShutdownSchedule.create({startedMs, graceMs: this.#limits.graceMs});
 		this.#shutdownSchedule = schedule;
 		this.#lifecycle.send({type: 'SHUTDOWN'});
-		this.#mesh?.leave();
-		this.#stages.handOver();
+		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
+		await this.#tryStep('hand over stage plans', () => {
+			this.#stages.handOver();
+		});
 		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
-			this.#server.rejectLate();
+			await this.#tryStep('reject late requests', () => {
+				this.#server.rejectLate();
+			});
 			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.nextEndMs(clock.now()) - clock.now())));
 			const now = clock.now();
 			schedule = this.#shutdownSchedule;
@@ -405,7 +431,7 @@
 			}
 		}
 
-		await this.#endRequests();
+		await this.#tryStep('end requests', async () => this.#endRequests());
 		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
 		await this.close();
 	}
@@ -430,7 +456,7 @@
 
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
-		this.#isClosed = true;
+		this.#closing.abort();
 		this.#configFollower.stop();
 		this.#targetFollower.stop();
 		this.#quarantineFollower.stop();
@@ -440,20 +466,62 @@
 		this.#reach.close();
 		this.#standby.close();
 		this.#stages.close();
-		await this.#server.close();
-		await this.#control.close();
-		await this.#metricsServer?.close();
-		await this.#mesh?.close();
+		await this.#tryStep('close the server for callers', async () => this.#server.close());
+		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
+		await this.#tryStep('close the metrics endpoint', async () => this.#metricsServer?.close());
+		await this.#tryStep('close the mesh', async () => this.#mesh?.close());
 		this.#pools.destroy();
 	}
 
+	/** Takes a step of the shutdown. After one that fails, the others matter no less: requests in progress depend on them. */
+	async #tryStep(step: string, take: () => void | Promise<void>): Promise<void> {
+		try {
+			await take();
+		} catch (err) {
+			this.options.createLogger('entry-vm').error('A step of the shutdown failed; going on.', {step, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
+		}
+	}
+
 	async #start(): Promise<void> {
+		const {options} = this;
+		const {clock, createLogger} = options;
+		const bind = (purpose: string): Listen => async (server, address) => listenWithRetry(server, address, {
+			clock, logger: createLogger('entry-vm'), schedule: listenSchedule, signal: options.signal, purpose,
+		});
+		this.#control = await startControlServer({
+			listen: options.control, bind: bind('readiness'), paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
+		});
+		// Bound last, and with nothing to wait for afterwards: a start that is given up has accepted no request.
+		try {
+			options.signal?.throwIfAborted();
+			this.#server = await RelayServer.create(this.#serverOptions(bind('callers')));
+		} catch (err) {
+			await this.#control.close();
+			throw err;
+		}
+
+		this.#configFollower.start();
+		this.#targetFollower.start();
+		this.#quarantineFollower.start();
+		this.#quarantine.start();
+		this.#eventLoopWatch.start();
+		this.#memoryWatch.start();
+		void this.#startMetrics();
+		void this.#startMesh();
+		options.storeEras.onChange(() => {
+			void this.#restoreLinkKey();
+		});
+		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+	}
+
+	#serverOptions(bind: Listen): RelayServerOptions {
 		const {options} = this;
 		const {clock, createLogger} = options;
 		const probe = async (target: RelayTarget) => this.#probe(target);
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
-		this.#server = await RelayServer.create({
+		return {
 			listen: options.callers,
+			bind,
 			table: () => this.#isQuarantineKnown ? this.#table : undefined,
 			isRejecting: () => clock.now() >= (this.#shutdownSchedule?.acceptUntilMs ?? Infinity),
 			context: {
@@ -465,6 +533,7 @@
 				registry: this.#registry,
 				pools: this.#pools,
 				memory: this.#responseMemory,
+				requestMemory: this.#requestMemory,
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
@@ -491,22 +560,7 @@
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
 			},
-		});
-		this.#control = await startControlServer({
-			listen: options.control, paths: {'/ready': async () => ({status: this.isReady ? 200 : 503, body: ''})},
-		});
-		await this.#startMetrics();
-		this.#configFollower.start();
-		this.#targetFollower.start();
-		this.#quarantineFollower.start();
-		this.#quarantine.start();
-		this.#eventLoopWatch.start();
-		this.#memoryWatch.start();
-		void this.#startMesh();
-		options.storeEras.onChange(() => {
-			void this.#restoreLinkKey();
-		});
-		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
+		};
 	}
 
 	/** Probes a target; the result tells of the reach of targets as well. */
@@ -533,29 +587,47 @@
 		}
 	}
 
-	/** Starts the metrics endpoint; if its address cannot be bound, requests are served without metrics. */
+	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
 		const {metrics, createLogger} = this.options;
 		const {registry} = this.#metrics;
-		try {
-			this.#metricsServer = await startControlServer({
+		await this.#startInBackground('Cannot serve metrics yet; requests are still served, and it is tried again.', createLogger('entry-vm'), async () => {
+			const server = await startControlServer({
 				listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
 			});
-		} catch (err) {
-			createLogger('entry-vm').error('Cannot serve metrics; requests are still served.', {error: errorMessage(err)});
-		}
+			this.#metricsServer = server;
+			if (this.#isClosed) {
+				await server.close();
+			}
+		});
 	}
 
-	/** Starts the mesh once the link key is available, with retries while the port is in use; until then this entry VM has no links. */
+	/** Starts the mesh once the link key is available, with tries while its port is in use; until then this entry VM has no links. */
 	async #startMesh(): Promise<void> {
-		const {clock, createLogger} = this.options;
-		while (!this.#mesh && !this.#isClosed) {
-			try {
-				await this.#createMesh();
-			} catch (err) {
-				createLogger('links').error('Cannot start the mesh; running without links and retrying.', {error: errorMessage(err)});
-				await clock.sleep(meshRetryDelayMs);
-			}
+		const logger = this.options.createLogger('links');
+		await this.#startInBackground('Cannot start the mesh yet; running without links, and it is tried again.', logger, async () => this.#createMesh());
+	}
+
+	/** Repeats an act until it succeeds or this entry VM closes, while requests are served. */
+	async #startInBackground(message: string, logger: PartLogger, act: () => Promise<void>): Promise<void> {
+		let failures = 0;
+		try {
+			await retry(act, {
+				clock: this.options.clock,
+				schedule: backgroundSchedule,
+				signal: this.#closing.signal,
+				onRetry({err, tries, delayMs}) {
+					failures = tries;
+					logger.warn(message, {error: errorMessage(err), tries, next_in_ms: delayMs});
+				},
+			});
+		} catch (err) {
+			logger.warn('Gave up an address since this entry VM closes.', {error: errorMessage(err)});
+			return;
+		}
+
+		if (failures > 0) {
+			logger.info('Bound an address after further tries.', {tries: failures + 1});
 		}
 	}
 
@@ -563,7 +635,7 @@
 		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
 		const logger = createLogger('links');
 		this.#linkKey ??= await getOrCreateLinkKey({store: linkKeyStore, clock, logger});
-		this.#mesh = await RelayMesh.create({
+		const mesh = await RelayMesh.create({
 			self,
 			key: this.#linkKey,
 			listen: links,
@@ -641,8 +713,16 @@
 				this.#reach.linkLost(link);
 			},
 		});
+		this.#mesh = mesh;
 		if (this.#standby.isOn) {
-			this.#mesh.setStandby(true);
+			mesh.setStandby(true);
+		}
+
+		// The shutdown may have begun while the port was in use.
+		if (this.#isClosed) {
+			await mesh.close();
+		} else if (this.#lifecycle.state === 'draining') {
+			mesh.leave();
 		}
 	}
 
