--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -8,7 +8,7 @@
 import {TargetLimits} from '../limits/index.js';
 import type {LoggerFactory, PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, ServiceRetryBudget, type RetryLimits, type StageMessage, type StageTargetPort,
+	MeshStageRunner, PoolHost, ServiceRetryBudget, type LostStageCall, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
@@ -17,7 +17,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
+	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
 import {RouteTable, type RelayDeclarations} from '../routes/index.js';
@@ -114,6 +114,14 @@
 	readonly signal?: AbortSignal | undefined;
 }
 
+/** Stages of a request that were in a call which got no whole response. */
+type LostStageAttempt = BrokenAttempt & {readonly onCrash: (crash: StageCrash) => void};
+
+/** Names a start of a target. */
+function nameStart({id, entry: {startedMs}}: RelayTarget): string {
+	return `${id} ${startedMs ?? ''}`;
+}
+
 /**
  * Entry VM that relays requests: follows configuration and targets in the store, serves callers, and drains on shutdown.
  *
@@ -178,6 +186,7 @@
 	readonly #requestMemory: RequestMemory;
 	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
+	readonly #stageCrashWatch: CrashWatch<LostStageAttempt>;
 	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
@@ -228,7 +237,20 @@
 		this.#poolHost = PoolHost.create({
 			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
-			}, service: name => this.#table?.declarations.services.get(name),
+			}, service: name => this.#table?.declarations.services.get(name), onLostCall: call => {
+				this.#watchLostCall(call);
+			},
+		});
+		this.#stageCrashWatch = CrashWatch.create({
+			clock,
+			logger,
+			probe: async target => this.#probe(target),
+			onCrash: ({target, attempts}) => {
+				this.#metrics.recordCrash();
+				for (const {onCrash, sentMs, brokenMs} of attempts) {
+					onCrash({crash: nameStart(target), sentMs, brokenMs});
+				}
+			},
 		});
 		this.#stages = MeshStageRunner.create({
 			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff,
@@ -495,17 +517,7 @@
 	#serverOptions(bind: Listen): RelayServerOptions {
 		const {options} = this;
 		const {clock, createLogger} = options;
-		const probe = async (target: RelayTarget) => {
-			const result = await options.probe(target);
-			if (result === 'alive') {
-				this.#reach.recordReached();
-			} else {
-				this.#reach.recordFailed(target.id);
-			}
-
-			return result;
-		};
-
+		const probe = async (target: RelayTarget) => this.#probe(target);
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
 		return {
 			listen: options.callers,
@@ -536,7 +548,7 @@
 					probe,
 					onCrash: ({target, attempts}) => {
 						this.#metrics.recordCrash();
-						this.#quarantine.crashed(`${target.id} ${target.entry.startedMs ?? ''}`, attempts);
+						this.#quarantine.crashed(nameStart(target), attempts);
 					},
 				}),
 				limits: this.#targetLimits,
@@ -551,6 +563,30 @@
 		};
 	}
 
+	/** Probes a target; the result tells of the reach of targets as well. */
+	async #probe(target: RelayTarget): Promise<ProbeResult> {
+		const result = await this.options.probe(target);
+		if (result === 'alive') {
+			this.#reach.recordReached();
+		} else {
+			this.#reach.recordFailed(target.id);
+		}
+
+		return result;
+	}
+
+	/** Finds out whether a stage target has crashed, and tells the plans whose pieces were in the call. */
+	#watchLostCall({target, pieces, sentMs, lostMs}: LostStageCall): void {
+		const jobs = new Map(pieces.map(({job}) => [job.attemptId, job]));
+		for (const {attemptId, onCrash} of jobs.values()) {
+			if (onCrash) {
+				this.#stageCrashWatch.attemptBroken(target, {
+					attemptId, parts: [], progress: 'waiting', sentMs, brokenMs: lostMs, onCrash,
+				});
+			}
+		}
+	}
+
 	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
 		const {metrics, createLogger} = this.options;
