Parse the bytes of callers in slices, one request after the other

Cause: the HTTP server parses up to 64 KiB of a connection in one go and reads up to 32 such blocks in a turn: about ten thousand chunks, each an object and an event, or hundreds of requests, each run at once. Class: the work of one turn is bounded for responses, not for requests.

Why it works: CallerConnection hands the bytes to the HTTP server in slices that shrink when they take long, and lets larger connections rest one by one once the time of a turn is used up. A request that is sent before the one before has been answered is not run, and its connection not read, until then.

Two tries on the way: pausing the request keeps an object for each chunk that has been read already, and ended the process for want of heap; pausing it behind each block of 64 KiB left 100 blocks to be parsed in one turn, 70 ms each.

--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -2,5 +2,4 @@
 export {GrowingBuffer} from './growing-buffer.js';
 export {closeServer, listen, type ListenAddress} from './listen.js';
 export {BodyError, readJsonBody} from './read-json-body.js';
-export {ReadingGate} from './reading-gate.js';
 export {sendJson} from './send-json.js';
--- /dev/null
+++ b/src/relay/caller-connection.test.ts
@@ -0,0 +1,193 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {SystemClock} from '../clock/index.js';
+import {Random} from '../random/index.js';
+import {CallerConnection} from './caller-connection.js';
+import {TurnBudget} from './turn-budget.js';
+
+const seed = 43;
+
+/** Encodes a request whose body comes with a length or in chunks of random sizes. */
+function encode(random: Random, body: string): string {
+	const head = 'POST / HTTP/1.1\r\nhost: a\r\n';
+	if (random.float() < 0.5) {
+		return `${head}content-length: ${body.length}\r\n\r\n${body}`;
+	}
+
+	let text = `${head}transfer-encoding: chunked\r\n\r\n`;
+	for (let offset = 0; offset < body.length;) {
+		const chunk = body.slice(offset, offset + 1 + Math.floor(random.float() * 5000));
+		text += `${chunk.length.toString(16)}\r\n${chunk}\r\n`;
+		offset += chunk.length;
+	}
+
+	return `${text}0\r\n\r\n`;
+}
+
+// Guards against FAULT and CONFIG of issue 43: requests that callers did not wait for used up the memory, and chunks of one
+// byte kept an entry VM from answering anybody for seconds.
+describe('CallerConnection', () => {
+	let server: Server;
+	let connection: CallerConnection;
+	let handle: (req: IncomingMessage, res: ServerResponse) => void;
+	const sockets: Socket[] = [];
+	let running = 0;
+	let mostRunning = 0;
+
+	const countEnd = () => {
+		running--;
+	};
+
+	beforeEach(async () => {
+		running = 0;
+		mostRunning = 0;
+		const clock = SystemClock.create();
+		const turnBudget = TurnBudget.create({clock});
+		server = createServer((req, res) => {
+			connection.runInOrder(res, () => {
+				mostRunning = Math.max(mostRunning, ++running);
+				res.on('close', countEnd);
+				handle(req, res);
+			});
+		});
+		server.on('connection', (socket: Socket) => {
+			connection = CallerConnection.create(socket, {clock, turnBudget});
+		});
+		await new Promise<void>(resolve => {
+			server.listen(0, '127.0.0.1', resolve);
+		});
+	});
+
+	afterEach(() => {
+		for (const socket of sockets.splice(0)) {
+			socket.destroy();
+		}
+
+		server.closeAllConnections();
+		server.close();
+	});
+
+	function open() {
+		const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		sockets.push(socket);
+		const seen = {text: ''};
+		socket.on('data', chunk => {
+			seen.text += chunk.toString('latin1');
+		});
+		socket.on('error', () => undefined);
+		return {socket, seen};
+	}
+
+	async function waitUntil(condition: () => boolean): Promise<void> {
+		for (const endMs = Date.now() + 15_000; !condition();) {
+			if (Date.now() > endMs) {
+				throw new Error('Cannot continue the test: a condition was not met in time');
+			}
+
+			await sleep(5);
+		}
+	}
+
+	/** Reads a request now and then only, and answers with its body. */
+	async function echo(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of req) {
+			chunks.push(chunk as Buffer);
+			if (chunks.length % 8 === 0) {
+				const release = connection.hold();
+				await nextTurn();
+				release();
+			}
+		}
+
+		const body = Buffer.concat(chunks);
+		res.end(`${body.length}:${body.toString()};`);
+	}
+
+	it(`passes on requests unchanged, in their order and one by one, however they are cut (seed ${seed})`, async () => {
+		handle = (req, res) => {
+			void echo(req, res);
+		};
+
+		const random = Random.create(seed);
+		const bodies = Array.from({length: 60}, (_, index) => `${index}-`.repeat(Math.floor((random.float() ** 4) * 40_000)));
+		const text = bodies.map(body => encode(random, body)).join('');
+		const {socket, seen} = open();
+		for (let offset = 0; offset < text.length;) {
+			const part = text.slice(offset, offset + 1 + Math.floor((random.float() ** 3) * 200_000));
+			socket.write(part);
+			offset += part.length;
+			await sleep(1);
+		}
+
+		const count = () => seen.text.split('HTTP/1.1 200').length - 1;
+		await waitUntil(() => count() === bodies.length && seen.text.endsWith(';'));
+		const answers = [...seen.text.matchAll(/\r\n\r\n\d+:([^;]*);/g)].map(([, body]) => body);
+		expect(answers).toEqual(bodies);
+		expect(mostRunning).toBe(1);
+	});
+
+	it('reads no more than a little from a caller whose first request is not answered', async () => {
+		const responses: ServerResponse[] = [];
+		handle = (req, res) => {
+			responses.push(res);
+		};
+
+		const {socket} = open();
+		const request = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+		let isBlocked = false;
+		for (let index = 0; index < 2000 && !isBlocked; index++) {
+			isBlocked = !socket.write(request.repeat(1000));
+			await nextTurn();
+		}
+
+		await sleep(200);
+		expect([responses.length, isBlocked]).toEqual([1, true]);
+		responses[0]!.end();
+		await waitUntil(() => responses.length === 2);
+	});
+
+	it('does not run what waits behind a request whose connection has been closed', async () => {
+		const responses: ServerResponse[] = [];
+		handle = (req, res) => {
+			responses.push(res);
+		};
+
+		const {socket} = open();
+		socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(3));
+		await waitUntil(() => responses.length === 1);
+		responses[0]!.destroy();
+		await waitUntil(() => responses[0]!.closed && socket.closed);
+		await nextTurn();
+		expect(responses).toHaveLength(1);
+	});
+
+	it('notices that a caller has left while its request is in progress', async () => {
+		let hasLeft = false;
+		handle = (req, res) => {
+			res.on('close', () => {
+				hasLeft = true;
+			});
+		};
+
+		const {socket} = open();
+		socket.write('GET / HTTP/1.1\r\nhost: a\r\n\r\n');
+		await waitUntil(() => running === 1);
+		socket.destroy();
+		await waitUntil(() => hasLeft);
+	});
+
+	it('answers what is no request, and closes', async () => {
+		const {socket, seen} = open();
+		socket.write('nonsense\r\n\r\n'.repeat(10_000));
+		await waitUntil(() => socket.closed);
+		expect(seen.text).toMatch(/^HTTP\/1\.1 400 /);
+	});
+});
--- a/src/relay/early-rejection.ts
+++ b/src/relay/early-rejection.ts
@@ -1,10 +1,10 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import type {CallerConnection} from './caller-connection.js';
+import type {EndNotice} from './end-notice.js';
 import type {Rejection} from './rejection.js';
-import {RequestPacer} from './request-pacer.js';
 import {encodeRejection} from './send-rejection.js';
-import type {TurnBudget} from './turn-budget.js';
 
 /** Time in which the rest of a rejected request is read and thrown away. */
 const maxDrainMs: Ms = 5000;
@@ -13,13 +13,13 @@
 /** Options of {@link sendEarlyRejection}. */
 export interface EarlyRejectionOptions {
 	readonly clock: Pick<Clock, 'after'>;
-	readonly turnBudget: TurnBudget;
+	readonly connection: Pick<CallerConnection, 'hold'>;
 	/** Bytes of the rest up to which the connection is kept. */
 	readonly maxDrainBytes: number;
 	/** Whether to tell the caller to close its connection. */
 	readonly isClosing: boolean;
-	/** Aborted when the process ends. */
-	readonly signal: AbortSignal;
+	/** Given when the process ends. */
+	readonly endNotice: EndNotice;
 }
 
 /** Whether a request has a body. */
@@ -35,14 +35,15 @@
  * sendEarlyRejection(req, res, {status: 404, reason: 'no_route'}, options);
  */
 export function sendEarlyRejection(req: IncomingMessage, res: ServerResponse, rejection: Rejection, options: EarlyRejectionOptions): void {
-	const {clock, turnBudget, maxDrainBytes, signal} = options;
+	const {
+		clock, connection, maxDrainBytes, endNotice,
+	} = options;
 	// Who waits for a `100 Continue` may send the body or not after another answer, so that the next request could not be told from it.
 	const isClosing = options.isClosing || Number(req.headers['content-length'] ?? 0) > maxDrainBytes || req.headers.expect !== undefined;
 	const {body, headers} = encodeRejection(rejection, isClosing);
 	res.writeHead(rejection.status, headers);
 	res.write(body);
 	res.flushHeaders();
-	const pacer = RequestPacer.create(req, {turnBudget});
 	let drainedBytes = 0;
 	let isEnded = false;
 	let cancelTimer: CancelTimer = () => undefined;
@@ -53,8 +54,7 @@
 
 		isEnded = true;
 		cancelTimer();
-		pacer.stop();
-		signal.removeEventListener('abort', breakOff);
+		endNotice.remove(breakOff);
 		const {socket} = req;
 		res.end(() => {
 			if (!isWhole) {
@@ -73,27 +73,25 @@
 			return;
 		}
 
-		pacer.count(chunk.length);
 		drainedBytes += chunk.length;
 		if (drainedBytes > maxDrainBytes) {
 			req.off('readable', onReadable);
-			pacer.setHeld(true);
+			connection.hold();
 			cancelTimer();
 			cancelTimer = clock.after(lingerMs, breakOff);
 		}
 	};
 
 	res.on('close', breakOff);
-	if (req.readableEnded || signal.aborted) {
+	if (req.readableEnded || endNotice.isGiven) {
 		end(req.readableEnded);
 		return;
 	}
 
 	cancelTimer = clock.after(maxDrainMs, breakOff);
-	signal.addEventListener('abort', breakOff);
+	endNotice.add(breakOff);
 	req.on('readable', onReadable);
 	req.on('end', () => {
 		end(true);
 	});
-	pacer.setHeld(false);
 }
--- a/src/relay/read-body.ts
+++ b/src/relay/read-body.ts
@@ -1,9 +1,9 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {GrowingBuffer} from '../http/index.js';
+import type {CallerConnection} from './caller-connection.js';
+import type {EndNotice} from './end-notice.js';
 import {smallRequestBytes, type RequestLease, type RequestMemory} from './request-memory.js';
-import {RequestPacer} from './request-pacer.js';
-import type {TurnBudget} from './turn-budget.js';
 
 /** A body that was received as a whole, and the memory that it takes until `lease` is released. */
 export interface ReceivedBody {
@@ -25,17 +25,17 @@
 	/** Who sends the request; the memory is shared between owners. */
 	readonly owner: string;
 	readonly memory: RequestMemory;
-	readonly turnBudget: TurnBudget;
-	/** Aborted when requests that have not arrived are ended. */
-	readonly signal: AbortSignal;
+	readonly connection: Pick<CallerConnection, 'hold' | 'isDeferred'>;
+	/** Given when requests that have not arrived are ended. */
+	readonly endNotice: EndNotice;
 }
 
 /**
- * Reads the body of a request as far as there is memory and time in this turn for it; resolves with why not if it is not
- * received as a whole. The request is then no longer read.
+ * Reads the body of a request as far as there is memory for it; resolves with why not if it is not received as a whole. The
+ * request is then no longer read.
  *
  * @example
- * const received = await readBody(req, {maxBytes, headBytes, owner, memory, turnBudget, signal});
+ * const received = await readBody(req, {maxBytes, headBytes, owner, memory, connection, endNotice});
  */
 export async function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<ReceivedBody | IncompleteBody> {
 	return new Promise(resolve => {
@@ -44,7 +44,8 @@
 }
 
 class BodyReader {
-	readonly #pacer: RequestPacer;
+	/** Lets the connection be read on that waits for memory. */
+	#release: () => void = () => undefined;
 	/** Length that the head tells; `undefined` for a body in chunks. */
 	readonly #length: number | undefined;
 	#body: GrowingBuffer;
@@ -56,28 +57,26 @@
 	#isFinished = false;
 
 	constructor(private readonly req: IncomingMessage, private readonly options: ReadBodyOptions, private readonly resolve: (outcome: ReceivedBody | IncompleteBody) => void) {
-		this.#pacer = RequestPacer.create(req, {
-			turnBudget: options.turnBudget,
-			onDeferred: isDeferred => {
-				this.#lease?.setDeferred(isDeferred);
-			},
-		});
 		this.#length = req.headers['transfer-encoding'] === undefined ? Number(req.headers['content-length'] ?? 0) : undefined;
 		this.#body = GrowingBuffer.create(this.#length);
 	}
 
 	start(): void {
-		const {req, options: {signal, memory, owner, headBytes, maxBytes}} = this;
+		const {
+			req, options: {
+				endNotice, memory, owner, headBytes, maxBytes, connection,
+			},
+		} = this;
 		req.on('readable', this.#onReadable);
 		req.on('end', this.#onEnd);
 		req.on('error', this.#onDisconnected);
 		req.on('close', this.#onDisconnected);
 		req.socket.on('close', this.#onDisconnected);
-		signal.addEventListener('abort', this.#onAbort);
-		this.#pacer.setHeld(true);
+		endNotice.add(this.#onAbort);
 		const lease = memory.claim({
 			bytes: headBytes + (this.#length ?? Math.min(smallRequestBytes - headBytes, maxBytes)),
 			owner,
+			isDeferred: () => connection.isDeferred,
 			onRefused: () => {
 				this.#finish('no_memory');
 			},
@@ -85,20 +84,20 @@
 			this.#onGranted();
 		});
 		this.#lease = lease;
-		if (signal.aborted) {
+		if (endNotice.isGiven) {
 			this.#onAbort();
 		}
 
 		if (this.#isFinished) {
 			lease.release();
-		} else {
-			this.#completeIfWhole();
+		} else if (!this.#isGranted) {
+			this.#release = connection.hold();
 		}
 	}
 
 	readonly #onGranted = () => {
 		this.#isGranted = true;
-		this.#pacer.setHeld(false);
+		this.#release();
 		this.#completeIfWhole();
 	};
 
@@ -115,7 +114,6 @@
 
 	#take(chunk: Buffer): void {
 		const {maxBytes, headBytes} = this.options;
-		this.#pacer.count(chunk.length);
 		if (this.#body.length + chunk.length > maxBytes) {
 			this.#finish('too_large');
 			return;
@@ -137,7 +135,7 @@
 		// Memory that is not written to is not resident.
 		this.#body = GrowingBuffer.create(maxBytes);
 		this.#body.append(small.bytes);
-		this.#pacer.setHeld(true);
+		this.#release = this.options.connection.hold();
 		this.#lease!.resize(headBytes + maxBytes, this.#onGranted);
 	}
 
@@ -170,9 +168,9 @@
 		}
 
 		this.#isFinished = true;
-		this.#pacer.stop();
-		const {req, options: {signal}} = this;
-		signal.removeEventListener('abort', this.#onAbort);
+		this.#release();
+		const {req, options: {endNotice}} = this;
+		endNotice.remove(this.#onAbort);
 		req.off('readable', this.#onReadable);
 		req.off('end', this.#onEnd);
 		req.socket.off('close', this.#onDisconnected);
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -1,15 +1,17 @@
 import type {Buffer} from 'node:buffer';
-import {setMaxListeners} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
 	closeServer, ConnectionTracker, listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
+import {CallerConnection} from './caller-connection.js';
 import {hasBody, sendEarlyRejection} from './early-rejection.js';
+import {EndNotice} from './end-notice.js';
 import {ForwardedRequest} from './forwarded-request.js';
 import type {CallerHead} from './relay-codec.js';
 import {readBody, type IncompleteBody} from './read-body.js';
@@ -62,21 +64,20 @@
 	readonly #server: Server;
 	readonly #connections: ConnectionTracker;
 	readonly #handlers = new Set<RequestHandler | ForwardedRequest>();
-	/** Aborted when the requests in progress are ended. */
-	readonly #endController = new AbortController();
+	/** Given when the requests in progress are ended. */
+	readonly #endNotice = EndNotice.create();
+	readonly #callers = new WeakMap<Socket, CallerConnection>();
 	#inFlight = 0;
 	#port = 0;
 
 	private constructor(private readonly options: RelayServerOptions) {
 		this.#server = createServer({
 			maxHeaderSize: maxHeaderBytes, headersTimeout: defaultHeaderTimeoutMs, requestTimeout: defaultHeaderTimeoutMs + defaultIdleTimeoutMs, keepAliveTimeout: defaultIdleTimeoutMs + keepAliveMarginMs, connectionsCheckingInterval: checkIntervalMs, noDelay: true,
-		}, (req, res) => {
-			void this.#handle(req, res);
-		});
-		// Each request that is received listens.
-		setMaxListeners(0, this.#endController.signal);
-		this.#server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) => {
-			void this.#handle(req, res);
+		}, this.#onRequest);
+		this.#server.on('checkContinue', this.#onRequest);
+		this.#server.on('connection', (socket: Socket) => {
+			const {clock, turnBudget} = options.context;
+			this.#callers.set(socket, CallerConnection.create(socket, {clock, turnBudget}));
 		});
 		this.#connections = ConnectionTracker.create(this.#server);
 	}
@@ -113,7 +114,7 @@
 
 	/** Ends all requests in progress with an answer, those that have not arrived completely too, or resets the connections of streams that have begun. */
 	endRequests(): void {
-		this.#endController.abort();
+		this.#endNotice.give();
 		for (const handler of this.#handlers) {
 			handler.end();
 		}
@@ -124,11 +125,15 @@
 		await closeServer(this.#server);
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {
-			clock, codec, logger, requestMemory, turnBudget,
-		} = this.options.context;
-		const arrivedMs = clock.now();
+	readonly #onRequest = (req: IncomingMessage, res: ServerResponse) => {
+		const arrivedMs = this.options.context.clock.now();
+		this.#callers.get(req.socket)!.runInOrder(res, () => {
+			void this.#handle(req, res, arrivedMs);
+		});
+	};
+
+	async #handle(req: IncomingMessage, res: ServerResponse, arrivedMs: Ms): Promise<void> {
+		const {codec, logger, requestMemory} = this.options.context;
 		// The `close` event that follows a connection error ends the request.
 		res.on('error', () => undefined);
 		this.#inFlight++;
@@ -148,7 +153,7 @@
 			}
 
 			const received = await readBody(req, {
-				maxBytes, headBytes: headBytesOf(req), owner: table!.team(head.teamKey)?.name ?? '', memory: requestMemory, turnBudget, signal: this.#endController.signal,
+				maxBytes, headBytes: headBytesOf(req), owner: table!.team(head.teamKey)?.name ?? '', memory: requestMemory, connection: this.#callers.get(req.socket)!, endNotice: this.#endNotice,
 			});
 			if (typeof received === 'string') {
 				this.#endIncomplete(req, res, {cause: received, id: head.attemptId, arrivedMs});
@@ -234,7 +239,7 @@
 
 	#reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection, {id, version, isClosing = false}: {id: string | undefined; version?: number | undefined; isClosing?: boolean}): void {
 		const {
-			logger, metrics, isClosing: isServerClosing, clock, turnBudget,
+			logger, metrics, isClosing: isServerClosing, clock,
 		} = this.options.context;
 		const {reason} = rejection;
 		metrics.recordRequest({
@@ -248,7 +253,7 @@
 			sendRejection(res, rejection, isLast);
 		} else {
 			sendEarlyRejection(req, res, rejection, {
-				clock, turnBudget, maxDrainBytes: this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes, isClosing: isLast, signal: this.#endController.signal,
+				clock, connection: this.#callers.get(req.socket)!, maxDrainBytes: this.options.table()?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes, isClosing: isLast, endNotice: this.#endNotice,
 			});
 		}
 	}
--- a/src/relay/request-memory.test.ts
+++ b/src/relay/request-memory.test.ts
@@ -22,9 +22,9 @@
 		memory = RequestMemory.create({maxBytes: 8 * large, clock, logger: silentLoggerFactory('requests')});
 	});
 
-	function claim(name: string, bytes: number, owner = 'a'): RequestLease {
+	function claim(name: string, bytes: number, owner = 'a', isDeferred = false): RequestLease {
 		const lease = memory.claim({
-			bytes, owner, onRefused(cause) {
+			bytes, owner, isDeferred: () => isDeferred, onRefused(cause) {
 				events.push(`${name} ${cause}`);
 			},
 		}, () => {
@@ -94,7 +94,7 @@
 		claim('slow', large);
 		claim('trickling', large);
 		claim('quick', large);
-		claim('deferred', large).setDeferred(true);
+		claim('deferred', large, 'a', true);
 		claim('whole', large).complete(large);
 		claim('also whole', large).complete(large);
 		await clock.advance(1000);
--- a/src/relay/request-memory.ts
+++ b/src/relay/request-memory.ts
@@ -26,6 +26,8 @@
 	readonly bytes: number;
 	/** Who sends it; the room is shared between owners. */
 	readonly owner: string;
+	/** Whether the process itself does not read on for now, so that the sender is not slow. */
+	readonly isDeferred?: () => boolean;
 	/** Called when the request, which is still received, has to give its memory back. */
 	readonly onRefused: (cause: MemoryRefusal) => void;
 }
@@ -36,8 +38,6 @@
 	resize(bytes: number, onGranted: () => void): void;
 	/** Records bytes that have arrived. */
 	received(bytes: number): void;
-	/** Tells whether the process itself does not read on for now, so that its sender is not slow. */
-	setDeferred(isDeferred: boolean): void;
 	/** The request has arrived as a whole and takes `bytes`; it is no longer refused. */
 	complete(bytes: number): void;
 	release(): void;
@@ -60,7 +60,6 @@
 	onGranted: (() => void) | undefined;
 	waitingSinceMs: Ms;
 	isReceiving: boolean;
-	isDeferred: boolean;
 	/** Bytes that arrived since the last check that found progress. */
 	newBytes: number;
 	quietChecks: number;
@@ -103,7 +102,7 @@
 	/** Claims memory, and calls `onGranted` at once or later, unless the claim is refused before. */
 	claim(claim: MemoryClaim, onGranted: () => void): RequestLease {
 		const holder: Holder = {
-			claim, wanted: 0, granted: 0, onGranted: undefined, waitingSinceMs: 0, isReceiving: true, isDeferred: false, newBytes: 0, quietChecks: 0,
+			claim, wanted: 0, granted: 0, onGranted: undefined, waitingSinceMs: 0, isReceiving: true, newBytes: 0, quietChecks: 0,
 		};
 		this.#holders.add(holder);
 		this.#request(holder, claim.bytes, onGranted);
@@ -116,9 +115,6 @@
 			received(bytes) {
 				holder.newBytes += bytes;
 			},
-			setDeferred(isDeferred) {
-				holder.isDeferred = isDeferred;
-			},
 			complete: bytes => {
 				if (this.#holders.has(holder)) {
 					holder.isReceiving = false;
@@ -264,7 +260,7 @@
 				if (holder.newBytes > 0 && holder.newBytes >= holder.granted * minProgressShare) {
 					holder.newBytes = 0;
 					holder.quietChecks = 0;
-				} else if (!holder.isDeferred && this.#blocks(holder) && ++holder.quietChecks >= maxQuietChecks) {
+				} else if (!holder.claim.isDeferred?.() && this.#blocks(holder) && ++holder.quietChecks >= maxQuietChecks) {
 					this.#refuse(holder, 'slow');
 				}
 			}
