Let one mechanism keep the order of requests on a connection

The connection is now held while a request waits for its turn, and a request behind a response that closes the connection is left out.

--- a/src/relay/caller-connection.test.ts
+++ b/src/relay/caller-connection.test.ts
@@ -8,9 +8,11 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {SystemClock} from '../clock/index.js';
+import {ConnectionTracker} from '../http/index.js';
 import {Random} from '../random/index.js';
 import {CallerConnection} from './caller-connection.js';
 import {TurnBudget} from './turn-budget.js';
+import {waitForTurn} from './wait-for-turn.js';
 
 const seed = 43;
 
@@ -35,6 +37,7 @@
 // byte kept an entry VM from answering anybody for seconds.
 describe('CallerConnection', () => {
 	let server: Server;
+	let connections: ConnectionTracker;
 	let connection: CallerConnection;
 	let handle: (req: IncomingMessage, res: ServerResponse) => void;
 	const sockets: Socket[] = [];
@@ -45,18 +48,23 @@
 		running--;
 	};
 
+	async function run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		if (await waitForTurn(req, res, {connections, connection})) {
+			mostRunning = Math.max(mostRunning, ++running);
+			res.on('close', countEnd);
+			handle(req, res);
+		}
+	}
+
 	beforeEach(async () => {
 		running = 0;
 		mostRunning = 0;
 		const clock = SystemClock.create();
 		const turnBudget = TurnBudget.create({clock});
 		server = createServer((req, res) => {
-			connection.runInOrder(res, () => {
-				mostRunning = Math.max(mostRunning, ++running);
-				res.on('close', countEnd);
-				handle(req, res);
-			});
+			void run(req, res);
 		});
+		connections = ConnectionTracker.create(server);
 		server.on('connection', (socket: Socket) => {
 			connection = CallerConnection.create(socket, {clock, turnBudget});
 		});
--- a/src/relay/caller-connection.ts
+++ b/src/relay/caller-connection.ts
@@ -1,5 +1,4 @@
 import type {Buffer} from 'node:buffer';
-import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import process from 'node:process';
 import type {Clock, Ms} from '../clock/index.js';
@@ -22,8 +21,7 @@
 /**
  * Hands the bytes of a caller's connection to the HTTP server in slices. A block of 64 KiB may hold hundreds of requests,
  * or ten thousand chunks of one byte, and is parsed at once otherwise. Slices wait for a later turn once the time of this
- * one is used up, and while anybody holds the connection; it is then not read either. Requests are run one by one, since
- * they are answered in their order.
+ * one is used up, and while anybody holds the connection; it is then not read either.
  *
  * @example
  * server.on('connection', socket => {
@@ -45,8 +43,6 @@
 	#isScheduled = false;
 	#isPaused = false;
 	readonly #holds = new Set<symbol>();
-	#isBusy = false;
-	readonly #queue: Array<() => void> = [];
 
 	private constructor(private readonly socket: Socket, private readonly options: CallerConnectionOptions) {
 		const [parse] = socket.listeners('data') as Array<(bytes: Buffer) => void>;
@@ -75,30 +71,10 @@
 		};
 	}
 
-	/** Calls `fn` once the requests before have been answered; nothing more is read meanwhile. */
-	runInOrder(res: ServerResponse, fn: () => void): void {
-		if (this.#isBusy) {
-			const release = this.hold();
-			this.#queue.push(() => {
-				release();
-				this.#run(res, fn);
-			});
-		} else {
-			this.#run(res, fn);
-		}
-	}
-
-	#run(res: ServerResponse, fn: () => void): void {
-		this.#isBusy = true;
+	/** Starts to count the bytes of the next request. */
+	beginRequest(): void {
 		this.#sliceBytes = minSliceBytes;
 		this.#parsedBytes = 0;
-		fn();
-		res.once('close', () => {
-			this.#isBusy = false;
-			if (!this.socket.destroyed) {
-				this.#queue.shift()?.();
-			}
-		});
 	}
 
 	readonly #onData = (bytes: Buffer) => {
--- a/src/relay/crash-watch.ts
+++ b/src/relay/crash-watch.ts
@@ -81,13 +81,13 @@
 	}
 
 	/** Takes the attempts of a target, so that the next one is probed anew. */
-	#takePending(target: RelayTarget): readonly BrokenAttempt[] {
+	#takePending(target: RelayTarget): readonly Attempt[] {
 		const attempts = this.#pending.get(target) ?? [];
 		this.#pending.delete(target);
 		return attempts;
 	}
 
-	#judge(target: RelayTarget, attempts: readonly BrokenAttempt[], result: ProbeResult): void {
+	#judge(target: RelayTarget, attempts: readonly Attempt[], result: ProbeResult): void {
 		const {clock, logger, onCrash} = this.options;
 		const fields = {
 			target: target.id,
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -20,6 +20,7 @@
 import {sendRejection} from './send-rejection.js';
 import type {RelayContext} from './relay-context.js';
 import type {Rejection} from './rejection.js';
+import {waitForTurn} from './wait-for-turn.js';
 
 /** Maximum size of the headers of a request; the users' own limit is the same. */
 const maxHeaderBytes = 16 * 1024;
@@ -135,21 +136,20 @@
 	}
 
 	readonly #onRequest = (req: IncomingMessage, res: ServerResponse) => {
-		const arrivedMs = this.options.context.clock.now();
-		this.#callers.get(req.socket)!.runInOrder(res, () => {
-			void this.#handle(req, res, arrivedMs);
-		});
+		void this.#handle(req, res);
 	};
 
-	async #handle(req: IncomingMessage, res: ServerResponse, arrivedMs: Ms): Promise<void> {
-		const {codec, logger, requestMemory} = this.options.context;
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {
+			clock, codec, logger, requestMemory,
+		} = this.options.context;
+		const arrivedMs = clock.now();
 		// The `close` event that follows a connection error ends the request.
 		res.on('error', () => undefined);
 		this.#inFlight++;
 		let lease: RequestLease | undefined;
 		try {
-			// A request is passed on only once its answer can follow: the response before it may close the connection.
-			if (this.#connections.hasToWait(res) && !await this.#connections.waitForTurn(req, res)) {
+			if (!await waitForTurn(req, res, {connections: this.#connections, connection: this.#callers.get(req.socket)!})) {
 				logger.info('Left out a request behind the last response of its connection.', {id: codec.decodeCallerHead(req.rawHeaders).attemptId, waited_ms: Math.round(clock.now() - arrivedMs)});
 				return;
 			}
