Keep a link whose message cannot be handled

What callers saw: nothing yet; audit of errors that reach further than their cause. An error in the handling of one message of a peer closed the link as one with a bad frame, and with it ended every stage plan, question and place that went over it; a message that comes again closed it again and again. Malformed frames still close it; an error behind that is logged with the type of the message. The test failed before: the link closed at the first of three messages.

--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -31,7 +31,7 @@
 		dialled.length = 0;
 	});
 
-	async function start(name: string, incarnation: string, ownKey = key): Promise<RelayMesh> {
+	async function start(name: string, incarnation: string, ownKey = key, onMessage: (type: string) => void = () => undefined): Promise<RelayMesh> {
 		const clock = SystemClock.create();
 		const mesh = await RelayMesh.create({
 			self: {name, zone: 'riga-a', incarnation},
@@ -46,7 +46,9 @@
 			events: EventRing.create({process: name, clock}),
 			distanceTo: () => 'same_zone',
 			regionOf: () => 'riga',
-			onMessage: () => undefined,
+			onMessage(_link, {type}) {
+				onMessage(type);
+			},
 			onLost: () => undefined,
 		});
 		meshes.push(mesh);
@@ -66,6 +68,27 @@
 		}
 	}
 
+	// Guards against a link that is closed, with the plans and questions that go over it, since one of its messages met an error.
+	it('keeps a link although a message that came over it cannot be handled', async () => {
+		const received: string[] = [];
+		const first = await start('a', '1', key, type => {
+			received.push(type);
+			throw new Error('thrown by a handler');
+		});
+		const second = await start('b', '2');
+		await until(() => leaderOf(second) === 'a');
+		const [link] = second.links();
+		for (let id = 0; id < 3; id++) {
+			expect(link!.send({type: 'reach-request', id, hops: 1})).toBe(true);
+		}
+
+		await until(() => received.length === 3);
+		await new Promise(resolve => {
+			setTimeout(resolve, 100);
+		});
+		expect([link!.isUp, second.links()[0] === link, first.links()]).toEqual([true, true, [expect.anything()]]);
+	});
+
 	// Guards against entry VMs that stay apart after a restore of the store, since one of them has created a second key.
 	it('links to members with another key once it has taken over that key', async () => {
 		const oldest = await start('a', '1');
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -1,4 +1,5 @@
 import type {Registry} from 'prom-client';
+import {errorMessage} from '../errors/index.js';
 import type {Clock, Ms} from '../clock/index.js';
 import type {EventRecorder} from '../events/index.js';
 import type {ListenAddress} from '../http/index.js';
@@ -106,7 +107,7 @@
 					this.#cell = undefined;
 					options.logger.info('A peer is shutting down and can no longer lead.', {peer: link.peer.name});
 				} else {
-					options.onMessage(link, message);
+					this.#deliver(link, message);
 				}
 			},
 			onClosed(link) {
@@ -225,6 +226,17 @@
 		}
 	}
 
+	/** Passes a message on. An error in what is done with it is no fault of the link, whose loss would end all that goes over it. */
+	#deliver(link: Link, message: LinkMessage): void {
+		try {
+			this.options.onMessage(link, message);
+		} catch (err) {
+			this.options.logger.error('Cannot handle a message of a peer.', {
+				peer: link.peer.name, type: message.type, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined,
+			});
+		}
+	}
+
 	/** Closes every link. */
 	async close(): Promise<void> {
 		this.#vmList.stop();
