Let many stages and requests wait for one signal without a warning

A plan with more than 10 stages at the same time, and more than 10 requests whose bodies arrive, printed 'MaxListenersExceededWarning: Possible EventTarget memory leak detected' on standard error, which is no line of the log. By reading, the listeners are removed on every path (a job removes its own at its end, a request at its close), so that it is no leak; their number is that of the jobs or requests in progress. The test with 20 stages saw the warning before.

--- a/src/pools/pool-host.test.ts
+++ b/src/pools/pool-host.test.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {describe, expect, it} from 'vitest';
 import {ManualClock} from '../clock/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
@@ -191,4 +192,24 @@
 		expect(host.load()).toEqual([{service: 'archive', backlog: 0, calls: 0}]);
 		registry.zoneAt = zoneAt;
 	});
+
+	// Guards against a warning of a leak on standard error for a plan with many stages.
+	it('runs a plan of 20 stages at the same time without a warning', async () => {
+		const warnings: Error[] = [];
+		const onWarning = (warning: Error) => {
+			warnings.push(warning);
+		};
+
+		process.on('warning', onWarning);
+		const {clock, host} = create();
+		const {stages, ...fields} = plan('r1');
+		const outcome = host.run({...fields, stages: Array.from({length: 20}, () => ({...stages[0]!, pieces: 1}))}, new AbortController().signal);
+		for (let step = 0; step < 20; step++) {
+			await clock.advance(100);
+		}
+
+		await expect(outcome).resolves.toHaveProperty('results.length', 20);
+		process.off('warning', onWarning);
+		expect(warnings).toEqual([]);
+	});
 });
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Ms} from '../clock/index.js';
 import type {JobUrgency} from './job-order.js';
 import type {StageJob, StageJobOutcome, ZoneTransfer} from './stage-job.js';
@@ -70,6 +71,8 @@
 		this.#announce();
 		const failed = new AbortController();
 		const stop = AbortSignal.any([signal, failed.signal, this.#handOver.signal]);
+		// Each job listens to it until its end; the runtime warns of more than 10 listeners as of a leak.
+		setMaxListeners(0, stop);
 		const outcomes = await this.#runStages(stop, failed);
 		const failures = outcomes.filter(outcome => 'failure' in outcome);
 		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -1,4 +1,5 @@
 import type {Buffer} from 'node:buffer';
+import {setMaxListeners} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -58,6 +59,8 @@
 	#port = 0;
 
 	private constructor(private readonly options: RelayServerOptions) {
+		// Each request listens until its body has arrived; the runtime warns of more than 10 listeners as of a leak.
+		setMaxListeners(0, this.#endController.signal);
 		this.#server = createServer({
 			maxHeaderSize: maxHeaderBytes, headersTimeout: defaultHeaderTimeoutMs, requestTimeout: defaultHeaderTimeoutMs + defaultIdleTimeoutMs, keepAliveTimeout: defaultIdleTimeoutMs + keepAliveMarginMs, connectionsCheckingInterval: checkIntervalMs, noDelay: true,
 		}, (req, res) => {
