Handle an error while the link key is restored, and free signals that are waited for

The restore of the link key after a restored store was started without a handler; by reading, what it awaits retries its errors, so that no error is shown to get there.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -475,7 +475,7 @@
 		this.#memoryWatch.start();
 		void this.#startMesh();
 		options.storeEras.onChange(() => {
-			void this.#restoreLinkKey();
+			void this.#tryRestoreLinkKey();
 		});
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
@@ -581,6 +581,14 @@
 		});
 	}
 
+	async #tryRestoreLinkKey(): Promise<void> {
+		try {
+			await this.#restoreLinkKey();
+		} catch (err) {
+			this.options.createLogger('links').error('Cannot restore the link key; the current one remains in use.', {error: errorMessage(err)});
+		}
+	}
+
 	/**
 	 * Stores the link key again, or takes over the one that another entry VM has stored meanwhile, after the store has come
 	 * back from a copy that may be older than the key.
--- a/src/vms/topic-vm-list.ts
+++ b/src/vms/topic-vm-list.ts
@@ -3,6 +3,7 @@
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {Random} from '../random/index.js';
+import {linkController} from '../signals/index.js';
 import {
 	TopicFollower, type KeyedRecord, type KeyedTopic, type KeyedWriter, type SnapshotOrigin,
 } from '../topics/index.js';
@@ -131,7 +132,9 @@
 				pauseMs = retryDelayMs;
 			}
 
-			await clock.sleep(pauseMs, AbortSignal.any([this.#stopped.signal, this.#wake.signal]));
+			const {controller, unlink} = linkController([this.#stopped.signal, this.#wake.signal]);
+			await clock.sleep(pauseMs, controller.signal);
+			unlink();
 		}
 	}
 
