End responses that nobody reads before others for want of memory

Callers saw: large responses ended as broken (502) for as long as a dozen other callers left theirs of 4 MB unread.

Why it works: a whole response that its caller has been reading for over 5 s is reset once the memory is used up, the longest read first.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -174,7 +174,7 @@
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
 		this.#requestMemory = RequestMemory.create({maxBytes: maxRequestMemoryBytes, clock, logger: createLogger('requests')});
-		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
+		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, clock, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
 			clock,
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -552,8 +552,9 @@
 		}
 
 		// The body stays in memory until the caller has read it.
-		const lease = this.context.memory.lease();
-		lease.set(response.body.length);
+		const lease = this.context.memory.deliver(response.body.length, () => {
+			res.socket?.resetAndDestroy();
+		});
 		res.once('close', () => {
 			lease.release();
 		});
