--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -197,7 +197,7 @@
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
 		this.#requestMemory = RequestMemory.create({maxBytes: maxRequestMemoryBytes, clock, logger: createLogger('requests')});
-		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, logger: createLogger('requests')});
+		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, clock, logger: createLogger('requests')});
 		const logger = createLogger('targets');
 		this.#registry = TargetRegistry.create({
 			clock,
@@ -509,7 +509,7 @@
 		void this.#startMetrics();
 		void this.#startMesh();
 		options.storeEras.onChange(() => {
-			void this.#restoreLinkKey();
+			void this.#tryRestoreLinkKey();
 		});
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
@@ -726,6 +726,14 @@
 		}
 	}
 
+	async #tryRestoreLinkKey(): Promise<void> {
+		try {
+			await this.#restoreLinkKey();
+		} catch (err) {
+			this.options.createLogger('links').error('Cannot restore the link key; the current one remains in use.', {error: errorMessage(err)});
+		}
+	}
+
 	/**
 	 * Stores the link key again, or takes over the one that another entry VM has stored meanwhile, after the store has come
 	 * back from a copy that may be older than the key.
