Leave responses in progress alone while the next request on their connection waits

What callers saw: a response that took longer than the time limits of a head or a body was cut, or 408 came in its place, if half of a further request had arrived on its connection; in a drain, requests that had come in one block of more than 8 KB behind another got no answer.

Cause: while a request waits for its turn, its connection is not read; the HTTP server's own time limits go on meanwhile, and bytes that are not parsed yet were neither a request in progress nor one that follows.

Change: the time limits of the HTTP server do not count while a connection is held, and what has waited is timed from its turn on; bytes that are not parsed count as a request in progress, and a response before them does not close the connection.

--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -16,6 +16,12 @@
 	return followed.has(res);
 }
 
+/** Options of {@link ConnectionTracker}. */
+export interface ConnectionTrackerOptions {
+	/** Returns the bytes of a connection that have been received and not been parsed yet; 0 by default. */
+	readonly unparsedBytes?: (socket: Socket) => number;
+}
+
 /**
  * Tracks which connections of a server are idle. Unlike `Server.closeIdleConnections`, it counts a request as in progress
  * until its response is written, not only until the response is complete in memory.
@@ -26,8 +32,8 @@
  */
 export class ConnectionTracker {
 	/** Tracks the connections that the server accepts from now on. */
-	static create(server: Server): ConnectionTracker {
-		return new ConnectionTracker(server);
+	static create(server: Server, options: ConnectionTrackerOptions = {}): ConnectionTracker {
+		return new ConnectionTracker(server, options);
 	}
 
 	/** Number of connections and requests that have arrived so far. */
@@ -36,7 +42,7 @@
 	/** Responses that come before others on the same connection and were not written when these were requested. */
 	readonly #previous = new WeakMap<ServerResponse, ServerResponse>();
 
-	private constructor(server: Server) {
+	private constructor(server: Server, private readonly options: ConnectionTrackerOptions) {
 		server.on('connection', (socket: Socket) => {
 			this.arrivals++;
 			this.#connections.set(socket, {activeRequests: 0, bytesRead: 0, latest: undefined});
@@ -55,13 +61,24 @@
 	/** Number of requests whose responses are not written yet, on open connections. */
 	get activeRequests(): number {
 		let count = 0;
-		for (const state of this.#connections.values()) {
-			count += state.activeRequests;
+		for (const [socket, {activeRequests}] of this.#connections) {
+			// What has not been parsed yet is the next request.
+			count += activeRequests === 0 && this.#unparsedBytes(socket) > 0 ? 1 : activeRequests;
 		}
 
 		return count;
 	}
 
+	/** Whether a response on a connection is in progress other than that to the request that is being received. */
+	isAnswering(socket: Socket): boolean {
+		const state = this.#connections.get(socket);
+		if (!state || state.activeRequests === 0) {
+			return false;
+		}
+
+		return state.activeRequests > 1 || state.latest!.headersSent || state.latest!.req.complete;
+	}
+
 	/** Whether a response before this one on the same connection is not written yet. */
 	hasToWait(res: ServerResponse): boolean {
 		return this.#previous.get(res)?.closed === false;
@@ -111,7 +128,11 @@
 		state.activeRequests++;
 		res.once('finish', () => {
 			state.activeRequests--;
-			state.bytesRead = socket.bytesRead;
+			state.bytesRead = socket.bytesRead - this.#unparsedBytes(socket);
 		});
 	}
+
+	#unparsedBytes(socket: Socket): number {
+		return this.options.unparsedBytes?.(socket) ?? 0;
+	}
 }
--- a/src/relay/caller-connection.ts
+++ b/src/relay/caller-connection.ts
@@ -59,6 +59,16 @@
 		return this.#isDeferred;
 	}
 
+	/** Whether anybody holds the connection. */
+	get isHeld(): boolean {
+		return this.#holds.size > 0;
+	}
+
+	/** Bytes that have been received and not been parsed yet. */
+	get unparsedBytes(): number {
+		return this.#unparsed.reduce((sum, {length}) => sum + length, 0);
+	}
+
 	/** Stops reading until the function that is returned is called. */
 	hold(): () => void {
 		const hold = Symbol('hold');
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -9,6 +9,7 @@
 	closeServer, ConnectionTracker, listen, type Listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
+import {answerClientError} from './answer-client-error.js';
 import {CallerConnection} from './caller-connection.js';
 import {hasBody, sendEarlyRejection} from './early-rejection.js';
 import {EndNotice} from './end-notice.js';
@@ -70,6 +71,8 @@
 	/** Given when the requests in progress are ended. */
 	readonly #endNotice = EndNotice.create();
 	readonly #callers = new WeakMap<Socket, CallerConnection>();
+	/** Connections with a request whose rest is timed here, and not by the HTTP server. */
+	readonly #selfTimed = new WeakSet<Socket>();
 	#inFlight = 0;
 	#port = 0;
 
@@ -82,7 +85,10 @@
 			const {clock, turnBudget} = options.context;
 			this.#callers.set(socket, CallerConnection.create(socket, {clock, turnBudget}));
 		});
-		this.#connections = ConnectionTracker.create(this.#server);
+		this.#server.on('clientError', (err, socket) => {
+			this.#onClientError(err, socket as Socket);
+		});
+		this.#connections = ConnectionTracker.create(this.#server, {unparsedBytes: socket => this.#callers.get(socket)?.unparsedBytes ?? 0});
 	}
 
 	/** Port on which the server listens. */
@@ -144,6 +150,34 @@
 		void this.#handle(req, res);
 	};
 
+	/** The time of a request that this server has not read on for a while is not its caller's. */
+	#onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+		if (err.code === 'ERR_HTTP_REQUEST_TIMEOUT' && (this.#callers.get(socket)?.isHeld === true || this.#selfTimed.has(socket))) {
+			this.options.context.logger.info('Gave a request more time that has waited behind others on its connection.', {port: socket.remotePort});
+			return;
+		}
+
+		answerClientError(err, socket, {isAnswering: this.#connections.isAnswering(socket)});
+	}
+
+	/** Bounds the time in which the rest of a request arrives that has waited; the HTTP server counts the wait as well. */
+	#timeRest(req: IncomingMessage): void {
+		const {clock, logger} = this.options.context;
+		const {socket} = req;
+		this.#selfTimed.add(socket);
+		const cancelTimer = clock.after(this.#server.requestTimeout, () => {
+			logger.info('Closed the connection of a request that did not arrive in time.', {port: socket.remotePort});
+			socket.destroy();
+		});
+		const cancel = () => {
+			cancelTimer();
+			this.#selfTimed.delete(socket);
+		};
+
+		req.once('end', cancel);
+		req.once('close', cancel);
+	}
+
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {
 			clock, codec, logger, requestMemory,
@@ -153,12 +187,17 @@
 		res.on('error', () => undefined);
 		this.#inFlight++;
 		let lease: RequestLease | undefined;
+		const hasWaited = this.#connections.hasToWait(res);
 		try {
 			if (!await waitForTurn(req, res, {connections: this.#connections, connection: this.#callers.get(req.socket)!})) {
 				logger.info('Left out a request behind the last response of its connection.', {id: codec.decodeCallerHead(req.rawHeaders).attemptId, waited_ms: Math.round(clock.now() - arrivedMs)});
 				return;
 			}
 
+			if (hasWaited && !req.complete) {
+				this.#timeRest(req);
+			}
+
 			const head = codec.decodeCallerHead(req.rawHeaders);
 			const table = this.options.table();
 			const maxBytes = table?.declarations.limits.maxBodyBytes ?? defaultMaxBodyBytes;
@@ -268,7 +307,9 @@
 		logger.info('Rejected a request.', {
 			id, reason, status: rejection.status, config: version,
 		});
-		const isLast = isClosing || reason === 'not_configured' || reason === 'shutting_down' || isServerClosing();
+		// Bytes that are not parsed yet may be a request that has arrived as a whole.
+		const isFollowedByBytes = (this.#callers.get(req.socket)?.unparsedBytes ?? 0) > 0;
+		const isLast = isClosing || (!isFollowedByBytes && (reason === 'not_configured' || reason === 'shutting_down' || isServerClosing()));
 		if (req.readableEnded || !hasBody(req)) {
 			sendRejection(res, rejection, isLast);
 		} else {
--- a/src/relay/wait-for-turn.ts
+++ b/src/relay/wait-for-turn.ts
@@ -1,7 +1,12 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ConnectionTracker} from '../http/index.js';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {isFollowed, type ConnectionTracker} from '../http/index.js';
 import type {CallerConnection} from './caller-connection.js';
 
+/** Turns of the event loop in which what has arrived meanwhile is read, and bound on those in which it is parsed. */
+const turnsToRead = 2;
+const maxTurns = 20;
+
 /**
  * Waits for the responses before this one on the same connection, of which no more is read meanwhile. Resolves to whether
  * the connection is still used then: a request is passed on only once its answer can follow.
@@ -14,8 +19,17 @@
 		if (!isUsed) {
 			return false;
 		}
+
+		await parseNext(res, connection);
 	}
 
 	connection.beginRequest();
 	return true;
 }
+
+/** Reads and parses on until it is known whether a request follows: the response must not close the connection then. */
+async function parseNext(res: ServerResponse, connection: CallerConnection): Promise<void> {
+	for (let turn = 0; turn < maxTurns && (turn < turnsToRead || connection.unparsedBytes > 0) && !connection.isHeld && !isFollowed(res); turn++) {
+		await nextTurn();
+	}
+}
