--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -119,10 +119,11 @@
 	/** Checks until a target responds, or no entry VM reaches one. */
 	async #check(): Promise<void> {
 		const {clock, logger} = this.options;
+		const startedMs = clock.now();
 		try {
 			let isReached = await this.#probe(probesBeforeCut);
 			while (!isReached && !this.#isClosed) {
-				const helpers = await this.#ask(0);
+				const {helpers, ...replies} = await this.#ask(0);
 				// A response may have arrived meanwhile.
 				if (!this.#reach.isSuspicious) {
 					break;
@@ -131,7 +132,7 @@
 				const wasCutOff = this.isCutOff;
 				this.#helpers = helpers;
 				if (this.isCutOff && !wasCutOff) {
-					logger.warn('Cut off from all targets, which others reach.', {failed: [...this.#reach.failed].slice(0, probesBeforeCut), helpers});
+					logger.warn('Cut off from all targets, which others reach.', {failed: [...this.#reach.failed].slice(0, probesBeforeCut), helpers, took_ms: Math.round(clock.now() - startedMs), ...replies});
 				}
 
 				if (this.isCutOff !== wasCutOff) {
@@ -139,7 +140,7 @@
 				}
 
 				if (helpers.length === 0) {
-					logger.warn('No target can be reached, from other entry VMs either.', {failed: this.#reach.failed.size});
+					logger.warn('No target can be reached, from other entry VMs either.', {failed: this.#reach.failed.size, was_cut_off: wasCutOff, ...replies});
 				}
 
 				await clock.sleep(checkIntervalMs);
@@ -168,23 +169,31 @@
 		return isReached;
 	}
 
-	/** Resolves with the addresses for callers of entry VMs that reach targets. */
-	async #ask(hops: number, except?: Link): Promise<readonly string[]> {
+	/** Resolves with the addresses for callers of entry VMs that reach targets, and the numbers of peers that know of one, know of none, or did not reply. */
+	async #ask(hops: number, except?: Link): Promise<{readonly helpers: readonly string[]; readonly known: number; readonly unknown: number; readonly silent: number}> {
 		const {links, random, zone} = this.options;
 		// Zones are partitioned as a whole more often than entry VMs of several zones are.
 		const order = new Map(links().map(link => [link, (link.peer.zone === zone ? 1 : 0) + random.float()]));
 		const asked = [...order.keys()].filter(link => link !== except).toSorted((a, b) => order.get(a)! - order.get(b)!).slice(0, maxAsked);
 		const replies = await Promise.all(asked.map(async link => this.#replies.request(link, replyTimeoutMs / (hops + 1), id => link.send({type: 'reach-request', id, hops: hops + 1}))));
-		return [...new Set(replies.flatMap(reply => typeof reply === 'string' ? [] : reply.callers ?? []))];
+		const told = replies.flatMap(reply => typeof reply === 'string' ? [] : [reply.callers]);
+		const known = told.filter(callers => callers !== null);
+		return {
+			helpers: [...new Set(known)], known: known.length, unknown: told.length - known.length, silent: replies.length - told.length,
+		};
 	}
 
 	async #answer(link: Link, id: number, hops: number): Promise<void> {
 		const {clock, callersAddress, logger} = this.options;
+		const startedMs = clock.now();
 		let callers: string | null = null;
 		try {
-			const isReached = !this.isCutOff && (this.#reach.isFresh(clock.now()) || await this.#probe(probesPerCheck));
-			const [other] = isReached || hops >= maxHops ? [] : await this.#ask(hops, link);
+			const isReached = !this.isCutOff && (this.#reach.isFresh(startedMs) || await this.#probe(probesPerCheck));
+			const {helpers: [other]} = isReached || hops >= maxHops ? {helpers: []} : await this.#ask(hops, link);
 			callers = isReached ? callersAddress() : other ?? null;
+			logger.info('Told a peer whether targets can be reached.', {
+				peer: link.peer.name, hops, is_reached: isReached, callers, failed: this.#reach.failed.size, took_ms: Math.round(clock.now() - startedMs),
+			});
 		} catch (err) {
 			// Without a reply, the peer would wait for its whole time.
 			logger.error('Cannot tell a peer whether targets can be reached.', {peer: link.peer.name, error: errorMessage(err)});
