Keep the connection for requests that are known behind an early rejection

Cause: the requests behind the rejection had been parsed. sendRejection and writeResponseHead heed that, sendEarlyRejection, which answers before the body is read, did not; bytes that were not parsed yet counted there only.

Change: mayBeFollowed decides it for all responses. It is true while a request is known behind the response, bytes are not parsed or not read yet, or the rest of a request has not arrived whose caller did not wait for the response before (its connection was not read meanwhile). Such a connection is closed by its last response, or as an idle one by the drain.

--- a/src/http/connection-tracker.test.ts
+++ b/src/http/connection-tracker.test.ts
@@ -7,7 +7,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {ConnectionTracker} from './connection-tracker.js';
+import {ConnectionTracker, isFollowed, mayBeFollowed} from './connection-tracker.js';
 import {closeServer, listen} from './listen.js';
 
 /** More than the kernel buffers for a caller that does not read. */
@@ -93,6 +93,49 @@
 		expect(bytes).toBeGreaterThan(largeBytes);
 	});
 
+	// Guards against a response that closes its connection although a request behind it has been received.
+	it('knows of requests behind a response, and of what may be one', async () => {
+		let unparsedBytes = 0;
+		let isDeferred = false;
+		const other = createServer();
+		ConnectionTracker.create(other, {unparsedBytes: () => unparsedBytes, isDeferred: () => isDeferred});
+		const otherPort = await listen(other, {host: '127.0.0.1', port: 0});
+		const responses: ServerResponse[] = [];
+		other.on('request', (_req, res) => {
+			responses.push(res);
+		});
+		const socket = connect(otherPort, '127.0.0.1');
+		sockets.push(socket);
+		const request = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+		socket.write(request);
+		await once(other, 'request');
+		const [first] = responses;
+		expect([isFollowed(first!), mayBeFollowed(first!)]).toEqual([false, false]);
+		unparsedBytes = 1;
+		expect([isFollowed(first!), mayBeFollowed(first!)]).toEqual([false, true]);
+		unparsedBytes = 0;
+		isDeferred = true;
+		expect([isFollowed(first!), mayBeFollowed(first!)]).toEqual([false, true]);
+		isDeferred = false;
+		socket.write(request);
+		await once(other, 'request');
+		expect(responses.map(res => [isFollowed(res), mayBeFollowed(res)])).toEqual([[true, true], [false, false]]);
+		socket.write('POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\np');
+		const [{socket: serverSide}, last] = await once(other, 'request') as [IncomingMessage, ServerResponse];
+		expect([isFollowed(last), mayBeFollowed(last)]).toEqual([false, true]);
+		socket.write('p');
+		for (const {bytesRead} = serverSide; serverSide.bytesRead === bytesRead;) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		expect([isFollowed(last), mayBeFollowed(last)]).toEqual([false, false]);
+		socket.destroy();
+		other.closeAllConnections();
+		await closeServer(other);
+	});
+
 	// Guards against requests that are passed on although the response before them closes their connection.
 	it.each([
 		{name: 'is written', end: (res: ServerResponse) => res.end('ok'), isUsed: true},
--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -10,16 +10,28 @@
 
 /** Responses behind which others on the same connection wait. */
 const followed = new WeakSet<ServerResponse>();
+/** Tells of responses whether more may have been sent on the connection than is known. */
+const furtherChecks = new WeakMap<ServerResponse, () => boolean>();
 
-/** Whether further requests have arrived on the connection of a response, which would get no answer if it closed the connection. */
+/** Whether a further request has arrived on the connection of a response, which would get no answer if it closed the connection. */
 export function isFollowed(res: ServerResponse): boolean {
 	return followed.has(res);
 }
 
+/**
+ * Like {@link isFollowed}; `true` as well while it is not known: bytes of the connection are not parsed or not read yet, or
+ * the rest of a request has not arrived whose caller did not wait for the response before.
+ */
+export function mayBeFollowed(res: ServerResponse): boolean {
+	return isFollowed(res) || furtherChecks.get(res)?.() === true;
+}
+
 /** Options of {@link ConnectionTracker}. */
 export interface ConnectionTrackerOptions {
 	/** Returns the bytes of a connection that have been received and not been parsed yet; 0 by default. */
 	readonly unparsedBytes?: (socket: Socket) => number;
+	/** Whether a connection is not read for now, so that more may have arrived than is known; `false` by default. */
+	readonly isDeferred?: (socket: Socket) => boolean;
 }
 
 /**
@@ -118,11 +130,13 @@
 			return;
 		}
 
-		if (state.latest && !state.latest.closed) {
-			this.#previous.set(res, state.latest);
-			followed.add(state.latest);
+		const hasPrevious = state.latest?.closed === false;
+		if (hasPrevious) {
+			this.#previous.set(res, state.latest!);
+			followed.add(state.latest!);
 		}
 
+		furtherChecks.set(res, () => this.#unparsedBytes(socket) > 0 || this.options.isDeferred?.(socket) === true || (hasPrevious && !res.req.complete));
 		this.arrivals++;
 		state.latest = res;
 		state.activeRequests++;
--- a/src/relay/early-rejection.ts
+++ b/src/relay/early-rejection.ts
@@ -1,6 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import {mayBeFollowed} from '../http/index.js';
 import type {CallerConnection} from './caller-connection.js';
 import type {EndNotice} from './end-notice.js';
 import type {Rejection} from './rejection.js';
@@ -16,7 +17,7 @@
 	readonly connection: Pick<CallerConnection, 'hold'>;
 	/** Bytes of the rest up to which the connection is kept. */
 	readonly maxDrainBytes: number;
-	/** Whether to tell the caller to close its connection. */
+	/** Whether to tell the caller to close its connection, unless another request may have arrived on it. */
 	readonly isClosing: boolean;
 	/** Given when the process ends. */
 	readonly endNotice: EndNotice;
@@ -39,7 +40,7 @@
 		clock, connection, maxDrainBytes, endNotice,
 	} = options;
 	// Who waits for a `100 Continue` may send the body or not after another answer, so that the next request could not be told from it.
-	const isClosing = options.isClosing || Number(req.headers['content-length'] ?? 0) > maxDrainBytes || req.headers.expect !== undefined;
+	const isClosing = (options.isClosing && !mayBeFollowed(res)) || Number(req.headers['content-length'] ?? 0) > maxDrainBytes || req.headers.expect !== undefined;
 	const {body, headers} = encodeRejection(rejection, isClosing);
 	res.writeHead(rejection.status, headers);
 	res.write(body);
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -6,7 +6,7 @@
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
-	closeServer, ConnectionTracker, isFollowed, listen, type Listen, type ListenAddress,
+	closeServer, ConnectionTracker, isFollowed, listen, mayBeFollowed, type Listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
 import {answerClientError} from './answer-client-error.js';
@@ -88,7 +88,10 @@
 		this.#server.on('clientError', (err, socket) => {
 			this.#onClientError(err, socket as Socket);
 		});
-		this.#connections = ConnectionTracker.create(this.#server, {unparsedBytes: socket => this.#callers.get(socket)?.unparsedBytes ?? 0});
+		this.#connections = ConnectionTracker.create(this.#server, {
+			unparsedBytes: socket => this.#callers.get(socket)?.unparsedBytes ?? 0,
+			isDeferred: socket => this.#callers.get(socket)?.isDeferred === true,
+		});
 	}
 
 	/** Port on which the server listens. */
@@ -304,11 +307,9 @@
 		metrics.recordRequest({
 			outcome: 'rejected', reason, tookMs: 0, firstByteMs: undefined,
 		});
-		// Bytes that are not parsed yet may be a request that has arrived as a whole.
-		const unparsedBytes = this.#callers.get(req.socket)?.unparsedBytes ?? 0;
-		const isLast = isClosing || (unparsedBytes === 0 && (reason === 'not_configured' || reason === 'shutting_down' || isServerClosing()));
+		const isLast = isClosing || reason === 'not_configured' || reason === 'shutting_down' || isServerClosing();
 		logger.info('Rejected a request.', {
-			id, reason, status: rejection.status, config: version, is_last: isLast, is_followed: isFollowed(res), unparsed_bytes: unparsedBytes, is_whole: req.complete,
+			id, reason, status: rejection.status, config: version, is_last: isLast && !mayBeFollowed(res), is_followed: isFollowed(res), unparsed_bytes: this.#callers.get(req.socket)?.unparsedBytes, is_whole: req.complete,
 		});
 		if (req.readableEnded || !hasBody(req)) {
 			sendRejection(res, rejection, isLast);
--- a/src/relay/send-rejection.ts
+++ b/src/relay/send-rejection.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import {isFollowed} from '../http/index.js';
+import {mayBeFollowed} from '../http/index.js';
 import type {Rejection} from './rejection.js';
 
 /** Encodes a rejection. Its body reports `not_run` only with status 503. */
@@ -16,9 +16,9 @@
 	};
 }
 
-/** Sends a rejection to the caller. */
+/** Sends a rejection to the caller. It closes the connection on request, unless another request may have arrived on it. */
 export function sendRejection(res: ServerResponse, rejection: Rejection, isClosing: boolean): void {
-	const {body, headers} = encodeRejection(rejection, isClosing && !isFollowed(res));
+	const {body, headers} = encodeRejection(rejection, isClosing && !mayBeFollowed(res));
 	res.writeHead(rejection.status, headers);
 	res.end(body);
 }
--- a/src/relay/write-response-head.ts
+++ b/src/relay/write-response-head.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import {isFollowed} from '../http/index.js';
+import {mayBeFollowed} from '../http/index.js';
 import type {TargetResponse} from './target-attempt.js';
 
 /**
@@ -12,6 +12,6 @@
 	res.writeHead(status, {
 		...head.forwardedHeaders,
 		...(isFramed && options.bytes !== undefined ? {'content-length': options.bytes} : {}),
-		...((options.isClosing && !isFollowed(res)) || !isFramed ? {connection: 'close'} : {}),
+		...((options.isClosing && !mayBeFollowed(res)) || !isFramed ? {connection: 'close'} : {}),
 	});
 }
