Count probes for the question of a peer as evidence of a cut

Cause: an entry VM that is asked by a cut-off peer probes targets itself; that these probes failed was forgotten. The next leader found its own cut only by the stage calls that failed once it hosted the pools, so both times added up.

src/reach/reach-watch.test.ts: the second entry VM did not know of its cut 2 s after the first one's failures; now it does.

--- a/src/reach/reach-watch.test.ts
+++ b/src/reach/reach-watch.test.ts
@@ -9,7 +9,7 @@
 const targets: readonly ProbeableTarget[] = ['a', 'b', 'c'].flatMap(service => [1, 2].map(number => ({id: `${service}-${number}`, entry: {service}})));
 
 /** Entry VMs in cells of 25, each linked to the leader of its cell, and leaders to each other; those in `cut` reach no target. */
-function createFleet(size: number, cut: Set<number>) {
+function createFleet(size: number, cut: Set<number>, probeMs = 0) {
 	const clock = ManualClock.create();
 	const watches: Array<ReachWatch<ProbeableTarget>> = [];
 	const mesh = SimulatedMesh.create({
@@ -17,13 +17,24 @@
 			watches[vm]!.receive(link, message as ReachMessage);
 		},
 	});
+	/** Changes at each entry VM: the time, and whether it is cut off. */
+	const changes = new Map<number, Array<{atMs: number; isCutOff: boolean}>>();
 	const leaders = Array.from({length: Math.ceil(size / 25)}, (_, cell) => cell * 25);
 	for (let vm = 0; vm < size; vm++) {
 		const linked = (): Link[] => leaders.includes(vm)
 			? [...leaders.filter(leader => leader !== vm), ...Array.from({length: Math.min(24, size - vm - 1)}, (_, index) => vm + index + 1)].map(other => mesh.link(vm, other))
 			: [mesh.link(vm, vm - (vm % 25))];
 		watches.push(ReachWatch.create({
-			clock, logger: silentLoggerFactory('targets'), random: Random.create(vm), zone: mesh.zoneOf(vm), callersAddress: () => `vm-${vm}`, links: linked, targets: () => targets, probe: async () => !cut.has(vm),
+			clock, logger: silentLoggerFactory('targets'), random: Random.create(vm), zone: mesh.zoneOf(vm), callersAddress: () => `vm-${vm}`, links: linked, targets: () => targets, async probe() {
+				const isReached = !cut.has(vm);
+				if (!isReached && probeMs > 0) {
+					await clock.sleep(probeMs);
+				}
+
+				return isReached;
+			}, onChange(isCutOff) {
+				changes.set(vm, [...changes.get(vm) ?? [], {atMs: clock.now(), isCutOff}]);
+			},
 		}));
 	}
 
@@ -33,7 +44,9 @@
 		await clock.advance(2500);
 	};
 
-	return {clock, watches, failAt};
+	return {
+		clock, watches, failAt, mesh, changes,
+	};
 }
 
 describe('ReachWatch', () => {
@@ -67,6 +80,18 @@
 		expect(none.watches[3]!.isCutOff).toBe(false);
 	});
 
+	// Guards against a leader that is cut off as well and finds out only once it hosts the stage pools of the one before.
+	it('finds a second cut by the probes for the question of a peer', async () => {
+		const {clock, watches, changes} = createFleet(3, new Set([0, 1]), 500);
+		watches[0]!.recordFailed('a-1');
+		watches[0]!.recordFailed('b-1');
+		await clock.advance(2000);
+		expect([0, 1, 2].map(vm => watches[vm]!.isCutOff)).toEqual([true, true, false]);
+		expect(changes.get(1)!.length).toBe(1);
+		watches[0]!.close();
+		watches[1]!.close();
+	});
+
 	it('ends with a response of a target', async () => {
 		const {watches, failAt} = createFleet(30, new Set([3]));
 		await failAt(3);
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -164,6 +164,10 @@
 		const isReached = results.includes(true);
 		if (isReached) {
 			this.recordReached();
+		} else {
+			for (const {id} of chosen) {
+				this.recordFailed(id);
+			}
 		}
 
 		return isReached;
