Log how the end of each response is known

Looked for requests without a line that names their end: one whose caller leaves in the moment in which its whole response arrives had none; it has `left` now. By reading, all other ends of RequestHandler, ForwardedRequest and RelayServer write one line. No decision changes.

--- a/src/relay/forwarded-request.ts
+++ b/src/relay/forwarded-request.ts
@@ -1,4 +1,5 @@
 import type {Ms} from '../clock/index.js';
+import type {BodyEnd, BodyFraming} from './body-framing.js';
 import type {RelayContext} from './relay-context.js';
 import type {RoutedRequest} from './request-handler.js';
 import {sendRejection} from './send-rejection.js';
@@ -28,6 +29,10 @@
 	}
 
 	#exchange: Exchange | undefined;
+	/** Address of the entry VM that the request was left to last, and what is known of its response. */
+	#helper: string | undefined;
+	#framing: BodyFraming | undefined;
+	#bodyEnd: BodyEnd | undefined;
 	#isEnded = false;
 	#isSent = false;
 	#resolve: () => void = () => undefined;
@@ -89,12 +94,14 @@
 			return;
 		}
 
+		this.#helper = address;
 		const remainingMs = head.timeoutMs === undefined ? undefined : Math.max(1, head.timeoutMs - (clock.now() - arrivedMs));
 		this.#exchange = startExchange(pools, {
 			address, method: req.method!, path: req.url!, headers: codec.encodeForwardedHeaders(req.rawHeaders, remainingMs), body, usesNewConnection: true,
 		}, {
-			onHead: (status, headers) => {
+			onHead: (status, headers, framing) => {
 				this.#isSent = true;
+				this.#framing = framing;
 				this.#writeHead(status, headers);
 			},
 			onData: chunk => {
@@ -103,11 +110,13 @@
 					this.#exchange?.pause();
 				}
 			},
-			onEnd: () => {
+			onEnd: end => {
+				this.#bodyEnd = end;
 				res.end();
 				this.#end('answered');
 			},
-			onError: (err, isSent) => {
+			onError: (err, isSent, end) => {
+				this.#bodyEnd = end;
 				this.#isSent ||= isSent;
 				if (isSent) {
 					this.#fail(502, err.message);
@@ -162,7 +171,7 @@
 			outcome: 'forwarded', reason: '', tookMs, firstByteMs: undefined,
 		});
 		context.logger.info('Ended a request that was left to another entry VM.', {
-			id: attemptId, route: route.name, end: reason, status: res.headersSent ? res.statusCode : 0, took_ms: Math.round(tookMs),
+			id: attemptId, route: route.name, helper: this.#helper, framing: this.#framing, body_end: this.#bodyEnd, end: reason, status: res.headersSent ? res.statusCode : 0, took_ms: Math.round(tookMs),
 		});
 		this.#resolve();
 	}
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -316,14 +316,18 @@
 					remainingMs: this.#timeBudget.remainingMs(startedMs, context.shutdown()?.deadlineOfTarget({hasBegun: this.#streamWriter?.hasHead === true})),
 					urgency: prompt ? Math.min(9, this.#priority * 2) : undefined,
 					inputs,
-					lastEventId: this.#streamWriter?.lastEventId === undefined ? head.lastEventId : String(this.#streamWriter.lastEventId),
+					lastEventId: this.#lastEventId === undefined ? head.lastEventId : String(this.#lastEventId),
 				}),
 			},
 			onProbe: result => {
 				this.#record.recordProbe(result);
 			},
-			onHead(targetHead) {
+			onBodyEnd: end => {
+				this.#record.recordBodyEnd(end);
+			},
+			onHead: (targetHead, framing) => {
 				hasResponded = true;
+				this.#record.recordFraming(framing);
 				context.reach.recordReached();
 				context.limits.observe(target, {perSecond: targetHead.limitPerSecond, sentMs: startedMs});
 				if (targetHead.isDraining) {
@@ -350,6 +354,7 @@
 		});
 		this.#isAttempting = false;
 		removePendingTokens();
+		this.#record.recordLastEvent(this.#lastEventId);
 		this.#record.endAttempt(outcome, clock.now());
 		if (outcome.kind === 'answer' || outcome.kind === 'streamed' || (outcome.kind === 'aborted' && clock.now() >= this.#timeBudget.deadlineMs)) {
 			context.durations.attempts.record(route.name, {tookMs: clock.now() - startedMs, size: this.#size}, clock.now());
@@ -562,6 +567,11 @@
 		return this.context.quarantine.hasSuspicions ? this.#parts : this.#sharedParts;
 	}
 
+	/** Id of the last event of the stream that the caller got here. */
+	get #lastEventId(): number | undefined {
+		return this.#streamWriter?.lastEventId;
+	}
+
 	/** What the duration of the request grows with: the tokens that an engine may generate. */
 	get #size(): number {
 		return this.request.head.prompt?.maxOutputTokens ?? 1;
@@ -573,7 +583,12 @@
 
 	#sendResponse(response: TargetResponse): void {
 		const {res} = this.request;
-		if (this.#isFinished || res.destroyed) {
+		if (this.#isFinished) {
+			return;
+		}
+
+		if (res.destroyed) {
+			this.#finish({outcome: 'left', reason: '', status: 0});
 			return;
 		}
 
@@ -706,6 +721,7 @@
 			route: request.route.name,
 			service: this.#service,
 			team: request.team?.name,
+			...(request.head.isForwarded ? {from_peer: true} : {}),
 			config: request.table.version,
 			targets_age_ms: Math.round(context.targetsAgeMs()),
 			time_ms: Math.round(this.#timeBudget.deadlineMs - request.arrivedMs),
--- a/src/relay/request-record.test.ts
+++ b/src/relay/request-record.test.ts
@@ -10,6 +10,9 @@
 	const record = RequestRecord.create(1000);
 	record.recordStages(300.4);
 	record.startAttempt(target, 1310);
+	record.recordFraming('chunked');
+	record.recordBodyEnd('reset');
+	record.recordLastEvent(5);
 	record.endAttempt({
 		kind: 'failed', failure: 'broken', reason: 'reset', progress: 'none',
 	}, 1400);
@@ -17,6 +20,9 @@
 	record.recordFirstByte(1600);
 	record.recordFirstByte(1700);
 	record.startAttempt(target, 1550);
+	record.recordFraming('connection');
+	record.recordBodyEnd('connection_end');
+	record.recordLastEvent(8);
 	record.endAttempt({kind: 'streamed', isFramed: false, hasEvents: true}, 1800);
 	expect(record.logFields({outcome: 'answered', reason: '', status: 200}, 1801)).toEqual({
 		outcome: 'answered',
@@ -26,10 +32,10 @@
 		first_byte_ms: 600,
 		attempts: [
 			{
-				target: 't1', end: 'broken', at_ms: 310, took_ms: 90, reason: 'reset',
+				target: 't1', end: 'broken', at_ms: 310, took_ms: 90, reason: 'reset', framing: 'chunked', body_end: 'reset', last_event: 5,
 			},
 			{
-				target: 't1', end: 'streamed', at_ms: 550, took_ms: 250, unframed: true,
+				target: 't1', end: 'streamed', at_ms: 550, took_ms: 250, framing: 'connection', body_end: 'connection_end', last_event: 8,
 			},
 		],
 	});
--- a/src/relay/request-record.ts
+++ b/src/relay/request-record.ts
@@ -1,10 +1,11 @@
 import type {Ms} from '../clock/index.js';
 import type {RelayTarget} from '../registry/index.js';
+import type {BodyEnd, BodyFraming} from './body-framing.js';
 import type {RetryDenial} from './decide-retry.js';
 import type {AttemptOutcome, ProbeResult} from './target-attempt.js';
 
-type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string; unframed?: boolean; probe?: ProbeResult};
-type RunningAttempt = {readonly target: RelayTarget; readonly startedMs: Ms; probe?: ProbeResult};
+type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string; framing?: BodyFraming; body_end?: BodyEnd; last_event?: number; probe?: ProbeResult};
+type RunningAttempt = {readonly target: RelayTarget; readonly startedMs: Ms; framing?: BodyFraming; bodyEnd?: BodyEnd; lastEventId?: number; probe?: ProbeResult};
 
 /** How a request ended. */
 export interface RequestResult {
@@ -58,13 +59,31 @@
 		}
 	}
 
+	/** Records how the end of the body is declared that the target of the attempt in progress responds with. */
+	recordFraming(framing: BodyFraming): void {
+		if (this.#running) {
+			this.#running.framing = framing;
+		}
+	}
+
+	/** Records how the body of the attempt in progress ended. */
+	recordBodyEnd(end: BodyEnd): void {
+		if (this.#running) {
+			this.#running.bodyEnd = end;
+		}
+	}
+
+	/** Records the id of the last event that the caller has at the end of the attempt in progress. */
+	recordLastEvent(id: number | undefined): void {
+		if (this.#running && id !== undefined) {
+			this.#running.lastEventId = id;
+		}
+	}
+
 	/** Records the end of the attempt in progress. */
 	endAttempt(outcome: AttemptOutcome, now: Ms): void {
 		if (this.#running) {
-			const attempt = this.#describe(this.#running, outcome.kind === 'failed' ? outcome.failure : outcome.kind, now, outcome.kind === 'failed' ? outcome.reason : undefined);
-			// Only the end of its connection tells that such a response is whole.
-			const isUnframed = (outcome.kind === 'streamed' && !outcome.isFramed) || (outcome.kind === 'answer' && !outcome.response.isFramed);
-			this.#attempts.push(isUnframed ? {...attempt, unframed: true} : attempt);
+			this.#attempts.push(this.#describe(this.#running, outcome.kind === 'failed' ? outcome.failure : outcome.kind, now, outcome.kind === 'failed' ? outcome.reason : undefined));
 			this.#running = undefined;
 		}
 	}
@@ -98,13 +117,18 @@
 		};
 	}
 
-	#describe({target, startedMs, probe}: RunningAttempt, end: string, now: Ms, reason?: string): AttemptRecord {
+	#describe({
+		target, startedMs, framing, bodyEnd, lastEventId, probe,
+	}: RunningAttempt, end: string, now: Ms, reason?: string): AttemptRecord {
 		return {
 			target: target.id,
 			end,
 			at_ms: Math.round(startedMs - this.arrivedMs),
 			took_ms: Math.round(now - startedMs),
 			...(reason === undefined ? {} : {reason}),
+			...(framing === undefined ? {} : {framing}),
+			...(bodyEnd === undefined ? {} : {body_end: bodyEnd}),
+			...(lastEventId === undefined ? {} : {last_event: lastEventId}),
 			...(probe === undefined ? {} : {probe}),
 		};
 	}
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -3,6 +3,7 @@
 import {errorMessage} from '../errors/index.js';
 import {GrowingBuffer} from '../http/index.js';
 import type {RelayTarget} from '../registry/index.js';
+import type {BodyEnd, BodyFraming} from './body-framing.js';
 import {EventSplitter, type ServerSentEvent} from './event-splitter.js';
 import type {AttemptFailure} from './decide-retry.js';
 import {judgeSilence, type SilenceLimits} from './judge-silence.js';
@@ -102,7 +103,9 @@
 	/** Called with the result of each probe that ends during the attempt. */
 	readonly onProbe?: (result: ProbeResult) => void;
 	/** Called with the headers of each response that belongs to the attempt. */
-	readonly onHead?: (head: TargetHead) => void;
+	readonly onHead?: (head: TargetHead, framing: BodyFraming) => void;
+	/** Called when the body of the response ends, unless the attempt is given up before. */
+	readonly onBodyEnd?: (end: BodyEnd) => void;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
 	readonly onResponseStart?: () => void;
 	/** Called when data of the response has taken long to handle, so that nothing else was served meanwhile. */
@@ -185,16 +188,18 @@
 				this.#endUnsentWatch();
 				this.#recordProgress();
 			},
-			onHead: (status, headers) => {
-				this.#onHead(status, headers);
+			onHead: (status, headers, framing) => {
+				this.#onHead(status, headers, framing);
 			},
 			onData: chunk => {
 				this.#onData(chunk);
 			},
-			onEnd: () => {
+			onEnd: end => {
+				this.options.onBodyEnd?.(end);
 				this.#onEnd();
 			},
-			onError: (err, isSent) => {
+			onError: (err, isSent, end) => {
+				this.options.onBodyEnd?.(end);
 				this.#fail(isSent ? 'broken' : 'unsent', errorMessage(err));
 			},
 		});
@@ -205,7 +210,7 @@
 		this.#finish({kind: 'aborted'});
 	};
 
-	#onHead(status: number, headers: HttpHeaders): void {
+	#onHead(status: number, headers: HttpHeaders, framing: BodyFraming): void {
 		const {codec, attemptId, sink, onResponseStart} = this.options;
 		const head = codec.decodeTargetHead(headers);
 		this.#recordProgress();
@@ -219,7 +224,7 @@
 			return;
 		}
 
-		this.options.onHead?.(head);
+		this.options.onHead?.(head, framing);
 		const isStream = sink !== undefined && status < 300 && !head.isNotRun;
 		if (isStream && !sink.accepts({status, head})) {
 			this.#abort('broken', `response with status ${status} and type '${head.mediaType}' does not go on with the stream`);
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -1,6 +1,9 @@
 import type {Buffer} from 'node:buffer';
 import {Client, type Dispatcher} from 'undici';
 import {errorMessage, GuavamillError} from '../errors/index.js';
+import {
+	framingOf, type BodyEnd, type BodyFraming, type WholeBodyEnd,
+} from './body-framing.js';
 import type {HttpHeaders} from './relay-codec.js';
 import {currentCloseEvent} from './close-aware-connector.js';
 import {connectOptions, type TargetPools} from './target-pools.js';
@@ -8,7 +11,8 @@
 /** Maximum number of interim responses (1xx) to a request; a target may send them without end. */
 const maxInterimResponses = 32;
 
-const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+/** How bodies ended, by the codes of errors; other errors are failures. */
+const endsByCode: ReadonlyMap<string, BodyEnd> = new Map([['ECONNRESET', 'reset'], ['UND_ERR_SOCKET', 'early_end'], ['UND_ERR_RES_CONTENT_LENGTH_MISMATCH', 'early_end'], ['HPE_INVALID_EOF_STATE', 'early_end']]);
 
 /** One HTTP request to a target. */
 export interface ExchangeRequest {
@@ -26,11 +30,11 @@
 export interface ExchangeListener {
 	/** Called once the request has a connection; it counts as sent from then on. */
 	onStart?(): void;
-	onHead(status: number, headers: HttpHeaders): void;
+	onHead(status: number, headers: HttpHeaders, framing: BodyFraming): void;
 	onData(chunk: Buffer): void;
-	onEnd(): void;
+	onEnd(end: WholeBodyEnd): void;
 	/** `isSent` is false if no byte of the request can have reached the target. */
-	onError(err: Error, isSent: boolean): void;
+	onError(err: Error, isSent: boolean, end: BodyEnd): void;
 }
 
 /** An HTTP exchange in progress. */
@@ -76,7 +80,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	#controller: Dispatcher.DispatchController | undefined;
 	#isEnded = false;
-	#framing: 'chunked' | 'length' | 'connection' = 'length';
+	#framing: BodyFraming = 'length';
 	#abortReason: string | undefined;
 	#interimResponses = 0;
 
@@ -130,8 +134,8 @@
 			return;
 		}
 
-		this.#framing = this.#framingOf(status, headers);
-		this.listener.onHead(status, headers);
+		this.#framing = framingOf({method: this.method, status, headers});
+		this.listener.onHead(status, headers, this.#framing);
 	}
 
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -143,47 +147,42 @@
 	onResponseEnd(): void {
 		const closeEvent = currentCloseEvent();
 		if (closeEvent.kind === 'none' && this.#framing !== 'connection') {
-			this.#end();
+			this.#end(this.#framing === 'chunked' ? 'last_chunk' : 'length');
 		} else if (closeEvent.kind === 'ended' && this.#framing !== 'chunked') {
-			void this.#endUnlessReset(closeEvent.wasReset);
+			void this.#endUnlessReset(closeEvent.wasReset, this.#framing === 'length' ? 'length' : 'connection_end');
 		} else {
-			this.#failIncomplete(closeEvent.kind === 'none' ? 'closed' : closeEvent.kind);
+			this.#failIncomplete(closeEvent.kind === 'none' ? 'closed' : closeEvent.kind, closeEvent.kind === 'failed' ? 'reset' : 'early_end');
 		}
 	}
 
-	async #endUnlessReset(wasReset: Promise<boolean>): Promise<void> {
+	async #endUnlessReset(wasReset: Promise<boolean>, end: WholeBodyEnd): Promise<void> {
 		if (await wasReset) {
-			this.#failIncomplete('reset');
+			this.#failIncomplete('reset', 'reset');
 		} else {
-			this.#end();
+			this.#end(end);
 		}
 	}
 
-	#end(): void {
+	#end(end: WholeBodyEnd): void {
 		if (!this.#isEnded) {
 			this.#isEnded = true;
-			this.listener.onEnd();
+			this.listener.onEnd(end);
 			this.#release();
 		}
 	}
 
-	#failIncomplete(how: string): void {
-		this.onResponseError(undefined, new GuavamillError(`connection ${how} before the response was complete`));
+	#failIncomplete(how: string, end: BodyEnd): void {
+		this.#fail(new GuavamillError(`connection ${how} before the response was complete`), end);
 	}
 
-	/** How the end of the body is known: by its last chunk, by its length, which may be none, or only by the end of the connection. */
-	#framingOf(status: number, headers: HttpHeaders): 'chunked' | 'length' | 'connection' {
-		if (headers['transfer-encoding'] !== undefined) {
-			return 'chunked';
-		}
-
-		return headers['content-length'] !== undefined || this.method === 'HEAD' || statusesWithoutBody.has(status) ? 'length' : 'connection';
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
+		this.#fail(err, endsByCode.get((err as NodeJS.ErrnoException).code ?? '') ?? 'failed');
 	}
 
-	onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
+	#fail(err: Error, end: BodyEnd): void {
 		if (!this.#isEnded) {
 			this.#isEnded = true;
-			this.listener.onError(new GuavamillError(`Cannot complete the exchange: ${errorMessage(err)}`, {cause: err}), this.#controller !== undefined);
+			this.listener.onError(new GuavamillError(`Cannot complete the exchange: ${errorMessage(err)}`, {cause: err}), this.#controller !== undefined, end);
 			this.#release();
 		}
 	}
