End a stream only with a part that declares its end

Where the first part of a resumed stream had chunks or a length, and the part that went on had neither, the end of that part's connection became the last chunk of the caller's response: an orderly end of a connection tells nothing of the rest, and the caller was told that the stream was whole.

How the end of a body is declared, and how it ended, is one type now (src/relay/body-framing.ts), from the exchange to the writer of the stream. StreamWriter.end asks StreamEnd and writes no end that claims more than the part did; the attempt counts as broken then, so that decideRetry asks one more target after the last event, within attempts, time and retry budget, or else resets the caller's connection. A caller who got the first part without a length is told nothing more by a later declared end.

A response to HEAD, and one with 204 or 304, has no body and so a declared end; it gets no Content-Length of the relay's own any more.

--- a/src/relay/request-record.test.ts
+++ b/src/relay/request-record.test.ts
@@ -23,7 +23,7 @@
 	record.recordFraming('connection');
 	record.recordBodyEnd('connection_end');
 	record.recordLastEvent(8);
-	record.endAttempt({kind: 'streamed', isFramed: false, hasEvents: true}, 1800);
+	record.endAttempt({kind: 'streamed', hasEvents: true}, 1800);
 	expect(record.logFields({outcome: 'answered', reason: '', status: 200}, 1801)).toEqual({
 		outcome: 'answered',
 		status: 200,
--- a/src/relay/stream-writer.ts
+++ b/src/relay/stream-writer.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Clock, Ms} from '../clock/index.js';
+import type {WholeBodyEnd} from './body-framing.js';
 import type {ServerSentEvent} from './event-splitter.js';
+import {StreamEnd} from './stream-end.js';
 import type {StreamSink, TargetResponse} from './target-attempt.js';
 import type {Exchange} from './target-exchange.js';
 import {writeResponseHead} from './write-response-head.js';
@@ -9,6 +11,13 @@
 /** Number of bytes buffered for a caller above which reading from the target is paused. */
 const highWaterBytes = 256 * 1024;
 
+/** Options of {@link StreamWriter}. */
+export interface StreamWriterOptions {
+	readonly clock: Clock;
+	/** True while responses tell callers to close their connections. */
+	readonly isClosing: () => boolean;
+}
+
 /**
  * Writes an event stream to its caller across attempts at several targets. The caller receives the status and headers of
  * the first target; events that were already delivered are skipped.
@@ -17,17 +26,18 @@
  * const writer = StreamWriter.create(res, {clock, isClosing: () => false});
  */
 export class StreamWriter implements StreamSink {
-	static create(res: ServerResponse, options: {clock: Clock; isClosing: () => boolean}): StreamWriter {
-		return new StreamWriter(res, options.clock, options.isClosing);
+	static create(res: ServerResponse, options: StreamWriterOptions): StreamWriter {
+		return new StreamWriter(res, options);
 	}
 
 	#lastEventId: number | undefined;
 	#lastEventMs: Ms | undefined;
 	#firstResponse: Pick<TargetResponse, 'status' | 'head'> | undefined;
 	#eventCount = 0;
+	#end: StreamEnd | undefined;
 	#flowControl: Pick<Exchange, 'pause' | 'resume'> | undefined;
 
-	private constructor(private readonly res: ServerResponse, private readonly clock: Clock, private readonly isClosing: () => boolean) {}
+	private constructor(private readonly res: ServerResponse, private readonly options: StreamWriterOptions) {}
 
 	/** True once the status and headers have been written. */
 	get hasHead(): boolean {
@@ -59,7 +69,7 @@
 		return !first || (status === first.status && head.mediaType === first.head.mediaType);
 	}
 
-	writeHead(response: Pick<TargetResponse, 'status' | 'head' | 'isFramed'>, flowControl: Pick<Exchange, 'pause' | 'resume'>): void {
+	writeHead(response: Pick<TargetResponse, 'status' | 'head' | 'framing'>, flowControl: Pick<Exchange, 'pause' | 'resume'>): void {
 		this.res.removeAllListeners('drain');
 		this.res.on('drain', () => {
 			flowControl.resume();
@@ -70,7 +80,8 @@
 		}
 
 		this.#firstResponse = response;
-		writeResponseHead(this.res, response, {isClosing: this.isClosing()});
+		this.#end = StreamEnd.create(response.framing);
+		writeResponseHead(this.res, response, {isClosing: this.options.isClosing()});
 		this.res.flushHeaders();
 	}
 
@@ -84,7 +95,7 @@
 		}
 
 		if (newEvents.length > 0) {
-			this.#lastEventMs = this.clock.now();
+			this.#lastEventMs = this.options.clock.now();
 			this.#eventCount += newEvents.length;
 			// One write for all, as each takes memory and time of its own.
 			this.res.write(newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents));
@@ -97,12 +108,18 @@
 		return newEvents.length;
 	}
 
-	end(remainder: Buffer): void {
+	end(remainder: Buffer, end: WholeBodyEnd): string | undefined {
+		const denial = this.#end!.findDenial(end);
+		if (denial !== undefined) {
+			return denial;
+		}
+
 		if (remainder.length > 0) {
 			this.res.write(remainder);
 		}
 
 		this.res.end();
+		return undefined;
 	}
 
 	/** Resets the connection, so that the caller detects the incomplete stream whatever its message framing. */
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -3,7 +3,7 @@
 import {errorMessage} from '../errors/index.js';
 import {GrowingBuffer} from '../http/index.js';
 import type {RelayTarget} from '../registry/index.js';
-import type {BodyEnd, BodyFraming} from './body-framing.js';
+import type {BodyEnd, BodyFraming, WholeBodyEnd} from './body-framing.js';
 import {EventSplitter, type ServerSentEvent} from './event-splitter.js';
 import type {AttemptFailure} from './decide-retry.js';
 import {judgeSilence, type SilenceLimits} from './judge-silence.js';
@@ -33,8 +33,7 @@
 	readonly status: number;
 	readonly head: TargetHead;
 	readonly body: Buffer;
-	/** False if the body is delimited only by the close of the connection. */
-	readonly isFramed: boolean;
+	readonly framing: BodyFraming;
 }
 
 /** Receives the events of a stream as they arrive. */
@@ -46,11 +45,14 @@
 	/** Whether a response can go on with the stream. */
 	accepts(response: Pick<TargetResponse, 'status' | 'head'>): boolean;
 	/** Called once per attempt, before its first event. */
-	writeHead(response: Pick<TargetResponse, 'status' | 'head' | 'isFramed'>, flowControl: Pick<Exchange, 'pause' | 'resume'>): void;
+	writeHead(response: Pick<TargetResponse, 'status' | 'head' | 'framing'>, flowControl: Pick<Exchange, 'pause' | 'resume'>): void;
 	/** Writes those of the events that the caller does not have yet, and returns their number. */
 	writeEvents(events: readonly ServerSentEvent[]): number;
-	/** Called at the end of a complete stream, with the bytes after its last complete event. */
-	end(remainder: Buffer): void;
+	/**
+	 * Ends the stream with the bytes after its last complete event, unless that would claim more than is known: returns why
+	 * the part that ended is not the end of the stream then.
+	 */
+	end(remainder: Buffer, end: WholeBodyEnd): string | undefined;
 }
 
 /** How far the response to an attempt had got: nothing, its headers, or a whole response or event of a stream. */
@@ -60,7 +62,7 @@
 export type AttemptOutcome =
 	| {readonly kind: 'answer'; readonly response: TargetResponse}
 	/** `hasEvents` is false if the target had nothing to add to the events of earlier attempts. */
-	| {readonly kind: 'streamed'; readonly isFramed: boolean; readonly hasEvents: boolean}
+	| {readonly kind: 'streamed'; readonly hasEvents: boolean}
 	| {readonly kind: 'aborted'}
 	| {readonly kind: 'failed'; readonly failure: AttemptFailure; readonly reason: string; readonly progress: ResponseProgress; readonly response?: TargetResponse};
 
@@ -139,7 +141,7 @@
 	#isStream = false;
 	/** Whether the response goes on with the stream of an earlier attempt. */
 	#isResumed = false;
-	#isFramed = true;
+	#framing: BodyFraming = 'length';
 	#isFinished = false;
 	/** Whether reading waits for the caller, so that silence tells nothing about the target. */
 	#isPaused = false;
@@ -196,7 +198,7 @@
 			},
 			onEnd: end => {
 				this.options.onBodyEnd?.(end);
-				this.#onEnd();
+				this.#onEnd(end);
 			},
 			onError: (err, isSent, end) => {
 				this.options.onBodyEnd?.(end);
@@ -233,7 +235,7 @@
 
 		this.#isResumed = isStream && sink.hasHead;
 		this.#status = status;
-		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		this.#framing = framing;
 		this.#head = head;
 		this.#progress = 'begun';
 		if (!head.isNotRun) {
@@ -242,7 +244,7 @@
 
 		if (isStream) {
 			this.#isStream = true;
-			sink.writeHead({status, head, isFramed: this.#isFramed}, {
+			sink.writeHead({status, head, framing}, {
 				pause: () => {
 					this.#isPaused = true;
 					this.#exchange!.pause();
@@ -319,23 +321,28 @@
 		}
 	}
 
-	#onEnd(): void {
+	#onEnd(end: WholeBodyEnd): void {
 		if (this.#isStream) {
 			// Without a length or chunks, the end of the connection does not tell a complete stream from one that was broken off.
-			const isCutOff = this.#splitter.isInsideEvent && (!this.#isFramed || this.#isResumed || this.#head!.mediaType === eventStreamType);
-			if (isCutOff || (!this.#isFramed && this.#progress !== 'answered')) {
+			const isCutOff = this.#splitter.isInsideEvent && (end === 'connection_end' || this.#isResumed || this.#head!.mediaType === eventStreamType);
+			if (isCutOff || (end === 'connection_end' && this.#progress !== 'answered')) {
 				this.#fail('broken', 'response ended before an event of the stream was complete');
 				return;
 			}
 
-			this.options.sink!.end(this.#splitter.remainder);
+			const denial = this.options.sink!.end(this.#splitter.remainder, end);
+			if (denial !== undefined) {
+				this.#fail('broken', denial);
+				return;
+			}
+
 			this.#recordOutcome('ok');
-			this.#finish({kind: 'streamed', isFramed: this.#isFramed, hasEvents: this.#progress === 'answered'});
+			this.#finish({kind: 'streamed', hasEvents: this.#progress === 'answered'});
 			return;
 		}
 
 		const response: TargetResponse = {
-			status: this.#status, head: this.#head!, body: this.#body.bytes, isFramed: this.#isFramed,
+			status: this.#status, head: this.#head!, body: this.#body.bytes, framing: this.#framing,
 		};
 		if (response.head.isNotRun) {
 			this.options.target.recordCall('busy', this.options.clock.now(), 0);
--- a/src/relay/write-response-head.ts
+++ b/src/relay/write-response-head.ts
@@ -1,17 +1,26 @@
 import type {ServerResponse} from 'node:http';
 import {isFollowed} from '../http/index.js';
+import {isBodiless} from './body-framing.js';
 import type {TargetResponse} from './target-attempt.js';
 
+/** Options of {@link writeResponseHead}. */
+export interface ResponseHeadOptions {
+	readonly isClosing: boolean;
+	/** Size of the body if it is known as a whole. */
+	readonly bytes?: number;
+}
+
 /**
  * Writes the status and headers of a target's response to the caller. A body delimited only by the close of the
  * connection is forwarded with the same framing: a `Content-Length` set by the relay would claim that the body is
  * complete, which the relay cannot know.
  */
-export function writeResponseHead(res: ServerResponse, {status, head, isFramed}: Pick<TargetResponse, 'status' | 'head' | 'isFramed'>, options: {isClosing: boolean; bytes?: number}): void {
-	res.useChunkedEncodingByDefault = isFramed;
+export function writeResponseHead(res: ServerResponse, {status, head, framing}: Pick<TargetResponse, 'status' | 'head' | 'framing'>, {isClosing, bytes}: ResponseHeadOptions): void {
+	const isDelimited = framing !== 'connection';
+	res.useChunkedEncodingByDefault = isDelimited;
 	res.writeHead(status, {
 		...head.forwardedHeaders,
-		...(isFramed && options.bytes !== undefined ? {'content-length': options.bytes} : {}),
-		...((options.isClosing && !isFollowed(res)) || !isFramed ? {connection: 'close'} : {}),
+		...(isDelimited && bytes !== undefined && !isBodiless(res.req.method!, status) ? {'content-length': bytes} : {}),
+		...((isClosing && !isFollowed(res)) || !isDelimited ? {connection: 'close'} : {}),
 	});
 }
