Reject an end of a stream that an earlier part contradicts

A stream was cut inside an event, and the target that went on with it sent no event but a last chunk: the caller got a stream that looked complete although the first part had shown that more events exist. The same where the first part had a length and fewer bytes.

A part that is broken off tells StreamEnd of such an event, unless the caller has it already (a target may start the stream over). An end without any event since then counts as broken, as one that is not declared. Without such evidence a declared end still counts, with or without events: nothing says otherwise.

--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -73,6 +73,11 @@
 		return this.#hasFields || (this.#lineLength > 0 && this.#line[0] !== colon);
 	}
 
+	/** Id of the event that the remainder holds a part of; `undefined` if it has none, or none yet. */
+	get partialId(): number | undefined {
+		return this.#id;
+	}
+
 	/** Adds a chunk and returns the events that it completes. */
 	push(chunk: Buffer): ServerSentEvent[] {
 		const events: ServerSentEvent[] = [];
--- a/src/relay/stream-writer.ts
+++ b/src/relay/stream-writer.ts
@@ -35,6 +35,8 @@
 	#firstResponse: Pick<TargetResponse, 'status' | 'head'> | undefined;
 	#eventCount = 0;
 	#end: StreamEnd | undefined;
+	/** Whether the part in progress still repeats events that the caller has. */
+	#isBehind = false;
 	#flowControl: Pick<Exchange, 'pause' | 'resume'> | undefined;
 
 	private constructor(private readonly res: ServerResponse, private readonly options: StreamWriterOptions) {}
@@ -75,6 +77,7 @@
 			flowControl.resume();
 		});
 		this.#flowControl = flowControl;
+		this.#isBehind = false;
 		if (this.#firstResponse) {
 			return;
 		}
@@ -101,6 +104,7 @@
 			this.res.write(newEvents.length === 1 ? newEvents[0]! : Buffer.concat(newEvents));
 		}
 
+		this.#isBehind = this.#hasAlready(events.at(-1)?.id) && events.at(-1)!.id !== this.#lastEventId;
 		if (this.pendingBytes > highWaterBytes) {
 			this.#flowControl?.pause();
 		}
@@ -108,8 +112,14 @@
 		return newEvents.length;
 	}
 
+	recordMore(partialId?: number): void {
+		if (!this.#isBehind && !this.#hasAlready(partialId)) {
+			this.#end?.recordMore(this.#eventCount);
+		}
+	}
+
 	end(remainder: Buffer, end: WholeBodyEnd): string | undefined {
-		const denial = this.#end!.findDenial(end);
+		const denial = this.#end!.findDenial(end, this.#eventCount);
 		if (denial !== undefined) {
 			return denial;
 		}
@@ -130,4 +140,8 @@
 			this.res.destroy();
 		}
 	}
+
+	#hasAlready(id: number | undefined): boolean {
+		return id !== undefined && this.#lastEventId !== undefined && id <= this.#lastEventId;
+	}
 }
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -48,6 +48,8 @@
 	writeHead(response: Pick<TargetResponse, 'status' | 'head' | 'framing'>, flowControl: Pick<Exchange, 'pause' | 'resume'>): void;
 	/** Writes those of the events that the caller does not have yet, and returns their number. */
 	writeEvents(events: readonly ServerSentEvent[]): number;
+	/** Records that a part was broken off before its end, in an event whose id may be known, or before one. */
+	recordMore(partialId?: number): void;
 	/**
 	 * Ends the stream with the bytes after its last complete event, unless that would claim more than is known: returns why
 	 * the part that ended is not the end of the stream then.
@@ -142,6 +144,8 @@
 	/** Whether the response goes on with the stream of an earlier attempt. */
 	#isResumed = false;
 	#framing: BodyFraming = 'length';
+	/** Whether the body has ended, so that none of its bytes are missing. */
+	#isBodyWhole = false;
 	#isFinished = false;
 	/** Whether reading waits for the caller, so that silence tells nothing about the target. */
 	#isPaused = false;
@@ -322,6 +326,7 @@
 	}
 
 	#onEnd(end: WholeBodyEnd): void {
+		this.#isBodyWhole = true;
 		if (this.#isStream) {
 			// Without a length or chunks, the end of the connection does not tell a complete stream from one that was broken off.
 			const isCutOff = this.#splitter.isInsideEvent && (end === 'connection_end' || this.#isResumed || this.#head!.mediaType === eventStreamType);
@@ -502,12 +507,25 @@
 		});
 	}
 
+	/** Tells the stream what a part that was broken off shows of events that the caller does not have. */
+	#recordMissing(): void {
+		if (this.#splitter.isInsideEvent) {
+			this.options.sink!.recordMore(this.#splitter.partialId);
+		} else if (this.#framing === 'length' && !this.#isBodyWhole) {
+			this.options.sink!.recordMore();
+		}
+	}
+
 	#finish(outcome: AttemptOutcome): void {
 		if (this.#isFinished) {
 			return;
 		}
 
 		this.#isFinished = true;
+		if (this.#isStream && outcome.kind === 'failed') {
+			this.#recordMissing();
+		}
+
 		this.#memory.release();
 		this.#cancelSilenceCheck();
 		this.#endUnsentWatch();
