Keep the framing of a response that another entry VM gives

An entry VM that is cut off from all targets leaves requests to another one.

Between entry VMs a response is always delimited now, so that the death of the other one breaks its chunks or its length, and a header of the project's own says that the target has not declared its end. The entry VM that passes it on frames it by the end of the connection then, and resets the connection of its caller where the other one breaks off.

--- a/src/relay/forwarded-request.ts
+++ b/src/relay/forwarded-request.ts
@@ -3,6 +3,7 @@
 import type {RelayContext} from './relay-context.js';
 import type {RoutedRequest} from './request-handler.js';
 import {sendRejection} from './send-rejection.js';
+import {canComplete} from './stream-end.js';
 import {startExchange, type Exchange} from './target-exchange.js';
 import type {HttpHeaders} from './relay-codec.js';
 
@@ -29,7 +30,7 @@
 	}
 
 	#exchange: Exchange | undefined;
-	/** Address of the entry VM that the request was left to last, and what is known of its response. */
+	/** Address of the entry VM that the request was left to last, how the end of the target's response is declared, and how the response ended. */
 	#helper: string | undefined;
 	#framing: BodyFraming | undefined;
 	#bodyEnd: BodyEnd | undefined;
@@ -101,7 +102,7 @@
 		}, {
 			onHead: (status, headers, framing) => {
 				this.#isSent = true;
-				this.#framing = framing;
+				this.#framing = codec.hasUndeclaredEnd(headers) ? 'connection' : framing;
 				this.#writeHead(status, headers);
 			},
 			onData: chunk => {
@@ -112,8 +113,12 @@
 			},
 			onEnd: end => {
 				this.#bodyEnd = end;
-				res.end();
-				this.#end('answered');
+				if (canComplete(this.#framing!, end)) {
+					res.end();
+					this.#end('answered');
+				} else {
+					this.#fail(502, 'the end of the response was not declared');
+				}
 			},
 			onError: (err, isSent, end) => {
 				this.#bodyEnd = end;
@@ -128,10 +133,16 @@
 		});
 	}
 
-	/** Callers come back on another connection, so that the load balancer can send them elsewhere. */
+	/**
+	 * The caller gets a response whose end the target has not declared as one that ends with its connection, however the
+	 * other entry VM delimits it. Callers come back on another connection, so that the load balancer can send them
+	 * elsewhere.
+	 */
 	#writeHead(status: number, headers: HttpHeaders): void {
 		const {res} = this.request;
-		const length = headers['content-length'] as string | undefined;
+		const isUndeclared = this.#framing === 'connection';
+		const length = isUndeclared ? undefined : headers['content-length'] as string | undefined;
+		res.useChunkedEncodingByDefault = !isUndeclared;
 		res.writeHead(status, {
 			...this.context.codec.decodeTargetHead(headers).forwardedHeaders,
 			...(length === undefined ? {} : {'content-length': length}),
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -92,7 +92,7 @@
 		this.#picker = TargetPicker.create(context, {
 			attemptId: request.attemptId, service: this.#service, prompt: head.prompt, bodyBytes: request.body.length, stageResults: () => this.#stageResults,
 		});
-		this.#streamWriter = route.kind === 'stream' ? StreamWriter.create(res, {clock: context.clock, isClosing: context.isClosing}) : undefined;
+		this.#streamWriter = route.kind === 'stream' ? StreamWriter.create(res, {clock: context.clock, isClosing: context.isClosing, undeclaredEnd: this.#undeclaredEnd}) : undefined;
 	}
 
 	/** Resolves when the response has been sent or the caller has disconnected. */
@@ -572,6 +572,11 @@
 		return this.#streamWriter?.lastEventId;
 	}
 
+	/** Headers for another entry VM that has left the request to this one; `undefined` for a caller. */
+	get #undeclaredEnd(): Readonly<Record<string, string>> | undefined {
+		return this.request.head.isForwarded ? this.context.codec.encodeUndeclaredEnd() : undefined;
+	}
+
 	/** What the duration of the request grows with: the tokens that an engine may generate. */
 	get #size(): number {
 		return this.request.head.prompt?.maxOutputTokens ?? 1;
@@ -604,7 +609,7 @@
 		res.once('close', () => {
 			lease.release();
 		});
-		writeResponseHead(res, response, {isClosing: this.context.isClosing(), bytes: response.body.length});
+		writeResponseHead(res, response, {isClosing: this.context.isClosing(), bytes: response.body.length, undeclaredEnd: this.#undeclaredEnd});
 		res.end(response.body);
 		this.#finish({outcome: 'answered', reason: '', status: response.status});
 	}
--- a/src/relay/stream-writer.ts
+++ b/src/relay/stream-writer.ts
@@ -6,7 +6,7 @@
 import {StreamEnd} from './stream-end.js';
 import type {StreamSink, TargetResponse} from './target-attempt.js';
 import type {Exchange} from './target-exchange.js';
-import {writeResponseHead} from './write-response-head.js';
+import {writeResponseHead, type ResponseHeadOptions} from './write-response-head.js';
 
 /** Number of bytes buffered for a caller above which reading from the target is paused. */
 const highWaterBytes = 256 * 1024;
@@ -16,6 +16,8 @@
 	readonly clock: Clock;
 	/** True while responses tell callers to close their connections. */
 	readonly isClosing: () => boolean;
+	/** Headers that tell another entry VM that the end of a response is not declared; `undefined` for a caller. */
+	readonly undeclaredEnd?: ResponseHeadOptions['undeclaredEnd'];
 }
 
 /**
@@ -84,7 +86,7 @@
 
 		this.#firstResponse = response;
 		this.#end = StreamEnd.create(response.framing);
-		writeResponseHead(this.res, response, {isClosing: this.options.isClosing()});
+		writeResponseHead(this.res, response, {isClosing: this.options.isClosing(), undeclaredEnd: this.options.undeclaredEnd});
 		this.res.flushHeaders();
 	}
 
