--- a/src/relay/forwarded-request.ts
+++ b/src/relay/forwarded-request.ts
@@ -1,7 +1,9 @@
 import type {Ms} from '../clock/index.js';
+import type {BodyEnd, BodyFraming} from './body-framing.js';
 import type {RelayContext} from './relay-context.js';
 import type {RoutedRequest} from './request-handler.js';
 import {sendRejection} from './send-rejection.js';
+import {canComplete} from './stream-end.js';
 import {startExchange, type Exchange} from './target-exchange.js';
 import type {HttpHeaders} from './relay-codec.js';
 
@@ -28,6 +30,10 @@
 	}
 
 	#exchange: Exchange | undefined;
+	/** Address of the entry VM that the request was left to last, how the end of the target's response is declared, and how the response ended. */
+	#helper: string | undefined;
+	#framing: BodyFraming | undefined;
+	#bodyEnd: BodyEnd | undefined;
 	#isEnded = false;
 	#isSent = false;
 	#resolve: () => void = () => undefined;
@@ -89,12 +95,14 @@
 			return;
 		}
 
+		this.#helper = address;
 		const remainingMs = head.timeoutMs === undefined ? undefined : Math.max(1, head.timeoutMs - (clock.now() - arrivedMs));
 		this.#exchange = startExchange(pools, {
 			address, method: req.method!, path: req.url!, headers: codec.encodeForwardedHeaders(req.rawHeaders, remainingMs), body, usesNewConnection: true,
 		}, {
-			onHead: (status, headers) => {
+			onHead: (status, headers, framing) => {
 				this.#isSent = true;
+				this.#framing = codec.hasUndeclaredEnd(headers) ? 'connection' : framing;
 				this.#writeHead(status, headers);
 			},
 			onData: chunk => {
@@ -103,11 +111,17 @@
 					this.#exchange?.pause();
 				}
 			},
-			onEnd: () => {
-				res.end();
-				this.#end('answered');
+			onEnd: end => {
+				this.#bodyEnd = end;
+				if (canComplete(this.#framing!, end)) {
+					res.end();
+					this.#end('answered');
+				} else {
+					this.#fail(502, 'the end of the response was not declared');
+				}
 			},
-			onError: (err, isSent) => {
+			onError: (err, isSent, end) => {
+				this.#bodyEnd = end;
 				this.#isSent ||= isSent;
 				if (isSent) {
 					this.#fail(502, err.message);
@@ -119,10 +133,16 @@
 		});
 	}
 
-	/** Callers come back on another connection, so that the load balancer can send them elsewhere. */
+	/**
+	 * The caller gets a response whose end the target has not declared as one that ends with its connection, however the
+	 * other entry VM delimits it. Callers come back on another connection, so that the load balancer can send them
+	 * elsewhere.
+	 */
 	#writeHead(status: number, headers: HttpHeaders): void {
 		const {res} = this.request;
-		const length = headers['content-length'] as string | undefined;
+		const isUndeclared = this.#framing === 'connection';
+		const length = isUndeclared ? undefined : headers['content-length'] as string | undefined;
+		res.useChunkedEncodingByDefault = !isUndeclared;
 		res.writeHead(status, {
 			...this.context.codec.decodeTargetHead(headers).forwardedHeaders,
 			...(length === undefined ? {} : {'content-length': length}),
@@ -162,7 +182,7 @@
 			outcome: 'forwarded', reason: '', tookMs, firstByteMs: undefined,
 		});
 		context.logger.info('Ended a request that was left to another entry VM.', {
-			id: attemptId, route: route.name, end: reason, status: res.headersSent ? res.statusCode : 0, took_ms: Math.round(tookMs),
+			id: attemptId, route: route.name, helper: this.#helper, framing: this.#framing, body_end: this.#bodyEnd, end: reason, status: res.headersSent ? res.statusCode : 0, took_ms: Math.round(tookMs),
 		});
 		this.#resolve();
 	}
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -92,7 +92,7 @@
 		this.#picker = TargetPicker.create(context, {
 			attemptId: request.attemptId, service: this.#service, prompt: head.prompt, bodyBytes: request.body.length, stageResults: () => this.#stageResults,
 		});
-		this.#streamWriter = route.kind === 'stream' ? StreamWriter.create(res, {clock: context.clock, isClosing: context.isClosing}) : undefined;
+		this.#streamWriter = route.kind === 'stream' ? StreamWriter.create(res, {clock: context.clock, isClosing: context.isClosing, undeclaredEnd: this.#undeclaredEnd}) : undefined;
 	}
 
 	/** Resolves when the response has been sent or the caller has disconnected. */
@@ -316,14 +316,18 @@
 					remainingMs: this.#timeBudget.remainingMs(startedMs, context.shutdown()?.deadlineOfTarget({hasBegun: this.#streamWriter?.hasHead === true})),
 					urgency: prompt ? Math.min(9, this.#priority * 2) : undefined,
 					inputs,
-					lastEventId: this.#streamWriter?.lastEventId === undefined ? head.lastEventId : String(this.#streamWriter.lastEventId),
+					lastEventId: this.#lastEventId === undefined ? head.lastEventId : String(this.#lastEventId),
 				}),
 			},
 			onProbe: result => {
 				this.#record.recordProbe(result);
 			},
-			onHead(targetHead) {
+			onBodyEnd: end => {
+				this.#record.recordBodyEnd(end);
+			},
+			onHead: (targetHead, framing) => {
 				hasResponded = true;
+				this.#record.recordFraming(framing);
 				context.reach.recordReached();
 				context.limits.observe(target, {perSecond: targetHead.limitPerSecond, sentMs: startedMs});
 				if (targetHead.isDraining) {
@@ -350,6 +354,7 @@
 		});
 		this.#isAttempting = false;
 		removePendingTokens();
+		this.#record.recordLastEvent(this.#lastEventId);
 		this.#record.endAttempt(outcome, clock.now());
 		if (outcome.kind === 'answer' || outcome.kind === 'streamed' || (outcome.kind === 'aborted' && clock.now() >= this.#timeBudget.deadlineMs)) {
 			context.durations.attempts.record(route.name, {tookMs: clock.now() - startedMs, size: this.#size}, clock.now());
@@ -562,6 +567,16 @@
 		return this.context.quarantine.hasSuspicions ? this.#parts : this.#sharedParts;
 	}
 
+	/** Id of the last event of the stream that the caller got here. */
+	get #lastEventId(): number | undefined {
+		return this.#streamWriter?.lastEventId;
+	}
+
+	/** Headers for another entry VM that has left the request to this one; `undefined` for a caller. */
+	get #undeclaredEnd(): Readonly<Record<string, string>> | undefined {
+		return this.request.head.isForwarded ? this.context.codec.encodeUndeclaredEnd() : undefined;
+	}
+
 	/** What the duration of the request grows with: the tokens that an engine may generate. */
 	get #size(): number {
 		return this.request.head.prompt?.maxOutputTokens ?? 1;
@@ -573,7 +588,12 @@
 
 	#sendResponse(response: TargetResponse): void {
 		const {res} = this.request;
-		if (this.#isFinished || res.destroyed) {
+		if (this.#isFinished) {
+			return;
+		}
+
+		if (res.destroyed) {
+			this.#finish({outcome: 'left', reason: '', status: 0});
 			return;
 		}
 
@@ -589,7 +609,7 @@
 		res.once('close', () => {
 			lease.release();
 		});
-		writeResponseHead(res, response, {isClosing: this.context.isClosing(), bytes: response.body.length});
+		writeResponseHead(res, response, {isClosing: this.context.isClosing(), bytes: response.body.length, undeclaredEnd: this.#undeclaredEnd});
 		res.end(response.body);
 		this.#finish({outcome: 'answered', reason: '', status: response.status});
 	}
@@ -706,6 +726,7 @@
 			route: request.route.name,
 			service: this.#service,
 			team: request.team?.name,
+			...(request.head.isForwarded ? {from_peer: true} : {}),
 			config: request.table.version,
 			targets_age_ms: Math.round(context.targetsAgeMs()),
 			time_ms: Math.round(this.#timeBudget.deadlineMs - request.arrivedMs),
