Keep what was spent of a retry budget when the limits change

A reload that changed the retry limits gave each budget a fresh start: two reloads within a window allowed three times the slack, at the entry VMs and at the host of the stage pools. Budgets now take over changed limits and keep their counts, also over a change of the length of the window; after a longer one, the slack waits until a whole window has been counted. Buckets have times instead of indexes for that, are finer (20 a window), and a retry counts for a tenth of a window longer, since it may reach its target later than it was spent, and a request for at most a window.

The test of the host failed before: 2, 1 and 2 calls of three plans instead of 2, 1 and 1.

--- a/src/pools/pool-host.test.ts
+++ b/src/pools/pool-host.test.ts
@@ -140,6 +140,27 @@
 		expect(port.calls).toHaveLength(2);
 	});
 
+	// Guards against a fresh retry budget of each pool for each change of the limits.
+	it('still counts the retries that were spent before the limits changed', async () => {
+		const {clock, host, port} = create();
+		port.isFailing = true;
+		const callCounts: number[] = [];
+		for (const slack of [7, 6, 7]) {
+			host.setRetryLimits({windowMs: 60_000, ratio: 0, slack});
+			const before = port.calls.length;
+			const outcome = host.run({...plan(`r${before}`), callByMs: clock.now() + 5000, deadlineMs: clock.now() + 10_000}, new AbortController().signal);
+			for (let second = 0; second < 12; second++) {
+				await clock.advance(1000);
+			}
+
+			await expect(outcome).resolves.toHaveProperty('failure');
+			callCounts.push(port.calls.length - before);
+		}
+
+		// The first call of each plan, and one retry of four pieces.
+		expect(callCounts).toEqual([2, 1, 1]);
+	});
+
 	// Guards against a place at a target that is taken for good, with pieces that wait until their deadline, after an error
 	// that nothing handled.
 	it('ends a call that ends with an error, and makes it again', async () => {
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -53,7 +53,7 @@
 	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
 };
 
-type HostedPool = {pool: StagePool; budget: ServiceRetryBudget; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
+type HostedPool = {readonly pool: StagePool; readonly budget: ServiceRetryBudget; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
 
 /**
  * Hosts the stage pools of this process: runs plans, sends the calls that each pool schedules, and frees results.
@@ -127,12 +127,11 @@
 		return outcome;
 	}
 
-	/** Replaces the retry limits. Every pool gets a new budget, so that no retry counts under two limits. */
+	/** Replaces the retry limits; what was spent under the earlier ones still counts. */
 	setRetryLimits(limits: RetryLimits): void {
 		this.#retryLimits = limits;
-		for (const [service, hostedPool] of this.#pools) {
-			hostedPool.budget = this.#createBudget(service);
-			hostedPool.pool.setBudget(hostedPool.budget);
+		for (const {budget} of this.#pools.values()) {
+			budget.setLimits(limits, this.now());
 		}
 	}
 
--- a/src/pools/retry-spend-log.test.ts
+++ b/src/pools/retry-spend-log.test.ts
@@ -28,7 +28,7 @@
 		await clock.advance(100);
 	}
 
-	expect(lines.map(([message, fields]) => [message, fields!['since_last_line']])).toEqual([['Spent retries.', 2], ['Denied retries.', 1], ['Spent retries.', 20], ['Denied retries.', 10]]);
+	expect(lines.map(([message, fields]) => [message, fields!.since_last_line])).toEqual([['Spent retries.', 2], ['Denied retries.', 1], ['Spent retries.', 20], ['Denied retries.', 10]]);
 	expect(lines[2]![1]).toMatchObject({
 		service: 'archive', cause: 'piece', requests: 30, retries: 4, allowed: 6.44, slack: 0.44, entry_vms: 9,
 	});
--- a/src/pools/service-retry-budget.test.ts
+++ b/src/pools/service-retry-budget.test.ts
@@ -71,4 +71,57 @@
 		]);
 		expect(spends[2]).toMatchObject({requests: 0, slack: limits.slack * 0.1});
 	});
+
+	// Guards against a fresh share for each change of the limits: two changes in a window allowed three times the slack.
+	it('still counts what was spent under earlier limits', () => {
+		const budget = ServiceRetryBudget.create({limits, share: () => 1});
+		const spendAll = (now: number) => {
+			let spent = 0;
+			while (budget.spend(now)) {
+				spent++;
+			}
+
+			return spent;
+		};
+
+		const spent = [spendAll(1000)];
+		for (const [now, slack] of [[2000, 60], [3000, 10], [4000, 58], [5000, 61]] as const) {
+			budget.setLimits({...limits, slack}, now);
+			spent.push(spendAll(now));
+		}
+
+		expect(spent).toEqual([58, 2, 0, 0, 1]);
+	});
+
+	it('still counts what was spent before the window became longer or shorter', () => {
+		const budget = ServiceRetryBudget.create({limits, share: () => 1});
+		expect(budget.spend(0, 58)).toBe(true);
+		budget.setLimits({...limits, windowMs: 20_000}, 9000);
+		// What was spent before the longer window could be counted is unknown until it is over.
+		expect([12_000, 19_000, 22_000, 22_999, 23_000].map(now => budget.canSpend(now))).toEqual([false, false, false, false, true]);
+		expect(budget.spend(23_000, 58)).toBe(true);
+		budget.setLimits({...limits, windowMs: 5000}, 24_000);
+		expect([24_000, 28_000, 29_500].map(now => budget.canSpend(now))).toEqual([false, false, true]);
+	});
+
+	it('uses the slack only once no retry that it does not know of can be in the window', () => {
+		const budget = ServiceRetryBudget.create({limits, share: () => 1, countedSinceMs: 5000});
+		expect([5000, 16_999, 17_000].map(now => budget.canSpend(now))).toEqual([false, false, true]);
+		for (let request = 0; request < 10; request++) {
+			budget.recordRequest(5000);
+		}
+
+		expect([budget.canSpend(5000, 2), budget.canSpend(5000, 3)]).toEqual([true, false]);
+	});
+
+	it('counts requests for at most a window and retries for more than one', () => {
+		const budget = ServiceRetryBudget.create({limits: {...limits, slack: 0}, share: () => 1});
+		for (let request = 0; request < 10; request++) {
+			budget.recordRequest(250);
+		}
+
+		expect([budget.canSpend(10_000, 2), budget.canSpend(10_001)]).toEqual([true, false]);
+		const late = ServiceRetryBudget.create({limits, share: () => 1 / 58});
+		expect([late.spend(250), late.canSpend(11_000), late.canSpend(11_500)]).toEqual([true, false, true]);
+	});
 });
--- a/src/pools/service-retry-budget.ts
+++ b/src/pools/service-retry-budget.ts
@@ -7,6 +7,12 @@
 	readonly slack: number;
 }
 
+/** Fractions of the limits of a service that belong to a budget. */
+export interface RetryShares {
+	readonly ratio: () => number;
+	readonly slack: (now: Ms) => number;
+}
+
 /** What a retry budget has counted in its window, and what it allows. */
 export interface RetryBudgetState {
 	readonly requests: number;
@@ -28,23 +34,36 @@
 export interface ServiceRetryBudgetOptions {
 	readonly limits: RetryLimits;
 	/** Returns the fraction of the slack that belongs to this budget. */
-	readonly share: () => number;
+	readonly share: (now: Ms) => number;
+	/** Returns the fraction of the ratio that belongs to this budget; 1 by default. */
+	readonly ratioShare?: () => number;
+	/** Time before which retries may have been spent that this budget does not know of, as by an earlier process; -Infinity by default. */
+	readonly countedSinceMs?: Ms;
 	/** Called after each attempt to spend retries. */
 	readonly onSpend?: (spend: RetrySpend) => void;
 }
 
 /** Number of buckets that the window is divided into for counting. */
-const bucketCount = 10;
+const bucketsPerWindow = 20;
+/** Number of windows for which a retry counts: it may reach its target later than it was spent. */
+const retryWindows = 1.1;
+/**
+ * Number of windows from which the slack is used after a time with unknown retries: those must be out of the window, and
+ * all who share the slack must know of this budget.
+ */
+export const unknownWindows = 1.2;
 
-type Bucket = {index: number; requests: number; retries: number};
+type Bucket = {readonly startMs: Ms; readonly endMs: Ms; requests: number; retries: number};
 
 /**
  * Limits retries of calls to one service in a sliding window. Several processes can each have a budget for the service:
- * `share` is the fraction of the slack that belongs to this one, and the ratio applies only to the requests recorded in it,
- * so the budgets add up to the limits of the service.
+ * `share` is the fraction of the slack that belongs to this one, and the ratio applies only to the requests recorded in it.
+ * Requests count for at most a window and retries for more than one, so that in any window, no more retries are spent than
+ * the ratio allows for the requests of that window and the one before, plus the slack. Budgets that add up to half of the
+ * ratio thus keep within the larger one of both, wherever the requests of either were recorded.
  *
  * @example
- * const budget = ServiceRetryBudget.create({limits, share: () => 1 / entryVms});
+ * const budget = ServiceRetryBudget.create({limits, ratioShare: () => 0.5, share: () => 1 / entryVms});
  * if (budget.spend(now)) { … }
  */
 export class ServiceRetryBudget {
@@ -52,9 +71,24 @@
 		return new ServiceRetryBudget(options);
 	}
 
-	#buckets: Bucket[] = [];
+	/** Oldest first. */
+	readonly #buckets: Bucket[] = [];
+	#limits: RetryLimits;
+	#countedSinceMs: Ms;
+
+	private constructor(private readonly options: ServiceRetryBudgetOptions) {
+		this.#limits = options.limits;
+		this.#countedSinceMs = options.countedSinceMs ?? -Infinity;
+	}
+
+	/** Replaces the limits; what was counted under the earlier ones still counts. */
+	setLimits(limits: RetryLimits, now: Ms): void {
+		if (limits.windowMs > this.#limits.windowMs) {
+			this.#countedSinceMs = Math.max(this.#countedSinceMs, now - this.#limits.windowMs);
+		}
 
-	private constructor(private readonly options: ServiceRetryBudgetOptions) {}
+		this.#limits = limits;
+	}
 
 	/** Records one request to the service. */
 	recordRequest(now: Ms): void {
@@ -81,28 +115,38 @@
 
 	/** Returns what was counted in the window, and what it allows. */
 	state(now: Ms): RetryBudgetState {
-		this.#current(now);
+		const {windowMs, ratio, slack: wholeSlack} = this.#limits;
+		const {share, ratioShare = () => 1} = this.options;
+		this.#expire(now);
 		let requests = 0;
 		let retries = 0;
 		for (const bucket of this.#buckets) {
-			requests += bucket.requests;
+			requests += bucket.startMs >= now - windowMs ? bucket.requests : 0;
 			retries += bucket.retries;
 		}
 
-		const {limits, share} = this.options;
-		const slack = limits.slack * share();
+		const slack = now - this.#countedSinceMs >= unknownWindows * windowMs ? wholeSlack * share(now) : 0;
 		return {
-			requests, retries, allowed: (limits.ratio * requests) + slack, slack,
+			requests, retries, allowed: (ratio * ratioShare() * requests) + slack, slack,
 		};
 	}
 
+	#expire(now: Ms): void {
+		const startMs = now - (retryWindows * this.#limits.windowMs);
+		while (this.#buckets.length > 0 && this.#buckets[0]!.endMs <= startMs) {
+			this.#buckets.shift();
+		}
+	}
+
 	#current(now: Ms): Bucket {
-		const index = Math.floor(now / (this.options.limits.windowMs / bucketCount));
-		// Keeps one bucket more than fits into the window: its start usually falls within the oldest bucket.
-		this.#buckets = this.#buckets.filter(bucket => bucket.index >= index - bucketCount);
+		this.#expire(now);
 		let bucket = this.#buckets.at(-1);
-		if (bucket?.index !== index) {
-			bucket = {index, requests: 0, retries: 0};
+		if (!bucket || bucket.endMs <= now) {
+			const bucketMs = this.#limits.windowMs / bucketsPerWindow;
+			const startMs = Math.max(Math.floor(now / bucketMs) * bucketMs, bucket?.endMs ?? -Infinity);
+			bucket = {
+				startMs, endMs: startMs + bucketMs, requests: 0, retries: 0,
+			};
 			this.#buckets.push(bucket);
 		}
 
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -350,15 +350,15 @@
 		return this.#lifecycle.state === 'serving' && this.#hasTargets && this.#stages.isReady && !this.#reach.isCutOff;
 	}
 
-	/** Applies changed limits. Changed retry limits reset all retry budgets, so that no retry counts against two limits. */
+	/** Applies changed limits. Retries that were spent under the earlier ones still count. */
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
-		const isChanged = JSON.stringify(retryLimits) !== JSON.stringify(this.#limits.retryLimits);
 		this.#limits = {retryLimits, graceMs};
 		this.#changeSchedule(graceMs);
-		if (isChanged) {
-			this.#retryBudgets.clear();
-			this.#poolHost.setRetryLimits(retryLimits);
+		for (const budget of this.#retryBudgets.values()) {
+			budget.setLimits(retryLimits, this.options.clock.now());
 		}
+
+		this.#poolHost.setRetryLimits(retryLimits);
 	}
 
 	/** Applies a changed grace period to a shutdown in progress. */
