Bound the retries over all entry VMs, whatever starts anew or is cut off

Each retry budget lived in one process and started full. An entry VM that started anew had its share of the slack once more, each further host of the stage pools 0.6 of it, and the divisor was the number of members seen right now, which falls while others leave.

- The slack of an entry VM is usable from 1.2 windows after its start, divided by the largest number of entry VMs seen in two windows (a list that is not current can only raise it), and 0 while no list is known.
All that spend slack in a window have therefore been running at its start, so that their shares add up to at most 0.8.
- Half of the ratio is used.
Requests count where they were recorded, and a window may hold the retries of requests of that window and of the one before: with the whole ratio, callers that move between entry VMs, or a single entry VM with two bursts, double what is allowed.
- Of the limits of a stage service, half is the owners', who run stages again, and half the host's for pieces.
The slack of the latter belongs to the owners too, who lend it to the host of the pools for 3 s at a time, and to another host only once the last loan has been over for 1.2 windows.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -157,6 +157,8 @@
 	z.strictObject({
 		type: z.literal('stage-crash'), id, crash: z.string().min(1).max(linkLimits.crashLength), sentAgoMs: agoMs, brokenAgoMs: agoMs,
 	}),
+	// The sender lends the receiver, which hosts the stage pools, its share of the retry slack for pieces, for a fixed time.
+	z.strictObject({type: z.literal('share-loan')}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -27,6 +27,9 @@
 /** Maximum number of members to dial, however many are lost. */
 const maxDialled = 16;
 
+/** Maximum age of a list of entry VMs that counts as current; reads of it wait for changes for a shorter time. */
+const currentListMs: Ms = 15_000;
+
 /** Sorts after every start id, so that a member whose start is unknown is the last in the order of succession. */
 const unknownStartId = '\uFFFF';
 
@@ -46,6 +49,8 @@
 	readonly distanceTo: (zone: string) => LinkDistance;
 	readonly regionOf: (zone: string) => string | undefined;
 	readonly onMessage: (link: Link, message: LinkMessage) => void;
+	/** Called with the number of entry VMs, this one included, once a list of them has been read; `isCurrent` tells whether that list is up to date. */
+	readonly onSize?: (size: number, isCurrent: boolean) => void;
 	readonly onUp?: (link: Link) => void;
 	readonly onLost: (link: Link) => void;
 }
@@ -119,6 +124,7 @@
 				}
 
 				options.onUp?.(link);
+				this.#reportSize(false);
 			},
 			onMessage: (link, message) => {
 				if (message.type === 'leaving') {
@@ -149,6 +155,7 @@
 			onList: snapshot => {
 				this.#hasList ||= snapshot.vms.length > 0;
 				this.#membership.applyList(snapshot);
+				this.#reportSize(snapshot.vms.length > 0 && clock.wall() - snapshot.asOfMs < currentListMs);
 			},
 		});
 	}
@@ -258,6 +265,12 @@
 		this.#send({type: 'standby', isOn}, this.#links.up());
 	}
 
+	#reportSize(isCurrent: boolean): void {
+		if (this.#hasList) {
+			this.options.onSize?.(this.size, isCurrent);
+		}
+	}
+
 	/** Passes a message on. An error in what is done with it is no fault of the link, whose loss would end all that goes over it. */
 	#deliver(link: Link, message: LinkMessage): void {
 		try {
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,8 +1,9 @@
 export {MeshStageRunner, type StageMessage} from './mesh-stage-runner.js';
 export {PoolHost, type LostStageCall, type PoolHostOptions} from './pool-host.js';
+export {RetryBudgets, shareRenewalMs} from './retry-budgets.js';
 export {RetrySpendLog, type RetryCause} from './retry-spend-log.js';
 export {
-	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetrySpend,
+	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
 } from './service-retry-budget.js';
 export type {
 	PieceResult, StageCallOutcome, StageCrash, StageFailure, StageJob, StageJobOutcome, ZoneTransfer,
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -6,7 +6,7 @@
 import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
 import {
-	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetrySpend,
+	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
 } from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageCallOutcome, StageJob, StageJobOutcome} from './stage-job.js';
@@ -16,9 +16,6 @@
 import {StagePool, type CalledPiece, type StageCall} from './stage-pool.js';
 import type {StageTargetPort} from './stage-target-port.js';
 
-/** This host's fraction of the retry slack. The host of a pool sends nearly all its calls; the rest is left to a second host during a change of hosts. */
-const poolRetryShare = 0.6;
-
 /** Options of a {@link PoolHost}. */
 export interface PoolHostOptions {
 	readonly clock: Clock;
@@ -26,6 +23,8 @@
 	readonly registry: TargetRegistry;
 	readonly port: StageTargetPort;
 	readonly retryLimits: RetryLimits;
+	/** Fractions of the retry limits that this host may use; by default all of them, as for one without other entry VMs. */
+	readonly retryShares?: RetryShares;
 	/** This host's fraction of the work; 1 unless another host is likely to use the same targets. */
 	readonly share: () => number;
 	/** Whether the targets of a zone are this host's to use. */
@@ -276,9 +275,11 @@
 	}
 
 	#createBudget(service: string): ServiceRetryBudget {
+		const {retryShares} = this.options;
 		return ServiceRetryBudget.create({
 			limits: this.#retryLimits,
-			share: () => poolRetryShare,
+			share: retryShares?.slack ?? (() => 1),
+			...(retryShares ? {ratioShare: retryShares.ratio} : {}),
 			onSpend: spend => {
 				this.options.onRetrySpend?.(service, spend);
 			},
--- /dev/null
+++ b/src/pools/retry-budgets.ts
@@ -0,0 +1,138 @@
+import type {Ms} from '../clock/index.js';
+import {BorrowedShares} from './borrowed-shares.js';
+import {FleetSize} from './fleet-size.js';
+import {
+	ServiceRetryBudget, unknownWindows, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
+} from './service-retry-budget.js';
+import {ShareLender} from './share-lender.js';
+
+/** Fraction of the ratio that is used: retries may follow in a window that the requests of the window before are not part of. */
+const usedRatio = 0.5;
+/** Fraction of the slack that is used; the rest covers entry VMs that some do not know of yet, and retries that arrive late. */
+const usedSlack = 0.8;
+/** Part of the retries at a stage service that the owner of a request pays for, who runs its stages again; the host of the pools pays for pieces with the rest. */
+const ownerPart = 0.5;
+/** Time for which an entry VM lends its share for pieces to the host of the pools, and the interval at which it renews the loan. */
+export const shareLoanMs: Ms = 3000;
+export const shareRenewalMs: Ms = 1000;
+
+/** Options of {@link RetryBudgets}. */
+export interface RetryBudgetsOptions {
+	readonly limits: RetryLimits;
+	/** Incarnation of this entry VM. */
+	readonly self: string;
+	/** Time of the start, before which an earlier process of this entry VM may have spent retries; `-Infinity` if there was none. */
+	readonly startedMs: Ms;
+	/** Whether a service has a stage pool, whose host pays for a part of its retries. */
+	readonly isStageService: (service: string) => boolean;
+	readonly onSpend?: (service: string, spend: RetrySpend) => void;
+}
+
+/**
+ * Retry budgets of an entry VM, as the owner of requests, and its part in those of stage pools. The budgets of all entry
+ * VMs add up to the limits of a service in every window, without any agreement: the ratio counts requests where they were
+ * recorded, and the slack is divided by the largest number of entry VMs seen lately. Those that spend slack in a window
+ * have all been running since before it, so that one which starts anew, at a time when the one before may have spent its
+ * share, has none yet.
+ *
+ * @example
+ * if (budgets.of('engine').spend(now)) { … }
+ */
+export class RetryBudgets {
+	static create(options: RetryBudgetsOptions): RetryBudgets {
+		return new RetryBudgets(options);
+	}
+
+	/** Fractions of the limits that a host of stage pools may use for pieces. */
+	readonly pieceShares: RetryShares = {
+		ratio: () => usedRatio * (1 - ownerPart),
+		slack: now => usedSlack * (1 - ownerPart) * this.#borrowed.count(now) / this.#divisor(now),
+	};
+
+	readonly #budgets = new Map<string, ServiceRetryBudget>();
+	readonly #fleet: FleetSize;
+	readonly #lender: ShareLender;
+	readonly #borrowed = BorrowedShares.create({loanMs: shareLoanMs});
+	#limits: RetryLimits;
+
+	private constructor(private readonly options: RetryBudgetsOptions) {
+		this.#limits = options.limits;
+		this.#fleet = FleetSize.create({keepMs: () => 2 * this.#limits.windowMs});
+		this.#lender = ShareLender.create({
+			lentUntilMs: options.startedMs + shareLoanMs, loanMs: shareLoanMs, gapMs: () => unknownWindows * this.#limits.windowMs,
+		});
+	}
+
+	/** Replaces the limits; what was spent still counts. */
+	setLimits(limits: RetryLimits, now: Ms): void {
+		this.#limits = limits;
+		for (const budget of this.#budgets.values()) {
+			budget.setLimits(limits, now);
+		}
+	}
+
+	/** Returns the budget of this entry VM for a service. */
+	of(service: string): ServiceRetryBudget {
+		let budget = this.#budgets.get(service);
+		if (!budget) {
+			const {startedMs, isStageService, onSpend} = this.options;
+			const part = () => isStageService(service) ? ownerPart : 1;
+			budget = ServiceRetryBudget.create({
+				limits: this.#limits,
+				share: now => usedSlack * part() / this.#divisor(now),
+				ratioShare: () => usedRatio * part(),
+				countedSinceMs: startedMs,
+				onSpend(spend) {
+					onSpend?.(service, spend);
+				},
+			});
+			this.#budgets.set(service, budget);
+		}
+
+		return budget;
+	}
+
+	/** Records the number of entry VMs, this one included; `isCurrent` tells whether it comes from a list that is up to date. */
+	recordEntryVms(count: number, seen: {now: Ms; isCurrent: boolean}): void {
+		this.#fleet.record(count, seen);
+	}
+
+	/** Number of entry VMs that share the slack; `undefined` while it is not known. */
+	entryVms(now: Ms): number | undefined {
+		return this.#fleet.largest(now);
+	}
+
+	/** Number of entry VMs whose shares for pieces may be used here. */
+	borrowedShares(now: Ms): number {
+		return this.#borrowed.count(now);
+	}
+
+	/** Lends the share for pieces to the host of the pools, by its incarnation; returns whether the host may use it. */
+	lend(host: string, now: Ms): boolean {
+		const isLent = this.#lender.lend(host, now);
+		if (isLent && host === this.options.self) {
+			this.#borrowed.borrow(host, now);
+		}
+
+		return isLent;
+	}
+
+	/** Records that another entry VM lends its share for pieces to this one. */
+	borrow(owner: string, now: Ms): void {
+		this.#borrowed.borrow(owner, now);
+	}
+
+	/** Ends the loan of an entry VM whose link is lost. */
+	giveBack(owner: string): void {
+		this.#borrowed.giveBack(owner);
+	}
+
+	/** Returns the state of each budget. */
+	states(now: Ms): Array<{service: string; state: RetryBudgetState}> {
+		return [...this.#budgets].map(([service, budget]) => ({service, state: budget.state(now)}));
+	}
+
+	#divisor(now: Ms): number {
+		return this.#fleet.largest(now) ?? Infinity;
+	}
+}
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,4 +1,4 @@
-import type {Clock, Ms} from '../clock/index.js';
+import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {listenWithRetry, type Listen, type ListenAddress} from '../http/index.js';
 import {errorMessage, type RequestProgress} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
@@ -8,7 +8,7 @@
 import {TargetLimits} from '../limits/index.js';
 import type {LoggerFactory, PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, RetrySpendLog, ServiceRetryBudget, type LostStageCall, type RetryCause, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
+	MeshStageRunner, PoolHost, RetryBudgets, RetrySpendLog, shareRenewalMs, type LostStageCall, type RetryCause, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
@@ -52,6 +52,8 @@
 const turnsToRead = 4;
 /** Bound on how often these turns are repeated while more arrives: each turn accepts one connection. */
 const maxReadRounds = 100;
+/** Interval of the tries to lend the share of the retries of pieces to another host than before. */
+const shareRetryMs: Ms = 100;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
@@ -64,12 +66,8 @@
 const vmListIntervals = {busyMs: 250, quietMs: 1000, quietAfterMs: 3000};
 /** Capacity of the ring of link events; events of the relay are logged instead. */
 const eventCapacity = 500;
-/** Assumed number of entry VMs that share a retry budget until the actual number is known. */
-const defaultEntryVmCount = 9;
 /** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
 const maxIsolatedShare = 0.34;
-/** Share of the retry budget that is used; the rest covers entry VMs that this one does not know of. */
-const retryBudgetShare = 0.8;
 
 /** Limits that may change while the process runs. */
 export interface RelayLimits {
@@ -114,6 +112,11 @@
 	/** Eras of the history of the store's log. */
 	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
 	readonly limits: RelayLimits;
+	/**
+	 * Whether no earlier process of this entry VM has run; by default one may have, and have used the share of the retry slack
+	 * until it ended.
+	 */
+	readonly isFirstStart?: boolean | undefined;
 	/** Ends the tries to bind addresses at once; `create` then throws. */
 	readonly signal?: AbortSignal | undefined;
 }
@@ -165,7 +168,7 @@
 		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
 	});
 
-	readonly #retryBudgets = new Map<string, ServiceRetryBudget>();
+	readonly #retryBudgets: RetryBudgets;
 	readonly #retrySpendLog: RetrySpendLog;
 	readonly #ranks = RankCache.create();
 	readonly #configFollower: TopicFollower;
@@ -197,6 +200,7 @@
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
+	#cancelShareRenewal: CancelTimer = () => undefined;
 
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
@@ -241,12 +245,21 @@
 			},
 		});
 		this.#retrySpendLog = RetrySpendLog.create({
-			clock, logger: createLogger('requests'), entryVms: () => this.#mesh?.size, onRetries: retries => {
+			clock, logger: createLogger('requests'), entryVms: () => this.#retryBudgets.entryVms(clock.now()), onRetries: retries => {
 				this.#metrics.recordRetries(retries);
 			},
 		});
+		this.#retryBudgets = RetryBudgets.create({
+			limits: options.limits.retryLimits,
+			self: options.self.incarnation,
+			startedMs: options.isFirstStart ? -Infinity : clock.now(),
+			isStageService: service => this.#isStageService(service),
+			onSpend: (service, spend) => {
+				this.#retrySpendLog.record(service, this.#retryCauseOf(service), spend);
+			},
+		});
 		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
+			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
 			}, onRetrySpend: (service, spend) => {
 				this.#retrySpendLog.record(service, 'piece', spend);
@@ -354,10 +367,7 @@
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
 		this.#limits = {retryLimits, graceMs};
 		this.#changeSchedule(graceMs);
-		for (const budget of this.#retryBudgets.values()) {
-			budget.setLimits(retryLimits, this.options.clock.now());
-		}
-
+		this.#retryBudgets.setLimits(retryLimits, this.options.clock.now());
 		this.#poolHost.setRetryLimits(retryLimits);
 	}
 
@@ -495,6 +505,7 @@
 		this.#memoryWatch.close();
 		this.#reach.close();
 		this.#standby.close();
+		this.#cancelShareRenewal();
 		this.#stages.close();
 		await this.#tryStep('close the server for callers', async () => this.#server.close());
 		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
@@ -538,6 +549,7 @@
 		this.#memoryWatch.start();
 		void this.#startMetrics();
 		void this.#startMesh();
+		this.#renewShareLoan();
 		options.storeEras.onChange(() => {
 			void this.#tryRestoreLinkKey();
 		});
@@ -570,7 +582,7 @@
 				zone: options.self.zone,
 				distance: zone => this.#distance(zone),
 				rank: (key, names) => this.#ranks.of(key, names),
-				retryBudget: service => this.#retryBudget(service),
+				retryBudget: service => this.#retryBudgets.of(service),
 				probe,
 				crashWatch: CrashWatch.create({
 					clock,
@@ -710,6 +722,12 @@
 						break;
 					}
 
+					case 'share-loan': {
+						this.#retryBudgets.borrow(link.peer.incarnation, clock.now());
+
+						break;
+					}
+
 					case 'standby': {
 						// The plans that wait here go on at the leader that has come back.
 						if (!message.isOn) {
@@ -731,12 +749,16 @@
 					}
 				}
 			},
+			onSize: (size, isCurrent) => {
+				this.#retryBudgets.recordEntryVms(size, {now: clock.now(), isCurrent});
+			},
 			onUp: link => {
 				this.#quarantine.linkUp(link);
 				this.#targetLimits.linkUp(link);
 				this.#drainingReports.linkUp(link);
 			},
 			onLost: link => {
+				this.#retryBudgets.giveBack(link.peer.incarnation);
 				this.#stages.linkLost(link);
 				this.#distributor.linkLost(link);
 				this.#targetLimits.linkLost(link);
@@ -874,31 +896,34 @@
 		return linked > maxIsolatedShare ? 1 : linked;
 	}
 
-	#retryBudget(service: string): ServiceRetryBudget {
-		let budget = this.#retryBudgets.get(service);
-		if (!budget) {
-			budget = ServiceRetryBudget.create({
-				limits: this.#limits.retryLimits,
-				share: () => retryBudgetShare / (this.#mesh?.size ?? defaultEntryVmCount),
-				onSpend: spend => {
-					this.#retrySpendLog.record(service, this.#retryCauseOf(service), spend);
-				},
-			});
-			this.#retryBudgets.set(service, budget);
-		}
+	#isStageService(service: string): boolean {
+		return this.#table?.declarations.services.get(service)?.stagePool !== undefined;
+	}
+
+	/** Lends the share of the retries of pieces to the host of the stage pools, and does so again before the loan is over. */
+	#renewShareLoan(): void {
+		this.#cancelShareRenewal();
+		const isLent = this.#stages.isReady && this.#lendShare();
+		this.#cancelShareRenewal = this.options.clock.after(isLent ? shareRenewalMs : shareRetryMs, () => {
+			this.#renewShareLoan();
+		});
+	}
 
-		return budget;
+	#lendShare(): boolean {
+		const leader = this.#mesh?.leader();
+		const isLent = this.#retryBudgets.lend((leader?.peer ?? this.options.self).incarnation, this.options.clock.now());
+		return isLent && (leader?.send({type: 'share-loan'}) ?? true);
 	}
 
 	/** Returns what this entry VM, as the owner of requests, retries at a service. */
 	#retryCauseOf(service: string): RetryCause {
-		return this.#table?.declarations.services.get(service)?.stagePool ? 'stages' : 'attempt';
+		return this.#isStageService(service) ? 'stages' : 'attempt';
 	}
 
 	#retryBudgetStates() {
 		const now = this.options.clock.now();
 		return [
-			...[...this.#retryBudgets].map(([service, budget]) => ({service, cause: this.#retryCauseOf(service), ...budget.state(now)})),
+			...this.#retryBudgets.states(now).map(({service, state}) => ({service, cause: this.#retryCauseOf(service), ...state})),
 			...this.#poolHost.retryBudgets().map(({service, state}) => ({service, cause: 'piece', ...state})),
 		];
 	}
