Return the shares for pieces when the host of the stage pools stops or stands by

While entry VMs are restarted in turn, the one that has run longest is stopped next, so that the host moves each time and the owners' shares for pieces, which wait for 1.2 windows before another host gets them, were of use to nobody. A host that leaves in order and has no retry of a piece in its window now returns them unused and refuses loans that are still under way. In the model, the host after four restarts in turn has the shares of the five entry VMs that were not restarted (12 of 58) after 2 s, where it had none.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -159,6 +159,8 @@
 	}),
 	// The sender lends the receiver, which hosts the stage pools, its share of the retry slack for pieces, for a fixed time.
 	z.strictObject({type: z.literal('share-loan')}),
+	// The sender, which no longer hosts the stage pools, has used nothing of that share.
+	z.strictObject({type: z.literal('share-return')}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/pools/borrowed-shares.ts
+++ b/src/pools/borrowed-shares.ts
@@ -13,12 +13,28 @@
 	}
 
 	readonly #untilMs = new Map<string, Ms>();
+	#isClosed = false;
 
 	private constructor(private readonly loanMs: Ms) {}
 
-	/** Records that an owner lends its share, for the time of a loan from now on. */
+	/** Records that an owner lends its share, for the time of a loan from now on; does nothing while loans are refused. */
 	borrow(owner: string, now: Ms): void {
-		this.#untilMs.set(owner, now + this.loanMs);
+		if (!this.#isClosed) {
+			this.#untilMs.set(owner, now + this.loanMs);
+		}
+	}
+
+	/** Ends all loans and refuses others, also those that are under way; returns the owners. */
+	close(): string[] {
+		this.#isClosed = true;
+		const owners = [...this.#untilMs.keys()];
+		this.#untilMs.clear();
+		return owners;
+	}
+
+	/** Takes loans again. */
+	open(): void {
+		this.#isClosed = false;
 	}
 
 	/** Ends the loan of an owner. */
--- a/src/pools/retry-budgets.test.ts
+++ b/src/pools/retry-budgets.test.ts
@@ -67,19 +67,23 @@
 		}
 	}
 
-	/** Ends a process; one that is killed stays in the list, as does one without a path to the store. */
+	/** Ends a process; one that is killed stays in the list, as does one without a path to the store. One that stops returns loans. */
 	end(index: number, isKilled: boolean): void {
 		const machine = this.#machine(index);
+		if (!isKilled && this.#isActive(machine)) {
+			this.#returnLoans(machine);
+		}
+
 		machine.process = undefined;
 		machine.isListed &&= isKilled || machine.part !== 0;
 	}
 
-	/** Kills the host of the stage pools in part 0, and starts it again. */
-	restartHost(): void {
+	/** Kills or stops the host of the stage pools in part 0, and starts it again. */
+	restartHost(isKilled: boolean): void {
 		const host = this.#hostOf({part: 0});
 		const index = this.#machines.findIndex(({process}) => process === host);
 		if (index !== -1) {
-			this.end(index, true);
+			this.end(index, isKilled);
 			this.start(index);
 		}
 	}
@@ -145,6 +149,18 @@
 		}
 	}
 
+	/** Returns the loans of a host that has spent nothing, where owners can be told. */
+	#returnLoans({process, part}: Machine): void {
+		if (process!.pieces.state(this.now).retries === 0) {
+			const owners = new Set(process!.budgets.returnLoans());
+			for (const machine of this.#machines) {
+				if (machine.part === part && machine.process && owners.has(machine.process.incarnation)) {
+					machine.process.budgets.takeBack(process!.incarnation);
+				}
+			}
+		}
+	}
+
 	#machine(index: number): Machine {
 		return this.#machines[index % this.#machines.length]!;
 	}
@@ -210,7 +226,7 @@
 	{weight: 6, arbitrary: fc.record({kind: fc.constant('fail all' as const), delayMs: fc.integer({min: 0, max: maxDelayMs})})},
 	{weight: 6, arbitrary: fc.record({kind: fc.constant('wait' as const), waitMs: fc.constantFrom(100, 500, 1200, 3000, 9000, 16_000)})},
 	{weight: 4, arbitrary: fc.record({kind: fc.constantFrom('kill' as const, 'stop' as const, 'stop' as const, 'start' as const), index})},
-	{weight: 1, arbitrary: fc.record({kind: fc.constant('restart host' as const)})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constant('restart host' as const), isKilled: fc.boolean()})},
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('restart' as const), index, waitMs: fc.constantFrom(0, 1200)})},
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('move' as const), index, part: fc.integer({min: 0, max: 2})})},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('freeze' as const), index, waitMs: fc.constantFrom(500, 4000, 15_000)})},
@@ -264,7 +280,7 @@
 		}
 
 		case 'restart host': {
-			fleet.restartHost();
+			fleet.restartHost(taken.isKilled);
 			break;
 		}
 
@@ -347,7 +363,7 @@
 		};
 
 		const spent = [failPieces()];
-		fleet.restartHost();
+		fleet.restartHost(true);
 		for (const waitMs of [3000, 8000, 4500]) {
 			fleet.advance(waitMs);
 			spent.push(failPieces());
@@ -356,6 +372,28 @@
 		expect(spent).toEqual([23, 0, 0, 23]);
 	});
 
+	// Guards against pieces without retries for as long as entry VMs are restarted in turn, each of which is the host by then.
+	it('lend the shares for pieces at once to the next host if the one before has stopped in order, without a retry', () => {
+		const fleet = new Fleet(9);
+		fleet.advance(20_000);
+		for (let machine = 0; machine < 4; machine++) {
+			fleet.restartHost(false);
+			fleet.advance(2000);
+		}
+
+		fleet.fail(8, {
+			attempts: 0, stages: 0, pieces: 90, delayMs: 0,
+		});
+		// Those that have started anew lend nothing yet.
+		expect(fleet.archive.retries.length).toBe(12);
+		fleet.restartHost(false);
+		fleet.advance(2000);
+		fleet.fail(8, {
+			attempts: 0, stages: 0, pieces: 90, delayMs: 0,
+		});
+		expect(fleet.archive.retries.length).toBe(12);
+	});
+
 	it('give a new entry VM no slack before a whole window is over', () => {
 		const fleet = new Fleet(1);
 		const fail = () => {
--- a/src/pools/retry-budgets.ts
+++ b/src/pools/retry-budgets.ts
@@ -117,6 +117,26 @@
 		return isLent;
 	}
 
+	/**
+	 * Ends the loans of all owners, who may lend their shares to another host at once, and refuses others until `takeLoans`.
+	 * Returns the owners, by their incarnations. Must be called only if no retry of a piece is in the window.
+	 */
+	returnLoans(): readonly string[] {
+		const owners = this.#borrowed.close();
+		this.takeBack(this.options.self);
+		return owners.filter(owner => owner !== this.options.self);
+	}
+
+	/** Takes loans again, after `returnLoans`. */
+	takeLoans(): void {
+		this.#borrowed.open();
+	}
+
+	/** Records that the host of the pools has returned the share for pieces unused. */
+	takeBack(host: string): void {
+		this.#lender.takeBack(host);
+	}
+
 	/** Records that another entry VM lends its share for pieces to this one. */
 	borrow(owner: string, now: Ms): void {
 		this.#borrowed.borrow(owner, now);
--- a/src/pools/share-lender.test.ts
+++ b/src/pools/share-lender.test.ts
@@ -18,6 +18,16 @@
 		expect([lender.lend('a', 12_999), lender.lend('a', 13_000)]).toEqual([false, true]);
 	});
 
+	it('lends to another host at once what the first has given back', () => {
+		const lender = create(1000);
+		lender.takeBack('a');
+		expect([lender.lend('a', 12_999), lender.lend('a', 13_000)]).toEqual([false, true]);
+		lender.takeBack('b');
+		expect(lender.lend('b', 13_001)).toBe(false);
+		lender.takeBack('a');
+		expect([lender.lend('b', 13_002), lender.lend('a', 13_003)]).toEqual([true, false]);
+	});
+
 	it('never lends to two hosts within the gap, however often they change', () => {
 		const lender = create(-Infinity);
 		const loans: Array<{host: string; atMs: number}> = [];
--- a/src/pools/share-lender.ts
+++ b/src/pools/share-lender.ts
@@ -40,4 +40,12 @@
 		this.#untilMs = now + loanMs;
 		return true;
 	}
+
+	/** Ends the loan of a host that has used nothing of it, so that another host may get the share at once. */
+	takeBack(host: string): void {
+		if (host === this.#host) {
+			this.#host = undefined;
+			this.#untilMs = -Infinity;
+		}
+	}
 }
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -242,6 +242,11 @@
 		this.#standby = LeaderStandby.create({
 			clock, logger, onChange: isOn => {
 				this.#mesh?.setStandby(isOn);
+				if (isOn) {
+					this.#returnShares();
+				} else {
+					this.#retryBudgets.takeLoans();
+				}
 			},
 		});
 		this.#retrySpendLog = RetrySpendLog.create({
@@ -428,6 +433,9 @@
 		this.#shutdownSchedule = schedule;
 		this.#lifecycle.send({type: 'SHUTDOWN'});
 		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
+		await this.#tryStep('return shares of retries', () => {
+			this.#returnShares();
+		});
 		await this.#tryStep('hand over stage plans', () => {
 			this.#stages.handOver();
 		});
@@ -728,6 +736,12 @@
 						break;
 					}
 
+					case 'share-return': {
+						this.#retryBudgets.takeBack(link.peer.incarnation);
+
+						break;
+					}
+
 					case 'standby': {
 						// The plans that wait here go on at the leader that has come back.
 						if (!message.isOn) {
@@ -915,6 +929,20 @@
 		return isLent && (leader?.send({type: 'share-loan'}) ?? true);
 	}
 
+	/** Returns the shares that were lent to this entry VM as the host of the stage pools, if it has used nothing of them. */
+	#returnShares(): void {
+		if (this.#poolHost.retryBudgets().some(({state}) => state.retries > 0)) {
+			return;
+		}
+
+		const owners = new Set(this.#retryBudgets.returnLoans());
+		for (const link of this.#mesh?.links() ?? []) {
+			if (owners.has(link.peer.incarnation)) {
+				link.send({type: 'share-return'});
+			}
+		}
+	}
+
 	/** Returns what this entry VM, as the owner of requests, retries at a service. */
 	#retryCauseOf(service: string): RetryCause {
 		return this.#isStageService(service) ? 'stages' : 'attempt';
