--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -5,7 +5,9 @@
 import type {ServiceDeclaration} from '../routes/index.js';
 import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
-import {ServiceRetryBudget, type RetryLimits} from './service-retry-budget.js';
+import {
+	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
+} from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageCallOutcome, StageJob, StageJobOutcome} from './stage-job.js';
 import {PlanForecast} from './plan-forecast.js';
@@ -14,9 +16,6 @@
 import {StagePool, type CalledPiece, type StageCall} from './stage-pool.js';
 import type {StageTargetPort} from './stage-target-port.js';
 
-/** This host's fraction of the retry slack. The host of a pool sends nearly all its calls; the rest is left to a second host during a change of hosts. */
-const poolRetryShare = 0.6;
-
 /** Options of a {@link PoolHost}. */
 export interface PoolHostOptions {
 	readonly clock: Clock;
@@ -24,12 +23,16 @@
 	readonly registry: TargetRegistry;
 	readonly port: StageTargetPort;
 	readonly retryLimits: RetryLimits;
+	/** Fractions of the retry limits that this host may use; by default all of them, as for one without other entry VMs. */
+	readonly retryShares?: RetryShares;
 	/** This host's fraction of the work; 1 unless another host is likely to use the same targets. */
 	readonly share: () => number;
 	/** Whether the targets of a zone are this host's to use. */
 	readonly isOwnZone: (zone: string) => boolean;
 	/** Called with a target that says in a response that it is draining. */
 	readonly onDraining?: (target: RelayTarget) => void;
+	/** Called after each attempt to spend retries of pieces of a service. */
+	readonly onRetrySpend?: (service: string, spend: RetrySpend) => void;
 	/** Called with each call that was sent and got no whole response. */
 	readonly onLostCall?: (call: LostStageCall) => void;
 	/** Returns the current declaration of a service. */
@@ -49,7 +52,7 @@
 	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
 };
 
-type HostedPool = {pool: StagePool; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
+type HostedPool = {readonly pool: StagePool; readonly budget: ServiceRetryBudget; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
 
 /**
  * Hosts the stage pools of this process: runs plans, sends the calls that each pool schedules, and frees results.
@@ -123,11 +126,11 @@
 		return outcome;
 	}
 
-	/** Replaces the retry limits. Every pool gets a new budget, so that no retry counts under two limits. */
+	/** Replaces the retry limits; what was spent under the earlier ones still counts. */
 	setRetryLimits(limits: RetryLimits): void {
 		this.#retryLimits = limits;
-		for (const {pool} of this.#pools.values()) {
-			pool.setBudget(this.#createBudget());
+		for (const {budget} of this.#pools.values()) {
+			budget.setLimits(limits, this.now());
 		}
 	}
 
@@ -237,6 +240,11 @@
 		return [...this.#pools].map(([service, {pool}]) => ({service, backlog: pool.backlog, calls: pool.calls}));
 	}
 
+	/** Returns the state of the retry budget of each service. */
+	retryBudgets(): Array<{service: string; state: RetryBudgetState}> {
+		return [...this.#pools].map(([service, {budget}]) => ({service, state: budget.state(this.now())}));
+	}
+
 	#hostPool(declared: ServiceDeclaration): HostedPool {
 		let hostedPool = this.#pools.get(declared.name);
 		if (hostedPool) {
@@ -244,14 +252,16 @@
 			return hostedPool;
 		}
 
+		const budget = this.#createBudget(declared.name);
 		hostedPool = {
 			pool: StagePool.create({
 				limits: declared.stagePool!,
-				budget: this.#createBudget(),
+				budget,
 				onUnused: handle => {
 					this.#releaser.free([handle]);
 				},
 			}),
+			budget,
 			cancelWakeup: undefined,
 			isDispatchScheduled: false,
 		};
@@ -264,8 +274,16 @@
 		return hostedPool;
 	}
 
-	#createBudget(): ServiceRetryBudget {
-		return ServiceRetryBudget.create({limits: this.#retryLimits, share: () => poolRetryShare});
+	#createBudget(service: string): ServiceRetryBudget {
+		const {retryShares} = this.options;
+		return ServiceRetryBudget.create({
+			limits: this.#retryLimits,
+			share: retryShares?.slack ?? (() => 1),
+			...(retryShares ? {ratioShare: retryShares.ratio} : {}),
+			onSpend: spend => {
+				this.options.onRetrySpend?.(service, spend);
+			},
+		});
 	}
 
 	#updateTargets(service: string, pool: StagePool): void {
