--- a/src/pools/service-retry-budget.ts
+++ b/src/pools/service-retry-budget.ts
@@ -35,8 +35,8 @@
 		this.#current(now).requests++;
 	}
 
-	/** Whether `spend` would grant a retry. */
-	canSpend(now: Ms): boolean {
+	/** Whether `spend` would grant that many retries. */
+	canSpend(now: Ms, count = 1): boolean {
 		this.#current(now);
 		let requests = 0;
 		let retries = 0;
@@ -45,16 +45,16 @@
 			retries += bucket.retries;
 		}
 
-		return retries + 1 <= (this.limits.ratio * requests) + (this.limits.slack * this.share());
+		return retries + count <= (this.limits.ratio * requests) + (this.limits.slack * this.share());
 	}
 
-	/** Spends one retry; returns false when the budget of the window is exhausted. */
-	spend(now: Ms): boolean {
-		if (!this.canSpend(now)) {
+	/** Spends that many retries; returns false, and spends none, when the budget of the window does not suffice. */
+	spend(now: Ms, count = 1): boolean {
+		if (!this.canSpend(now, count)) {
 			return false;
 		}
 
-		this.#current(now).retries++;
+		this.#current(now).retries += count;
 		return true;
 	}
 
