Log why stages run, and which of their pieces are sent again

The log of an entry VM did not tell a first run of stages from one that is repeated for a retried or resumed request, or at the next host: all look like new work to the pools. A plan now carries the number of its pieces that earlier runs may have sent, and a plan that failed says how many it has sent. 'Running the stages of a request again.' names the cause, the line of a plan that moves the repeats by service, 'A stage call ended.' how many of its pieces are repeats, and 'Ended a request.' the number of stage runs.

Nothing is decided by these figures yet.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -101,6 +101,8 @@
 		stages: z.array(z.strictObject({
 			service: name, after: z.array(count).max(linkLimits.stages), resultBytes: z.number().nonnegative(), pieces: count.max(linkLimits.pieces),
 		})).min(1).max(linkLimits.stages),
+		// Pieces of each stage that earlier runs may have sent; absent in the first run.
+		sentPieces: z.array(count.max(linkLimits.pieces)).max(linkLimits.stages).readonly().optional(),
 		pieceKey: z.string().max(linkLimits.pieceKeyLength).optional(),
 		zone: name,
 		priority: z.number(),
@@ -114,6 +116,8 @@
 	}),
 	z.strictObject({
 		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded', 'host_left']), retryAfterMs: z.number().nonnegative(),
+		// Pieces of each stage that this run or earlier ones may have sent; absent if all may have been.
+		sentPieces: z.array(count.max(linkLimits.pieces)).max(linkLimits.stages).readonly().optional(),
 	}),
 	z.strictObject({type: z.literal('stage-cancel'), id}),
 	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -8,6 +8,7 @@
 import type {PoolHost} from './pool-host.js';
 import type {StageCrash} from './stage-job.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
+import {countRepeats, withSentPieces} from './sent-pieces.js';
 import {objectiveMarginMs} from './stage-plan-run.js';
 
 /** Maximum number of hosts tried per plan; a plan whose host is lost is sent to the next one. */
@@ -69,7 +70,8 @@
 		return this.mesh()?.isSettled === true || this.clock.now() - this.#startedMs >= hostDiscoveryTimeoutMs;
 	}
 
-	async run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+	async run(request: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+		let plan = request;
 		// A second host beside the one that the others use would take memory and slots of the same targets.
 		while (!this.isReady && !signal.aborted) {
 			await this.clock.sleep(hostDiscoveryPollMs, signal);
@@ -100,7 +102,10 @@
 				return outcome;
 			}
 
-			this.logger.warn('Stage plan was not completed by its host; trying the next host while tries remain.', {id: plan.attemptId, host: link?.peer.name, cause: typeof outcome === 'string' ? outcome : 'host_left'});
+			plan = afterRun(plan, outcome);
+			this.logger.warn('Stage plan was not completed by its host; trying the next host while tries remain.', {
+				id: plan.attemptId, host: link?.peer.name, cause: typeof outcome === 'string' ? outcome : 'host_left', repeats: Object.fromEntries(countRepeats(plan)),
+			});
 		}
 
 		return {failure: 'failed', retryAfterMs: 0};
@@ -164,7 +169,7 @@
 			}
 
 			case 'stage-failure': {
-				this.#replies.reply(link, message.id, {failure: message.failure, retryAfterMs: message.retryAfterMs});
+				this.#replies.reply(link, message.id, {failure: message.failure, retryAfterMs: message.retryAfterMs, sentPieces: message.sentPieces});
 				break;
 			}
 
@@ -217,12 +222,14 @@
 		}
 
 		const failure = typeof outcome === 'string' ? outcome : outcome.failure;
-		this.logger.info('The host of another cell did not complete a stage plan.', {id: plan.attemptId, host: link.peer.name, failure});
+		this.logger.info('The host of another cell did not complete a stage plan.', {
+			id: plan.attemptId, host: link.peer.name, failure, repeats: Object.fromEntries(countRepeats(afterRun(plan, outcome))),
+		});
 		if (failure === 'timeout' || failure === 'late' || failure === 'cancelled') {
 			return {failure: failure === 'cancelled' ? 'cancelled' : 'late', retryAfterMs: 0};
 		}
 
-		return this.host.run(plan, signal);
+		return this.host.run(afterRun(plan, outcome), signal);
 	}
 
 	#chooseForeignHost(plan: StagePlan): Link | undefined {
@@ -266,7 +273,7 @@
 
 	async #runRemotely(link: Link, plan: StagePlan, signal: AbortSignal, isSpilled = false): Promise<StagePlanOutcome | 'timeout' | 'link_lost' | 'unsent'> {
 		const now = this.clock.now();
-		const {callByMs, deadlineMs, pieceKey, stages, onCrash, ...fields} = plan;
+		const {callByMs, deadlineMs, pieceKey, stages, sentPieces, onCrash, ...fields} = plan;
 		let planId = 0;
 		const cancel = () => {
 			link.send({type: 'stage-cancel', id: planId});
@@ -280,6 +287,7 @@
 				type: 'stage-plan',
 				id,
 				...fields,
+				...(sentPieces === undefined ? {} : {sentPieces}),
 				...(pieceKey === undefined ? {} : {pieceKey}),
 				...(isSpilled ? {isSpilled} : {}),
 				stages: stages.map(stage => ({...stage, after: [...stage.after]})),
@@ -329,7 +337,7 @@
 		try {
 			// The peer may have sent the plan before it was told that this host is cut off.
 			outcome = this.isCutOff() && this.mesh()?.leader()
-				? {failure: 'host_left', retryAfterMs: 0}
+				? {failure: 'host_left', retryAfterMs: 0, sentPieces: plan.sentPieces ?? plan.stages.map(() => 0)}
 				: await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
 		} catch (err) {
 			// Without a reply, the peer would wait until the deadline of its request.
@@ -344,10 +352,19 @@
 		const isSent = 'results' in outcome
 			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
 			: link.send({
-				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs),
+				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs), ...(outcome.sentPieces ? {sentPieces: outcome.sentPieces} : {}),
 			});
 		if (!isSent && 'results' in outcome) {
 			this.free(outcome.results.map(({handle}) => handle));
 		}
 	}
 }
+
+/** Returns a plan as the next host gets it after a run that failed; it stays a first run if no host has got it. */
+function afterRun(plan: StagePlan, outcome: StagePlanOutcome | 'timeout' | 'link_lost' | 'unsent'): StagePlan {
+	if (outcome === 'unsent') {
+		return plan;
+	}
+
+	return withSentPieces(plan, typeof outcome !== 'string' && 'failure' in outcome ? outcome.sentPieces : undefined);
+}
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -352,6 +352,7 @@
 			end: end.kind,
 			...(problems.length === 0 ? {} : {problems: problems.length, first_problem: problems[0]}),
 			pieces: call.pieces.length,
+			repeats: call.repeats,
 			ids: [...new Set(call.pieces.map(({job}) => job.attemptId))],
 			backlog: pool.backlog,
 			took_ms: Math.round(clock.now() - startedMs),
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -16,6 +16,8 @@
 	readonly stage: number;
 	/** Number of pieces, at least 1. */
 	readonly pieces: number;
+	/** Number of its pieces that earlier runs may have sent; absent for none. */
+	readonly sentPieces?: number | undefined;
 	/** Key of the source data, for pieces that take no results as input. */
 	readonly key: string | undefined;
 	/** Handles of the results that every piece takes as input. */
@@ -50,8 +52,8 @@
  */
 export type StageFailure = 'late' | 'input_gone' | 'no_target' | 'failed' | 'cancelled' | 'overloaded' | 'host_left';
 
-/** Outcome of a job: the result handle of each piece, in order, or the failure and the delay after which a retry may succeed. */
-export type StageJobOutcome = {readonly results: readonly string[]} | {readonly failure: StageFailure; readonly retryAfterMs: Ms};
+/** Outcome of a job: the result handle of each piece, in order, or the failure, the delay after which a retry may succeed and the number of pieces that were in a call, if any. */
+export type StageJobOutcome = {readonly results: readonly string[]} | {readonly failure: StageFailure; readonly retryAfterMs: Ms; readonly sentPieces?: number};
 
 /**
  * Outcome of one piece of a call: the handle of its result, or why there is none. `late`: too late for its deadline;
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -3,7 +3,9 @@
 import type {JobUrgency} from './job-order.js';
 import type {StageJob, StageJobOutcome, ZoneTransfer} from './stage-job.js';
 import {PlanForecast, type PoolTimes} from './plan-forecast.js';
-import type {PlannedStage, StagePlan, StagePlanOutcome} from './stage-plan.js';
+import type {
+	PlannedStage, StagePlan, StagePlanFailure, StagePlanOutcome,
+} from './stage-plan.js';
 
 /** Operations of the pool host that a plan run uses. */
 export interface PlanHost extends PoolTimes {
@@ -47,6 +49,8 @@
 	/** Handles of the results of each ended stage; empty once they are freed. */
 	readonly #results = new Map<number, readonly string[]>();
 	readonly #runs = new Map<number, StageRun>();
+	/** Number of pieces sent by stage. */
+	readonly #sentPieces: number[];
 	readonly #isOnTime: boolean;
 	/** Time of the longest path, without waiting. */
 	readonly #totalMs: Ms;
@@ -54,6 +58,7 @@
 	readonly #handOver = new AbortController();
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
+		this.#sentPieces = plan.stages.map(() => 0);
 		this.#forecast = PlanForecast.create(plan, host);
 		this.#totalMs = this.#forecast.totalMs;
 		this.predictedMs = this.#forecast.predictMs(plan.callByMs);
@@ -65,7 +70,7 @@
 		const {plan, host} = this;
 		const excessMs = host.now() + this.#forecast.predictMs(this.#isOnTime ? plan.callByMs : -Infinity) - plan.deadlineMs;
 		if (excessMs > 0) {
-			return {failure: 'overloaded', retryAfterMs: excessMs};
+			return this.#fail({failure: 'overloaded', retryAfterMs: excessMs});
 		}
 
 		this.#announce();
@@ -78,7 +83,7 @@
 		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
 		if (failure) {
 			this.#freeAll();
-			return this.#handOver.signal.aborted ? {failure: 'host_left', retryAfterMs: 0} : failure;
+			return this.#fail(this.#handOver.signal.aborted ? {failure: 'host_left', retryAfterMs: 0} : failure);
 		}
 
 		return {
@@ -86,6 +91,11 @@
 		};
 	}
 
+	#fail({failure, retryAfterMs}: Pick<StagePlanFailure, 'failure' | 'retryAfterMs'>): StagePlanFailure {
+		const {stages, sentPieces = []} = this.plan;
+		return {failure, retryAfterMs, sentPieces: stages.map(({pieces}, stage) => Math.min(pieces, (sentPieces[stage] ?? 0) + this.#sentPieces[stage]!))};
+	}
+
 	/** Ends the plan so that another host runs it. */
 	handOver(): void {
 		this.#handOver.abort();
@@ -186,6 +196,7 @@
 			attemptId,
 			stage,
 			pieces,
+			sentPieces: this.plan.sentPieces?.[stage],
 			key: inputs.length === 0 ? pieceKey : undefined,
 			inputs,
 			resultBytes,
@@ -193,6 +204,7 @@
 			onCrash,
 			...this.#urgency(stage),
 		}, signal);
+		this.#sentPieces[stage] = 'results' in outcome ? pieces : outcome.sentPieces ?? 0;
 		if ('results' in outcome) {
 			this.#results.set(stage, outcome.results);
 			this.#freeConsumed();
--- a/src/pools/stage-plan.ts
+++ b/src/pools/stage-plan.ts
@@ -17,6 +17,8 @@
 	/** Id of the request attempt, as sent to targets. */
 	readonly attemptId: string;
 	readonly stages: readonly PlannedStage[];
+	/** Number of pieces of each stage that earlier runs of the request's stages may have sent; absent in the first run. */
+	readonly sentPieces?: readonly number[] | undefined;
 	/** Key of the source data, for pieces that take no results as input. */
 	readonly pieceKey: string | undefined;
 	/** Availability zone in which the final call, to the engine, is likely to run. */
@@ -39,8 +41,17 @@
 	readonly bytes: number;
 }
 
-/** Outcome of a plan: the results of its final stages, ordered by stage and piece, or the failure and the delay after which a retry may succeed. */
-export type StagePlanOutcome = {readonly results: readonly StageResult[]} | {readonly failure: StageFailure; readonly retryAfterMs: Ms};
+/** Why a plan ended without results. */
+export interface StagePlanFailure {
+	readonly failure: StageFailure;
+	/** Delay after which a retry may succeed. */
+	readonly retryAfterMs: Ms;
+	/** Number of pieces of each stage that this run or earlier ones may have sent; absent if all may have been. */
+	readonly sentPieces?: readonly number[] | undefined;
+}
+
+/** Outcome of a plan: the results of its final stages, ordered by stage and piece, or the failure. */
+export type StagePlanOutcome = {readonly results: readonly StageResult[]} | StagePlanFailure;
 
 /** Runs stage plans. */
 export interface StageRunner {
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -39,6 +39,8 @@
 	readonly id: number;
 	readonly target: StageTarget;
 	readonly pieces: readonly CalledPiece[];
+	/** Number of its pieces that have been, or may have been, in an earlier call. */
+	readonly repeats: number;
 	/** Whether every job of the call is late. */
 	readonly isLate: boolean;
 	/** Expected time, including the slowdown of the target. */
@@ -50,6 +52,8 @@
 	readonly job: StageJob;
 	readonly results: Array<string | undefined>;
 	readonly tries: number[];
+	/** Number of first calls of pieces that are still to be counted as repeats, since earlier runs may have sent them. */
+	sentBefore: number;
 	/** Indexes of the pieces that wait for a call. */
 	waiting: number[];
 	/** Number of pieces in a call. */
@@ -178,7 +182,7 @@
 		}
 
 		this.#jobs.set(job.id, {
-			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, isSuspect: false, onEnd,
+			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), sentBefore: job.sentPieces ?? 0, waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, isSuspect: false, onEnd,
 		});
 	}
 
@@ -377,17 +381,29 @@
 		const id = this.#nextCallId++;
 		const expectedMs = (this.#limits.callMs + (this.#limits.pieceMs * pieces.length)) * Math.max(1, target.slowdown(now));
 		const call: StageCall = {
-			id, target: target.target, pieces, isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
+			id, target: target.target, pieces, repeats: this.#countTries(pieces), isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
 		};
 		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowdown(now))});
 		target.startCall(id, {memoryMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs}, now);
+		return call;
+	}
+
+	/** Counts the pieces of a call that starts, and returns how many of them are repeats. */
+	#countTries(pieces: readonly CalledPiece[]): number {
+		let repeats = 0;
 		for (const {job, piece} of pieces) {
 			const state = this.#jobs.get(job.id)!;
 			state.inCall++;
 			state.tries[piece]!++;
+			if (state.tries[piece]! > 1) {
+				repeats++;
+			} else if (state.sentBefore > 0) {
+				state.sentBefore--;
+				repeats++;
+			}
 		}
 
-		return call;
+		return repeats;
 	}
 
 	#endPiece({job, piece}: CalledPiece, result: PieceResult, end: StageCallOutcome, now: Ms): void {
@@ -454,7 +470,7 @@
 			}
 		}
 
-		this.#end(state, {failure, retryAfterMs});
+		this.#end(state, {failure, retryAfterMs, sentPieces: state.tries.filter(tries => tries > 0).length});
 	}
 
 	#end(state: JobState, outcome: StageJobOutcome): void {
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -220,6 +220,15 @@
 		const {route, head, attemptId} = request;
 		const {quarantine} = context;
 		const startedMs = context.clock.now();
+		const isFirst = this.#record.stageRuns === 0;
+		const stages = route.stages.map((stage, index) => ({...stage, pieces: head.pieces[index] ?? 0}));
+		if (!isFirst) {
+			context.logger.info('Running the stages of a request again.', {
+				id: attemptId, cause: this.#streamWriter?.hasHead ? 'resume' : 'retry', run: this.#record.stageRuns + 1, pieces: stages.map(({pieces}) => pieces),
+			});
+		}
+
+		this.#record.startStages();
 		// Stages know nothing of the prompt, so that its parts don't come under suspicion. The listener outlives the request, but not its body.
 		const parts = [this.#id];
 		const outcome = await context.stages.run({
@@ -229,7 +238,9 @@
 				}]);
 			},
 			attemptId,
-			stages: route.stages.map((stage, index) => ({...stage, pieces: head.pieces[index] ?? 0})),
+			stages,
+			// Without the results of all of them, the first run has ended the request.
+			sentPieces: isFirst ? undefined : stages.map(({pieces}) => pieces),
 			pieceKey: head.pieceKey,
 			zone: this.#picker.choose()?.entry.zone ?? context.zone,
 			priority: this.#priority,
--- a/src/relay/request-record.test.ts
+++ b/src/relay/request-record.test.ts
@@ -8,11 +8,13 @@
 
 test('a record reports attempts and times relative to the arrival', () => {
 	const record = RequestRecord.create(1000);
+	record.startStages();
 	record.recordStages(300.4);
 	record.startAttempt(target, 1310);
 	record.endAttempt({
 		kind: 'failed', failure: 'broken', reason: 'reset', progress: 'none',
 	}, 1400);
+	record.startStages();
 	record.recordStages(100);
 	record.recordFirstByte(1600);
 	record.recordFirstByte(1700);
@@ -22,6 +24,7 @@
 		outcome: 'answered',
 		status: 200,
 		took_ms: 801,
+		stage_runs: 2,
 		stages_ms: 400,
 		first_byte_ms: 600,
 		attempts: [
--- a/src/relay/request-record.ts
+++ b/src/relay/request-record.ts
@@ -32,6 +32,7 @@
 	#running: RunningAttempt | undefined;
 	#retryDenial: RetryDenial | undefined;
 	#stagesMs: Ms | undefined;
+	#stageRuns = 0;
 	#firstByteMs: Ms | undefined;
 
 	private constructor(private readonly arrivedMs: Ms) {}
@@ -74,7 +75,17 @@
 		this.#retryDenial = denial;
 	}
 
-	/** Adds the duration of one run of the stages; a retry may run them again. */
+	/** Number of runs of the stages that have begun. */
+	get stageRuns(): number {
+		return this.#stageRuns;
+	}
+
+	/** Records the start of a run of the stages; a retry may run them again. */
+	startStages(): void {
+		this.#stageRuns++;
+	}
+
+	/** Adds the duration of one run of the stages. */
 	recordStages(tookMs: Ms): void {
 		this.#stagesMs = (this.#stagesMs ?? 0) + tookMs;
 	}
@@ -91,6 +102,7 @@
 			...(reason === '' ? {} : {reason}),
 			status,
 			took_ms: Math.round(now - this.arrivedMs),
+			...(this.#stageRuns === 0 ? {} : {stage_runs: this.#stageRuns}),
 			...(this.#stagesMs === undefined ? {} : {stages_ms: Math.round(this.#stagesMs)}),
 			...(this.#firstByteMs === undefined ? {} : {first_byte_ms: Math.round(this.#firstByteMs)}),
 			...(this.#retryDenial === undefined ? {} : {retry_denied: this.#retryDenial}),
--- a/test/support/round-robin-stages.ts
+++ b/test/support/round-robin-stages.ts
@@ -51,7 +51,11 @@
 		const failure = outcomes.find(outcome => 'failure' in outcome);
 		const handles = outcomes.map(outcome => 'results' in outcome ? outcome.results : []);
 		this.free(handles.filter((_, stage) => failure !== undefined || !isLast(stage)).flat());
-		return failure ?? {results: handles.flatMap((results, stage) => isLast(stage) ? results.map(handle => ({handle, zone: '', bytes: plan.stages[stage]!.resultBytes})) : [])};
+		if (failure && 'failure' in failure) {
+			return {failure: failure.failure, retryAfterMs: failure.retryAfterMs};
+		}
+
+		return {results: handles.flatMap((results, stage) => isLast(stage) ? results.map(handle => ({handle, zone: '', bytes: plan.stages[stage]!.resultBytes})) : [])};
 	}
 
 	free(handles: readonly string[]): void {
