Take stages that run again from the retry budget of their services

What callers and targets saw: a request whose engine broke off was sent to another one at the price of one retry of the model service, and all of its pieces arrived at the stage targets once more at no price at all. Plans that were lost with their host began anew at the next one in the same way.

Cause: StagePool counted every job as a new request, which raised the limit by a ratio instead of using it up, and a job could not tell that its pieces had been sent before.

Now a request is recorded once for each of its stage services, by the first host that gets its plan, and a plan of which pieces may have been sent takes them from the budget of the host before it starts: for all of its services, or it is refused ('no_budget'). The request then ends at once with what is true of it. The retry of the model service is spent only after that, so that it isn't lost on a request whose stages can't run. All repeats of pieces are counted in one place, the host's budget, together with those of failed calls: shares of single owners would be smaller than most plans.

A plan that was never sent or of which nothing was started moves for nothing, as the host names what it has sent; after a lost link, all may have been.

--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -115,7 +115,7 @@
 		type: z.literal('stage-results'), id, results: z.array(z.strictObject({handle, zone: z.string().max(200), bytes: z.number()})).max(linkLimits.pieces),
 	}),
 	z.strictObject({
-		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded', 'host_left']), retryAfterMs: z.number().nonnegative(),
+		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded', 'host_left', 'no_budget']), retryAfterMs: z.number().nonnegative(),
 		// Pieces of each stage that this run or earlier ones may have sent; absent if all may have been.
 		sentPieces: z.array(count.max(linkLimits.pieces)).max(linkLimits.stages).readonly().optional(),
 	}),
--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -181,6 +181,68 @@
 		await expect(run).resolves.toEqual({results: []});
 	});
 
+	// Guards against BUDGET of issue 46: each host took a plan that came from another one for a new request.
+	it.each([
+		{name: 'all pieces after a lost link', lose: 'link', sentPieces: [3, 2]},
+		{name: 'those that the host names', lose: {failure: 'host_left', sentPieces: [2, 0]}, sentPieces: [2, 0]},
+		{name: 'all pieces if the host names none', lose: {failure: 'host_left'}, sentPieces: [3, 2]},
+		{name: 'none if the host never got the plan', lose: 'unsent', sentPieces: undefined},
+	])('tells the next host which pieces may have been sent: $name', async ({lose, sentPieces}) => {
+		const {stages, lead} = create([]);
+		const sent: unknown[] = [];
+		const next = fakeLink('next', message => {
+			sent.push((message as Sent & {sentPieces?: number[]}).sentPieces);
+			stages.receive(next as never, {type: 'stage-results', id: message.id, results: []});
+		});
+		const first = {
+			peer: {name: 'first'},
+			send({type, id}: Sent) {
+				lead(next);
+				if (type === 'stage-plan' && lose === 'link') {
+					stages.linkLost(first as never);
+				} else if (typeof lose === 'object') {
+					stages.receive(first as never, {
+						type: 'stage-failure', id, retryAfterMs: 0, ...lose,
+					} as never);
+				}
+
+				return lose !== 'unsent';
+			},
+		};
+		lead(first);
+		const [stage] = [{
+			service: 'archive', after: [], resultBytes: 1, pieces: 3,
+		}];
+		await stages.run({...plan, stages: [stage, {...stage, pieces: 2}]}, new AbortController().signal);
+		expect(sent).toEqual([sentPieces]);
+	});
+
+	it('adds the pieces of all hosts that a plan was sent to, of its own and of other cells', async () => {
+		const {stages, lead, links, host, clock} = create([]);
+		const plans: StagePlan[] = [];
+		host.meetsObjectives = false;
+		host.run = async (run: StagePlan) => {
+			plans.push(run);
+			return {results: []};
+		};
+
+		const foreign = fakeLink('foreign', ({id}) => {
+			stages.receive(foreign as never, {
+				type: 'stage-failure', id, failure: 'overloaded', retryAfterMs: 0, sentPieces: [2],
+			});
+		});
+		links.set('foreign', foreign);
+		lead(undefined);
+		stages.receive(foreign as never, {type: 'stage-load', services: [['archive', 0, 1]]} as never);
+		await stages.run({
+			...plan, sentPieces: [1], stages: [{
+				service: 'archive', after: [], resultBytes: 1, pieces: 3,
+			}],
+		}, new AbortController().signal);
+		await clock.advance(1);
+		expect(plans.map(({sentPieces}) => sentPieces)).toEqual([[2]]);
+	});
+
 	it('notifies the pool host when this entry VM takes over from another host', async () => {
 		const {stages, lead, hostEvents, clock} = create([]);
 		const other = fakeLink('other', sent => {
--- a/src/pools/pool-host.test.ts
+++ b/src/pools/pool-host.test.ts
@@ -5,7 +5,7 @@
 import {TargetRegistry} from '../registry/index.js';
 import {PoolHost} from './pool-host.js';
 import type {StageCallOutcome} from './stage-job.js';
-import type {StagePlan} from './stage-plan.js';
+import type {StagePlan, StagePlanOutcome} from './stage-plan.js';
 import type {StageTargetCall, StageTargetPort} from './stage-target-port.js';
 
 const limits = {
@@ -140,6 +140,54 @@
 		expect(port.calls).toHaveLength(2);
 	});
 
+	describe('with plans that were run before', () => {
+		const ratio = 0.2;
+
+		/** Runs plans of one request each and returns their outcomes; nothing is taken from the slack. */
+		async function runAll({host, clock}: ReturnType<typeof create>, plans: readonly StagePlan[]): Promise<StagePlanOutcome[]> {
+			host.setRetryLimits({windowMs: 60_000, ratio, slack: 0});
+			const outcomes = plans.map(async each => host.run({...each, callByMs: 30_000, deadlineMs: 60_000}, new AbortController().signal));
+			for (let step = 0; step < 100; step++) {
+				await clock.advance(100);
+			}
+
+			return Promise.all(outcomes);
+		}
+
+		const numbered = (count: number, create: (id: string) => StagePlan) => Array.from({length: count}, (_, index) => create(`r${index}`));
+		const failures = (outcomes: readonly StagePlanOutcome[]) => outcomes.map(outcome => 'failure' in outcome ? outcome.failure : 'done');
+
+		// Guards against BUDGET of issue 46: a run of stages that is repeated counted as a new request and was not limited.
+		it('takes their pieces from the retry budget, and refuses them once it is used up', async () => {
+			const setup = create();
+			const firstRuns = 20;
+			const outcomes = await runAll(setup, [...numbered(firstRuns, id => plan(id)), {...plan('again'), sentPieces: [firstRuns * ratio]}, {...plan('denied'), sentPieces: [1]}]);
+			expect(failures(outcomes.slice(firstRuns))).toEqual(['done', 'no_budget']);
+			expect(outcomes.at(-1)).toMatchObject({sentPieces: [1]});
+			expect(setup.port.calls.flatMap(({pieces}) => pieces).filter(({job}) => job.attemptId === 'denied')).toEqual([]);
+		});
+
+		it('takes pieces from all services of a plan or from none', async () => {
+			const setup = create();
+			const [stage] = plan('').stages;
+			const outcomes = await runAll(setup, [
+				...numbered(10, id => plan(id)),
+				{...plan('denied'), stages: [stage!, {...stage!, service: 'press'}], sentPieces: [2, 1]},
+				{...plan('again'), sentPieces: [2]},
+			]);
+			expect(failures(outcomes.slice(-2))).toEqual(['no_budget', 'done']);
+		});
+
+		// Guards against a retry budget that grows with each stage and with each run of a request.
+		it('counts a request once for each service, at its first run', async () => {
+			const setup = create();
+			const [stage] = plan('').stages;
+			const twoStages = (id: string): StagePlan => ({...plan(id), stages: [stage!, {...stage!, after: [0]}]});
+			const outcomes = await runAll(setup, [...numbered(10, twoStages), ...numbered(10, id => ({...plan(`moved-${id}`), sentPieces: [0]})), {...plan('denied'), sentPieces: [3]}, {...plan('again'), sentPieces: [2]}]);
+			expect(failures(outcomes.slice(-2))).toEqual(['no_budget', 'done']);
+		});
+	});
+
 	// Guards against a place at a target that is taken for good, with pieces that wait until their deadline, after an error
 	// that nothing handled.
 	it('ends a call that ends with an error, and makes it again', async () => {
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -5,6 +5,7 @@
 import type {ServiceDeclaration} from '../routes/index.js';
 import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
+import {countRepeats} from './sent-pieces.js';
 import {ServiceRetryBudget, type RetryLimits} from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageCallOutcome, StageJob, StageJobOutcome} from './stage-job.js';
@@ -63,6 +64,7 @@
 	}
 
 	readonly #pools = new Map<string, HostedPool>();
+	readonly #budgets = new Map<string, ServiceRetryBudget>();
 	readonly #releaser: ResultReleaser;
 	readonly #runs = new Set<StagePlanRun>();
 	#retryLimits: RetryLimits;
@@ -99,6 +101,7 @@
 
 	async #run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
 		this.#planCount++;
+		this.#recordRequest(plan);
 		const run = StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#planCount}`);
 		this.#runs.add(run);
 		let outcome: StagePlanOutcome;
@@ -126,8 +129,9 @@
 	/** Replaces the retry limits. Every pool gets a new budget, so that no retry counts under two limits. */
 	setRetryLimits(limits: RetryLimits): void {
 		this.#retryLimits = limits;
-		for (const {pool} of this.#pools.values()) {
-			pool.setBudget(this.#createBudget());
+		this.#budgets.clear();
+		for (const [service, {pool}] of this.#pools) {
+			pool.setBudget(this.#budget(service));
 		}
 	}
 
@@ -187,6 +191,26 @@
 		this.#pools.get(service)?.pool.withdraw(id);
 	}
 
+	spendRetries(plan: StagePlan): boolean {
+		const repeats = countRepeats(plan);
+		if (repeats.size === 0) {
+			return true;
+		}
+
+		const now = this.now();
+		const lacking = [...repeats].find(([service, pieces]) => !this.#budget(service).canSpend(now, pieces))?.[0];
+		if (lacking === undefined) {
+			for (const [service, pieces] of repeats) {
+				this.#budget(service).spend(now, pieces);
+			}
+		}
+
+		this.options.logger.info(lacking === undefined ? 'Sending pieces of a request again.' : 'Cannot send pieces of a request again: the retry budget does not suffice.', {
+			id: plan.attemptId, repeats: Object.fromEntries(repeats), ...(lacking === undefined ? {} : {lacking}),
+		});
+		return lacking === undefined;
+	}
+
 	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome> {
 		const declared = this.options.service(service);
 		if (!declared?.stagePool || signal.aborted) {
@@ -237,6 +261,15 @@
 		return [...this.#pools].map(([service, {pool}]) => ({service, backlog: pool.backlog, calls: pool.calls}));
 	}
 
+	/** Records a request once for each service that has pieces of it. A plan that was run before was recorded then. */
+	#recordRequest({stages, sentPieces}: StagePlan): void {
+		if (sentPieces === undefined) {
+			for (const service of new Set(stages.filter(({pieces}) => pieces > 0).map(stage => stage.service))) {
+				this.#budget(service).recordRequest(this.now());
+			}
+		}
+	}
+
 	#hostPool(declared: ServiceDeclaration): HostedPool {
 		let hostedPool = this.#pools.get(declared.name);
 		if (hostedPool) {
@@ -247,7 +280,7 @@
 		hostedPool = {
 			pool: StagePool.create({
 				limits: declared.stagePool!,
-				budget: this.#createBudget(),
+				budget: this.#budget(declared.name),
 				onUnused: handle => {
 					this.#releaser.free([handle]);
 				},
@@ -264,6 +297,12 @@
 		return hostedPool;
 	}
 
+	#budget(service: string): ServiceRetryBudget {
+		const budget = this.#budgets.get(service) ?? this.#createBudget();
+		this.#budgets.set(service, budget);
+		return budget;
+	}
+
 	#createBudget(): ServiceRetryBudget {
 		return ServiceRetryBudget.create({limits: this.#retryLimits, share: () => poolRetryShare});
 	}
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -48,9 +48,10 @@
 
 /**
  * Why a job or a plan ended without results. `late`: it could not meet its deadline; `overloaded`: the targets lack the
- * throughput for it, or refused its calls; `host_left`: the host handed the plan over before any of it started.
+ * throughput for it, or refused its calls; `host_left`: the host handed the plan over; `no_budget`: the retry budget does
+ * not suffice to send its pieces again.
  */
-export type StageFailure = 'late' | 'input_gone' | 'no_target' | 'failed' | 'cancelled' | 'overloaded' | 'host_left';
+export type StageFailure = 'late' | 'input_gone' | 'no_target' | 'failed' | 'cancelled' | 'overloaded' | 'host_left' | 'no_budget';
 
 /** Outcome of a job: the result handle of each piece, in order, or the failure, the delay after which a retry may succeed and the number of pieces that were in a call, if any. */
 export type StageJobOutcome = {readonly results: readonly string[]} | {readonly failure: StageFailure; readonly retryAfterMs: Ms; readonly sentPieces?: number};
--- a/src/pools/stage-plan-run.test.ts
+++ b/src/pools/stage-plan-run.test.ts
@@ -15,6 +15,7 @@
 	readonly answers = new Map<string, (job: StageJob) => StageJobOutcome>();
 	waitMs = 0;
 	isIdle = true;
+	hasBudget = true;
 
 	now() {
 		return 0;
@@ -32,6 +33,10 @@
 		return this.isIdle;
 	}
 
+	spendRetries() {
+		return this.hasBudget;
+	}
+
 	withdraw(service: string, id: string) {
 		this.announced.delete(`${service} ${id}`);
 	}
@@ -148,6 +153,22 @@
 		expect(host.announced.size).toBe(0);
 	});
 
+	it('does not start a plan whose pieces the retry budget does not suffice to send again', async () => {
+		const host = new FakeHost();
+		host.hasBudget = false;
+		expect(await run(host, {...chain, sentPieces: [1, 0, 0]})).toMatchObject({failure: 'no_budget', sentPieces: [1, 0, 0]});
+		expect(host.jobs).toEqual([]);
+	});
+
+	it('reports how many pieces it and earlier runs may have sent when it fails', async () => {
+		const host = new FakeHost();
+		host.answers.set('press', () => ({failure: 'failed', retryAfterMs: 0, sentPieces: 1}));
+		expect(await run(host)).toMatchObject({sentPieces: [1, 1, 0]});
+		expect(await run(host, {...chain, sentPieces: [1, 0, 2]})).toMatchObject({sentPieces: [1, 1, 2]});
+		host.answers.set('press', () => ({failure: 'failed', retryAfterMs: 0}));
+		expect(await run(host)).toMatchObject({sentPieces: [1, 0, 0]});
+	});
+
 	it('rejects a plan that cannot meet its deadline at once, with the delay after which a retry may succeed', async () => {
 		const host = new FakeHost();
 		host.waitMs = 6000;
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -16,6 +16,8 @@
 	withdraw(service: string, id: string): void;
 	/** Whether no piece of a job has been in a call yet; also true for a job that is not in the pool. */
 	isUnstarted(service: string, id: string): boolean;
+	/** Takes the pieces that a plan sends again from the retry budgets of their services, all or none, and returns whether it did. */
+	spendRetries(plan: StagePlan): boolean;
 	/** Submits a job and resolves with its outcome; never rejects. */
 	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome>;
 	/** Returns the availability zone of the target that holds a result, if known. */
@@ -26,6 +28,8 @@
 
 /** Margin by which a plan must be predicted to meet its objective to count as on time; call and engine times vary by about this much. */
 export const objectiveMarginMs: Ms = 150;
+/** Delay after which a caller may ask again for what the retry budget does not suffice for; its next request is a new one. */
+const noBudgetRetryAfterMs: Ms = 100;
 /** A job is committed when at most this fraction of the total path time remains. */
 const committedShare = 0.5;
 
@@ -73,6 +77,10 @@
 			return this.#fail({failure: 'overloaded', retryAfterMs: excessMs});
 		}
 
+		if (!host.spendRetries(plan)) {
+			return this.#fail({failure: 'no_budget', retryAfterMs: noBudgetRetryAfterMs});
+		}
+
 		this.#announce();
 		const failed = new AbortController();
 		const stop = AbortSignal.any([signal, failed.signal, this.#handOver.signal]);
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -169,7 +169,6 @@
 
 	/** Queues a job; `onEnd` is called once, possibly synchronously. A job whose id is that of one in the pool fails. */
 	submit(job: StageJob, onEnd: (outcome: StageJobOutcome) => void, now: Ms): void {
-		this.#budget.recordRequest(now);
 		this.#announced.delete(job.id);
 		if (this.#targets.size === 0) {
 			onEnd({failure: 'no_target', retryAfterMs: this.#limits.callMs});
--- a/src/relay/decide-retry.test.ts
+++ b/src/relay/decide-retry.test.ts
@@ -1,6 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {decideRetry, type FailedAttemptState, type RetryDenial} from './decide-retry.js';
+import {
+	decideEnd, decideRetry, type FailedAttemptState, type RetryDenial,
+} from './decide-retry.js';
 
 const state = (fields: Partial<FailedAttemptState>): FailedAttemptState => ({
 	failure: 'broken', kind: 'idempotent', isResumable: false, sentCount: 1, possibleRunCount: 1, maxAttempts: 2, isQuarantined: false, hasUntriedTarget: true, hasTime: true, spendRetry: () => true, ...fields,
@@ -64,6 +66,13 @@
 		expect(decideRetry(state(fields))).toMatchObject({step: 'reject', denial});
 	});
 
+	// Guards against a "not run" for a request that an engine has run, and whose stages the retry budget cannot pay for again.
+	it('ends a request whose stages cannot run again as one that is not retried', () => {
+		expect(decideEnd({failure: 'refused', possibleRunCount: 0}, 'no_stage_budget')).toMatchObject({step: 'reject', denial: 'no_stage_budget', rejection: {status: 503}});
+		expect(decideEnd({failure: 'refused', possibleRunCount: 1}, 'no_stage_budget')).toMatchObject({rejection: {status: 502}});
+		expect(decideEnd({failure: 'error', possibleRunCount: 1}, 'no_stage_budget')).toEqual({step: 'deliver_error', denial: 'no_stage_budget'});
+	});
+
 	it('reports "not run" only if no target can have run the request, and retries only requests that may run again', () => {
 		const any = fc.record({
 			failure: fc.constantFrom('refused' as const, 'unsent' as const, 'withdrawn' as const, 'broken' as const, 'silent' as const, 'error' as const),
--- a/src/relay/decide-retry.ts
+++ b/src/relay/decide-retry.ts
@@ -16,16 +16,18 @@
 	/** The target sent a complete error response. */
 	| 'error';
 
-/**
 /**
  * Why a request is not sent to another target: it crashes targets, a target may have run it, its attempts, the targets,
- * its time or the retry budget are used up, the other targets cannot be reached or have no place within their limits, or
- * what they need cannot be made again.
+ * its time, the retry budget or that of a service of its stages are used up, the other targets cannot be reached or have
+ * no place within their limits, or what they need cannot be made again.
  */
-export type RetryDenial = 'quarantined' | 'may_have_run' | 'no_attempt' | 'no_target' | 'no_time' | 'no_budget' | 'unreachable' | 'no_place' | 'no_inputs';
+export type RetryDenial = 'quarantined' | 'may_have_run' | 'no_attempt' | 'no_target' | 'no_time' | 'no_budget' | 'no_stage_budget' | 'unreachable' | 'no_place' | 'no_inputs';
+
+/** How a request ends after a failed attempt. */
+export type RetryEnd = {readonly step: 'deliver_error'; readonly denial: RetryDenial} | {readonly step: 'reject'; readonly rejection: Rejection; readonly denial: RetryDenial};
 
 /** Action to take after a failed attempt. */
-export type RetryDecision = {readonly step: 'retry'} | {readonly step: 'deliver_error'; readonly denial: RetryDenial} | {readonly step: 'reject'; readonly rejection: Rejection; readonly denial: RetryDenial};
+export type RetryDecision = {readonly step: 'retry'} | RetryEnd;
 
 /** State of a request after a failed attempt, on which `decideRetry` depends. */
 export interface FailedAttemptState {
@@ -53,14 +55,20 @@
  * decideRetry({failure: 'refused', kind: 'non_idempotent', …});
  */
 export function decideRetry(state: FailedAttemptState): RetryDecision {
-	const {failure, possibleRunCount} = state;
+	const {failure} = state;
 	// If no target was reached so far, the next attempt is the first one and takes nothing from the retry budget. After a
 	// retry that was not sent, what was taken for it still holds.
 	const denial = findRetryDenial(state) ?? (state.sentCount === 0 || isNotSent(failure) || state.spendRetry() ? undefined : 'no_budget');
-	if (denial === undefined) {
-		return {step: 'retry'};
-	}
+	return denial === undefined ? {step: 'retry'} : decideEnd(state, denial);
+}
 
+/**
+ * Decides how a request ends after a failed attempt that is not followed by another one.
+ *
+ * @example
+ * decideEnd({failure: 'refused', possibleRunCount: 0}, 'no_stage_budget'); // a rejection with status 503
+ */
+export function decideEnd({failure, possibleRunCount}: Pick<FailedAttemptState, 'failure' | 'possibleRunCount'>, denial: RetryDenial): RetryEnd {
 	if (failure === 'error') {
 		return {step: 'deliver_error', denial};
 	}
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -1,14 +1,14 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Ms} from '../clock/index.js';
-import type {StagePlanOutcome, StageResult} from '../pools/index.js';
+import type {StageFailure, StagePlanOutcome, StageResult} from '../pools/index.js';
 import {requestId, type QuarantineCause} from '../quarantine/index.js';
 import type {RelayTarget} from '../registry/index.js';
 import {
 	isRetryable, pickService, type Route, type RouteTable, type TeamDeclaration,
 } from '../routes/index.js';
 import {
-	decideRetry, findRetryDenial, isNotSent, type AttemptFailure, type FailedAttemptState, type RetryDecision, type RetryDenial,
+	decideEnd, decideRetry, findRetryDenial, isNotSent, type AttemptFailure, type FailedAttemptState, type RetryDecision, type RetryDenial, type RetryEnd,
 } from './decide-retry.js';
 import type {BrokenProgress} from './crash-watch.js';
 import type {RelayContext} from './relay-context.js';
@@ -35,6 +35,11 @@
 /** Progress of a broken stream, by how far its response had got. */
 const brokenProgress: Readonly<Record<ResponseProgress, BrokenProgress>> = {none: 'waiting', begun: 'begun', answered: 'streaming'};
 
+/** Reasons for rejections of requests whose stages have failed; others are `stages_failed`. */
+const stageRejections: Readonly<Partial<Record<StageFailure, RejectionReason>>> = {late: 'stages_late', overloaded: 'stages_overloaded', no_budget: 'stages_no_budget'};
+
+type FailedAttempt = AttemptOutcome & {kind: 'failed'};
+
 /** A fully received request with its route and team. */
 export interface RoutedRequest {
 	readonly req: IncomingMessage;
@@ -77,6 +82,8 @@
 	#errorResponse: TargetResponse | undefined;
 	/** Target with a place for the next attempt, for which a retry is taken from the budget already. */
 	#reservedTarget: RelayTarget | undefined;
+	/** Whether the next attempt still has to be taken from the retry budget, which waits for its stages. */
+	#isRetryDue = false;
 	/** Whether the stages have failed while they were run again for a further attempt. */
 	#hasFailedInputs = false;
 	/** Prompt parts that other requests may share. */
@@ -182,7 +189,7 @@
 			}
 
 			// The failed attempt may have consumed the stage results, or they may have expired.
-			inputs = this.#needsStages ? await this.#runStages() : this.#stageResults.map(result => result.handle);
+			inputs = this.#needsStages ? await this.#runStagesAgain(outcome) : this.#stageResults.map(result => result.handle);
 		}
 
 		if (this.#isCallerGone) {
@@ -190,8 +197,8 @@
 		}
 	}
 
-	/** Runs the stages and returns the handles of their results; `undefined` if the request has ended. */
-	async #runStages(): Promise<readonly string[] | undefined> {
+	/** Runs the stages, again after a failed attempt, and returns the handles of their results; `undefined` if the request has ended. */
+	async #runStages(failed?: FailedAttempt): Promise<readonly string[] | undefined> {
 		if (!this.#hasStages) {
 			return [];
 		}
@@ -207,14 +214,31 @@
 			return outcome.results.map(result => result.handle);
 		}
 
-		if (!this.#isFinished && !this.#isCallerGone) {
-			const reason: RejectionReason = outcome.failure === 'late' ? 'stages_late' : (outcome.failure === 'overloaded' ? 'stages_overloaded' : 'stages_failed');
-			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason, retryAfterMs: outcome.retryAfterMs});
+		if (this.#isFinished || this.#isCallerGone) {
+			return undefined;
+		}
+
+		if (failed && outcome.failure === 'no_budget') {
+			this.#endFailed(failed, 'no_stage_budget');
+		} else {
+			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: stageRejections[outcome.failure] ?? 'stages_failed', retryAfterMs: outcome.retryAfterMs});
 		}
 
 		return undefined;
 	}
 
+	/** Runs the stages for a further attempt, which is taken from the retry budget once they have been granted theirs. */
+	async #runStagesAgain(failed: FailedAttempt): Promise<readonly string[] | undefined> {
+		const inputs = await this.#runStages(failed);
+		if (inputs && this.#isRetryDue && !this.context.retryBudget(this.#service).spend(this.context.clock.now())) {
+			this.#releaseStageResults();
+			this.#endFailed(failed, 'no_budget');
+			return undefined;
+		}
+
+		return inputs;
+	}
+
 	async #requestStages(signal: AbortSignal): Promise<StagePlanOutcome> {
 		const {context, request} = this;
 		const {route, head, attemptId} = request;
@@ -392,7 +416,7 @@
 	}
 
 	/** Handles a failed attempt; returns true if the request is retried, else ends it with a response. */
-	#retryOrFinish(outcome: AttemptOutcome & {kind: 'failed'}, target: RelayTarget): boolean {
+	#retryOrFinish(outcome: FailedAttempt, target: RelayTarget): boolean {
 		const {context, request} = this;
 		const {failure} = outcome;
 		if (failure === 'unsent') {
@@ -418,7 +442,13 @@
 		}
 
 		const now = context.clock.now();
-		const spendRetry = () => context.retryBudget(this.#service).spend(now);
+		this.#isRetryDue = false;
+		const spendRetry = () => {
+			const budget = context.retryBudget(this.#service);
+			this.#isRetryDue = this.#needsStages;
+			return this.#isRetryDue ? budget.canSpend(now) : budget.spend(now);
+		};
+
 		const decision: RetryDecision = this.#reservedTarget ? {step: 'retry'} : decideRetry({...this.#stateAfter(failure), spendRetry});
 		if (decision.step === 'retry') {
 			context.logger.info('Retrying a request on another target.', {
@@ -427,16 +457,24 @@
 			return true;
 		}
 
-		this.#record.recordRetryDenial(decision.denial);
+		this.#endAfter(outcome, decision);
+		return false;
+	}
+
+	/** Ends the request, since there is no attempt after one that has failed. */
+	#endFailed(failed: FailedAttempt, denial: RetryDenial): void {
+		this.#endAfter(failed, decideEnd({failure: failed.failure, possibleRunCount: this.#possibleRunCount}, denial));
+	}
+
+	#endAfter(failed: FailedAttempt, end: RetryEnd): void {
+		this.#record.recordRetryDenial(end.denial);
 		if (this.#streamWriter?.hasHead) {
-			this.#abortStream(outcome.reason);
-		} else if (this.#errorResponse && decision.step === 'deliver_error') {
+			this.#abortStream(failed.reason);
+		} else if (this.#errorResponse && end.step === 'deliver_error') {
 			this.#sendResponse(this.#errorResponse);
 		} else {
-			this.#reject(decision.step === 'reject' ? decision.rejection : {status: 502, reason: 'target_failed'});
+			this.#reject(end.step === 'reject' ? end.rejection : {status: 502, reason: 'target_failed'});
 		}
-
-		return false;
 	}
 
 	/** State of the request after an attempt that has ended, or that would end, with a failure. */
@@ -489,15 +527,16 @@
 	 */
 	async #prepareRetry(signal: AbortSignal, isSent: boolean): Promise<RetryDenial | undefined> {
 		const {clock, retryBudget} = this.context;
-		const newResults = this.#needsStages ? await this.#prepareStages(signal) : [];
-		const target = newResults && !signal.aborted ? await this.#picker.reservePlace({isProbed: true}) : undefined;
+		const prepared = this.#needsStages ? await this.#prepareStages(signal) : {results: []};
+		const newResults = 'results' in prepared ? prepared.results : [];
+		const target = 'results' in prepared && !signal.aborted ? await this.#picker.reservePlace({isProbed: true}) : undefined;
 		if (signal.aborted) {
-			this.#freeResults(newResults ?? []);
+			this.#freeResults(newResults);
 			return undefined;
 		}
 
-		if (!newResults) {
-			return 'no_inputs';
+		if (!('results' in prepared)) {
+			return prepared.denial;
 		}
 
 		const denial = target?.isAccepting ? this.#findReservationDenial(isSent) : 'no_place';
@@ -511,16 +550,16 @@
 		return undefined;
 	}
 
-	/** Runs the stages again while the attempt in progress goes on; returns `undefined` if they fail. */
-	async #prepareStages(signal: AbortSignal): Promise<readonly StageResult[] | undefined> {
+	/** Runs the stages again while the attempt in progress goes on. */
+	async #prepareStages(signal: AbortSignal): Promise<{readonly results: readonly StageResult[]} | {readonly denial: RetryDenial}> {
 		const outcome = await this.#requestStages(signal);
 		if ('results' in outcome) {
-			return outcome.results;
+			return outcome;
 		}
 
 		// Stages that are late or find no room once are not run again and again for a target that may go on.
 		this.#hasFailedInputs ||= !signal.aborted;
-		return undefined;
+		return {denial: outcome.failure === 'no_budget' ? 'no_stage_budget' : 'no_inputs'};
 	}
 
 	/** Chooses a target and waits for a place there if it names a limit; rejects the request if there is none in time. */
