--- a/src/pools/mesh-stage-runner.test.ts
+++ b/src/pools/mesh-stage-runner.test.ts
@@ -217,6 +217,26 @@
 		expect(sent).toEqual([sentPieces]);
 	});
 
+	it.each([
+		{failure: 'host_left', isSpilled: false, told: [2]},
+		{failure: 'failed', isSpilled: true, told: [2]},
+		{failure: 'failed', isSpilled: false, told: undefined},
+	] as const)('tells a peer that runs its plan elsewhere which pieces it has sent: $failure, spilled $isSpilled', async ({failure, isSpilled, told}) => {
+		const {stages, clock} = create([{failure, retryAfterMs: 0, sentPieces: [2]}]);
+		const sent: Array<{sentPieces?: readonly number[]}> = [];
+		const peer = {
+			peer: {name: 'peer'}, send(message: {sentPieces?: readonly number[]}) {
+				sent.push(message);
+				return true;
+			},
+		};
+		stages.receive(peer as never, {
+			type: 'stage-plan', id: 1, attemptId: 'r1', stages: [], zone: 'riga-a', priority: 0, callInMs: 1000, deadlineInMs: 4000, isSpilled,
+		});
+		await clock.advance(1);
+		expect(sent.map(({sentPieces}) => sentPieces)).toEqual([told]);
+	});
+
 	it('adds the pieces of all hosts that a plan was sent to, of its own and of other cells', async () => {
 		const {stages, lead, links, host, clock} = create([]);
 		const plans: StagePlan[] = [];
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -349,10 +349,11 @@
 			plans.delete(id);
 		}
 
+		// The peer runs a plan elsewhere only after these failures.
 		const isSent = 'results' in outcome
 			? link.send({type: 'stage-results', id, results: outcome.results.map(result => ({...result}))})
 			: link.send({
-				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs), ...(outcome.sentPieces ? {sentPieces: outcome.sentPieces} : {}),
+				type: 'stage-failure', id, failure: outcome.failure, retryAfterMs: Math.max(0, outcome.retryAfterMs), ...(outcome.sentPieces && (isSpilled || outcome.failure === 'host_left') ? {sentPieces: outcome.sentPieces} : {}),
 			});
 		if (!isSent && 'results' in outcome) {
 			this.free(outcome.results.map(({handle}) => handle));
