Reset a caller's connection wherever its response is broken off

A response without a length ends with its connection, so that an orderly end of the connection is a claim as well. Three ways to break such a response off ended it in order, and half a stream or half a body looked complete: bytes that are no request behind the request, the caller's half close, and the close of the entry VM. A handler that throws behind the head of its response did too, by reading.

These connections are reset now. One whose response the entry VM has handed over as a whole is still ended in order after a half close.

--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -49,6 +49,12 @@
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
+			// Before the HTTP server, which ends the connection in order: that would complete a response without a length.
+			socket.prependOnceListener('end', () => {
+				if (this.#isWriting(socket)) {
+					socket.resetAndDestroy();
+				}
+			});
 		});
 		// Before the listener that handles the request.
 		for (const event of ['request', 'checkContinue']) {
@@ -112,6 +118,26 @@
 		}
 	}
 
+	/** Resets the connections with a response in progress: an orderly end would complete one without a length. */
+	resetAnswering(): void {
+		for (const socket of this.#connections.keys()) {
+			if (this.isAnswering(socket)) {
+				socket.resetAndDestroy();
+			}
+		}
+	}
+
+	/** Whether a response on a connection has begun and is not complete in memory. */
+	#isWriting(socket: Socket): boolean {
+		for (let res = this.#connections.get(socket)?.latest; res && !res.closed; res = this.#previous.get(res)) {
+			if (res.headersSent && !res.writableEnded) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	#track(socket: Socket, res: ServerResponse): void {
 		const state = this.#connections.get(socket);
 		if (!state) {
--- a/src/relay/answer-client-error.ts
+++ b/src/relay/answer-client-error.ts
@@ -9,13 +9,19 @@
 
 /**
  * Closes a connection whose caller sent what is no request, or too slowly. It is told so unless a response is in progress
- * there, in whose place the caller would read it.
+ * there, in whose place the caller would read it: such a connection is reset, since an orderly end would complete a
+ * response without a length.
  *
  * @example
  * server.on('clientError', (err, socket) => answerClientError(err, socket, {isAnswering: false}));
  */
 export function answerClientError(err: NodeJS.ErrnoException, socket: Socket, {isAnswering}: {isAnswering: boolean}): void {
-	if (socket.writable && !isAnswering) {
+	if (isAnswering) {
+		socket.resetAndDestroy();
+		return;
+	}
+
+	if (socket.writable) {
 		socket.write(`HTTP/1.1 ${statuses[err.code ?? ''] ?? '400 Bad Request'}\r\nconnection: close\r\n\r\n`);
 	}
 
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -141,8 +141,9 @@
 		}
 	}
 
-	/** Stops listening and closes all connections immediately. */
+	/** Stops listening and closes all connections immediately, those with a response in progress by a reset. */
 	async close(): Promise<void> {
+		this.#connections.resetAnswering();
 		await closeServer(this.#server);
 	}
 
@@ -225,7 +226,8 @@
 				id: codec.decodeCallerHead(req.rawHeaders).attemptId, had_head: res.headersSent, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined,
 			});
 			if (res.headersSent) {
-				res.destroy();
+				// An orderly end would complete a response without a length.
+				req.socket.resetAndDestroy();
 			} else {
 				sendRejection(res, {status: 502, reason: 'target_failed'}, true);
 			}
