--- a/src/links/relay-mesh.test.ts
+++ b/src/links/relay-mesh.test.ts
@@ -31,7 +31,7 @@
 		dialled.length = 0;
 	});
 
-	async function start(name: string, incarnation: string, ownKey = key, {port = 0, registry = new Registry(), onMessage = () => undefined}: {port?: number; registry?: Registry; onMessage?: (type: string) => void} = {}): Promise<RelayMesh> {
+	async function start(name: string, incarnation: string, ownKey = key, {port = 0, registry = new Registry(), onMessage = () => undefined, onSize = () => undefined}: {port?: number; registry?: Registry; onMessage?: (type: string) => void; onSize?: (size: number, isCurrent: boolean) => void} = {}): Promise<RelayMesh> {
 		const clock = SystemClock.create();
 		const mesh = await RelayMesh.create({
 			self: {name, zone: 'riga-a', incarnation},
@@ -49,6 +49,7 @@
 			onMessage(_link, {type}) {
 				onMessage(type);
 			},
+			onSize,
 			onLost: () => undefined,
 		});
 		meshes.push(mesh);
@@ -113,6 +114,25 @@
 		expect([link!.isUp, second.links()[0] === link, first.links()]).toEqual([true, true, [expect.anything()]]);
 	});
 
+	// Guards against shares that are divided by the number of entry VMs of a list which can no longer be read.
+	it('tells the number of entry VMs, and whether the list is up to date', async () => {
+		const sizes: Array<[number, boolean]> = [];
+		const onSize = (size: number, isCurrent: boolean) => {
+			sizes.push([size, isCurrent]);
+		};
+
+		const clock = ManualClock.create({wall: Date.now()});
+		list = MemoryVmList.create({clock});
+		await start('a', '1', key, {onSize});
+		await until(() => sizes.length > 0);
+		await start('b', '2');
+		await until(() => sizes.at(-1)![0] === 2 && sizes.at(-1)![1]);
+		expect(sizes[0]).toEqual([1, true]);
+		clock.stepWall(-60_000);
+		await until(() => !sizes.at(-1)![1]);
+		expect(sizes.at(-1)).toEqual([2, false]);
+	});
+
 	// Guards against entry VMs that stay apart after a restore of the store, since one of them has created a second key.
 	it('links to members with another key once it has taken over that key', async () => {
 		const oldest = await start('a', '1');
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -163,6 +163,10 @@
 		entryVms: () => this.#mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
 		retryBudgets: () => this.#retryBudgetStates(),
+		retryShares: () => {
+			const now = this.options.clock.now();
+			return {entryVms: this.#retryBudgets.entryVms(now) ?? 0, borrowed: this.#retryBudgets.borrowedShares(now)};
+		},
 		quarantined: () => this.#quarantine.size,
 		memory: readMemory,
 		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -21,6 +21,8 @@
 	readonly entryVms: () => number;
 	/** Retry budgets by service and what their retries are for. */
 	readonly retryBudgets: () => ReadonlyArray<{service: string; cause: string; requests: number; retries: number; allowed: number; slack: number}>;
+	/** Number of entry VMs that the retry slack is divided by, 0 while it is not known; and of those that have lent their shares for pieces to this one. */
+	readonly retryShares: () => {readonly entryVms: number; readonly borrowed: number};
 	/** Number of targets that name a limit. */
 	readonly limitedTargets: () => number;
 	/** Memory of the process. */
@@ -95,6 +97,8 @@
 		gauge('guavamill_relay_request_bytes', 'Bytes held of the requests of callers.', sources.requestBytes);
 		gauge('guavamill_relay_response_bytes', 'Bytes held of the responses of targets.', sources.responseBytes);
 		gauge('guavamill_relay_entry_vms', 'Entry VMs known, this one included.', sources.entryVms);
+		gauge('guavamill_relay_retry_entry_vms', 'Entry VMs that the retry slack is divided by; 0 while their number is not known.', () => sources.retryShares().entryVms);
+		gauge('guavamill_relay_retry_borrowed_shares', 'Entry VMs whose shares of the retry slack for pieces may be used here.', () => sources.retryShares().borrowed);
 		gauge('guavamill_relay_limited_targets', 'Targets that name a limit of requests per second.', sources.limitedTargets);
 		gauge('guavamill_relay_quarantined_prompt_parts', 'Sets of prompt parts with which requests are rejected, and single requests that are, since they crash targets.', sources.quarantined);
 		gauge('guavamill_relay_heap_bytes', 'Heap in use, without the young generation.', () => sources.memory().heapBytes);
