Decide on a cut by the replies that peers give, not by those they owe

Change: the first reply that names an entry VM which reaches targets begins the cut, for the question of a peer as well.

--- a/src/reach/reach-watch.test.ts
+++ b/src/reach/reach-watch.test.ts
@@ -92,6 +92,38 @@
 		watches[1]!.close();
 	});
 
+	// Guards against an entry VM that goes on taking requests while it waits for a peer that does not reply.
+	it('does not wait for all peers once one reaches targets', async () => {
+		const {clock, watches, changes, mesh} = createFleet(5, new Set([0]), 500);
+		mesh.cutOff.add(1);
+		const startedMs = clock.now();
+		watches[0]!.recordFailed('a-1');
+		watches[0]!.recordFailed('b-1');
+		await clock.advance(3000);
+		expect(changes.get(0)!.map(({atMs, isCutOff}) => [atMs - startedMs <= 600, isCutOff])).toEqual([[true, true]]);
+		watches[0]!.close();
+	});
+
+	// Guards against a cut that counts as ended, so that requests are taken again, since peers were late with their replies.
+	it('does not end the cut while peers do not reply, but once they reach none', async () => {
+		const cut = new Set([0]);
+		const {clock, watches, changes, mesh} = createFleet(3, cut, 500);
+		watches[0]!.recordFailed('a-1');
+		watches[0]!.recordFailed('b-1');
+		await clock.advance(1500);
+		expect(watches[0]!.isCutOff).toBe(true);
+		mesh.cutOff.add(1).add(2);
+		await clock.advance(5000);
+		expect(changes.get(0)!.map(({isCutOff}) => isCutOff)).toEqual([true]);
+		mesh.cutOff.clear();
+		cut.add(1).add(2);
+		await clock.advance(5000);
+		expect(watches.map(({isCutOff}) => isCutOff)).toEqual([false, false, false]);
+		for (const watch of watches) {
+			watch.close();
+		}
+	});
+
 	it('ends with a response of a target', async () => {
 		const {watches, failAt} = createFleet(30, new Set([3]));
 		await failAt(3);
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -123,24 +123,28 @@
 		try {
 			let isReached = await this.#probe(probesBeforeCut);
 			while (!isReached && !this.#isClosed) {
-				const {helpers, ...replies} = await this.#ask(0);
+				const replies = await this.#ask(0, {
+					onKnown: helper => {
+						// One is enough; the others may take long to reply.
+						if (this.#reach.isSuspicious && !this.isCutOff) {
+							this.#setHelpers([helper], startedMs);
+						}
+					},
+				});
 				// A response may have arrived meanwhile.
 				if (!this.#reach.isSuspicious) {
 					break;
 				}
 
-				const wasCutOff = this.isCutOff;
-				this.#helpers = helpers;
-				if (this.isCutOff && !wasCutOff) {
-					logger.warn('Cut off from all targets, which others reach.', {failed: [...this.#reach.failed].slice(0, probesBeforeCut), helpers, took_ms: Math.round(clock.now() - startedMs), ...replies});
-				}
-
-				if (this.isCutOff !== wasCutOff) {
-					this.options.onChange?.(this.isCutOff);
-				}
-
-				if (helpers.length === 0) {
-					logger.warn('No target can be reached, from other entry VMs either.', {failed: this.#reach.failed.size, was_cut_off: wasCutOff, ...replies});
+				const {helpers, unknown, silent} = replies;
+				if (helpers.length > 0) {
+					this.#setHelpers(helpers, startedMs);
+				} else {
+					logger.warn('No target can be reached, from other entry VMs that replied either.', {...replies, failed: this.#reach.failed.size, was_cut_off: this.isCutOff});
+					// Peers that do not reply may reach targets as before.
+					if (unknown > 0 && silent === 0) {
+						this.#setHelpers([], startedMs);
+					}
 				}
 
 				await clock.sleep(checkIntervalMs);
@@ -153,6 +157,20 @@
 		}
 	}
 
+	/** Sets the entry VMs that reach targets, of which there are some while this one counts as cut off. */
+	#setHelpers(helpers: readonly string[], suspectedMs: Ms): void {
+		const {clock, logger, onChange} = this.options;
+		const wasCutOff = this.isCutOff;
+		this.#helpers = helpers;
+		if (this.isCutOff && !wasCutOff) {
+			logger.warn('Cut off from all targets, which others reach.', {failed: [...this.#reach.failed].slice(0, probesBeforeCut), helpers, took_ms: Math.round(clock.now() - suspectedMs)});
+		}
+
+		if (this.isCutOff !== wasCutOff) {
+			onChange?.(this.isCutOff);
+		}
+	}
+
 	/** Probes some targets, of as many services as possible, and resolves to whether one responds. */
 	async #probe(count: number): Promise<boolean> {
 		const {targets, probe, random} = this.options;
@@ -174,12 +192,19 @@
 	}
 
 	/** Resolves with the addresses for callers of entry VMs that reach targets, and the numbers of peers that know of one, know of none, or did not reply. */
-	async #ask(hops: number, except?: Link): Promise<{readonly helpers: readonly string[]; readonly known: number; readonly unknown: number; readonly silent: number}> {
+	async #ask(hops: number, {except, onKnown}: {except?: Link; onKnown?: (callers: string) => void}): Promise<{readonly helpers: readonly string[]; readonly known: number; readonly unknown: number; readonly silent: number}> {
 		const {links, random, zone} = this.options;
 		// Zones are partitioned as a whole more often than entry VMs of several zones are.
 		const order = new Map(links().map(link => [link, (link.peer.zone === zone ? 1 : 0) + random.float()]));
 		const asked = [...order.keys()].filter(link => link !== except).toSorted((a, b) => order.get(a)! - order.get(b)!).slice(0, maxAsked);
-		const replies = await Promise.all(asked.map(async link => this.#replies.request(link, replyTimeoutMs / (hops + 1), id => link.send({type: 'reach-request', id, hops: hops + 1}))));
+		const replies = await Promise.all(asked.map(async link => {
+			const reply = await this.#replies.request(link, replyTimeoutMs / (hops + 1), id => link.send({type: 'reach-request', id, hops: hops + 1}));
+			if (typeof reply !== 'string' && reply.callers !== null) {
+				onKnown?.(reply.callers);
+			}
+
+			return reply;
+		}));
 		const told = replies.flatMap(reply => typeof reply === 'string' ? [] : [reply.callers]);
 		const known = told.filter(callers => callers !== null);
 		return {
@@ -187,14 +212,27 @@
 		};
 	}
 
+	/** Resolves with the first reply that names an entry VM which reaches targets; `null` if none does. */
+	async #askForOne(hops: number, except: Link): Promise<string | null> {
+		let onKnown: (callers: string) => void = () => undefined;
+		const first = new Promise<string>(resolve => {
+			onKnown = resolve;
+		});
+		const askAll = async () => {
+			await this.#ask(hops, {except, onKnown});
+			return null;
+		};
+
+		return Promise.race([first, askAll()]);
+	}
+
 	async #answer(link: Link, id: number, hops: number): Promise<void> {
 		const {clock, callersAddress, logger} = this.options;
 		const startedMs = clock.now();
 		let callers: string | null = null;
 		try {
 			const isReached = !this.isCutOff && (this.#reach.isFresh(startedMs) || await this.#probe(probesPerCheck));
-			const {helpers: [other]} = isReached || hops >= maxHops ? {helpers: []} : await this.#ask(hops, link);
-			callers = isReached ? callersAddress() : other ?? null;
+			callers = isReached ? callersAddress() : (hops < maxHops ? await this.#askForOne(hops, link) : null);
 			logger.info('Told a peer whether targets can be reached.', {
 				peer: link.peer.name, hops, is_reached: isReached, callers, failed: this.#reach.failed.size, took_ms: Math.round(clock.now() - startedMs),
 			});
