--- a/src/pools/retry-budgets.ts
+++ b/src/pools/retry-budgets.ts
@@ -10,8 +10,8 @@
 const usedRatio = 0.5;
 /** Fraction of the slack that is used; the rest covers entry VMs that some do not know of yet, and retries that arrive late. */
 const usedSlack = 0.8;
-/** Part of the retries at a stage service that the owner of a request pays for, who runs its stages again; the host of the pools pays for pieces with the rest. */
-const ownerPart = 0.5;
+/** Part of the retries at a service with a stage pool that is left for requests sent to it directly; the host of the pools pays for all repeated pieces with the rest. */
+const directPart = 0.1;
 /** Time for which an entry VM lends its share for pieces to the host of the pools, and the interval at which it renews the loan. */
 export const shareLoanMs: Ms = 3000;
 export const shareRenewalMs: Ms = 1000;
@@ -45,8 +45,8 @@
 
 	/** Fractions of the limits that a host of stage pools may use for pieces. */
 	readonly pieceShares: RetryShares = {
-		ratio: () => usedRatio * (1 - ownerPart),
-		slack: now => usedSlack * (1 - ownerPart) * this.#borrowed.count(now) / this.#divisor(now),
+		ratio: () => usedRatio * (1 - directPart),
+		slack: now => usedSlack * (1 - directPart) * this.#borrowed.count(now) / this.#divisor(now),
 	};
 
 	readonly #budgets = new Map<string, ServiceRetryBudget>();
@@ -76,7 +76,7 @@
 		let budget = this.#budgets.get(service);
 		if (!budget) {
 			const {startedMs, isStageService, onSpend} = this.options;
-			const part = () => isStageService(service) ? ownerPart : 1;
+			const part = () => isStageService(service) ? directPart : 1;
 			budget = ServiceRetryBudget.create({
 				limits: this.#limits,
 				share: now => usedSlack * part() / this.#divisor(now),
