End each request of a shutdown by itself

Change: EndNotice calls all of its listeners and hands on what they throw; RelayServer ends each request by itself, and logs the errors.

--- a/src/relay/end-notice.ts
+++ b/src/relay/end-notice.ts
@@ -3,18 +3,20 @@
  * one that is added.
  *
  * @example
+ * const notice = EndNotice.create({onError: err => logger.error('Cannot end a request.', {error: errorMessage(err)})});
  * notice.add(onEnd);
  * notice.give();
  */
 export class EndNotice {
-	static create(): EndNotice {
-		return new EndNotice();
+	/** `onError` is called with what a listener throws; the other listeners are called in any case. */
+	static create({onError}: {onError: (err: unknown) => void}): EndNotice {
+		return new EndNotice(onError);
 	}
 
 	readonly #listeners = new Set<() => void>();
 	#isGiven = false;
 
-	private constructor() {}
+	private constructor(private readonly onError: (err: unknown) => void) {}
 
 	get isGiven(): boolean {
 		return this.#isGiven;
@@ -33,7 +35,11 @@
 		if (!this.#isGiven) {
 			this.#isGiven = true;
 			for (const listener of this.#listeners) {
-				listener();
+				try {
+					listener();
+				} catch (err) {
+					this.onError(err);
+				}
 			}
 		}
 	}
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -69,7 +69,12 @@
 	readonly #connections: ConnectionTracker;
 	readonly #handlers = new Set<RequestHandler | ForwardedRequest>();
 	/** Given when the requests in progress are ended. */
-	readonly #endNotice = EndNotice.create();
+	readonly #endNotice = EndNotice.create({
+		onError: err => {
+			this.#logEndError(err);
+		},
+	});
+
 	readonly #callers = new WeakMap<Socket, CallerConnection>();
 	/** Connections with a request whose rest is timed here, and not by the HTTP server. */
 	readonly #selfTimed = new WeakSet<Socket>();
@@ -124,24 +129,24 @@
 
 	/** Rejects the requests that wait for their stages or for a place at a target, and could no longer be completed there before the shutdown ends. */
 	rejectLate(): void {
-		for (const handler of this.#handlers) {
+		this.#endEach(handler => {
 			handler.rejectIfLate();
-		}
+		});
 	}
 
 	/** Ends the requests in progress whose responses have not begun with an answer; those that have not arrived completely are refused once they have. */
 	endUnanswered(): void {
-		for (const handler of this.#handlers) {
+		this.#endEach(handler => {
 			handler.endUnanswered();
-		}
+		});
 	}
 
 	/** Ends all requests in progress with an answer, those that have not arrived completely too, or resets the connections of streams that have begun. */
 	endRequests(): void {
 		this.#endNotice.give();
-		for (const handler of this.#handlers) {
+		this.#endEach(handler => {
 			handler.end();
-		}
+		});
 	}
 
 	/** Stops listening and closes all connections immediately. */
@@ -149,6 +154,21 @@
 		await closeServer(this.#server);
 	}
 
+	/** Ends requests each by itself: an error with one must not keep the others from their answers. */
+	#endEach(end: (handler: RequestHandler | ForwardedRequest) => void): void {
+		for (const handler of this.#handlers) {
+			try {
+				end(handler);
+			} catch (err) {
+				this.#logEndError(err);
+			}
+		}
+	}
+
+	#logEndError(err: unknown): void {
+		this.options.context.logger.error('Cannot end a request; going on with the others.', {error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
+	}
+
 	readonly #onRequest = (req: IncomingMessage, res: ServerResponse) => {
 		void this.#handle(req, res);
 	};
