--- a/src/relay/caller-connection.test.ts
+++ b/src/relay/caller-connection.test.ts
@@ -142,6 +142,26 @@
 		expect(mostRunning).toBe(1);
 	});
 
+	// Guards against 400 in response to a whole request whose caller closes its side of the connection behind it.
+	it.each([100, 20_000, 200_000].flatMap(bodyBytes => [0, 100].map(heldMs => [bodyBytes, heldMs] as const)))('takes a request of %d bytes that is held for %d ms for a whole one at the end behind it', async (bodyBytes, heldMs) => {
+		handle = req => {
+			req.on('error', () => undefined).resume();
+			if (heldMs > 0) {
+				setTimeout(connection.hold(), heldMs);
+			}
+		};
+
+		const clientErrors: Error[] = [];
+		server.on('clientError', (err, socket) => {
+			clientErrors.push(err);
+			socket.destroy();
+		});
+		const {socket, seen} = open();
+		socket.end(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${bodyBytes}\r\n\r\n${'p'.repeat(bodyBytes)}`);
+		await waitUntil(() => socket.closed);
+		expect([clientErrors, seen.text]).toEqual([[], '']);
+	});
+
 	it('reads no more than a little from a caller whose first request is not answered', async () => {
 		const responses: ServerResponse[] = [];
 		handle = (req, res) => {
