Count a retry when it is sent, not when it is granted

A grant is reserved now and counts in each window until it is sent; it counts from then on, and is released if its job, its stage or its request ends before. The retry of a request is reserved in the same way until its attempt starts, which may wait for a target with a limit. Pieces are sent in their order, so that a plan that was run twice has sent as many of a stage as the run that sent most; they were added up. A denied plan is counted and logged as one.

New tests of ServiceRetryBudget, StagePool and StagePlanRun fail without the change (no such methods before). src/pools and src/relay pass; not played in processes with waits of that length.

--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -193,7 +193,7 @@
 		this.#pools.get(service)?.pool.withdraw(id);
 	}
 
-	spendRetries(plan: StagePlan): boolean {
+	reserveRetries(plan: StagePlan): boolean {
 		const repeats = countRepeats(plan);
 		if (repeats.size === 0) {
 			return true;
@@ -201,9 +201,10 @@
 
 		const now = this.now();
 		const lacking = [...repeats].find(([service, pieces]) => !this.#budget(service).canSpend(now, pieces))?.[0];
-		if (lacking === undefined) {
-			for (const [service, pieces] of repeats) {
-				this.#budget(service).spend(now, pieces);
+		// The one that lacks some denies and reports it.
+		for (const [service, pieces] of repeats) {
+			if (lacking === undefined || lacking === service) {
+				this.#budget(service).reserve(now, pieces);
 			}
 		}
 
@@ -213,9 +214,14 @@
 		return lacking === undefined;
 	}
 
+	releaseRetries(service: string, pieces: number): void {
+		this.#budget(service).release(pieces);
+	}
+
 	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome> {
 		const declared = this.options.service(service);
 		if (!declared?.stagePool || signal.aborted) {
+			this.releaseRetries(service, job.sentPieces ?? 0);
 			return {failure: signal.aborted ? 'cancelled' : 'no_target', retryAfterMs: 0};
 		}
 
--- a/src/pools/service-retry-budget.test.ts
+++ b/src/pools/service-retry-budget.test.ts
@@ -58,6 +58,15 @@
 		expect([budget.spend(0), budget.spend(1), budget.spend(9000), budget.spend(11_500)]).toEqual([true, false, false, true]);
 	});
 
+	// Guards against retries that reach a service together although they were granted in different windows.
+	it('counts reserved retries until they are sent, and then from that moment', () => {
+		const budget = ServiceRetryBudget.create({limits, share: () => 10 / 58});
+		expect([budget.reserve(0, 8), budget.canSpend(30_000, 3)]).toEqual([true, false]);
+		budget.recordSent(30_000, 5);
+		budget.release(3);
+		expect([budget.canSpend(30_000, 6), budget.canSpend(30_000, 5), budget.canSpend(40_000, 6), budget.canSpend(42_000, 10)]).toEqual([false, true, false, true]);
+	});
+
 	it('spends several retries at once, all or none, and tells what it held', () => {
 		const spends: RetrySpend[] = [];
 		const budget = ServiceRetryBudget.create({
--- a/src/pools/service-retry-budget.ts
+++ b/src/pools/service-retry-budget.ts
@@ -73,6 +73,8 @@
 
 	/** Oldest first. */
 	readonly #buckets: Bucket[] = [];
+	/** Retries that were granted and are neither sent nor released. */
+	#reserved = 0;
 	#limits: RetryLimits;
 	#countedSinceMs: Ms;
 
@@ -101,25 +103,49 @@
 		return retries + count <= allowed;
 	}
 
-	/** Spends `count` retries, all or none; returns false when the budget of the window does not suffice. */
+	/** Spends `count` retries that are sent now, all or none; returns false when the budget of the window does not suffice. */
 	spend(now: Ms, count = 1): boolean {
+		const isGranted = this.reserve(now, count);
+		if (isGranted) {
+			this.recordSent(now, count);
+		}
+
+		return isGranted;
+	}
+
+	/**
+	 * Reserves `count` retries that are sent later, all or none; returns false when the budget of the window does not suffice.
+	 * They count until they are recorded as sent or released, however long that takes.
+	 */
+	reserve(now: Ms, count = 1): boolean {
 		const state = this.state(now);
 		const isGranted = state.retries + count <= state.allowed;
 		if (isGranted) {
-			this.#current(now).retries += count;
+			this.#reserved += count;
 		}
 
 		this.options.onSpend?.({...state, isGranted, count});
 		return isGranted;
 	}
 
+	/** Records that `count` reserved retries are sent now. */
+	recordSent(now: Ms, count = 1): void {
+		this.#reserved -= count;
+		this.#current(now).retries += count;
+	}
+
+	/** Releases `count` reserved retries that will not be sent. */
+	release(count = 1): void {
+		this.#reserved -= count;
+	}
+
 	/** Returns what was counted in the window, and what it allows. */
 	state(now: Ms): RetryBudgetState {
 		const {windowMs, ratio, slack: wholeSlack} = this.#limits;
 		const {share, ratioShare = () => 1} = this.options;
 		this.#expire(now);
 		let requests = 0;
-		let retries = 0;
+		let retries = this.#reserved;
 		for (const bucket of this.#buckets) {
 			requests += bucket.startMs >= now - windowMs ? bucket.requests : 0;
 			retries += bucket.retries;
--- a/src/pools/stage-plan-run.test.ts
+++ b/src/pools/stage-plan-run.test.ts
@@ -16,6 +16,7 @@
 	waitMs = 0;
 	isIdle = true;
 	hasBudget = true;
+	readonly released: string[] = [];
 
 	now() {
 		return 0;
@@ -33,10 +34,14 @@
 		return this.isIdle;
 	}
 
-	spendRetries() {
+	reserveRetries() {
 		return this.hasBudget;
 	}
 
+	releaseRetries(service: string, pieces: number) {
+		this.released.push(`${service} ${pieces}`);
+	}
+
 	withdraw(service: string, id: string) {
 		this.announced.delete(`${service} ${id}`);
 	}
@@ -160,6 +165,15 @@
 		expect(host.jobs).toEqual([]);
 	});
 
+	// Guards against retries that stay reserved for stages which are never sent, so that others are refused for good.
+	it('releases the retries of stages that it does not submit', async () => {
+		const host = new FakeHost();
+		host.answers.set('archive', () => ({failure: 'failed', retryAfterMs: 0}));
+		await run(host, {...chain, sentPieces: [1, 1, 2]});
+		expect(host.jobs.map(({job}) => job.sentPieces)).toEqual([1]);
+		expect(host.released).toEqual(chain.stages.slice(1).map(({service}, index) => `${service} ${index + 1}`));
+	});
+
 	it('reports how many pieces it and earlier runs may have sent when it fails', async () => {
 		const host = new FakeHost();
 		host.answers.set('press', () => ({failure: 'failed', retryAfterMs: 0, sentPieces: 1}));
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -16,9 +16,11 @@
 	withdraw(service: string, id: string): void;
 	/** Whether no piece of a job has been in a call yet; also true for a job that is not in the pool. */
 	isUnstarted(service: string, id: string): boolean;
-	/** Takes the pieces that a plan sends again from the retry budgets of their services, all or none, and returns whether it did. */
-	spendRetries(plan: StagePlan): boolean;
-	/** Submits a job and resolves with its outcome; never rejects. */
+	/** Reserves the pieces that a plan sends again in the retry budgets of their services, all or none, and returns whether it did. */
+	reserveRetries(plan: StagePlan): boolean;
+	/** Releases reserved pieces of a stage that is not submitted. */
+	releaseRetries(service: string, pieces: number): void;
+	/** Submits a job, with the retries that are reserved for it, and resolves with its outcome; never rejects. */
 	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome>;
 	/** Returns the availability zone of the target that holds a result, if known. */
 	zoneOf(handle: string): string | undefined;
@@ -53,6 +55,8 @@
 	/** Handles of the results of each ended stage; empty once they are freed. */
 	readonly #results = new Map<number, readonly string[]>();
 	readonly #runs = new Map<number, StageRun>();
+	/** Stages whose jobs have been submitted, with the retries that were reserved for them. */
+	readonly #submitted = new Set<number>();
 	/** Number of pieces sent by stage. */
 	readonly #sentPieces: number[];
 	readonly #isOnTime: boolean;
@@ -77,7 +81,7 @@
 			return this.#fail({failure: 'overloaded', retryAfterMs: excessMs});
 		}
 
-		if (!host.spendRetries(plan)) {
+		if (!host.reserveRetries(plan)) {
 			return this.#fail({failure: 'no_budget', retryAfterMs: noBudgetRetryAfterMs});
 		}
 
@@ -86,7 +90,13 @@
 		const stop = AbortSignal.any([signal, failed.signal, this.#handOver.signal]);
 		// Each job listens to it until its end; the runtime warns of more than 10 listeners as of a leak.
 		setMaxListeners(0, stop);
-		const outcomes = await this.#runStages(stop, failed);
+		let outcomes: StageJobOutcome[];
+		try {
+			outcomes = await this.#runStages(stop, failed);
+		} finally {
+			this.#releaseRetries();
+		}
+
 		const failures = outcomes.filter(outcome => 'failure' in outcome);
 		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
 		if (failure) {
@@ -99,9 +109,19 @@
 		};
 	}
 
+	#releaseRetries(): void {
+		for (const [stage, {service}] of this.plan.stages.entries()) {
+			const pieces = this.plan.sentPieces?.[stage] ?? 0;
+			if (pieces > 0 && !this.#submitted.has(stage)) {
+				this.host.releaseRetries(service, pieces);
+			}
+		}
+	}
+
+	/** The pieces of a stage are sent in their order, so that those of the run that sent most are those of all runs. */
 	#fail({failure, retryAfterMs}: Pick<StagePlanFailure, 'failure' | 'retryAfterMs'>): StagePlanFailure {
 		const {stages, sentPieces = []} = this.plan;
-		return {failure, retryAfterMs, sentPieces: stages.map(({pieces}, stage) => Math.min(pieces, (sentPieces[stage] ?? 0) + this.#sentPieces[stage]!))};
+		return {failure, retryAfterMs, sentPieces: stages.map(({pieces}, stage) => Math.min(pieces, Math.max(sentPieces[stage] ?? 0, this.#sentPieces[stage]!)))};
 	}
 
 	/** Ends the plan so that another host runs it. */
@@ -199,6 +219,7 @@
 		}
 
 		const inputs = after.flatMap(other => this.#results.get(other) ?? []);
+		this.#submitted.add(stage);
 		const outcome = await this.host.runJob(service, {
 			id: this.#jobId(stage),
 			attemptId,
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -316,6 +316,20 @@
 		expect(outcomes.get('a')).toHaveProperty('results.length', 1);
 	});
 
+	// Guards against repeats that reach a service together although they were granted in different windows.
+	it('counts a piece that is sent again when its call starts, and not if it never does', () => {
+		const budget = ServiceRetryBudget.create({limits: {windowMs: 10_000, ratio: 0, slack: 3}, share: () => 1});
+		const pool = StagePool.create({limits, budget, onUnused: () => undefined});
+		pool.setTargets([target('t1')]);
+		expect(budget.reserve(0, 3)).toBe(true);
+		pool.submit(job('sent', {pieces: 2, sentPieces: 2, deadlineMs: 60_000}), () => undefined, 0);
+		pool.submit(job('cancelled', {sentPieces: 1, deadlineMs: 60_000}), () => undefined, 0);
+		pool.cancel('cancelled');
+		expect(budget.canSpend(20_000)).toBe(true);
+		expect(pool.nextCalls(20_000).map(({repeats}) => repeats)).toEqual([2]);
+		expect([budget.canSpend(29_000, 2), budget.canSpend(29_000), budget.canSpend(32_000, 3)]).toEqual([false, true, true]);
+	});
+
 	it('fails a job when the retry budget is exhausted', () => {
 		const {pool, submit, outcomes} = create([target('t1'), target('t2')], 0);
 		submit(job('a'));
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -54,6 +54,8 @@
 	readonly tries: number[];
 	/** Number of first calls of pieces that are still to be counted as repeats, since earlier runs may have sent them. */
 	sentBefore: number;
+	/** Number of calls of pieces for which retries are reserved. */
+	reservedRetries: number;
 	/** Indexes of the pieces that wait for a call. */
 	waiting: number[];
 	/** Number of pieces in a call. */
@@ -101,7 +103,7 @@
 	 */
 	readonly #notices: Array<() => void> = [];
 	#limits: StagePoolLimits;
-	#budget: ServiceRetryBudget;
+	readonly #budget: ServiceRetryBudget;
 	#nextCallId = 1;
 
 	private constructor(private readonly options: StagePoolOptions) {
@@ -138,11 +140,6 @@
 		this.#limits = limits;
 	}
 
-	/** Replaces the retry budget. */
-	setBudget(budget: ServiceRetryBudget): void {
-		this.#budget = budget;
-	}
-
 	/** Replaces the targets that may get calls. Calls in progress at removed targets continue. */
 	setTargets(targets: readonly StageTarget[]): void {
 		const listed = new Map(targets.map(target => [target.id, target]));
@@ -171,17 +168,19 @@
 	submit(job: StageJob, onEnd: (outcome: StageJobOutcome) => void, now: Ms): void {
 		this.#announced.delete(job.id);
 		if (this.#targets.size === 0) {
+			this.#budget.release(job.sentPieces ?? 0);
 			onEnd({failure: 'no_target', retryAfterMs: this.#limits.callMs});
 			return;
 		}
 
 		if (this.#jobs.has(job.id)) {
+			this.#budget.release(job.sentPieces ?? 0);
 			onEnd({failure: 'failed', retryAfterMs: this.#limits.callMs});
 			return;
 		}
 
 		this.#jobs.set(job.id, {
-			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), sentBefore: job.sentPieces ?? 0, waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, isSuspect: false, onEnd,
+			job, results: Array.from({length: job.pieces}), tries: Array.from({length: job.pieces}, () => 0), sentBefore: job.sentPieces ?? 0, reservedRetries: job.sentPieces ?? 0, waiting: Array.from({length: job.pieces}, (_, piece) => piece), inCall: 0, isSuspect: false, onEnd,
 		});
 	}
 
@@ -380,7 +379,7 @@
 		const id = this.#nextCallId++;
 		const expectedMs = (this.#limits.callMs + (this.#limits.pieceMs * pieces.length)) * Math.max(1, target.slowdown(now));
 		const call: StageCall = {
-			id, target: target.target, pieces, repeats: this.#countTries(pieces), isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
+			id, target: target.target, pieces, repeats: this.#countTries(pieces, now), isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
 		};
 		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowdown(now))});
 		target.startCall(id, {memoryMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs}, now);
@@ -388,20 +387,23 @@
 	}
 
 	/** Counts the pieces of a call that starts, and returns how many of them are repeats. */
-	#countTries(pieces: readonly CalledPiece[]): number {
+	#countTries(pieces: readonly CalledPiece[], now: Ms): number {
 		let repeats = 0;
 		for (const {job, piece} of pieces) {
 			const state = this.#jobs.get(job.id)!;
 			state.inCall++;
 			state.tries[piece]!++;
-			if (state.tries[piece]! > 1) {
-				repeats++;
-			} else if (state.sentBefore > 0) {
-				state.sentBefore--;
-				repeats++;
+			const isFirst = state.tries[piece] === 1;
+			if (isFirst && state.sentBefore === 0) {
+				continue;
 			}
+
+			state.sentBefore -= isFirst ? 1 : 0;
+			state.reservedRetries--;
+			repeats++;
 		}
 
+		this.#budget.recordSent(now, repeats);
 		return repeats;
 	}
 
@@ -429,9 +431,10 @@
 
 		if (result.problem === 'late' || result.problem === 'gone') {
 			this.#fail(state, result.problem === 'late' ? 'late' : 'input_gone');
-		} else if (state.tries[piece]! >= maxPieceTries || !this.#budget.spend(now)) {
+		} else if (state.tries[piece]! >= maxPieceTries || !this.#budget.reserve(now)) {
 			this.#fail(state, end.kind === 'refused' ? 'overloaded' : 'failed');
 		} else {
+			state.reservedRetries++;
 			state.waiting.unshift(piece);
 		}
 	}
@@ -474,6 +477,7 @@
 
 	#end(state: JobState, outcome: StageJobOutcome): void {
 		this.#jobs.delete(state.job.id);
+		this.#budget.release(state.reservedRetries);
 		this.#notices.push(() => {
 			state.onEnd(outcome);
 		});
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -82,8 +82,8 @@
 	#errorResponse: TargetResponse | undefined;
 	/** Target with a place for the next attempt, for which a retry is taken from the budget already. */
 	#reservedTarget: RelayTarget | undefined;
-	/** Whether the next attempt still has to be taken from the retry budget, which waits for its stages. */
-	#isRetryDue = false;
+	/** Whether a retry is reserved in the budget for the next attempt. */
+	#isRetryReserved = false;
 	/** Whether the stages have failed while they were run again for a further attempt. */
 	#hasFailedInputs = false;
 	/** Prompt parts that other requests may share. */
@@ -127,6 +127,9 @@
 			endWatch();
 			res.off('close', onClose);
 			this.#releaseStageResults();
+			if (this.#isRetryReserved) {
+				this.context.retryBudget(this.#service).release();
+			}
 		}
 	}
 
@@ -189,7 +192,7 @@
 			}
 
 			// The failed attempt may have consumed the stage results, or they may have expired.
-			inputs = this.#needsStages ? await this.#runStagesAgain(outcome) : this.#stageResults.map(result => result.handle);
+			inputs = this.#needsStages ? await this.#runStages(outcome) : this.#stageResults.map(result => result.handle);
 		}
 
 		if (this.#isCallerGone) {
@@ -227,18 +230,6 @@
 		return undefined;
 	}
 
-	/** Runs the stages for a further attempt, which is taken from the retry budget once they have been granted theirs. */
-	async #runStagesAgain(failed: FailedAttempt): Promise<readonly string[] | undefined> {
-		const inputs = await this.#runStages(failed);
-		if (inputs && this.#isRetryDue && !this.context.retryBudget(this.#service).spend(this.context.clock.now())) {
-			this.#releaseStageResults();
-			this.#endFailed(failed, 'no_budget');
-			return undefined;
-		}
-
-		return inputs;
-	}
-
 	async #requestStages(signal: AbortSignal): Promise<StagePlanOutcome> {
 		const {context, request} = this;
 		const {route, head, attemptId} = request;
@@ -308,6 +299,11 @@
 		const mayRetry = this.#sentCount + 1 < route.maxAttempts && isRetryable(route);
 		const {prompt} = head;
 		this.#picker.addTried(target);
+		if (this.#isRetryReserved) {
+			this.#isRetryReserved = false;
+			context.retryBudget(this.#service).recordSent(startedMs);
+		}
+
 		if (prompt) {
 			target.pendingTokens += prompt.inputTokens;
 		}
@@ -447,14 +443,7 @@
 		}
 
 		const now = context.clock.now();
-		this.#isRetryDue = false;
-		const spendRetry = () => {
-			const budget = context.retryBudget(this.#service);
-			this.#isRetryDue = this.#needsStages;
-			return this.#isRetryDue ? budget.canSpend(now) : budget.spend(now);
-		};
-
-		const decision: RetryDecision = this.#reservedTarget ? {step: 'retry'} : decideRetry({...this.#stateAfter(failure), spendRetry});
+		const decision: RetryDecision = this.#reservedTarget ? {step: 'retry'} : decideRetry({...this.#stateAfter(failure), spendRetry: () => this.#reserveBudget()});
 		if (decision.step === 'retry') {
 			context.logger.info('Retrying a request on another target.', {
 				id: request.attemptId, service: this.#service, after: failure, reason: outcome.reason, left_ms: Math.round(this.#timeBudget.deadlineMs - now),
@@ -531,7 +520,6 @@
 	 * still to be given up. Returns why there is no other attempt; `undefined` if there is one, or none is needed any more.
 	 */
 	async #prepareRetry(signal: AbortSignal, isSent: boolean): Promise<RetryDenial | undefined> {
-		const {clock, retryBudget} = this.context;
 		const prepared = this.#needsStages ? await this.#prepareStages(signal) : {results: []};
 		const newResults = 'results' in prepared ? prepared.results : [];
 		const target = 'results' in prepared && !signal.aborted ? await this.#picker.reservePlace({isProbed: true}) : undefined;
@@ -545,7 +533,7 @@
 		}
 
 		const denial = target?.isAccepting ? this.#findReservationDenial(isSent) : 'no_place';
-		if (denial !== undefined || (isSent && !retryBudget(this.#service).spend(clock.now()))) {
+		if (denial !== undefined || (isSent && !this.#reserveBudget())) {
 			this.#freeResults(newResults);
 			return denial;
 		}
@@ -555,6 +543,12 @@
 		return undefined;
 	}
 
+	/** Reserves a retry in the budget for the next attempt. */
+	#reserveBudget(): boolean {
+		this.#isRetryReserved ||= this.context.retryBudget(this.#service).reserve(this.context.clock.now());
+		return this.#isRetryReserved;
+	}
+
 	/** Runs the stages again while the attempt in progress goes on. */
 	async #prepareStages(signal: AbortSignal): Promise<{readonly results: readonly StageResult[]} | {readonly denial: RetryDenial}> {
 		const outcome = await this.#requestStages(signal);
