--- a/src/relay/write-response-head.ts
+++ b/src/relay/write-response-head.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import {isFollowed} from '../http/index.js';
+import {mayBeFollowed} from '../http/index.js';
 import {isBodiless} from './body-framing.js';
 import type {TargetResponse} from './target-attempt.js';
 
@@ -26,6 +26,6 @@
 		...head.forwardedHeaders,
 		...(isUndeclared ? undeclaredEnd : {}),
 		...(isDelimited && bytes !== undefined && !isBodiless(res.req.method!, status) ? {'content-length': bytes} : {}),
-		...((isClosing && !isFollowed(res)) || !isDelimited ? {connection: 'close'} : {}),
+		...((isClosing && !mayBeFollowed(res)) || !isDelimited ? {connection: 'close'} : {}),
 	});
 }
