--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -5,6 +5,7 @@
 import type {ServiceDeclaration} from '../routes/index.js';
 import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
+import {countRepeats} from './sent-pieces.js';
 import {
 	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
 } from './service-retry-budget.js';
@@ -52,7 +53,7 @@
 	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
 };
 
-type HostedPool = {readonly pool: StagePool; readonly budget: ServiceRetryBudget; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
+type HostedPool = {readonly pool: StagePool; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
 
 /**
  * Hosts the stage pools of this process: runs plans, sends the calls that each pool schedules, and frees results.
@@ -66,6 +67,7 @@
 	}
 
 	readonly #pools = new Map<string, HostedPool>();
+	readonly #budgets = new Map<string, ServiceRetryBudget>();
 	readonly #releaser: ResultReleaser;
 	readonly #runs = new Set<StagePlanRun>();
 	#retryLimits: RetryLimits;
@@ -102,6 +104,7 @@
 
 	async #run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
 		this.#planCount++;
+		this.#recordRequest(plan);
 		const run = StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#planCount}`);
 		this.#runs.add(run);
 		let outcome: StagePlanOutcome;
@@ -129,7 +132,7 @@
 	/** Replaces the retry limits; what was spent under the earlier ones still counts. */
 	setRetryLimits(limits: RetryLimits): void {
 		this.#retryLimits = limits;
-		for (const {budget} of this.#pools.values()) {
+		for (const budget of this.#budgets.values()) {
 			budget.setLimits(limits, this.now());
 		}
 	}
@@ -190,6 +193,26 @@
 		this.#pools.get(service)?.pool.withdraw(id);
 	}
 
+	spendRetries(plan: StagePlan): boolean {
+		const repeats = countRepeats(plan);
+		if (repeats.size === 0) {
+			return true;
+		}
+
+		const now = this.now();
+		const lacking = [...repeats].find(([service, pieces]) => !this.#budget(service).canSpend(now, pieces))?.[0];
+		if (lacking === undefined) {
+			for (const [service, pieces] of repeats) {
+				this.#budget(service).spend(now, pieces);
+			}
+		}
+
+		this.options.logger.info(lacking === undefined ? 'Sending pieces of a request again.' : 'Cannot send pieces of a request again: the retry budget does not suffice.', {
+			id: plan.attemptId, repeats: Object.fromEntries(repeats), ...(lacking === undefined ? {} : {lacking}),
+		});
+		return lacking === undefined;
+	}
+
 	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome> {
 		const declared = this.options.service(service);
 		if (!declared?.stagePool || signal.aborted) {
@@ -242,7 +265,16 @@
 
 	/** Returns the state of the retry budget of each service. */
 	retryBudgets(): Array<{service: string; state: RetryBudgetState}> {
-		return [...this.#pools].map(([service, {budget}]) => ({service, state: budget.state(this.now())}));
+		return [...this.#budgets].map(([service, budget]) => ({service, state: budget.state(this.now())}));
+	}
+
+	/** Records a request once for each service that has pieces of it. A plan that was run before was recorded then. */
+	#recordRequest({stages, sentPieces}: StagePlan): void {
+		if (sentPieces === undefined) {
+			for (const service of new Set(stages.filter(({pieces}) => pieces > 0).map(stage => stage.service))) {
+				this.#budget(service).recordRequest(this.now());
+			}
+		}
 	}
 
 	#hostPool(declared: ServiceDeclaration): HostedPool {
@@ -252,16 +284,14 @@
 			return hostedPool;
 		}
 
-		const budget = this.#createBudget(declared.name);
 		hostedPool = {
 			pool: StagePool.create({
 				limits: declared.stagePool!,
-				budget,
+				budget: this.#budget(declared.name),
 				onUnused: handle => {
 					this.#releaser.free([handle]);
 				},
 			}),
-			budget,
 			cancelWakeup: undefined,
 			isDispatchScheduled: false,
 		};
@@ -274,6 +304,12 @@
 		return hostedPool;
 	}
 
+	#budget(service: string): ServiceRetryBudget {
+		const budget = this.#budgets.get(service) ?? this.#createBudget(service);
+		this.#budgets.set(service, budget);
+		return budget;
+	}
+
 	#createBudget(service: string): ServiceRetryBudget {
 		const {retryShares} = this.options;
 		return ServiceRetryBudget.create({
@@ -370,6 +406,7 @@
 			end: end.kind,
 			...(problems.length === 0 ? {} : {problems: problems.length, first_problem: problems[0]}),
 			pieces: call.pieces.length,
+			repeats: call.repeats,
 			ids: [...new Set(call.pieces.map(({job}) => job.attemptId))],
 			backlog: pool.backlog,
 			took_ms: Math.round(clock.now() - startedMs),
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -214,18 +214,16 @@
 
 	/** Resolves with the first reply that names an entry VM which reaches targets; `null` if none does. */
 	async #askForOne(hops: number, except: Link): Promise<string | null> {
-		return new Promise((resolve, reject) => {
-			const ask = async () => {
-				try {
-					await this.#ask(hops, {except, onKnown: resolve});
-					resolve(null);
-				} catch (err) {
-					reject(err);
-				}
-			};
-
-			void ask();
+		let onKnown: (callers: string) => void = () => undefined;
+		const first = new Promise<string>(resolve => {
+			onKnown = resolve;
 		});
+		const askAll = async () => {
+			await this.#ask(hops, {except, onKnown});
+			return null;
+		};
+
+		return Promise.race([first, askAll()]);
 	}
 
 	async #answer(link: Link, id: number, hops: number): Promise<void> {
