--- a/src/relay/forwarded-request.ts
+++ b/src/relay/forwarded-request.ts
@@ -142,7 +142,10 @@
 		const {res} = this.request;
 		const isUndeclared = this.#framing === 'connection';
 		const length = isUndeclared ? undefined : headers['content-length'] as string | undefined;
-		res.useChunkedEncodingByDefault = !isUndeclared;
+		if (isUndeclared) {
+			res.useChunkedEncodingByDefault = false;
+		}
+
 		res.writeHead(status, {
 			...this.context.codec.decodeTargetHead(headers).forwardedHeaders,
 			...(length === undefined ? {} : {'content-length': length}),
--- a/src/relay/write-response-head.ts
+++ b/src/relay/write-response-head.ts
@@ -21,7 +21,10 @@
 export function writeResponseHead(res: ServerResponse, {status, head, framing}: Pick<TargetResponse, 'status' | 'head' | 'framing'>, {isClosing, bytes, undeclaredEnd}: ResponseHeadOptions): void {
 	const isUndeclared = framing === 'connection';
 	const isDelimited = !isUndeclared || undeclaredEnd !== undefined;
-	res.useChunkedEncodingByDefault = isDelimited;
+	if (!isDelimited) {
+		res.useChunkedEncodingByDefault = false;
+	}
+
 	res.writeHead(status, {
 		...head.forwardedHeaders,
 		...(isUndeclared ? undeclaredEnd : {}),
