--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -99,7 +99,11 @@
 		this.#picker = TargetPicker.create(context, {
 			attemptId: request.attemptId, service: this.#service, prompt: head.prompt, bodyBytes: request.body.length, stageResults: () => this.#stageResults,
 		});
-		this.#streamWriter = route.kind === 'stream' ? StreamWriter.create(res, {clock: context.clock, isClosing: context.isClosing, undeclaredEnd: this.#undeclaredEnd}) : undefined;
+		this.#streamWriter = route.kind === 'stream'
+			? StreamWriter.create(res, {
+				clock: context.clock, isClosing: context.isClosing, lastEventId: request.head.lastEventId, undeclaredEnd: this.#undeclaredEnd,
+			})
+			: undefined;
 	}
 
 	/** Resolves when the response has been sent or the caller has disconnected. */
--- a/src/relay/stream-writer.ts
+++ b/src/relay/stream-writer.ts
@@ -16,6 +16,8 @@
 	readonly clock: Clock;
 	/** True while responses tell callers to close their connections. */
 	readonly isClosing: () => boolean;
+	/** Value of `Last-Event-Id` of the request: the caller has the events up to it. */
+	readonly lastEventId?: string | undefined;
 	/** Headers that tell another entry VM that the end of a response is not declared; `undefined` for a caller. */
 	readonly undeclaredEnd?: ResponseHeadOptions['undeclaredEnd'];
 }
@@ -41,7 +43,9 @@
 	#isBehind = false;
 	#flowControl: Pick<Exchange, 'pause' | 'resume'> | undefined;
 
-	private constructor(private readonly res: ServerResponse, private readonly options: StreamWriterOptions) {}
+	private constructor(private readonly res: ServerResponse, private readonly options: StreamWriterOptions) {
+		this.#lastEventId = parseEventId(options.lastEventId);
+	}
 
 	/** True once the status and headers have been written. */
 	get hasHead(): boolean {
@@ -52,7 +56,7 @@
 		return this.res.writableLength;
 	}
 
-	/** Id of the last event that was written; `undefined` before the first. */
+	/** Id of the last event that the caller has; `undefined` without one. */
 	get lastEventId(): number | undefined {
 		return this.#lastEventId;
 	}
@@ -147,3 +151,8 @@
 		return id !== undefined && this.#lastEventId !== undefined && id <= this.#lastEventId;
 	}
 }
+
+/** Returns an event id as a number; `undefined` for one that is no number, or too long for an exact one. */
+function parseEventId(id: string | undefined): number | undefined {
+	return id !== undefined && /^\d{1,15}$/u.test(id) ? Number(id) : undefined;
+}
