Let a stream that goes on end without a further event

What callers saw: a stream without a length, whose target was reset behind its last event, was asked for at another target, which answered without a length and without an event and ended in order; the caller was reset though both were whole, and a further retry was spent.

Cause: a response without a length and without an event counted as broken off also where the caller has events already, so that none may be left. It is taken for the end now if the caller has an event, by an earlier part or by its own Last-Event-Id; StreamEnd still refuses it where the caller waits for a last chunk or a length, or where an earlier part has shown that more events exist.

--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -40,6 +40,8 @@
 export interface StreamSink {
 	/** Whether an earlier attempt has written the head of the stream. */
 	readonly hasHead: boolean;
+	/** Id of the last event that the caller has; `undefined` without one. */
+	readonly lastEventId: number | undefined;
 	/** Bytes that the caller has not read yet. */
 	readonly pendingBytes: number;
 	/** Whether a response can go on with the stream. */
@@ -330,7 +332,9 @@
 		if (this.#isStream) {
 			// Without a length or chunks, the end of the connection does not tell a complete stream from one that was broken off.
 			const isCutOff = this.#splitter.isInsideEvent && (end === 'connection_end' || this.#isResumed || this.#head!.mediaType === eventStreamType);
-			if (isCutOff || (end === 'connection_end' && this.#progress !== 'answered')) {
+			// A stream that goes on may have no event left.
+			const isEmpty = end === 'connection_end' && this.#progress !== 'answered' && this.options.sink!.lastEventId === undefined;
+			if (isCutOff || isEmpty) {
 				this.#fail('broken', 'response ended before an event of the stream was complete');
 				return;
 			}
