Keep the shares for pieces in a stop without a next host

What callers saw: in the stop of the last entry VM, a request whose stage call got no answer was refused at once with 'stages_failed', where its pieces had been sent again before. Cause: the host returned the shares that owners had lent it, its own among them, also where no other host could take them, and so had no retries for the plans that it completes. It returns them only if another entry VM leads by then.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -933,14 +933,14 @@
 		return isLent && (leader?.send({type: 'share-loan'}) ?? true);
 	}
 
-	/** Returns the shares that were lent to this entry VM as the host of the stage pools, if it has used nothing of them. */
+	/** Returns the shares that were lent to this entry VM as the host of the stage pools, if there is a next host and nothing of them is used. */
 	#returnShares(): void {
-		if (this.#poolHost.retryBudgets().some(({state}) => state.retries > 0)) {
+		if (!this.#mesh?.leader() || this.#poolHost.retryBudgets().some(({state}) => state.retries > 0)) {
 			return;
 		}
 
 		const owners = new Set(this.#retryBudgets.returnLoans());
-		for (const link of this.#mesh?.links() ?? []) {
+		for (const link of this.#mesh.links()) {
 			if (owners.has(link.peer.incarnation)) {
 				link.send({type: 'share-return'});
 			}
