--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -101,6 +101,8 @@
 		stages: z.array(z.strictObject({
 			service: name, after: z.array(count).max(linkLimits.stages), resultBytes: z.number().nonnegative(), pieces: count.max(linkLimits.pieces),
 		})).min(1).max(linkLimits.stages),
+		// Pieces of each stage that earlier runs may have sent; absent in the first run.
+		sentPieces: z.array(count.max(linkLimits.pieces)).max(linkLimits.stages).readonly().optional(),
 		pieceKey: z.string().max(linkLimits.pieceKeyLength).optional(),
 		zone: name,
 		priority: z.number(),
@@ -113,7 +115,9 @@
 		type: z.literal('stage-results'), id, results: z.array(z.strictObject({handle, zone: z.string().max(200), bytes: z.number()})).max(linkLimits.pieces),
 	}),
 	z.strictObject({
-		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded', 'host_left']), retryAfterMs: z.number().nonnegative(),
+		type: z.literal('stage-failure'), id, failure: z.enum(['late', 'input_gone', 'no_target', 'failed', 'cancelled', 'overloaded', 'host_left', 'no_budget']), retryAfterMs: z.number().nonnegative(),
+		// Pieces of each stage that this run or earlier ones may have sent; absent if all may have been.
+		sentPieces: z.array(count.max(linkLimits.pieces)).max(linkLimits.stages).readonly().optional(),
 	}),
 	z.strictObject({type: z.literal('stage-cancel'), id}),
 	z.strictObject({type: z.literal('stage-free'), handles: z.array(handle).max(maxHandles)}),
@@ -157,6 +161,10 @@
 	z.strictObject({
 		type: z.literal('stage-crash'), id, crash: z.string().min(1).max(linkLimits.crashLength), sentAgoMs: agoMs, brokenAgoMs: agoMs,
 	}),
+	// The sender lends the receiver, which hosts the stage pools, its share of the retry slack for pieces, for a fixed time.
+	z.strictObject({type: z.literal('share-loan')}),
+	// The sender, which no longer hosts the stage pools, has used nothing of that share.
+	z.strictObject({type: z.literal('share-return')}),
 ] as const;
 
 /** A message between entry VMs. */
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -5,7 +5,10 @@
 import type {ServiceDeclaration} from '../routes/index.js';
 import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
-import {ServiceRetryBudget, type RetryLimits} from './service-retry-budget.js';
+import {countRepeats} from './sent-pieces.js';
+import {
+	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
+} from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
 import type {StageCallOutcome, StageJob, StageJobOutcome} from './stage-job.js';
 import {PlanForecast} from './plan-forecast.js';
@@ -14,9 +17,6 @@
 import {StagePool, type CalledPiece, type StageCall} from './stage-pool.js';
 import type {StageTargetPort} from './stage-target-port.js';
 
-/** This host's fraction of the retry slack. The host of a pool sends nearly all its calls; the rest is left to a second host during a change of hosts. */
-const poolRetryShare = 0.6;
-
 /** Options of a {@link PoolHost}. */
 export interface PoolHostOptions {
 	readonly clock: Clock;
@@ -24,12 +24,16 @@
 	readonly registry: TargetRegistry;
 	readonly port: StageTargetPort;
 	readonly retryLimits: RetryLimits;
+	/** Fractions of the retry limits that this host may use; by default all of them, as for one without other entry VMs. */
+	readonly retryShares?: RetryShares;
 	/** This host's fraction of the work; 1 unless another host is likely to use the same targets. */
 	readonly share: () => number;
 	/** Whether the targets of a zone are this host's to use. */
 	readonly isOwnZone: (zone: string) => boolean;
 	/** Called with a target that says in a response that it is draining. */
 	readonly onDraining?: (target: RelayTarget) => void;
+	/** Called after each attempt to spend retries of pieces of a service. */
+	readonly onRetrySpend?: (service: string, spend: RetrySpend) => void;
 	/** Called with each call that was sent and got no whole response. */
 	readonly onLostCall?: (call: LostStageCall) => void;
 	/** Returns the current declaration of a service. */
@@ -49,7 +53,7 @@
 	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
 };
 
-type HostedPool = {pool: StagePool; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
+type HostedPool = {readonly pool: StagePool; cancelWakeup: CancelTimer | undefined; isDispatchScheduled: boolean};
 
 /**
  * Hosts the stage pools of this process: runs plans, sends the calls that each pool schedules, and frees results.
@@ -63,6 +67,7 @@
 	}
 
 	readonly #pools = new Map<string, HostedPool>();
+	readonly #budgets = new Map<string, ServiceRetryBudget>();
 	readonly #releaser: ResultReleaser;
 	readonly #runs = new Set<StagePlanRun>();
 	#retryLimits: RetryLimits;
@@ -99,6 +104,7 @@
 
 	async #run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
 		this.#planCount++;
+		this.#recordRequest(plan);
 		const run = StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#planCount}`);
 		this.#runs.add(run);
 		let outcome: StagePlanOutcome;
@@ -123,11 +129,11 @@
 		return outcome;
 	}
 
-	/** Replaces the retry limits. Every pool gets a new budget, so that no retry counts under two limits. */
+	/** Replaces the retry limits; what was spent under the earlier ones still counts. */
 	setRetryLimits(limits: RetryLimits): void {
 		this.#retryLimits = limits;
-		for (const {pool} of this.#pools.values()) {
-			pool.setBudget(this.#createBudget());
+		for (const budget of this.#budgets.values()) {
+			budget.setLimits(limits, this.now());
 		}
 	}
 
@@ -187,9 +193,35 @@
 		this.#pools.get(service)?.pool.withdraw(id);
 	}
 
+	reserveRetries(plan: StagePlan): boolean {
+		const repeats = countRepeats(plan);
+		if (repeats.size === 0) {
+			return true;
+		}
+
+		const now = this.now();
+		const lacking = [...repeats].find(([service, pieces]) => !this.#budget(service).canSpend(now, pieces))?.[0];
+		// The one that lacks some denies and reports it.
+		for (const [service, pieces] of repeats) {
+			if (lacking === undefined || lacking === service) {
+				this.#budget(service).reserve(now, pieces);
+			}
+		}
+
+		this.options.logger.info(lacking === undefined ? 'Sending pieces of a request again.' : 'Cannot send pieces of a request again: the retry budget does not suffice.', {
+			id: plan.attemptId, repeats: Object.fromEntries(repeats), ...(lacking === undefined ? {} : {lacking}),
+		});
+		return lacking === undefined;
+	}
+
+	releaseRetries(service: string, pieces: number): void {
+		this.#budget(service).release(pieces);
+	}
+
 	async runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome> {
 		const declared = this.options.service(service);
 		if (!declared?.stagePool || signal.aborted) {
+			this.releaseRetries(service, job.sentPieces ?? 0);
 			return {failure: signal.aborted ? 'cancelled' : 'no_target', retryAfterMs: 0};
 		}
 
@@ -237,6 +269,20 @@
 		return [...this.#pools].map(([service, {pool}]) => ({service, backlog: pool.backlog, calls: pool.calls}));
 	}
 
+	/** Returns the state of the retry budget of each service. */
+	retryBudgets(): Array<{service: string; state: RetryBudgetState}> {
+		return [...this.#budgets].map(([service, budget]) => ({service, state: budget.state(this.now())}));
+	}
+
+	/** Records a request once for each service that has pieces of it. A plan that was run before was recorded then. */
+	#recordRequest({stages, sentPieces}: StagePlan): void {
+		if (sentPieces === undefined) {
+			for (const service of new Set(stages.filter(({pieces}) => pieces > 0).map(stage => stage.service))) {
+				this.#budget(service).recordRequest(this.now());
+			}
+		}
+	}
+
 	#hostPool(declared: ServiceDeclaration): HostedPool {
 		let hostedPool = this.#pools.get(declared.name);
 		if (hostedPool) {
@@ -247,7 +293,7 @@
 		hostedPool = {
 			pool: StagePool.create({
 				limits: declared.stagePool!,
-				budget: this.#createBudget(),
+				budget: this.#budget(declared.name),
 				onUnused: handle => {
 					this.#releaser.free([handle]);
 				},
@@ -264,8 +310,22 @@
 		return hostedPool;
 	}
 
-	#createBudget(): ServiceRetryBudget {
-		return ServiceRetryBudget.create({limits: this.#retryLimits, share: () => poolRetryShare});
+	#budget(service: string): ServiceRetryBudget {
+		const budget = this.#budgets.get(service) ?? this.#createBudget(service);
+		this.#budgets.set(service, budget);
+		return budget;
+	}
+
+	#createBudget(service: string): ServiceRetryBudget {
+		const {retryShares} = this.options;
+		return ServiceRetryBudget.create({
+			limits: this.#retryLimits,
+			share: retryShares?.slack ?? (() => 1),
+			...(retryShares ? {ratioShare: retryShares.ratio} : {}),
+			onSpend: spend => {
+				this.options.onRetrySpend?.(service, spend);
+			},
+		});
 	}
 
 	#updateTargets(service: string, pool: StagePool): void {
@@ -352,6 +412,7 @@
 			end: end.kind,
 			...(problems.length === 0 ? {} : {problems: problems.length, first_problem: problems[0]}),
 			pieces: call.pieces.length,
+			repeats: call.repeats,
 			ids: [...new Set(call.pieces.map(({job}) => job.attemptId))],
 			backlog: pool.backlog,
 			took_ms: Math.round(clock.now() - startedMs),
--- a/src/pools/stage-plan-run.test.ts
+++ b/src/pools/stage-plan-run.test.ts
@@ -15,6 +15,8 @@
 	readonly answers = new Map<string, (job: StageJob) => StageJobOutcome>();
 	waitMs = 0;
 	isIdle = true;
+	hasBudget = true;
+	readonly released: string[] = [];
 
 	now() {
 		return 0;
@@ -32,6 +34,14 @@
 		return this.isIdle;
 	}
 
+	reserveRetries() {
+		return this.hasBudget;
+	}
+
+	releaseRetries(service: string, pieces: number) {
+		this.released.push(`${service} ${pieces}`);
+	}
+
 	withdraw(service: string, id: string) {
 		this.announced.delete(`${service} ${id}`);
 	}
@@ -148,6 +158,31 @@
 		expect(host.announced.size).toBe(0);
 	});
 
+	it('does not start a plan whose pieces the retry budget does not suffice to send again', async () => {
+		const host = new FakeHost();
+		host.hasBudget = false;
+		expect(await run(host, {...chain, sentPieces: [1, 0, 0]})).toMatchObject({failure: 'no_budget', sentPieces: [1, 0, 0]});
+		expect(host.jobs).toEqual([]);
+	});
+
+	// Guards against retries that stay reserved for stages which are never sent, so that others are refused for good.
+	it('releases the retries of stages that it does not submit', async () => {
+		const host = new FakeHost();
+		host.answers.set('archive', () => ({failure: 'failed', retryAfterMs: 0}));
+		await run(host, {...chain, sentPieces: [1, 1, 2]});
+		expect(host.jobs.map(({job}) => job.sentPieces)).toEqual([1]);
+		expect(host.released).toEqual(chain.stages.slice(1).map(({service}, index) => `${service} ${index + 1}`));
+	});
+
+	it('reports how many pieces it and earlier runs may have sent when it fails', async () => {
+		const host = new FakeHost();
+		host.answers.set('press', () => ({failure: 'failed', retryAfterMs: 0, sentPieces: 1}));
+		expect(await run(host)).toMatchObject({sentPieces: [1, 1, 0]});
+		expect(await run(host, {...chain, sentPieces: [1, 0, 2]})).toMatchObject({sentPieces: [1, 1, 2]});
+		host.answers.set('press', () => ({failure: 'failed', retryAfterMs: 0}));
+		expect(await run(host)).toMatchObject({sentPieces: [1, 0, 0]});
+	});
+
 	it('rejects a plan that cannot meet its deadline at once, with the delay after which a retry may succeed', async () => {
 		const host = new FakeHost();
 		host.waitMs = 6000;
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -3,7 +3,9 @@
 import type {JobUrgency} from './job-order.js';
 import type {StageJob, StageJobOutcome, ZoneTransfer} from './stage-job.js';
 import {PlanForecast, type PoolTimes} from './plan-forecast.js';
-import type {PlannedStage, StagePlan, StagePlanOutcome} from './stage-plan.js';
+import type {
+	PlannedStage, StagePlan, StagePlanFailure, StagePlanOutcome,
+} from './stage-plan.js';
 
 /** Operations of the pool host that a plan run uses. */
 export interface PlanHost extends PoolTimes {
@@ -14,7 +16,11 @@
 	withdraw(service: string, id: string): void;
 	/** Whether no piece of a job has been in a call yet; also true for a job that is not in the pool. */
 	isUnstarted(service: string, id: string): boolean;
-	/** Submits a job and resolves with its outcome; never rejects. */
+	/** Reserves the pieces that a plan sends again in the retry budgets of their services, all or none, and returns whether it did. */
+	reserveRetries(plan: StagePlan): boolean;
+	/** Releases reserved pieces of a stage that is not submitted. */
+	releaseRetries(service: string, pieces: number): void;
+	/** Submits a job, with the retries that are reserved for it, and resolves with its outcome; never rejects. */
 	runJob(service: string, job: StageJob, signal: AbortSignal): Promise<StageJobOutcome>;
 	/** Returns the availability zone of the target that holds a result, if known. */
 	zoneOf(handle: string): string | undefined;
@@ -24,6 +30,8 @@
 
 /** Margin by which a plan must be predicted to meet its objective to count as on time; call and engine times vary by about this much. */
 export const objectiveMarginMs: Ms = 150;
+/** Delay after which a caller may ask again for what the retry budget does not suffice for; its next request is a new one. */
+const noBudgetRetryAfterMs: Ms = 100;
 /** A job is committed when at most this fraction of the total path time remains. */
 const committedShare = 0.5;
 
@@ -47,6 +55,10 @@
 	/** Handles of the results of each ended stage; empty once they are freed. */
 	readonly #results = new Map<number, readonly string[]>();
 	readonly #runs = new Map<number, StageRun>();
+	/** Stages whose jobs have been submitted, with the retries that were reserved for them. */
+	readonly #submitted = new Set<number>();
+	/** Number of pieces sent by stage. */
+	readonly #sentPieces: number[];
 	readonly #isOnTime: boolean;
 	/** Time of the longest path, without waiting. */
 	readonly #totalMs: Ms;
@@ -54,6 +66,7 @@
 	readonly #handOver = new AbortController();
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
+		this.#sentPieces = plan.stages.map(() => 0);
 		this.#forecast = PlanForecast.create(plan, host);
 		this.#totalMs = this.#forecast.totalMs;
 		this.predictedMs = this.#forecast.predictMs(plan.callByMs);
@@ -65,7 +78,11 @@
 		const {plan, host} = this;
 		const excessMs = host.now() + this.#forecast.predictMs(this.#isOnTime ? plan.callByMs : -Infinity) - plan.deadlineMs;
 		if (excessMs > 0) {
-			return {failure: 'overloaded', retryAfterMs: excessMs};
+			return this.#fail({failure: 'overloaded', retryAfterMs: excessMs});
+		}
+
+		if (!host.reserveRetries(plan)) {
+			return this.#fail({failure: 'no_budget', retryAfterMs: noBudgetRetryAfterMs});
 		}
 
 		this.#announce();
@@ -73,12 +90,18 @@
 		const stop = AbortSignal.any([signal, failed.signal, this.#handOver.signal]);
 		// Each job listens to it until its end; the runtime warns of more than 10 listeners as of a leak.
 		setMaxListeners(0, stop);
-		const outcomes = await this.#runStages(stop, failed);
+		let outcomes: StageJobOutcome[];
+		try {
+			outcomes = await this.#runStages(stop, failed);
+		} finally {
+			this.#releaseRetries();
+		}
+
 		const failures = outcomes.filter(outcome => 'failure' in outcome);
 		const failure = failures.find(outcome => outcome.failure !== 'cancelled') ?? failures[0];
 		if (failure) {
 			this.#freeAll();
-			return this.#handOver.signal.aborted ? {failure: 'host_left', retryAfterMs: 0} : failure;
+			return this.#fail(this.#handOver.signal.aborted ? {failure: 'host_left', retryAfterMs: 0} : failure);
 		}
 
 		return {
@@ -86,6 +109,21 @@
 		};
 	}
 
+	#releaseRetries(): void {
+		for (const [stage, {service}] of this.plan.stages.entries()) {
+			const pieces = this.plan.sentPieces?.[stage] ?? 0;
+			if (pieces > 0 && !this.#submitted.has(stage)) {
+				this.host.releaseRetries(service, pieces);
+			}
+		}
+	}
+
+	/** The pieces of a stage are sent in their order, so that those of the run that sent most are those of all runs. */
+	#fail({failure, retryAfterMs}: Pick<StagePlanFailure, 'failure' | 'retryAfterMs'>): StagePlanFailure {
+		const {stages, sentPieces = []} = this.plan;
+		return {failure, retryAfterMs, sentPieces: stages.map(({pieces}, stage) => Math.min(pieces, Math.max(sentPieces[stage] ?? 0, this.#sentPieces[stage]!)))};
+	}
+
 	/** Ends the plan so that another host runs it. */
 	handOver(): void {
 		this.#handOver.abort();
@@ -181,11 +219,13 @@
 		}
 
 		const inputs = after.flatMap(other => this.#results.get(other) ?? []);
+		this.#submitted.add(stage);
 		const outcome = await this.host.runJob(service, {
 			id: this.#jobId(stage),
 			attemptId,
 			stage,
 			pieces,
+			sentPieces: this.plan.sentPieces?.[stage],
 			key: inputs.length === 0 ? pieceKey : undefined,
 			inputs,
 			resultBytes,
@@ -193,6 +233,7 @@
 			onCrash,
 			...this.#urgency(stage),
 		}, signal);
+		this.#sentPieces[stage] = 'results' in outcome ? pieces : outcome.sentPieces ?? 0;
 		if ('results' in outcome) {
 			this.#results.set(stage, outcome.results);
 			this.#freeConsumed();
--- a/src/relay/relay-server.ts
+++ b/src/relay/relay-server.ts
@@ -6,7 +6,7 @@
 import type {Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
-	closeServer, ConnectionTracker, listen, type Listen, type ListenAddress,
+	closeServer, ConnectionTracker, isFollowed, listen, mayBeFollowed, type Listen, type ListenAddress,
 } from '../http/index.js';
 import type {Route, RouteTable, TeamDeclaration} from '../routes/index.js';
 import {answerClientError} from './answer-client-error.js';
@@ -69,7 +69,12 @@
 	readonly #connections: ConnectionTracker;
 	readonly #handlers = new Set<RequestHandler | ForwardedRequest>();
 	/** Given when the requests in progress are ended. */
-	readonly #endNotice = EndNotice.create();
+	readonly #endNotice = EndNotice.create({
+		onError: err => {
+			this.#logEndError(err);
+		},
+	});
+
 	readonly #callers = new WeakMap<Socket, CallerConnection>();
 	/** Connections with a request whose rest is timed here, and not by the HTTP server. */
 	readonly #selfTimed = new WeakSet<Socket>();
@@ -88,7 +93,10 @@
 		this.#server.on('clientError', (err, socket) => {
 			this.#onClientError(err, socket as Socket);
 		});
-		this.#connections = ConnectionTracker.create(this.#server, {unparsedBytes: socket => this.#callers.get(socket)?.unparsedBytes ?? 0});
+		this.#connections = ConnectionTracker.create(this.#server, {
+			unparsedBytes: socket => this.#callers.get(socket)?.unparsedBytes ?? 0,
+			isDeferred: socket => this.#callers.get(socket)?.isDeferred === true,
+		});
 	}
 
 	/** Port on which the server listens. */
@@ -121,31 +129,47 @@
 
 	/** Rejects the requests that wait for their stages or for a place at a target, and could no longer be completed there before the shutdown ends. */
 	rejectLate(): void {
-		for (const handler of this.#handlers) {
+		this.#endEach(handler => {
 			handler.rejectIfLate();
-		}
+		});
 	}
 
 	/** Ends the requests in progress whose responses have not begun with an answer; those that have not arrived completely are refused once they have. */
 	endUnanswered(): void {
-		for (const handler of this.#handlers) {
+		this.#endEach(handler => {
 			handler.endUnanswered();
-		}
+		});
 	}
 
 	/** Ends all requests in progress with an answer, those that have not arrived completely too, or resets the connections of streams that have begun. */
 	endRequests(): void {
 		this.#endNotice.give();
-		for (const handler of this.#handlers) {
+		this.#endEach(handler => {
 			handler.end();
-		}
+		});
 	}
 
-	/** Stops listening and closes all connections immediately. */
+	/** Stops listening and closes all connections immediately, those with a response in progress by a reset. */
 	async close(): Promise<void> {
+		this.#connections.resetAnswering();
 		await closeServer(this.#server);
 	}
 
+	/** Ends requests each by itself: an error with one must not keep the others from their answers. */
+	#endEach(end: (handler: RequestHandler | ForwardedRequest) => void): void {
+		for (const handler of this.#handlers) {
+			try {
+				end(handler);
+			} catch (err) {
+				this.#logEndError(err);
+			}
+		}
+	}
+
+	#logEndError(err: unknown): void {
+		this.options.context.logger.error('Cannot end a request; going on with the others.', {error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
+	}
+
 	readonly #onRequest = (req: IncomingMessage, res: ServerResponse) => {
 		void this.#handle(req, res);
 	};
@@ -225,7 +249,8 @@
 				id: codec.decodeCallerHead(req.rawHeaders).attemptId, had_head: res.headersSent, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined,
 			});
 			if (res.headersSent) {
-				res.destroy();
+				// An orderly end would complete a response without a length.
+				req.socket.resetAndDestroy();
 			} else {
 				sendRejection(res, {status: 502, reason: 'target_failed'}, true);
 			}
@@ -304,12 +329,10 @@
 		metrics.recordRequest({
 			outcome: 'rejected', reason, tookMs: 0, firstByteMs: undefined,
 		});
+		const isLast = isClosing || reason === 'not_configured' || reason === 'shutting_down' || isServerClosing();
 		logger.info('Rejected a request.', {
-			id, reason, status: rejection.status, config: version,
+			id, reason, status: rejection.status, config: version, is_last: isLast && !mayBeFollowed(res), is_followed: isFollowed(res), unparsed_bytes: this.#callers.get(req.socket)?.unparsedBytes, is_whole: req.complete,
 		});
-		// Bytes that are not parsed yet may be a request that has arrived as a whole.
-		const isFollowedByBytes = (this.#callers.get(req.socket)?.unparsedBytes ?? 0) > 0;
-		const isLast = isClosing || (!isFollowedByBytes && (reason === 'not_configured' || reason === 'shutting_down' || isServerClosing()));
 		if (req.readableEnded || !hasBody(req)) {
 			sendRejection(res, rejection, isLast);
 		} else {
