--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {run} from './install.mjs';
+import {leftOutModules} from './left-out-modules.mjs';
 
 /** Tells this script that it has installed the dependencies already. */
 const installedFlag = '--installed';
@@ -53,6 +54,7 @@
 	...options,
 	entryPoints: ['platform/main.ts'],
 	outfile: path.join(dir, mainFile),
+	plugins: [leftOutModules],
 	// Some libraries are CommonJS modules that call `require` for modules of Node.js.
 	banner: {js: 'import {createRequire as createBundleRequire} from \'node:module\';\nconst require = createBundleRequire(import.meta.url);'},
 });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import {errorMessage, FindingsError} from '../errors/index.js';
 import {environmentVariableName} from '../settings/index.js';
 import {applyCommand} from './apply-command.js';
+import {checkCommand} from './check-command.js';
 import {exitCodes, type Command, type CommandInput} from './command.js';
 import {drainCommand} from './drain-command.js';
 import {explainCommand} from './explain-command.js';
@@ -26,6 +27,7 @@
 	sampleCommand,
 	applyCommand,
 	planCommand,
+	checkCommand,
 	getCommand,
 	statusCommand,
 	drainCommand,
--- a/src/errors/error-tolerance.ts
+++ b/src/errors/error-tolerance.ts
@@ -3,7 +3,7 @@
 /** Counts of requests since the start of a process. */
 export interface RequestProgress {
 	readonly arrived: number;
-	/** Requests that got an answer of whatever kind. */
+	/** Answers of whatever kind, and beginnings of responses, which may be streams that go on for longer than a window. */
 	readonly answered: number;
 }
 
--- a/src/http/connection-tracker.test.ts
+++ b/src/http/connection-tracker.test.ts
@@ -57,6 +57,26 @@
 		await closed;
 	});
 
+	// Guards against a connection that keeps a listener for each request it ever had behind another one.
+	it('leaves no listener behind for requests that waited for those before', async () => {
+		const responses: ServerResponse[] = [];
+		let before: number | undefined;
+		server.on('request', async (req: IncomingMessage, res: ServerResponse) => {
+			before ??= req.socket.listenerCount('close');
+			await tracker.waitForTurn(req, res);
+			responses.push(res);
+			res.end();
+		});
+		const {socket, res} = await open('GET / HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(20), 'request');
+		const callerSocket = res!.req.socket;
+		socket.resume();
+		while (responses.length < 20) {
+			await once(socket, 'data');
+		}
+
+		expect(callerSocket.listenerCount('close')).toBeLessThanOrEqual(before!);
+	});
+
 	it('keeps a connection on which a part of a request has arrived', async () => {
 		const accepted = once(server, 'connection') as Promise<[Socket]>;
 		const {socket} = await open('GET / HTTP/1.1\r\n', 'connection');
--- a/src/http/connection-tracker.ts
+++ b/src/http/connection-tracker.ts
@@ -58,6 +58,8 @@
 		server.on('connection', (socket: Socket) => {
 			this.arrivals++;
 			this.#connections.set(socket, {activeRequests: 0, bytesRead: 0, latest: undefined});
+			// Each request that waits for those before it adds a listener for that time.
+			socket.setMaxListeners(0);
 			socket.once('close', () => {
 				this.#connections.delete(socket);
 			});
@@ -111,10 +113,15 @@
 		const previous = this.#previous.get(res);
 		if (previous && !previous.closed && !socket.destroyed) {
 			await new Promise<void>(resolve => {
+				const end = () => {
+					previous.off('close', end);
+					socket.off('close', end);
+					resolve();
+				};
+
 				// A response that never got its place on the connection is not told of the end of this.
-				for (const each of [previous, socket]) {
-					each.once('close', resolve);
-				}
+				previous.on('close', end);
+				socket.on('close', end);
 			});
 		}
 
--- a/src/http/growing-buffer.test.ts
+++ b/src/http/growing-buffer.test.ts
@@ -24,3 +24,17 @@
 	expect(buffer.capacity).toBeLessThanOrEqual(200_000);
 	expect(buffer.bytes.equals(Buffer.alloc(100_000, 'a'))).toBe(true);
 });
+
+// Guards against memory that is taken before it is granted, and against a large block that stays behind a small body.
+it('takes memory for the whole when it is reserved, and gives back what is not needed', () => {
+	const buffer = GrowingBuffer.create();
+	buffer.append(Buffer.from('ab'));
+	expect(buffer.capacity).toBe(512);
+	buffer.reserve(100_000);
+	expect(buffer.capacity).toBe(100_000);
+	buffer.append(Buffer.from('c'.repeat(40_000)));
+	expect([buffer.capacity, buffer.length]).toEqual([100_000, 40_002]);
+	expect([buffer.trim().toString(), buffer.capacity]).toEqual([`ab${'c'.repeat(40_000)}`, 40_002]);
+	buffer.append(Buffer.from('d'));
+	expect(buffer.trim().toString()).toBe(`ab${'c'.repeat(40_000)}d`);
+});
--- a/src/http/growing-buffer.ts
+++ b/src/http/growing-buffer.ts
@@ -13,9 +13,8 @@
  * res.end(buffer.bytes);
  */
 export class GrowingBuffer {
-	/** With `expectedBytes`, so many are collected in one block, and not copied in the end. */
-	static create(expectedBytes = 0): GrowingBuffer {
-		return new GrowingBuffer(expectedBytes);
+	static create(): GrowingBuffer {
+		return new GrowingBuffer();
 	}
 
 	#blocks: Buffer[] = [];
@@ -24,7 +23,10 @@
 	#length = 0;
 	#capacity = 0;
 
-	private constructor(private readonly expectedBytes: number) {}
+	/** Size of the first block at least. */
+	#reservedBytes = minBlockBytes;
+
+	private constructor() {}
 
 	get length(): number {
 		return this.#length;
@@ -45,10 +47,33 @@
 		return this.#blocks.length === 1 ? last : Buffer.concat([...this.#blocks.slice(0, -1), last]);
 	}
 
-	/** Returns the collected bytes in no more memory than twice their length. */
+	/**
+	 * Collects `totalBytes` in one block, which need not be copied in the end; the bytes so far move there. Memory that is
+	 * only allocated may count as resident: with large pages, the first byte of 2 MiB takes them all, and the allocator
+	 * hands out pages again that were written to before.
+	 */
+	reserve(totalBytes: number): void {
+		const {bytes} = this;
+		this.#reservedBytes = Math.max(minBlockBytes, totalBytes);
+		if (bytes.length > 0 && totalBytes > this.#capacity) {
+			this.clear();
+			this.append(bytes);
+		}
+	}
+
+	/** Gives back memory above twice the length of the collected bytes, and returns these. */
 	trim(): Buffer {
 		const {bytes} = this;
-		return this.#blocks.length === 1 && this.#capacity > 2 * bytes.length ? Buffer.from(bytes) : bytes;
+		if (this.#blocks.length <= 1 && this.#capacity <= 2 * bytes.length) {
+			return bytes;
+		}
+
+		// Several blocks have been copied already.
+		const trimmed = this.#blocks.length > 1 ? bytes : Buffer.from(bytes);
+		this.#blocks = [trimmed];
+		this.#used = trimmed.length;
+		this.#capacity = trimmed.length;
+		return trimmed;
 	}
 
 	append(chunk: Uint8Array): void {
@@ -57,7 +82,7 @@
 			const missing = chunk.length - offset;
 			const last = this.#blocks.at(-1);
 			if (!last || this.#used === last.length) {
-				const size = last ? Math.max(blockBytes, missing) : Math.max(this.expectedBytes, minBlockBytes, missing);
+				const size = last ? Math.max(blockBytes, missing) : Math.max(this.#reservedBytes, missing);
 				this.#blocks.push(Buffer.allocUnsafe(size));
 				this.#capacity += size;
 				this.#used = 0;
--- a/src/limits/rate-schedule.ts
+++ b/src/limits/rate-schedule.ts
@@ -1,7 +1,7 @@
 import type {Ms} from '../clock/index.js';
 
-/** Requests that may be sent at once after a pause, beyond the first. */
-const burst = 1;
+/** Requests that may be sent at once after a pause, beyond the first, unless a schedule is created with another number. */
+const defaultBurst = 1;
 /** Lowest rate: a target with a limit of zero, or close to it, gets a request now and then, whose response tells whether the limit still holds. */
 const minPerSecond = 0.1;
 
@@ -17,9 +17,9 @@
  * schedule.reserve(clock.now(), 0); // {retryAfterMs: 2000}
  */
 export class RateSchedule {
-	/** Starts without a burst, since others may have used the rate until now. */
-	static create(perSecond: number, now: Ms): RateSchedule {
-		const schedule = new RateSchedule(Math.max(minPerSecond, perSecond));
+	/** Starts without a burst, since others may have used the rate until now. With a burst of 0, nothing is kept in reserve. */
+	static create(perSecond: number, now: Ms, burst = defaultBurst): RateSchedule {
+		const schedule = new RateSchedule(Math.max(minPerSecond, perSecond), burst);
 		schedule.#nextMs = now + schedule.#intervalMs;
 		return schedule;
 	}
@@ -27,7 +27,7 @@
 	/** Time of the next place without a burst. */
 	#nextMs: Ms = 0;
 
-	private constructor(private perSecond: number) {}
+	private constructor(private perSecond: number, private readonly burst: number) {}
 
 	get #intervalMs(): Ms {
 		return 1000 / this.perSecond;
@@ -40,7 +40,7 @@
 
 	/** Returns the time of the next free place. */
 	freeAt(now: Ms): Ms {
-		return Math.max(now, this.#nextMs - (burst * this.#intervalMs));
+		return Math.max(now, this.#nextMs - (this.burst * this.#intervalMs));
 	}
 
 	/** Takes the next place if it is free within `maxWaitMs`. */
--- a/src/links/link-message.ts
+++ b/src/links/link-message.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {eventKinds} from '../events/index.js';
+import {isPromptWork} from './is-prompt-work.js';
 import {LinkError} from './link-error.js';
 import {packWire, unpackWire} from './wire.js';
 
@@ -12,6 +13,8 @@
 	pieceKeyLength: 1000,
 	/** Stages of a route. */
 	stages: 50,
+	/** Regions in which a request may be served. */
+	regions: 1000,
 	handleLength: 200,
 	/** Prompt parts of a suspicion, and their lengths. */
 	promptParts: 2000,
@@ -19,6 +22,9 @@
 	/** Crashes of a suspicion, and the lengths of their names. */
 	crashes: 100,
 	crashLength: 1000,
+	/** Engines in a message about prompt work, and classes of length of the prompts of a service. */
+	engines: 5000,
+	lengthClasses: 100,
 } as const;
 
 const count = z.number().int().nonnegative();
@@ -35,6 +41,8 @@
 const maxSuspicions = 500;
 const promptPart = z.string().min(1).max(linkLimits.promptPartLength);
 const agoMs = z.number().nonnegative();
+/** Number of 32 bits that names a start of an engine. */
+const engineKey = count.max(0xFF_FF_FF_FF);
 const handle = z.string().min(1).max(linkLimits.handleLength);
 
 /** Encoded digest. Names are replaced by indexes into a table that grows over the session. */
@@ -73,6 +81,21 @@
 	requestId: z.string().optional(), team: z.string().optional(), target: z.string().optional(), sinceMs: z.number().optional(), untilMs: z.number().optional(),
 });
 
+/**
+ * Prompt work at model engines that has changed, or all of it if `isFull`: engine, tokens to be prefilled, tokens held.
+ * Measured speeds: engine, ratio to the usual time and weight in hundredths. Lengths of prompts that were sent, by service:
+ * class, number, uncached tokens. Messages are validated by {@link isPromptWork}, which accepts the same.
+ *
+ * @internal
+ */
+export const promptWorkSchema = z.strictObject({
+	type: z.literal('prompt-work'),
+	isFull: z.boolean(),
+	rows: z.array(z.tuple([engineKey, count, count])).max(linkLimits.engines),
+	speeds: z.array(z.tuple([engineKey, count.positive(), count.positive()])).max(linkLimits.engines),
+	lengths: z.array(z.tuple([name, z.array(z.tuple([count, count, count])).max(linkLimits.lengthClasses)])).max(linkLimits.engines),
+});
+
 // The index in this list is the type number in the protocol: append new types at the end and never reorder.
 const messageSchemas = [
 	z.strictObject({type: z.literal('ping')}),
@@ -108,7 +131,9 @@
 		priority: z.number(),
 		callInMs: z.number(),
 		deadlineInMs: z.number(),
-		// The sender hosts the pools of another cell, which are busy; the plan is not passed on again.
+		// Regions in which the stages may run; absent if in any. Builds before regions were introduced close the link.
+		regions: z.array(name).max(linkLimits.regions).readonly().optional(),
+		// The sender hosts the pools of another cell, which are busy or may not run the plan; it is not passed on again.
 		isSpilled: z.boolean().optional(),
 	}),
 	z.strictObject({
@@ -162,9 +187,58 @@
 		type: z.literal('stage-crash'), id, crash: z.string().min(1).max(linkLimits.crashLength), sentAgoMs: agoMs, brokenAgoMs: agoMs,
 	}),
 	// The sender lends the receiver, which hosts the stage pools, its share of the retry slack for pieces, for a fixed time.
-	z.strictObject({type: z.literal('share-loan')}),
-	// The sender, which no longer hosts the stage pools, has used nothing of that share.
-	z.strictObject({type: z.literal('share-return')}),
+	// `spent` is the number of retries that earlier hosts have paid for with it, absent without any, as with builds before it was introduced, which close the link for it.
+	z.strictObject({type: z.literal('share-loan'), spent: z.number().positive().optional()}),
+	// The sender, which no longer hosts the stage pools, uses no more of that share, and has paid for `spent` retries with it.
+	z.strictObject({type: z.literal('share-return'), spent: z.number().positive().optional()}),
+	// Zone of the entry VM with an address for callers that a reach-reply names next.
+	z.strictObject({type: z.literal('reach-zone'), callers: z.string().max(linkLimits.nameLength), zone: name}),
+	promptWorkSchema,
+	// A target is cold for `remainingMs` more; its phase has begun `agoMs` ago, as `source` told.
+	z.strictObject({
+		type: z.literal('target-cold'), target: name, source: z.enum(['entry', 'health', 'start', 'reachable_again', 'evacuation']), remainingMs: z.number().nonnegative(), agoMs,
+	}),
+	// Asks for a permit within `maxWaitMs` for a request to a cold target; `hops` counts the entry VMs that pass it on.
+	z.strictObject({
+		type: z.literal('permit-request'), id, target: name, service: name, zone: z.string().max(200), maxWaitMs: z.number().nonnegative(), hops: count.max(maxLimitHops),
+	}),
+	// The permit is free in `waitMs`, or null if none is in time; another request makes sense after `retryAfterMs`.
+	z.strictObject({
+		type: z.literal('permit-reply'), id, waitMs: z.number().nonnegative().nullable(), retryAfterMs: z.number().nonnegative(),
+	}),
+	// The sender leads its cell and asks for the vote with which it may grant permits.
+	z.strictObject({type: z.literal('permit-vote-request'), id}),
+	z.strictObject({type: z.literal('permit-vote'), id, isGranted: z.boolean()}),
+	// Asks the leader of the cell for a part of a retry at a service, which it collects from the entry VMs of the cell.
+	z.strictObject({
+		type: z.literal('retry-request'), id, service: name, amount: z.number().positive().max(1),
+	}),
+	// Asks an entry VM to lend up to `amount` of a retry.
+	z.strictObject({
+		type: z.literal('retry-loan-request'), id, service: name, amount: z.number().positive().max(1),
+	}),
+	// The part of a retry that is lent, and what the sender could lend beyond it.
+	z.strictObject({
+		type: z.literal('retry-loan'), id, amount: z.number().nonnegative().max(1), leftAmount: z.number().nonnegative(),
+	}),
+	// Returns a part of the loan `id` of the receiver that nobody has used or will use.
+	z.strictObject({type: z.literal('retry-loan-return'), id, amount: z.number().positive().max(1)}),
+	// Requests that each target of a service may reject in a second without a crash, and the time since that was seen; null if they say so no longer.
+	z.strictObject({
+		type: z.literal('service-brittle'), service: name, perSecond: z.number().nonnegative().nullable(), agoMs,
+	}),
+	// Asks for one of the slots of a brittle target for `holder`, which has `held` others; `hops` counts the entry VMs that pass it on.
+	z.strictObject({
+		type: z.literal('slot-request'), id, target: name, startedMs: z.number().nullable(), zone: z.string().max(200), slots: z.number().positive(), perSecond: z.number().nonnegative(), holder: name, held: count, hops: count.max(maxLimitHops),
+	}),
+	// Another request makes sense after `retryAfterMs` if the slot is not granted.
+	z.strictObject({
+		type: z.literal('slot-reply'), id, isGranted: z.boolean(), retryAfterMs: z.number().nonnegative(),
+	}),
+	// The holder has `held` slots left after a request, for which the target had no place if `isRejected`.
+	z.strictObject({
+		type: z.literal('slot-release'), target: name, startedMs: z.number().nullable(), zone: z.string().max(200), slots: z.number().positive(), holder: name, held: count, isRejected: z.boolean(), hops: count.max(maxLimitHops),
+	}),
 ] as const;
 
 /** A message between entry VMs. */
@@ -186,8 +260,22 @@
 /** First byte of a MessagePack array with one element. */
 const oneElementArray = 0x91;
 
+const promptWorkNumber = linkMessageTypes.indexOf('prompt-work');
+
+type PromptWorkFields = Omit<z.infer<typeof promptWorkSchema>, 'type'>;
+
+/** Whether a decoded value is a valid message about prompt work, which carries no timestamp. */
+function isUntimedPromptWork(value: unknown): value is [number, PromptWorkFields] {
+	if (!Array.isArray(value) || value.length !== 2 || value[0] !== promptWorkNumber) {
+		return false;
+	}
+
+	const fields: unknown = value[1];
+	return typeof fields === 'object' && fields !== null && isPromptWork(fields as Record<string, unknown>, linkLimits);
+}
+
 const envelopeSchema = z.tuple([count]).rest(z.unknown());
-const timeSchema = z.tuple([z.number().nonnegative(), count]);
+const timeSchema = z.tuple([z.number().nonnegative(), count]).nullish();
 
 /**
  * Encodes a message. A ping carries no timestamp, since no event depends on it.
@@ -240,6 +328,10 @@
 		throw LinkError.create('bad_frame', 'Cannot read a message: it is malformed');
 	}
 
+	if (isUntimedPromptWork(value)) {
+		return {message: {...value[1], type: 'prompt-work'}, time: undefined};
+	}
+
 	const envelope = envelopeSchema.safeParse(value);
 	if (!envelope.success) {
 		throw LinkError.create('bad_frame', 'Cannot read a message: it has no type');
@@ -254,7 +346,7 @@
 	const type = linkMessageTypes[number]!;
 	const fields = type === 'digest' || type === 'summary' ? unpackDigest(body) : body;
 	const parsed = schema.safeParse({...fields, type});
-	const parsedTime = timeSchema.nullish().safeParse(time);
+	const parsedTime = timeSchema.safeParse(time);
 	if (!parsed.success || !parsedTime.success) {
 		throw LinkError.create('bad_frame', `Cannot read a message of type ${type}: it is malformed`);
 	}
--- a/src/links/peer-links.ts
+++ b/src/links/peer-links.ts
@@ -119,6 +119,11 @@
 		return this.#links.has(name) || !dial || ((dial.attempt === 0 || (dial.attempt === 1 && dial.link !== undefined)) && this.linkMissingMs(name) < answerMs);
 	}
 
+	/** Dials needed members that are not linked now, instead of at the next heartbeat; waits between failed tries still apply. */
+	dialNeeded(): void {
+		this.#dialDue(this.options.clock.now());
+	}
+
 	/** Replaces the key for links to be made; those that exist go on. */
 	setKey(key: LinkKey): void {
 		this.#key = key;
@@ -302,10 +307,12 @@
 			membership.linkLost(name);
 		}
 
-		onClosed(link);
+		// Before the listener, which may dial the members that are needed instead.
 		if (!this.#isClosed && reason !== 'not_needed') {
 			this.#redial(name, link.lastReceivedMs);
 		}
+
+		onClosed(link);
 	}
 
 	/** Dials a lost link again after a back-off delay, without waiting for the next tick. */
--- a/src/links/relay-mesh.ts
+++ b/src/links/relay-mesh.ts
@@ -131,6 +131,7 @@
 					this.#leavingIncarnations.add(link.peer.incarnation);
 					this.#cell = undefined;
 					options.logger.info('A peer is shutting down and can no longer lead.', {peer: link.peer.name});
+					this.#dialSuccessors();
 				} else {
 					if (message.type === 'standby') {
 						this.#setPeerStandby(link, message.isOn);
@@ -143,6 +144,7 @@
 				this.#standbyIncarnations.delete(link.peer.incarnation);
 				this.#cell = undefined;
 				options.onLost(link);
+				this.#dialSuccessors();
 			},
 			onDropped: () => undefined,
 		});
@@ -176,6 +178,22 @@
 		return names.filter(name => name === this.options.self.name || this.#links.byName(name)).length / names.length;
 	}
 
+	/** Number of members of the cell, this entry VM included. */
+	get cellSize(): number {
+		return this.#ownCell().names.length;
+	}
+
+	/** Returns the names of the members that may watch the targets of a zone: those in it, or the one that decides about it if it has none. */
+	watchersOf(zone: string): readonly string[] {
+		const {self} = this.options;
+		const names = this.#membership.members().filter(member => member.zone === zone).map(({name}) => name);
+		if (zone === self.zone || (names.length === 0 && this.coordinatorOf(zone) === 'self')) {
+			names.push(self.name);
+		}
+
+		return names.toSorted();
+	}
+
 	/** True once this entry VM has read a non-empty VM list and either has a link or knows no other member of its cell. */
 	get isSettled(): boolean {
 		return this.#hasList && (this.#ownCell().names.length === 1 || this.#links.up().length > 0);
@@ -329,6 +347,14 @@
 
 		this.#cell = undefined;
 		this.options.logger.info('A peer stands by as a leader, or has ended that.', {peer: name, is_on: isOn, leader: this.leader()?.peer.name ?? this.options.self.name});
+		this.#dialSuccessors();
+	}
+
+	/** Dials the next members to lead without waiting for a heartbeat, if this entry VM leads only since it has no link to them. */
+	#dialSuccessors(): void {
+		if (!this.leader() && this.#ownCell().names[0] !== this.options.self.name) {
+			this.#links.dialNeeded();
+		}
 	}
 
 	#ownCell(): OwnCell {
--- a/src/pools/borrowed-shares.ts
+++ b/src/pools/borrowed-shares.ts
@@ -12,23 +12,26 @@
 		return new BorrowedShares(loanMs);
 	}
 
-	readonly #untilMs = new Map<string, Ms>();
+	readonly #loans = new Map<string, {readonly untilMs: Ms; readonly spent: number}>();
 	#isClosed = false;
 
 	private constructor(private readonly loanMs: Ms) {}
 
-	/** Records that an owner lends its share, for the time of a loan from now on; does nothing while loans are refused. */
-	borrow(owner: string, now: Ms): void {
+	/**
+	 * Records that an owner lends its share, for the time of a loan from now on; does nothing while loans are refused. `spent`
+	 * is the number of retries that earlier hosts have paid for with it.
+	 */
+	borrow(owner: string, now: Ms, spent = 0): void {
 		if (!this.#isClosed) {
-			this.#untilMs.set(owner, now + this.loanMs);
+			this.#loans.set(owner, {untilMs: now + this.loanMs, spent});
 		}
 	}
 
 	/** Ends all loans and refuses others, also those that are under way; returns the owners. */
 	close(): string[] {
 		this.#isClosed = true;
-		const owners = [...this.#untilMs.keys()];
-		this.#untilMs.clear();
+		const owners = [...this.#loans.keys()];
+		this.#loans.clear();
 		return owners;
 	}
 
@@ -39,17 +42,22 @@
 
 	/** Ends the loan of an owner. */
 	giveBack(owner: string): void {
-		this.#untilMs.delete(owner);
+		this.#loans.delete(owner);
 	}
 
 	/** Returns the number of shares that may be used. */
 	count(now: Ms): number {
-		for (const [owner, untilMs] of this.#untilMs) {
+		for (const [owner, {untilMs}] of this.#loans) {
 			if (untilMs <= now) {
-				this.#untilMs.delete(owner);
+				this.#loans.delete(owner);
 			}
 		}
 
-		return this.#untilMs.size;
+		return this.#loans.size;
+	}
+
+	/** Returns the number of retries that earlier hosts have paid for with these shares. */
+	spent(now: Ms): number {
+		return this.count(now) === 0 ? 0 : [...this.#loans.values()].reduce((sum, loan) => sum + loan.spent, 0);
 	}
 }
--- a/src/pools/foreign-hosts.ts
+++ b/src/pools/foreign-hosts.ts
@@ -56,6 +56,11 @@
 		this.#hosts.delete(host);
 	}
 
+	/** Whether a host has reported its load a short time ago. */
+	isFresh(host: string, now: Ms): boolean {
+		return now - (this.#hosts.get(host)?.atMs ?? -Infinity) <= maxLoadAgeMs;
+	}
+
 	/** Returns the host at which a plan is expected to be ready first, and counts the plan there; `undefined` if none is expected to be ready in time. */
 	choose(plan: StagePlan, options: ChooseHostOptions): string | undefined {
 		const {now, times, readyByMs, isReachable, roundTripMs} = options;
@@ -71,7 +76,7 @@
 			}
 
 			const forecast = PlanForecast.create(plan, {
-				expectedCallMs: (service, pieces) => times.expectedCallMs(service, pieces),
+				expectedCallMs: (service, pieces, kind) => times.expectedCallMs(service, pieces, kind),
 				// Time has passed since the report, but other hosts send plans there as well.
 				expectedWaitMs: service => services.get(service)!.waitMs,
 			});
--- a/src/pools/index.ts
+++ b/src/pools/index.ts
@@ -1,6 +1,9 @@
+export {HeldBackError} from './held-back-error.js';
 export {MeshStageRunner, type StageMessage} from './mesh-stage-runner.js';
 export {PoolHost, type LostStageCall, type PoolHostOptions} from './pool-host.js';
 export {RetryBudgets, shareRenewalMs} from './retry-budgets.js';
+export {RequestRetry} from './request-retry.js';
+export {RetryLoans, type RetryLoanMessage} from './retry-loans.js';
 export {RetrySpendLog, type RetryCause} from './retry-spend-log.js';
 export {
 	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
--- a/src/pools/job-order.ts
+++ b/src/pools/job-order.ts
@@ -14,21 +14,22 @@
 /** Properties of a job that determine its place in the order. */
 export type JobUrgency = Pick<StageJob, 'startByMs' | 'priority' | 'deadlineMs' | 'isCommitted'>;
 
-/** A job in scheduling order. */
-export interface OrderedJob {
-	readonly job: StageJob;
-	/** Whether it can no longer meet its objective and is not committed. */
-	readonly isLate: boolean;
-}
-
 /** A job with its number of waiting pieces. */
 export interface WaitingJob {
 	readonly job: StageJob;
 	readonly pieces: number;
+	/** Whether other pieces of it are in a call or have results, which hold memory until the job ends. */
+	readonly isStarted: boolean;
 }
 
-/** Options of {@link orderJobs}, for one target. */
-export interface JobOrderOptions {
+/** A job in scheduling order. */
+export interface OrderedJob extends WaitingJob {
+	/** Whether it can no longer meet its objective and is neither committed nor started. */
+	readonly isLate: boolean;
+}
+
+/** Options of {@link jobsForTarget}. */
+export interface JobZoneOptions {
 	readonly now: Ms;
 	/** Availability zone of the target. */
 	readonly zone: string;
@@ -37,22 +38,30 @@
 }
 
 /**
- * Returns the jobs that a target may take, most urgent first: jobs that can still meet their objective by latest start and
- * priority, then late jobs by deadline. Committed jobs count as on time, and as due now once their latest start has passed.
- * Jobs that would transfer many bytes between zones are left to nearer targets, unless they are short of time or the next
- * calls of those targets are full.
+ * Returns the jobs in scheduling order: jobs that can still meet their objective by latest start and priority, then late
+ * jobs by deadline. Committed and started jobs count as on time, and as due now once their latest start has passed.
  *
  * @example
- * orderJobs(waiting, {now, zone: 'riga-a', zoneCapacity: new Map([['riga-a', 14], ['liepaja-a', 7]])});
+ * jobsForTarget(orderJobs(waiting, now), {now, zone: 'riga-a', zoneCapacity: new Map([['riga-a', 14], ['liepaja-a', 7]])});
  */
-export function orderJobs(waiting: readonly WaitingJob[], {now, zone, zoneCapacity}: JobOrderOptions): OrderedJob[] {
+export function orderJobs(waiting: readonly WaitingJob[], now: Ms): OrderedJob[] {
+	return waiting
+		.map(({job, pieces, isStarted}) => {
+			const isJobLate = !isStarted && isLate(job, now);
+			return {
+				job, pieces, isStarted, isLate: isJobLate, key: sortKeyMs(job, isJobLate, now),
+			};
+		})
+		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key);
+}
+
+/**
+ * Returns the ordered jobs that a target may take. Jobs that would transfer many bytes between zones are left to nearer
+ * targets, unless they are short of time or the next calls of those targets are full.
+ */
+export function jobsForTarget(ordered: readonly OrderedJob[], {now, zone, zoneCapacity}: JobZoneOptions): OrderedJob[] {
 	const zones = [...zoneCapacity.keys()];
 	const remaining = new Map(zoneCapacity);
-	const ordered = waiting
-		.map(({job, pieces}) => ({
-			job, pieces, isLate: isLate(job, now), key: sortKeyMs(job, now),
-		}))
-		.toSorted((a, b) => Number(a.isLate) - Number(b.isLate) || a.key - b.key);
 	return ordered.filter(({job, pieces}) => {
 		const near = zones.filter(other => isNear(job, other, zones));
 		const isNearFull = !reserveCapacity(remaining, near, pieces);
@@ -71,14 +80,25 @@
 	return true;
 }
 
-/** Returns the number of waiting pieces of the jobs that go before the given one. */
-export function piecesAhead(waiting: ReadonlyArray<{job: JobUrgency; pieces: number}>, next: JobUrgency, now: Ms): number {
+/** A job with the time of one target that its waiting pieces take. */
+export interface JobWork {
+	readonly job: JobUrgency;
+	readonly isStarted: boolean;
+	readonly workMs: Ms;
+}
+
+/** Returns the time of one target that the jobs take that go before the given one. */
+export function workAhead(waiting: Iterable<JobWork>, next: JobUrgency, now: Ms): Ms {
 	const isNextLate = next.startByMs < now;
 	const key = isNextLate ? next.deadlineMs : next.startByMs + (next.priority * priorityStepMs);
-	return waiting.reduce((sum, {job, pieces}) => {
-		const isBefore = isLate(job, now) ? isNextLate && sortKeyMs(job, now) <= key : isNextLate || sortKeyMs(job, now) <= key;
-		return sum + (isBefore ? pieces : 0);
-	}, 0);
+	let sumMs = 0;
+	for (const {job, isStarted, workMs} of waiting) {
+		const isJobLate = !isStarted && isLate(job, now);
+		const isBefore = isJobLate ? isNextLate && sortKeyMs(job, true, now) <= key : isNextLate || sortKeyMs(job, false, now) <= key;
+		sumMs += isBefore ? workMs : 0;
+	}
+
+	return sumMs;
 }
 
 /** Whether a job can no longer meet its objective. Committed jobs never count as late: they are finished anyway, since their inputs hold memory that other jobs need. */
@@ -86,8 +106,8 @@
 	return job.startByMs < now && !job.isCommitted;
 }
 
-function sortKeyMs(job: JobUrgency, now: Ms): Ms {
-	return isLate(job, now) ? job.deadlineMs : Math.max(now, job.startByMs) + (job.priority * priorityStepMs);
+function sortKeyMs(job: JobUrgency, isJobLate: boolean, now: Ms): Ms {
+	return isJobLate ? job.deadlineMs : Math.max(now, job.startByMs) + (job.priority * priorityStepMs);
 }
 
 /** Bytes transferred between zones when a job runs in a zone. */
--- a/src/pools/mesh-stage-runner.ts
+++ b/src/pools/mesh-stage-runner.ts
@@ -3,6 +3,7 @@
 import {PendingReplies} from '../links/pending-replies.js';
 import type {Link, LinkMessage, RelayMesh} from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
+import type {AllowedRegions} from '../placement/index.js';
 import {ForeignHosts} from './foreign-hosts.js';
 import {ForeignResults} from './foreign-results.js';
 import type {PoolHost} from './pool-host.js';
@@ -16,6 +17,8 @@
 /** Maximum time after start-up for which plans wait for the host to become known, and the interval of the checks. */
 const hostDiscoveryTimeoutMs: Ms = 3000;
 const hostDiscoveryPollMs: Ms = 50;
+/** Maximum time for which a plan that its host has handed over waits until another host is known. A change of the host is usually known within some ms; without one, the plan is sent to the same host again. */
+const nextHostTimeoutMs: Ms = 500;
 /** An entry VM that becomes the host again counts as having taken over if it has run no plan, its own or a peer's, for this time. */
 const takeoverQuietMs: Ms = 3000;
 /** Interval at which a host reports its load to the hosts of other cells. */
@@ -30,6 +33,18 @@
 /** Link messages about stages. */
 export type StageMessage = LinkMessage & {type: 'stage-plan' | 'stage-results' | 'stage-failure' | 'stage-cancel' | 'stage-free' | 'stage-load' | 'stage-crash'};
 
+/** Dependencies of {@link MeshStageRunner}. */
+export interface MeshStageRunnerOptions {
+	readonly clock: Clock;
+	readonly logger: PartLogger;
+	readonly host: PoolHost;
+	readonly mesh: () => RelayMesh | undefined;
+	/** Whether no stage target can be reached from here, but from other hosts; never by default. */
+	readonly isCutOff?: () => boolean;
+	/** Whether a zone is in one of the regions in which a plan may run; none is by default. */
+	readonly allowsZone?: (zone: string, regions: AllowedRegions) => boolean;
+}
+
 /**
  * Runs stage plans on the entry VM that leads the mesh, which hosts the stage pools for all entry VMs; the others send it
  * their plans over links. When the leader is not linked, the next entry VM takes its place.
@@ -38,11 +53,13 @@
  * const outcome = await stages.run(plan, signal);
  */
 export class MeshStageRunner implements StageRunner {
-	/** `isCutOff` tells whether no stage target can be reached from here, but from other hosts. */
-	static create(options: {clock: Clock; logger: PartLogger; host: PoolHost; mesh: () => RelayMesh | undefined; isCutOff?: () => boolean}): MeshStageRunner {
-		return new MeshStageRunner(options.clock, options.logger, options.host, options.mesh, options.isCutOff ?? (() => false));
+	static create(options: MeshStageRunnerOptions): MeshStageRunner {
+		return new MeshStageRunner(options);
 	}
 
+	private readonly clock: Clock;
+	private readonly logger: PartLogger;
+	private readonly host: PoolHost;
 	readonly #startedMs: Ms;
 	/** Times of the latest plan sent to another host, and of the latest plan run here. */
 	#remoteRunMs: Ms = -Infinity;
@@ -58,16 +75,27 @@
 	/** Plans of other entry VMs that run here, by link and id. */
 	readonly #peerPlans = new Map<Link, Map<number, AbortController>>();
 
-	private constructor(private readonly clock: Clock, private readonly logger: PartLogger, private readonly host: PoolHost, private readonly mesh: () => RelayMesh | undefined, private readonly isCutOff: () => boolean) {
+	private constructor(private readonly options: MeshStageRunnerOptions) {
+		const {clock, logger, host} = options;
+		this.clock = clock;
+		this.logger = logger;
+		this.host = host;
 		this.#replies = PendingReplies.create(clock);
 		this.#producers = ForeignResults.create(clock);
 		this.#startedMs = clock.now();
-		this.#reportLoad();
+	}
+
+	get #mesh(): RelayMesh | undefined {
+		return this.options.mesh();
+	}
+
+	get #isCutOff(): boolean {
+		return this.options.isCutOff?.() === true;
 	}
 
 	/** Whether plans may be sent: the host of the pools is known, or none has been found within the discovery timeout. */
 	get isReady(): boolean {
-		return this.mesh()?.isSettled === true || this.clock.now() - this.#startedMs >= hostDiscoveryTimeoutMs;
+		return this.#mesh?.isSettled === true || this.clock.now() - this.#startedMs >= hostDiscoveryTimeoutMs;
 	}
 
 	async run(request: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
@@ -82,7 +110,7 @@
 				return {failure: 'cancelled', retryAfterMs: 0};
 			}
 
-			const link = this.mesh()?.leader();
+			const link = this.#mesh?.leader();
 			if (link) {
 				this.#remoteRunMs = this.clock.now();
 			} else {
@@ -106,25 +134,41 @@
 			this.logger.warn('Stage plan was not completed by its host; trying the next host while tries remain.', {
 				id: plan.attemptId, host: link?.peer.name, cause: typeof outcome === 'string' ? outcome : 'host_left', repeats: Object.fromEntries(countRepeats(plan)),
 			});
+			if (link) {
+				await this.#waitForOtherHost(link, signal);
+			}
 		}
 
 		return {failure: 'failed', retryAfterMs: 0};
 	}
 
+	/** Waits while the host that did not complete a plan is still the one that is known: it would hand over the plan at once again. */
+	async #waitForOtherHost(link: Link, signal: AbortSignal): Promise<void> {
+		const untilMs = this.clock.now() + nextHostTimeoutMs;
+		while (this.#mesh?.leader() === link && this.clock.now() < untilMs && !signal.aborted) {
+			await this.clock.sleep(hostDiscoveryPollMs, signal);
+		}
+	}
+
 	/** Hands over the plans of which nothing has started to the next host, if there is one. */
 	handOver(): void {
-		if (this.mesh()?.leader()) {
+		if (this.#mesh?.leader()) {
 			this.host.handOver();
 		}
 	}
 
 	/** Hands over all plans to the next host, if there is one, since no stage target can be reached from here. */
 	handOverAll(): void {
-		if (this.mesh()?.leader()) {
+		if (this.#mesh?.leader()) {
 			this.host.handOverAll();
 		}
 	}
 
+	/** Starts the reports to other hosts; until then, there is no timer to end. */
+	start(): void {
+		this.#reportLoad();
+	}
+
 	/** Ends the reports to other hosts. */
 	close(): void {
 		this.#cancelReport();
@@ -144,7 +188,7 @@
 	#freeAt(producer: Link, handles: readonly string[]): void {
 		for (let at = 0; at < handles.length; at += handlesPerMessage) {
 			const batch = handles.slice(at, at + handlesPerMessage);
-			if (!producer.send({type: 'stage-free', handles: batch}) && !this.mesh()?.leader()?.send({type: 'stage-free', handles: batch})) {
+			if (!producer.send({type: 'stage-free', handles: batch}) && !this.#mesh?.leader()?.send({type: 'stage-free', handles: batch})) {
 				this.host.free(batch);
 			}
 		}
@@ -210,6 +254,10 @@
 
 	/** Runs a plan of this cell at its host: here, or at the host of another cell if the plan meets its objective only there. */
 	async #runAtHost(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+		if (plan.regions && !this.host.canPlace(plan)) {
+			return this.#runInAllowedRegion(plan, signal);
+		}
+
 		const link = this.host.canMeetObjective(plan) ? undefined : this.#chooseForeignHost(plan);
 		if (!link) {
 			return this.host.run(plan, signal);
@@ -232,13 +280,57 @@
 		return this.host.run(afterRun(plan, outcome), signal);
 	}
 
+	/** Runs a plan at the host of another cell, since the targets of this one are all in other regions or zones. */
+	async #runInAllowedRegion(request: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+		let plan = request;
+		for (const link of this.#allowedHosts(plan.regions)) {
+			if (signal.aborted) {
+				return {failure: 'cancelled', retryAfterMs: 0};
+			}
+
+			const outcome = await this.#runRemotely(link, plan, signal, true);
+			this.logger.info('Passed a stage plan on to the host of a cell in an allowed region.', {
+				id: plan.attemptId, host: link.peer.name, regions: plan.regions, end: typeof outcome === 'string' ? outcome : ('failure' in outcome ? outcome.failure : 'done'),
+			});
+			if (outcome === 'timeout') {
+				return {failure: 'late', retryAfterMs: 0};
+			}
+
+			if (typeof outcome !== 'string' && 'results' in outcome) {
+				this.#producers.add(outcome.results.map(({handle}) => handle), link);
+				return outcome;
+			}
+
+			if (typeof outcome !== 'string' && outcome.failure !== 'host_left' && outcome.failure !== 'no_target') {
+				return outcome;
+			}
+
+			plan = afterRun(plan, outcome);
+		}
+
+		// The host tells that it has no target.
+		return this.host.run(plan, signal);
+	}
+
+	/** Returns links to hosts of other cells in allowed regions, those first that report their load. */
+	#allowedHosts(regions: AllowedRegions): readonly Link[] {
+		const mesh = this.#mesh;
+		const now = this.clock.now();
+		const links = mesh?.links().filter(link => !mesh.isInCell(link.peer.zone) && this.#isAllowedHost(link, regions)) ?? [];
+		return links.toSorted((a, b) => Number(this.#foreignHosts.isFresh(b.peer.name, now)) - Number(this.#foreignHosts.isFresh(a.peer.name, now)));
+	}
+
+	#isAllowedHost(link: Link | undefined, regions: AllowedRegions): boolean {
+		return link !== undefined && (regions === undefined || this.options.allowsZone?.(link.peer.zone, regions) === true);
+	}
+
 	#chooseForeignHost(plan: StagePlan): Link | undefined {
-		const mesh = this.mesh();
+		const mesh = this.#mesh;
 		const name = mesh && this.#foreignHosts.choose(plan, {
 			now: this.clock.now(),
 			times: this.host,
 			readyByMs: plan.callByMs - objectiveMarginMs,
-			isReachable: host => mesh.linkTo(host) !== undefined,
+			isReachable: host => this.#isAllowedHost(mesh.linkTo(host), plan.regions),
 			roundTripMs: () => foreignRoundTripMs,
 		});
 		if (name === undefined) {
@@ -255,7 +347,7 @@
 		this.#cancelReport = this.clock.after(loadIntervalMs, () => {
 			this.#reportLoad();
 		});
-		const mesh = this.mesh();
+		const mesh = this.#mesh;
 		if (mesh && !mesh.leader()) {
 			mesh.broadcastToLeaders({type: 'stage-load', services: this.host.serviceLoads().map(({service, waitMs, msPerPiece}): [string, number, number] => [service, waitMs, msPerPiece])});
 		}
@@ -273,7 +365,7 @@
 
 	async #runRemotely(link: Link, plan: StagePlan, signal: AbortSignal, isSpilled = false): Promise<StagePlanOutcome | 'timeout' | 'link_lost' | 'unsent'> {
 		const now = this.clock.now();
-		const {callByMs, deadlineMs, pieceKey, stages, sentPieces, onCrash, ...fields} = plan;
+		const {callByMs, deadlineMs, pieceKey, stages, sentPieces, regions, onCrash, ...fields} = plan;
 		let planId = 0;
 		const cancel = () => {
 			link.send({type: 'stage-cancel', id: planId});
@@ -289,6 +381,7 @@
 				...fields,
 				...(sentPieces === undefined ? {} : {sentPieces}),
 				...(pieceKey === undefined ? {} : {pieceKey}),
+				...(regions === undefined ? {} : {regions}),
 				...(isSpilled ? {isSpilled} : {}),
 				stages: stages.map(stage => ({...stage, after: [...stage.after]})),
 				callInMs: callByMs - now,
@@ -336,7 +429,7 @@
 		let outcome: StagePlanOutcome;
 		try {
 			// The peer may have sent the plan before it was told that this host is cut off.
-			outcome = this.isCutOff() && this.mesh()?.leader()
+			outcome = this.#isCutOff && this.#mesh?.leader()
 				? {failure: 'host_left', retryAfterMs: 0, sentPieces: plan.sentPieces ?? plan.stages.map(() => 0)}
 				: await (isSpilled ? this.host.run(plan, controller.signal) : this.#runAtHost(plan, controller.signal));
 		} catch (err) {
--- a/src/pools/plan-forecast.ts
+++ b/src/pools/plan-forecast.ts
@@ -1,6 +1,7 @@
 import type {Ms} from '../clock/index.js';
 import {GuavamillError} from '../errors/index.js';
 import type {JobUrgency} from './job-order.js';
+import type {PieceKind} from './piece-kind.js';
 import type {PlannedStage, StagePlan} from './stage-plan.js';
 
 /** Time for a call and its results to travel between the host and a target, and for the results to be fetched. */
@@ -8,8 +9,8 @@
 
 /** Expected times at the pools of one host. */
 export interface PoolTimes {
-	/** Returns the expected time of a call with this many pieces of one job. */
-	expectedCallMs(service: string, pieces: number): Ms;
+	/** Returns the expected time of a call with this many pieces of one job of a kind. */
+	expectedCallMs(service: string, pieces: number, kind: PieceKind): Ms;
 	/** Returns the expected time until a job starts. */
 	expectedWaitMs(service: string, job: JobUrgency): Ms;
 }
@@ -48,8 +49,8 @@
 
 	/** Expected time of a stage, without waiting. */
 	stageMs(stage: number): Ms {
-		const {pieces, service} = this.#stage(stage);
-		return pieces === 0 ? 0 : this.times.expectedCallMs(service, pieces) + stageTransferMs;
+		const {pieces, service, resultBytes} = this.#stage(stage);
+		return pieces === 0 ? 0 : this.times.expectedCallMs(service, pieces, {stage, resultBytes}) + stageTransferMs;
 	}
 
 	/** Expected time from the start of a stage to the start of the final call, without waiting. */
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -1,16 +1,22 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
+import type {TargetHolds} from '../limits/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {RelayTarget, TargetRegistry} from '../registry/index.js';
+import type {AllowedRegions, Placement} from '../placement/index.js';
 import type {ServiceDeclaration} from '../routes/index.js';
 import type {ServiceLoad} from './foreign-hosts.js';
 import type {JobUrgency} from './job-order.js';
+import type {PieceKind} from './piece-kind.js';
+import type {KindPieces} from './piece-times.js';
 import {countRepeats} from './sent-pieces.js';
 import {
 	ServiceRetryBudget, type RetryBudgetState, type RetryLimits, type RetryShares, type RetrySpend,
 } from './service-retry-budget.js';
 import {ResultReleaser} from './result-releaser.js';
-import type {StageCallOutcome, StageJob, StageJobOutcome} from './stage-job.js';
+import type {
+	StageCallOutcome, StageFailure, StageJob, StageJobOutcome,
+} from './stage-job.js';
 import {PlanForecast} from './plan-forecast.js';
 import {objectiveMarginMs, StagePlanRun, type PlanHost} from './stage-plan-run.js';
 import type {StagePlan, StageRunner, StagePlanOutcome} from './stage-plan.js';
@@ -22,6 +28,7 @@
 	readonly clock: Clock;
 	readonly logger: PartLogger;
 	readonly registry: TargetRegistry;
+	readonly placement: Pick<Placement, 'allowsZone' | 'candidates' | 'isEvacuated' | 'isRestricted' | 'regionOf'>;
 	readonly port: StageTargetPort;
 	readonly retryLimits: RetryLimits;
 	/** Fractions of the retry limits that this host may use; by default all of them, as for one without other entry VMs. */
@@ -30,6 +37,8 @@
 	readonly share: () => number;
 	/** Whether the targets of a zone are this host's to use. */
 	readonly isOwnZone: (zone: string) => boolean;
+	/** Targets that have asked for no requests for a time; absent for none. */
+	readonly holds?: Pick<TargetHolds, 'hasAny' | 'observe' | 'heldForMs' | 'isAddressHeld' | 'returnMs'>;
 	/** Called with a target that says in a response that it is draining. */
 	readonly onDraining?: (target: RelayTarget) => void;
 	/** Called after each attempt to spend retries of pieces of a service. */
@@ -48,6 +57,8 @@
 	readonly lostMs: Ms;
 }
 
+/** Delay after which a caller may ask again for a plan that no target may take: a new target or the end of an evacuation is read within about this time. */
+const noTargetRetryAfterMs: Ms = 1000;
 /** Urgency of a job behind all others that can meet their objectives. */
 const anyJobOnTime: JobUrgency = {
 	startByMs: Infinity, priority: 0, deadlineMs: Infinity, isCommitted: false,
@@ -70,7 +81,12 @@
 	readonly #budgets = new Map<string, ServiceRetryBudget>();
 	readonly #releaser: ResultReleaser;
 	readonly #runs = new Set<StagePlanRun>();
+	/** Jobs in the pools, and how those among them end that no target may take. */
+	readonly #jobs = new Map<string, StageJob & {readonly service: string}>();
+	readonly #unplacedJobs = new Map<string, {readonly failure: StageFailure; readonly retryAfterMs?: Ms}>();
 	#retryLimits: RetryLimits;
+	/** Calls in progress, which are withdrawn if their zone is evacuated before they have a connection. */
+	readonly #calls = new Set<{readonly zone: string; readonly withdrawal: AbortController}>();
 	#planCount = 0;
 	#takeoverMs: Ms = -Infinity;
 
@@ -81,6 +97,16 @@
 			clock,
 			port,
 			logger,
+			mayCall(producer) {
+				const zone = options.registry.zoneAt(producer);
+				return (zone === undefined || !options.placement.isEvacuated(zone)) && options.holds?.isAddressHeld(producer) !== true;
+			},
+			onHeldBack(producer, retryAfterMs) {
+				const target = [...options.registry.all()].find(({entry}) => entry.address === producer);
+				if (target) {
+					options.holds?.observe(target, retryAfterMs);
+				}
+			},
 			onFreed: handle => {
 				for (const [service, {pool}] of this.#pools) {
 					if (pool.removeResult(handle, clock.now())) {
@@ -103,6 +129,17 @@
 	}
 
 	async #run(plan: StagePlan, signal: AbortSignal): Promise<StagePlanOutcome> {
+		if (this.options.placement.isRestricted(plan.regions) && !this.canPlace(plan)) {
+			this.options.logger.info('No target of this host may take a stage plan.', {id: plan.attemptId, regions: plan.regions});
+			return {failure: 'no_target', retryAfterMs: noTargetRetryAfterMs, sentPieces: plan.sentPieces ?? plan.stages.map(() => 0)};
+		}
+
+		const returnMs = this.#returnOf(plan);
+		if (returnMs !== undefined) {
+			this.options.logger.info('All targets of a stage are held back.', {id: plan.attemptId, stages: plan.stages.map(({service}) => service), retry_after_ms: Math.round(returnMs)});
+			return {failure: 'overloaded', retryAfterMs: returnMs, sentPieces: plan.sentPieces ?? plan.stages.map(() => 0)};
+		}
+
 		this.#planCount++;
 		this.#recordRequest(plan);
 		const run = StagePlanRun.create(this, plan, `${plan.attemptId}/${this.#planCount}`);
@@ -168,6 +205,39 @@
 		}
 	}
 
+	/** Handles a change of the zones that are evacuated, or of the targets that are held back. */
+	placementChanged(): void {
+		for (const {zone, withdrawal} of this.#calls) {
+			if (this.options.placement.isEvacuated(zone)) {
+				withdrawal.abort();
+			}
+		}
+
+		for (const service of this.#pools.keys()) {
+			this.#scheduleDispatch(service);
+		}
+	}
+
+	/** Ends the jobs of a service with pieces that no target may take, because of regions or evacuations, or since all are held back. */
+	#endUnplacedJobs(service: string, {pool}: HostedPool): void {
+		const targets = this.#targetsOf(service);
+		const zones = new Set(targets.map(({entry}) => entry.zone));
+		const {placement, holds} = this.options;
+		for (const {id, service: own, regions} of this.#jobs.values()) {
+			if (own === service && placement.isRestricted(regions) && pool.isWaiting(id) && ![...zones].some(zone => placement.allowsZone(zone, regions))) {
+				this.#unplacedJobs.set(id, {failure: 'no_target'});
+				pool.cancel(id);
+				continue;
+			}
+
+			const retryAfterMs = own === service && holds?.hasAny && pool.isWaiting(id) ? holds.returnMs(targets.filter(({entry}) => placement.allowsZone(entry.zone, regions))) : undefined;
+			if (retryAfterMs !== undefined) {
+				this.#unplacedJobs.set(id, {failure: 'overloaded', retryAfterMs});
+				pool.cancel(id);
+			}
+		}
+	}
+
 	isUnstarted(service: string, id: string): boolean {
 		return this.#pools.get(service)?.pool.isUnstarted(id) ?? true;
 	}
@@ -176,17 +246,21 @@
 		return this.options.clock.now();
 	}
 
-	expectedCallMs(service: string, pieces: number): Ms {
+	async sleep(delayMs: Ms, signal: AbortSignal): Promise<void> {
+		await this.options.clock.sleep(delayMs, signal);
+	}
+
+	expectedCallMs(service: string, pieces: number, kind: PieceKind): Ms {
 		const limits = this.options.service(service)?.stagePool;
-		return this.#pools.get(service)?.pool.expectedCallMs(pieces) ?? (limits ? limits.callMs + (limits.pieceMs * Math.min(pieces, limits.batch)) : 0);
+		return this.#pools.get(service)?.pool.expectedCallMs(pieces, kind) ?? (limits ? limits.callMs + (limits.pieceMs * Math.min(pieces, limits.batch)) : 0);
 	}
 
 	expectedWaitMs(service: string, job: JobUrgency): Ms {
 		return this.#pools.get(service)?.pool.expectedWaitMs(this.now(), job) ?? 0;
 	}
 
-	announce(service: string, id: string, job: JobUrgency, pieces: number): void {
-		this.#pools.get(service)?.pool.announce(id, job, pieces);
+	announce(service: string, id: string, job: JobUrgency, work: KindPieces): void {
+		this.#pools.get(service)?.pool.announce(id, {job, ...work});
 	}
 
 	withdraw(service: string, id: string): void {
@@ -233,9 +307,13 @@
 
 			signal.addEventListener('abort', cancel, {once: true});
 			this.#updateTargets(service, pool);
+			this.#jobs.set(job.id, {...job, service});
 			pool.submit(job, outcome => {
 				signal.removeEventListener('abort', cancel);
-				resolve(outcome);
+				this.#jobs.delete(job.id);
+				const unplaced = this.#unplacedJobs.get(job.id);
+				this.#unplacedJobs.delete(job.id);
+				resolve(unplaced && 'failure' in outcome ? {...outcome, ...unplaced} : outcome);
 			}, this.options.clock.now());
 			this.#scheduleDispatch(service);
 		});
@@ -251,6 +329,26 @@
 		}
 	}
 
+	/** Whether this host may call a target for each stage of a plan. */
+	canPlace({stages, regions}: StagePlan): boolean {
+		return stages.every(({service, pieces}) => pieces === 0 || this.#hasTarget(service, regions));
+	}
+
+	/** Returns the time after which a plan may return if all targets of one of its stages are held back; else `undefined`. */
+	#returnOf({stages, regions}: StagePlan): Ms | undefined {
+		const {holds, placement} = this.options;
+		if (!holds?.hasAny) {
+			return undefined;
+		}
+
+		const times = stages.flatMap(({service, pieces}) => pieces === 0 ? [] : holds.returnMs(this.#targetsOf(service).filter(({entry}) => placement.allowsZone(entry.zone, regions))) ?? []);
+		return times.length === 0 ? undefined : Math.max(...times);
+	}
+
+	#hasTarget(service: string, regions: AllowedRegions): boolean {
+		return this.#targetsOf(service).some(({entry}) => this.options.placement.allowsZone(entry.zone, regions));
+	}
+
 	/** Whether a plan is expected to meet its objective at the pools of this host. */
 	canMeetObjective(plan: StagePlan): boolean {
 		return this.now() + PlanForecast.create(plan, this).predictMs(plan.callByMs) + objectiveMarginMs <= plan.callByMs;
@@ -328,11 +426,26 @@
 		});
 	}
 
-	#updateTargets(service: string, pool: StagePool): void {
-		const accepting = this.options.registry.acceptingTargets(service);
+	/** Returns the targets of a service that this host may call. */
+	#targetsOf(service: string): readonly RelayTarget[] {
+		const accepting = this.options.placement.candidates(service);
 		const own = accepting.filter(({entry}) => this.options.isOwnZone(entry.zone));
 		// Without a target of its own, a host shares those of the others, which refuse calls that they have no place for.
-		pool.setTargets((own.length > 0 ? own : accepting).map(({entry}) => ({id: entry.id, address: entry.address, zone: entry.zone})));
+		return own.length > 0 ? own : accepting;
+	}
+
+	#updateTargets(service: string, pool: StagePool): void {
+		const {clock, holds, placement} = this.options;
+		const targets = this.#targetsOf(service);
+		pool.setTargets(targets.map(({entry}) => ({
+			id: entry.id, address: entry.address, zone: entry.zone, region: placement.regionOf(entry.zone),
+		})));
+		for (const target of targets) {
+			const heldMs = holds?.heldForMs(target) ?? 0;
+			if (heldMs > 0) {
+				pool.holdBack(target.id, clock.now() + heldMs);
+			}
+		}
 	}
 
 	/** Defers dispatch, so that jobs submitted in the same turn of the event loop share calls. */
@@ -352,6 +465,7 @@
 		const hostedPool = this.#pools.get(service)!;
 		const {clock} = this.options;
 		this.#updateTargets(service, hostedPool.pool);
+		this.#endUnplacedJobs(service, hostedPool);
 		hostedPool.cancelWakeup?.();
 		hostedPool.cancelWakeup = undefined;
 		try {
@@ -375,14 +489,20 @@
 		const startedMs = clock.now();
 		// The target may have run the call.
 		let end: StageCallOutcome = {kind: 'failed'};
+		const sent = {zone: call.target.zone, withdrawal: new AbortController()};
+		this.#calls.add(sent);
 		try {
 			const target = this.options.registry.get(call.target.id);
-			end = await port.run({...call, now: startedMs});
+			end = await port.run({...call, now: startedMs, withdrawal: sent.withdrawal.signal});
 			this.#logCall(service, pool, {call, end, startedMs});
 			if (target && end.kind !== 'unreachable' && end.isDraining) {
 				this.options.onDraining?.(target);
 			}
 
+			if (target && end.kind !== 'unreachable') {
+				this.options.holds?.observe(target, end.retryAfterMs);
+			}
+
 			if (target && end.kind === 'unreachable' && end.lost) {
 				this.options.onLostCall?.({
 					target, pieces: call.pieces, sentMs: startedMs, lostMs: clock.now(),
@@ -392,6 +512,8 @@
 			logger.error('Cannot handle a stage call.', {
 				service, target: call.target.id, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined,
 			});
+		} finally {
+			this.#calls.delete(sent);
 		}
 
 		try {
--- a/src/pools/result-releaser.ts
+++ b/src/pools/result-releaser.ts
@@ -1,30 +1,42 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import type {PartLogger} from '../logging/index.js';
+import {HeldBackError} from './held-back-error.js';
 import type {StageTargetPort} from './stage-target-port.js';
 
 /** Time for which handles are collected, so that one call frees the results of several requests. */
 const batchDelayMs: Ms = 15;
 
+/** Options of {@link ResultReleaser}. */
+type ResultReleaserOptions = {
+	readonly clock: Clock;
+	readonly port: StageTargetPort;
+	readonly logger: PartLogger;
+	readonly mayCall: (producer: string) => boolean;
+	readonly onFreed: (handle: string) => void;
+	readonly onHeldBack?: (producer: string, retryAfterMs: Ms) => void;
+};
+
 /**
  * Frees results in batches at the targets that produced them. A result that cannot be freed expires there after its TTL.
  *
  * @internal
  */
 export class ResultReleaser {
-	static create(options: {clock: Clock; port: StageTargetPort; logger: PartLogger; onFreed: (handle: string) => void}): ResultReleaser {
-		return new ResultReleaser(options.clock, options.port, options.logger, options.onFreed);
+	/** `mayCall` tells whether the target at an address may be called; its results expire otherwise. `onHeldBack` is called with the address of a target that asks for no calls. */
+	static create(options: ResultReleaserOptions): ResultReleaser {
+		return new ResultReleaser(options);
 	}
 
 	readonly #pending = new Map<string, string[]>();
 	#cancel: CancelTimer | undefined;
 
-	private constructor(private readonly clock: Clock, private readonly port: StageTargetPort, private readonly logger: PartLogger, private readonly onFreed: (handle: string) => void) {}
+	private constructor(private readonly options: ResultReleaserOptions) {}
 
 	/** Queues results for release. */
 	free(handles: readonly string[]): void {
 		for (const handle of handles) {
-			const producer = this.port.producerOf(handle);
+			const producer = this.options.port.producerOf(handle);
 			const pending = this.#pending.get(producer);
 			if (pending) {
 				pending.push(handle);
@@ -33,7 +45,7 @@
 			}
 		}
 
-		this.#cancel ??= this.clock.after(batchDelayMs, () => {
+		this.#cancel ??= this.options.clock.after(batchDelayMs, () => {
 			this.#cancel = undefined;
 			this.#flush();
 		});
@@ -48,13 +60,23 @@
 	}
 
 	async #send(producer: string, handles: readonly string[]): Promise<void> {
+		const {port, logger, mayCall, onFreed, onHeldBack} = this.options;
 		try {
-			await this.port.free(producer, handles);
+			if (!mayCall(producer)) {
+				logger.info('Left results to expire at a target that must not be called.', {maker: producer, results: handles.length});
+				return;
+			}
+
+			await port.free(producer, handles);
 			for (const handle of handles) {
-				this.onFreed(handle);
+				onFreed(handle);
 			}
 		} catch (err) {
-			this.logger.warn('Cannot free results; they expire after their TTL.', {maker: producer, results: handles.length, error: errorMessage(err)});
+			if (err instanceof HeldBackError) {
+				onHeldBack?.(producer, err.retryAfterMs);
+			}
+
+			logger.warn('Cannot free results; they expire after their TTL.', {maker: producer, results: handles.length, error: errorMessage(err)});
 		}
 	}
 }
--- a/src/pools/retry-budgets.ts
+++ b/src/pools/retry-budgets.ts
@@ -46,7 +46,7 @@
 	/** Fractions of the limits that a host of stage pools may use for pieces. */
 	readonly pieceShares: RetryShares = {
 		ratio: () => usedRatio * (1 - directPart),
-		slack: now => usedSlack * (1 - directPart) * this.#borrowed.count(now) / this.#divisor(now),
+		slack: now => Math.max(0, (usedSlack * (1 - directPart) * this.#borrowed.count(now) / this.#divisor(now)) - this.#spentFraction(now)),
 	};
 
 	readonly #budgets = new Map<string, ServiceRetryBudget>();
@@ -111,20 +111,30 @@
 	lend(host: string, now: Ms): boolean {
 		const isLent = this.#lender.lend(host, now);
 		if (isLent && host === this.options.self) {
-			this.#borrowed.borrow(host, now);
+			this.#borrowed.borrow(host, now, this.#lender.spent(now));
 		}
 
 		return isLent;
 	}
 
+	/** Number of retries that earlier hosts have paid for with the share that this entry VM lends. */
+	spentOfShare(now: Ms): number {
+		return this.#lender.spent(now);
+	}
+
 	/**
 	 * Ends the loans of all owners, who may lend their shares to another host at once, and refuses others until `takeLoans`.
-	 * Returns the owners, by their incarnations. Must be called only if no retry of a piece is in the window.
+	 * `pieces` are the states of the budgets for pieces, none of which may have retries that are reserved and not sent.
+	 * Returns the owners, by their incarnations, and the number of retries that were paid for with the share of each: those of
+	 * the service with most, as the shares are for all services.
 	 */
-	returnLoans(): readonly string[] {
+	returnLoans(pieces: readonly RetryBudgetState[], now: Ms): {owners: readonly string[]; spent: number} {
+		const spentHere = Math.max(0, ...pieces.map(({retries, allowed, slack}) => retries - (allowed - slack)));
+		const spentInAll = spentHere + this.#borrowed.spent(now);
 		const owners = this.#borrowed.close();
-		this.takeBack(this.options.self);
-		return owners.filter(owner => owner !== this.options.self);
+		const spent = spentInAll / Math.max(1, owners.length);
+		this.takeBack(this.options.self, {spent, now});
+		return {owners: owners.filter(owner => owner !== this.options.self), spent};
 	}
 
 	/** Takes loans again, after `returnLoans`. */
@@ -132,14 +142,14 @@
 		this.#borrowed.open();
 	}
 
-	/** Records that the host of the pools has returned the share for pieces unused. */
-	takeBack(host: string): void {
-		this.#lender.takeBack(host);
+	/** Records that the host of the pools has returned the share for pieces, with `spent` retries paid for with it. */
+	takeBack(host: string, {spent = 0, now}: {spent?: number | undefined; now: Ms}): void {
+		this.#lender.takeBack(host, {spent, now});
 	}
 
-	/** Records that another entry VM lends its share for pieces to this one. */
-	borrow(owner: string, now: Ms): void {
-		this.#borrowed.borrow(owner, now);
+	/** Records that another entry VM lends its share for pieces to this one; earlier hosts have paid for `spent` retries with it. */
+	borrow(owner: string, now: Ms, spent = 0): void {
+		this.#borrowed.borrow(owner, now, spent);
 	}
 
 	/** Ends the loan of an entry VM whose link is lost. */
@@ -152,6 +162,12 @@
 		return [...this.#budgets].map(([service, budget]) => ({service, state: budget.state(now)}));
 	}
 
+	/** Fraction of the slack that earlier hosts have spent of the borrowed shares. */
+	#spentFraction(now: Ms): number {
+		const spent = this.#borrowed.spent(now);
+		return spent === 0 ? 0 : spent / this.#limits.slack;
+	}
+
 	#divisor(now: Ms): number {
 		return this.#fleet.largest(now) ?? Infinity;
 	}
--- a/src/pools/retry-spend-log.ts
+++ b/src/pools/retry-spend-log.ts
@@ -2,8 +2,8 @@
 import type {PartLogger} from '../logging/index.js';
 import type {RetrySpend} from './service-retry-budget.js';
 
-/** What is retried: a request at another target, the stages of a request, or a piece in a pool. */
-export type RetryCause = 'attempt' | 'stages' | 'piece';
+/** What is retried: a request at another target, or a piece in a pool. */
+export type RetryCause = 'attempt' | 'piece';
 
 /** Minimum interval between lines about the same service, cause and result. */
 const lineIntervalMs: Ms = 1000;
--- a/src/pools/service-retry-budget.ts
+++ b/src/pools/service-retry-budget.ts
@@ -21,6 +21,8 @@
 	readonly allowed: number;
 	/** Part of `allowed` that comes from the slack. */
 	readonly slack: number;
+	/** Part of `retries` that is reserved and not sent. */
+	readonly reserved: number;
 }
 
 /** Outcome of an attempt to spend retries, with the state of the budget before it. */
@@ -43,6 +45,22 @@
 	readonly onSpend?: (spend: RetrySpend) => void;
 }
 
+/** Part of a retry that a budget has lent. */
+export interface RetryLoan {
+	/** Part of a retry, which the borrower may send until `untilMs`. */
+	readonly amount: number;
+	readonly untilMs: Ms;
+}
+
+/**
+ * Time for which a part of a retry is lent. A restarted lender uses slack after 1.2 windows of 10 s: what its earlier
+ * process has lent must have arrived a window before that, with up to 1 s on the way.
+ */
+export const retryLoanMs: Ms = 1000;
+
+/** Left of what is held, so that the rounding error of a sum does not deny a retry that is borrowed as a whole. */
+const roundingPart = 1e-9;
+
 /** Number of buckets that the window is divided into for counting. */
 const bucketsPerWindow = 20;
 /** Number of windows for which a retry counts: it may reach its target later than it was spent. */
@@ -75,6 +93,10 @@
 	readonly #buckets: Bucket[] = [];
 	/** Retries that were granted and are neither sent nor released. */
 	#reserved = 0;
+	/** Parts of retries that were lent and may be part of the window, oldest first. */
+	readonly #loans: RetryLoan[] = [];
+	/** Parts of retries that requests hold while they borrow the rest. */
+	readonly #held = new Set<RetryLoan>();
 	#limits: RetryLimits;
 	#countedSinceMs: Ms;
 
@@ -83,6 +105,11 @@
 		this.#countedSinceMs = options.countedSinceMs ?? -Infinity;
 	}
 
+	/** Limits in force. Parts of retries that were borrowed under others must not be used. */
+	get limits(): RetryLimits {
+		return this.#limits;
+	}
+
 	/** Replaces the limits; what was counted under the earlier ones still counts. */
 	setLimits(limits: RetryLimits, now: Ms): void {
 		if (limits.windowMs > this.#limits.windowMs) {
@@ -103,6 +130,33 @@
 		return retries + count <= allowed;
 	}
 
+	/** Returns the number of retries that are left, which may be a part of one. */
+	spare(now: Ms): number {
+		const {retries, allowed} = this.state(now);
+		return Math.max(0, allowed - retries);
+	}
+
+	/** Returns the number of retries that can be lent. Requests that leave the window during a loan allow none. */
+	lendable(now: Ms): number {
+		const {retries, allowed} = this.#count(now, retryLoanMs);
+		return Math.max(0, allowed - retries);
+	}
+
+	/** Lends up to `amount` retries, for `retryLoanMs`. A loan counts until a window after its end, also if the borrower never sends the retry. */
+	lend(now: Ms, amount: number): RetryLoan {
+		const loan = {amount: Math.min(amount, this.lendable(now)), untilMs: now + retryLoanMs};
+		this.#loans.push(loan);
+		return loan;
+	}
+
+	/** Takes back `amount` of a loan, which nobody has used or will use. */
+	takeBack(loan: RetryLoan, amount: number): void {
+		const index = this.#loans.indexOf(loan);
+		if (index !== -1) {
+			this.#loans[index] = {...loan, amount: Math.max(0, loan.amount - amount)};
+		}
+	}
+
 	/** Spends `count` retries that are sent now, all or none; returns false when the budget of the window does not suffice. */
 	spend(now: Ms, count = 1): boolean {
 		const isGranted = this.reserve(now, count);
@@ -115,19 +169,32 @@
 
 	/**
 	 * Reserves `count` retries that are sent later, all or none; returns false when the budget of the window does not suffice.
-	 * They count until they are recorded as sent or released, however long that takes.
+	 * They count until they are recorded as sent or released, however long that takes. Other budgets pay for the part that
+	 * is `borrowed` from them; only the rest counts here, and is to be recorded as sent or released.
 	 */
-	reserve(now: Ms, count = 1): boolean {
+	reserve(now: Ms, count = 1, borrowed = 0): boolean {
 		const state = this.state(now);
-		const isGranted = state.retries + count <= state.allowed;
+		const isGranted = state.retries + count - borrowed <= state.allowed;
 		if (isGranted) {
-			this.#reserved += count;
+			this.#reserved += count - borrowed;
 		}
 
 		this.options.onSpend?.({...state, isGranted, count});
 		return isGranted;
 	}
 
+	/** Holds what is left, which is less than a retry, while the rest is borrowed: for the time of a loan, or until it is released. */
+	holdSpare(now: Ms): RetryLoan {
+		const held = {amount: Math.max(0, this.spare(now) - roundingPart), untilMs: now + retryLoanMs};
+		this.#held.add(held);
+		return held;
+	}
+
+	/** Releases what was held. */
+	releaseHeld(held: RetryLoan): void {
+		this.#held.delete(held);
+	}
+
 	/** Records that `count` reserved retries are sent now. */
 	recordSent(now: Ms, count = 1): void {
 		this.#reserved -= count;
@@ -141,27 +208,50 @@
 
 	/** Returns what was counted in the window, and what it allows. */
 	state(now: Ms): RetryBudgetState {
+		return this.#count(now, 0);
+	}
+
+	/** Counts the window without the requests that leave it within `leavingMs`. */
+	#count(now: Ms, leavingMs: Ms): RetryBudgetState {
 		const {windowMs, ratio, slack: wholeSlack} = this.#limits;
 		const {share, ratioShare = () => 1} = this.options;
 		this.#expire(now);
 		let requests = 0;
 		let retries = this.#reserved;
 		for (const bucket of this.#buckets) {
-			requests += bucket.startMs >= now - windowMs ? bucket.requests : 0;
+			requests += bucket.startMs >= now + leavingMs - windowMs ? bucket.requests : 0;
 			retries += bucket.retries;
 		}
 
+		for (const {amount} of this.#loans) {
+			retries += amount;
+		}
+
+		for (const {amount} of this.#held) {
+			retries += amount;
+		}
+
 		const slack = now - this.#countedSinceMs >= unknownWindows * windowMs ? wholeSlack * share(now) : 0;
 		return {
-			requests, retries, allowed: (ratio * ratioShare() * requests) + slack, slack,
+			requests, retries, allowed: (ratio * ratioShare() * requests) + slack, slack, reserved: this.#reserved,
 		};
 	}
 
 	#expire(now: Ms): void {
+		for (const held of this.#held) {
+			if (held.untilMs <= now) {
+				this.#held.delete(held);
+			}
+		}
+
 		const startMs = now - (retryWindows * this.#limits.windowMs);
 		while (this.#buckets.length > 0 && this.#buckets[0]!.endMs <= startMs) {
 			this.#buckets.shift();
 		}
+
+		while (this.#loans.length > 0 && this.#loans[0]!.untilMs <= startMs) {
+			this.#loans.shift();
+		}
 	}
 
 	#current(now: Ms): Bucket {
--- a/src/pools/share-lender.ts
+++ b/src/pools/share-lender.ts
@@ -24,6 +24,8 @@
 
 	#host: string | undefined;
 	#untilMs: Ms;
+	/** Retries that earlier hosts have paid for with the share, which count against it until `untilMs`. */
+	#spent = {amount: 0, untilMs: -Infinity};
 
 	private constructor(private readonly options: ShareLenderOptions) {
 		this.#untilMs = options.lentUntilMs;
@@ -41,11 +43,20 @@
 		return true;
 	}
 
-	/** Ends the loan of a host that has used nothing of it, so that another host may get the share at once. */
-	takeBack(host: string): void {
+	/**
+	 * Ends the loan of a host that uses no more of it, so that another host may get the share at once, less the retries that
+	 * were paid for with it (`spent`).
+	 */
+	takeBack(host: string, {spent, now}: {spent: number; now: Ms}): void {
 		if (host === this.#host) {
 			this.#host = undefined;
 			this.#untilMs = -Infinity;
+			this.#spent = {amount: Math.max(spent, this.spent(now)), untilMs: now + this.options.gapMs()};
 		}
 	}
+
+	/** Returns the number of retries that earlier hosts may have paid for with the share in the window. */
+	spent(now: Ms): number {
+		return now < this.#spent.untilMs ? this.#spent.amount : 0;
+	}
 }
--- a/src/pools/stage-job.ts
+++ b/src/pools/stage-job.ts
@@ -1,4 +1,6 @@
 import type {Ms} from '../clock/index.js';
+import type {AllowedRegions} from '../placement/index.js';
+import type {TargetLoad} from '../registry/index.js';
 
 /** Bytes that a job transfers to or from a zone unless it runs there. */
 export interface ZoneTransfer {
@@ -26,6 +28,8 @@
 	readonly resultBytes: number;
 	/** Bytes transferred between zones, by the zone in which the job would have to run to avoid the transfer; one entry per zone. */
 	readonly transfers: readonly ZoneTransfer[];
+	/** Regions in which its pieces may run; absent if in any. */
+	readonly regions?: AllowedRegions;
 	/** Priority of the request; 0 is the highest. */
 	readonly priority: number;
 	/** Latest start time at which the request can still meet its latency objective; `-Infinity` when it is not expected to meet it. */
@@ -68,6 +72,12 @@
 	readonly limitPerSecond?: number | undefined;
 	/** Whether it is draining. */
 	readonly isDraining?: boolean;
+	/** Time for which it asks for no requests; absent if it does not ask for it, NaN if it cannot be read. */
+	readonly retryAfterMs?: Ms;
+	/** Requests that it may reject in a second without a crash; absent if it is not brittle, NaN if it cannot be read. */
+	readonly brittlePerSecond?: number | undefined;
+	/** Load that it tells; absent if it tells none that can be read. */
+	readonly load?: TargetLoad;
 }
 
 /** Outcome of a call to a stage target; piece results are in the order of the call. `refused` means that no piece ran. */
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -2,6 +2,8 @@
 import type {Ms} from '../clock/index.js';
 import type {JobUrgency} from './job-order.js';
 import type {StageJob, StageJobOutcome, ZoneTransfer} from './stage-job.js';
+import {StageDeferral} from './stage-deferral.js';
+import type {KindPieces} from './piece-times.js';
 import {PlanForecast, type PoolTimes} from './plan-forecast.js';
 import type {
 	PlannedStage, StagePlan, StagePlanFailure, StagePlanOutcome,
@@ -10,8 +12,10 @@
 /** Operations of the pool host that a plan run uses. */
 export interface PlanHost extends PoolTimes {
 	now(): Ms;
+	/** Resolves after `delayMs`, or as soon as `signal` aborts. */
+	sleep(delayMs: Ms, signal: AbortSignal): Promise<void>;
 	/** Announces a job that will be submitted once the preceding stages have ended. */
-	announce(service: string, id: string, job: JobUrgency, pieces: number): void;
+	announce(service: string, id: string, job: JobUrgency, work: KindPieces): void;
 	/** Removes an announced job. */
 	withdraw(service: string, id: string): void;
 	/** Whether no piece of a job has been in a call yet; also true for a job that is not in the pool. */
@@ -63,11 +67,15 @@
 	/** Time of the longest path, without waiting. */
 	readonly #totalMs: Ms;
 	readonly #forecast: PlanForecast;
+	readonly #deferral: StageDeferral;
+	/** Aborts when a stage ends, so that deferred stages are reconsidered. */
+	#stageEnd = new AbortController();
 	readonly #handOver = new AbortController();
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
 		this.#sentPieces = plan.stages.map(() => 0);
 		this.#forecast = PlanForecast.create(plan, host);
+		this.#deferral = StageDeferral.create(plan.stages, this.#forecast);
 		this.#totalMs = this.#forecast.totalMs;
 		this.predictedMs = this.#forecast.predictMs(plan.callByMs);
 		this.#isOnTime = host.now() + this.predictedMs + objectiveMarginMs <= plan.callByMs;
@@ -165,9 +173,9 @@
 	}
 
 	#announce(): void {
-		for (const [stage, {service, pieces, after}] of this.plan.stages.entries()) {
+		for (const [stage, {service, pieces, after, resultBytes}] of this.plan.stages.entries()) {
 			if (pieces > 0 && after.length > 0) {
-				this.host.announce(service, this.#jobId(stage), this.#urgency(stage), pieces);
+				this.host.announce(service, this.#jobId(stage), this.#urgency(stage), {kind: {stage, resultBytes}, pieces});
 			}
 		}
 	}
@@ -215,11 +223,14 @@
 		}
 
 		if (pieces === 0) {
+			this.#endStage(stage);
 			return {results: []};
 		}
 
+		await this.#deferStage(stage, signal);
 		const inputs = after.flatMap(other => this.#results.get(other) ?? []);
 		this.#submitted.add(stage);
+		this.#deferral.start(stage, this.host.now());
 		const outcome = await this.host.runJob(service, {
 			id: this.#jobId(stage),
 			attemptId,
@@ -230,9 +241,11 @@
 			inputs,
 			resultBytes,
 			transfers: this.#transfers(stage),
+			...(this.plan.regions ? {regions: this.plan.regions} : {}),
 			onCrash,
 			...this.#urgency(stage),
 		}, signal);
+		this.#endStage(stage);
 		this.#sentPieces[stage] = 'results' in outcome ? pieces : outcome.sentPieces ?? 0;
 		if ('results' in outcome) {
 			this.#results.set(stage, outcome.results);
@@ -242,6 +255,28 @@
 		return outcome;
 	}
 
+	/** Resolves when a stage is to be submitted. */
+	async #deferStage(stage: number, signal: AbortSignal): Promise<void> {
+		const {host} = this;
+		const {service} = this.#stage(stage);
+		while (!signal.aborted) {
+			const now = host.now();
+			// Most stages are not deferred; the expected wait takes a pass over all jobs.
+			const delayMs = this.#deferral.delayMs(stage, {now, waitMs: 0}) === 0 ? 0 : this.#deferral.delayMs(stage, {now, waitMs: host.expectedWaitMs(service, this.#urgency(stage))});
+			if (delayMs === 0) {
+				return;
+			}
+
+			await host.sleep(delayMs, AbortSignal.any([signal, this.#stageEnd.signal]));
+		}
+	}
+
+	#endStage(stage: number): void {
+		this.#deferral.end(stage);
+		this.#stageEnd.abort();
+		this.#stageEnd = new AbortController();
+	}
+
 	/** Bytes that a stage transfers, by zone: every piece takes all results of the preceding stages as input, and results of final stages go to the final call. */
 	#transfers(stage: number): ZoneTransfer[] {
 		const {after, resultBytes, pieces} = this.#stage(stage);
--- a/src/pools/stage-plan.ts
+++ b/src/pools/stage-plan.ts
@@ -1,4 +1,5 @@
 import type {Ms} from '../clock/index.js';
+import type {AllowedRegions} from '../placement/index.js';
 import type {StageCrash, StageFailure} from './stage-job.js';
 
 /** One stage of a plan. */
@@ -23,6 +24,8 @@
 	readonly pieceKey: string | undefined;
 	/** Availability zone in which the final call, to the engine, is likely to run. */
 	readonly zone: string;
+	/** Regions in which its stages may run; absent if in any. */
+	readonly regions?: AllowedRegions;
 	/** Priority of the request; 0 is the highest. */
 	readonly priority: number;
 	/** Latest start time of the final call at which the request can still meet its latency objective. */
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -305,6 +305,15 @@
 		expect(pool.nextCalls(now + 150)).toEqual([]);
 	});
 
+	// Guards against a brittle target that crashes since it has to refuse calls again and again.
+	it.each([[undefined, 152], [20, 152], [4, 502], [0, 4002], [Number.NaN, 152]])('backs off from a target that may refuse %j calls a second until %d ms', (brittlePerSecond, untilMs) => {
+		const {pool, submit} = create([target('t1')]);
+		submit(job('a', {deadlineMs: 60_000}));
+		const [first] = pool.nextCalls(1);
+		pool.endCall(first!.id, {kind: 'refused', brittlePerSecond}, 2);
+		expect([pool.nextCalls(untilMs - 1).length, pool.nextCalls(untilMs).length]).toEqual([0, 1]);
+	});
+
 	it('retries pieces that a target refused and backs off from the target', () => {
 		const {pool, submit, outcomes} = create([target('t1'), target('t2')]);
 		submit(job('a'));
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -1,9 +1,15 @@
 import type {Ms} from '../clock/index.js';
+import {isRegionAllowed} from '../placement/index.js';
 import type {StagePoolLimits} from '../routes/index.js';
+import {planCall} from './call-plan.js';
 import {
-	isLate, orderJobs, piecesAhead, type JobUrgency,
+	isLate, jobsForTarget, orderJobs, workAhead, type JobUrgency, type JobWork, type OrderedJob, type WaitingJob,
 } from './job-order.js';
+import {lateAllowance, type LateAllowance} from './late-allowance.js';
 import {isSlow, shouldSkipSlowTarget} from './slow-target.js';
+import {pieceKindKey, type PieceKind} from './piece-kind.js';
+import {PieceTimes, type KindPieces} from './piece-times.js';
+import {ReleaseTrust} from './release-trust.js';
 import {ThroughputEstimator} from './throughput-estimator.js';
 import type {ServiceRetryBudget} from './service-retry-budget.js';
 import type {
@@ -18,12 +24,6 @@
 const callTimeoutFactor = 2.5;
 const callTimeoutSlackMs: Ms = 600;
 
-/**
- * Fraction of the targets that may run calls without any on-time job, and fraction of a target's memory reserved for
- * on-time jobs. If late jobs took every slot and all memory, jobs that arrive meanwhile would become late as well.
- */
-const lateTargetShare = 0.5;
-const onTimeMemoryShare = 0.5;
 /** A job waits for a target near its inputs that is expected to be idle within this time, about half of the fixed time of a call. */
 const nearTargetWaitMs: Ms = 150;
 
@@ -68,6 +68,9 @@
 /** A call in progress; `expectedMs` excludes the slowdown of the target. */
 type RunningCall = {readonly call: StageCall; readonly startedMs: Ms; readonly expectedMs: Ms};
 
+/** A job that is likely to be submitted later. */
+type AnnouncedJob = {job: JobUrgency; pieces: number; kind: PieceKind};
+
 /** Options of a {@link StagePool}. */
 export interface StagePoolOptions {
 	readonly limits: StagePoolLimits;
@@ -95,8 +98,10 @@
 	readonly #targets = new Map<string, StageTargetState>();
 	readonly #calls = new Map<number, RunningCall>();
 	/** Jobs of running plans that will be submitted once the preceding stages have ended. */
-	readonly #announced = new Map<string, {job: JobUrgency; pieces: number}>();
+	readonly #announced = new Map<string, AnnouncedJob>();
 	readonly #throughput = ThroughputEstimator.create();
+	readonly #pieceTimes = PieceTimes.create();
+	readonly #releaseTrust = ReleaseTrust.create();
 	/**
 	 * What callers are still to be told. They may react at once by a call of this pool, such as to cancel the other jobs of a
 	 * plan, so that they are told only when its state is consistent.
@@ -132,7 +137,7 @@
 
 	/** Time by which each waiting piece delays later jobs. */
 	get msPerPiece(): Ms {
-		return 1 / this.#throughput.piecesPerMs(this.#targets.size, this.#limits);
+		return 1 / this.#throughput.piecesPerMs(this.#targets.size, this.#learnedLimits());
 	}
 
 	/** Replaces the declared limits. */
@@ -152,11 +157,16 @@
 		for (const target of targets) {
 			// A target that has started again under its id may have another address.
 			if (this.#targets.get(target.id)?.target.address !== target.address) {
-				this.#targets.set(target.id, StageTargetState.create(target));
+				this.#targets.set(target.id, StageTargetState.create(target, this.#releaseTrust));
 			}
 		}
 	}
 
+	/** Sends no calls to a target until `untilMs`. */
+	holdBack(id: string, untilMs: Ms): void {
+		this.#targets.get(id)?.holdBack(untilMs);
+	}
+
 	/** Uses less of the targets' memory for a while, since plans of the previous host still hold results. */
 	expectForeignResults(now: Ms): void {
 		for (const target of this.#targets.values()) {
@@ -167,7 +177,7 @@
 	/** Queues a job; `onEnd` is called once, possibly synchronously. A job whose id is that of one in the pool fails. */
 	submit(job: StageJob, onEnd: (outcome: StageJobOutcome) => void, now: Ms): void {
 		this.#announced.delete(job.id);
-		if (this.#targets.size === 0) {
+		if (![...this.#targets.values()].some(({target}) => isRegionAllowed(job.regions, target.region))) {
 			this.#budget.release(job.sentPieces ?? 0);
 			onEnd({failure: 'no_target', retryAfterMs: this.#limits.callMs});
 			return;
@@ -190,6 +200,11 @@
 		return !state || state.tries.every(tries => tries === 0);
 	}
 
+	/** Whether a job has pieces that wait for a call. */
+	isWaiting(id: string): boolean {
+		return (this.#jobs.get(id)?.waiting.length ?? 0) > 0;
+	}
+
 	/** Cancels a job whose results are no longer needed. Pieces in a call run to completion, and their results are reported to `onUnused`. */
 	cancel(id: string): void {
 		const state = this.#jobs.get(id);
@@ -205,8 +220,8 @@
 	}
 
 	/** Announces a job that is likely to be submitted later, so that wait estimates include it. */
-	announce(id: string, job: JobUrgency, pieces: number): void {
-		this.#announced.set(id, {job, pieces});
+	announce(id: string, announced: AnnouncedJob): void {
+		this.#announced.set(id, announced);
 	}
 
 	/** Removes an announced job. */
@@ -215,19 +230,19 @@
 	}
 
 	/** Returns the expected call time of a job, including the wait for a busy target to end its current call. */
-	expectedCallMs(pieces: number): Ms {
-		const callMs = this.#throughput.expectedCallMs(pieces, this.#limits);
+	expectedCallMs(pieces: number, kind: PieceKind): Ms {
+		const callMs = this.#pieceTimes.jobCallMs({kind, pieces}, this.#limits);
 		return callMs + (this.#calls.size >= this.#targets.size ? callMs / (this.#targets.size + 1) : 0);
 	}
 
-	/** Returns the expected time until a new job starts: the time until a usable target has a free slot, plus the pieces ahead of the job divided by the throughput of the usable targets. */
+	/** Returns the expected time until a new job starts: the time until a usable target has a free slot, plus the time that the usable targets need for the pieces ahead of the job. */
 	expectedWaitMs(now: Ms, job: JobUrgency): Ms {
-		const waiting = [...this.#jobs.values()].map(state => ({job: state.job, pieces: state.waiting.length}));
-		const ahead = piecesAhead([...waiting, ...this.#announced.values()], job, now);
+		const ahead = workAhead([...this.#waitingWork(), ...this.#announcedWork()], job, now);
 		const usable = [...this.#targets.values()].filter(target => target.isUsable(now));
 		const freeMs = Math.min(...usable.map(target => target.callCount < this.#limits.slots ? 0 : target.idleAt(now) - now));
-		const piecesPerMs = job.startByMs < now ? this.#throughput.sparePiecesPerMs(usable.length, this.#limits, now) : this.#throughput.piecesPerMs(usable.length, this.#limits);
-		return (Number.isFinite(freeMs) ? freeMs : 0) + (ahead / piecesPerMs);
+		const limits = this.#learnedLimits();
+		const spareShare = job.startByMs < now ? this.#throughput.sparePiecesPerMs(usable.length, limits, now) / this.#throughput.piecesPerMs(usable.length, limits) : 1;
+		return (Number.isFinite(freeMs) ? freeMs : 0) + (ahead / Math.max(1, usable.length) / spareShare);
 	}
 
 	/**
@@ -245,17 +260,23 @@
 		const maxCalls = Math.max(1, Math.round(share * this.#targets.size * this.#limits.slots));
 		const free = [...this.#targets.values()].filter(target => target.callCount < this.#limits.slots && target.isUsable(now));
 		// The fastest targets choose first.
-		free.sort((a, b) => a.slowdown(now) - b.slowdown(now));
+		const usualMs = this.#throughput.expectedCallMs(0, this.#learnedLimits());
+		const readyMs = new Map(free.map(target => [target, target.queueMs(usualMs, now) + (usualMs * target.slowdown(now))]));
+		free.sort((a, b) => readyMs.get(a)! - readyMs.get(b)!);
+		let jobs = orderJobs(this.#waitingJobs(), now);
 		for (const target of free) {
 			if (this.#calls.size >= maxCalls) {
 				break;
 			}
 
-			const {pieces, isLate} = this.#takePieces(target, now);
+			const {pieces, isLate} = this.#takePieces(target, jobs, now);
 			if (pieces.length > 0) {
-				calls.push(this.#startCall(target, pieces, {now, isLate}));
+				const call = this.#startCall(target, pieces, {now, isLate});
+				calls.push(call);
+				// What was started now counts as started for the next target.
+				jobs = orderJobs(this.#waitingJobs(), now);
 				this.#throughput.recordCall({
-					pieces: pieces.length, batch: this.#limits.batch, hasBacklog: this.backlog > 0, isLate,
+					pieces: pieces.length, batch: this.#limits.batch, hasBacklog: jobs.length > 0, isLate, expectedMs: call.expectedMs,
 				}, now);
 			}
 		}
@@ -274,13 +295,20 @@
 		const {call, startedMs, expectedMs} = running;
 		const current = this.#targets.get(call.target.id);
 		const target = current?.target.address === call.target.address ? current : undefined;
-		target?.endCall(call.id, {end: end.kind, tookMs: now - startedMs, expectedMs}, now);
-		if (end.kind !== 'unreachable') {
-			target?.setLimit(end.limitPerSecond, now);
+		if (end.kind === 'done') {
+			target?.recordMemory(call.id, !end.results.some(result => 'problem' in result && result.problem === 'room'), now);
 		}
 
-		if (end.kind === 'done' && end.results.some(result => 'problem' in result && result.problem === 'room')) {
-			target?.reduceMemoryShare(now);
+		const toldSlowdown = end.kind === 'unreachable' ? 1 : target?.updateLoad(call.id, end.load, now) ?? 1;
+		const tookMs = (now - startedMs) / toldSlowdown;
+		this.#learnTimes(call, end, tookMs);
+		// A target that asks for no calls for a time has not failed.
+		const isHeldBack = end.kind === 'failed' && end.retryAfterMs !== undefined;
+		target?.endCall(call.id, {
+			end: isHeldBack ? 'refused' : end.kind, tookMs, expectedMs, brittlePerSecond: end.kind === 'unreachable' ? undefined : end.brittlePerSecond,
+		}, now);
+		if (end.kind !== 'unreachable') {
+			target?.setLimit(end.limitPerSecond, now);
 		}
 
 		for (const [index, piece] of call.pieces.entries()) {
@@ -305,61 +333,64 @@
 		return Math.min(now + (this.#limits.callMs / 2), ...times);
 	}
 
-	/** Takes the pieces of the next call of a target from the queue; none when the target should get no call. */
-	#takePieces(target: StageTargetState, now: Ms): {pieces: CalledPiece[]; isLate: boolean} {
-		const waiting = [...this.#jobs.values()].filter(state => state.waiting.length > 0);
-		const jobs = orderJobs(waiting.map(state => ({job: state.job, pieces: state.waiting.length})), {
-			now, zone: target.target.zone, zoneCapacity: this.#zoneCapacity(now),
-		});
-		if (jobs.length === 0 || this.#shouldSkipSlowTarget(target, now)) {
-			return {pieces: [], isLate: false};
-		}
-
-		const chosen: CalledPiece[] = [];
-		const mayStartLate = [...this.#calls.values()].filter(({call}) => call.isLate).length < Math.max(1, Math.floor(this.#targets.size * lateTargetShare));
-		let freeMb = target.freeMemoryMb(this.#limits.resultMemoryMb, this.#throughput.expectedCallMs(0, this.#limits), now);
-		let isLateCall = false;
-		for (const {job, isLate} of jobs) {
-			if (isLate && chosen.length === 0) {
-				isLateCall = true;
-			}
+	/** Jobs with waiting pieces. */
+	#waitingJobs(): WaitingJob[] {
+		return [...this.#jobs.values()].filter(({waiting}) => waiting.length > 0).map(({job, waiting, inCall, results}) => ({
+			job, pieces: waiting.length, isStarted: inCall > 0 || results.some(handle => handle !== undefined),
+		}));
+	}
 
-			if (isLateCall && !mayStartLate) {
-				break;
-			}
+	/** Time of one target that the waiting pieces of each job take. */
+	* #waitingWork(): Iterable<JobWork> {
+		const fixedMs = this.#fixedMsPerPiece();
+		for (const {job, pieces, isStarted} of this.#waitingJobs()) {
+			yield {job, isStarted, workMs: pieces * (fixedMs + this.#pieceTimes.pieceMs(job, this.#limits))};
+		}
+	}
 
-			const state = this.#jobs.get(job.id)!;
-			// What ended its target goes to one target at a time and without other jobs, which would come under suspicion with it.
-			if (state.isSuspect && (chosen.length > 0 || state.inCall > 0)) {
-				continue;
-			}
+	* #announcedWork(): Iterable<JobWork> {
+		const fixedMs = this.#fixedMsPerPiece();
+		for (const {job, pieces, kind} of this.#announced.values()) {
+			yield {job, isStarted: false, workMs: pieces * (fixedMs + this.#pieceTimes.pieceMs(kind, this.#limits))};
+		}
+	}
 
-			const pieceMb = job.resultBytes / 1e6;
-			const batchLeft = this.#limits.batch - chosen.length;
-			const usableMb = isLate ? freeMb - (this.#limits.resultMemoryMb * onTimeMemoryShare) : freeMb;
-			const fitting = Math.max(0, Math.min(batchLeft, Math.floor(usableMb / Math.max(pieceMb, Number.EPSILON))));
-			// Results of part of a job hold memory without being usable, so a job is split only when it exceeds the batch or the memory of an empty target.
-			const isWhole = fitting >= state.waiting.length;
-			if (!isWhole && (chosen.length > 0 || (batchLeft > fitting && !target.isEmpty))) {
-				continue;
-			}
+	/** Part of the fixed time of a call for each piece of the usual call. */
+	#fixedMsPerPiece(): Ms {
+		return this.#pieceTimes.fixedMs(this.#limits) / this.#throughput.piecesPerCall(this.#limits);
+	}
 
-			for (const piece of state.waiting.splice(0, fitting)) {
-				chosen.push({job, piece});
-			}
+	#learnedLimits(): StagePoolLimits {
+		return this.#pieceTimes.learnedLimits(this.#limits);
+	}
 
-			freeMb -= pieceMb * Math.min(fitting, job.pieces);
-			if (chosen.length >= this.#limits.batch || (state.isSuspect && chosen.length > 0)) {
-				break;
-			}
+	/** Takes the pieces of the next call of a target from the queue; none when the target should get no call. */
+	#takePieces(target: StageTargetState, ordered: readonly OrderedJob[], now: Ms): {pieces: CalledPiece[]; isLate: boolean} {
+		const allowed = ordered.filter(({job}) => isRegionAllowed(job.regions, target.target.region));
+		const jobs = jobsForTarget(allowed, {now, zone: target.target.zone, zoneCapacity: this.#zoneCapacity(now)});
+		if (jobs.length === 0 || this.#shouldSkipSlowTarget(target, now)) {
+			return {pieces: [], isLate: false};
 		}
 
-		return {pieces: chosen, isLate: isLateCall};
+		const {targets, reservedMemoryShare} = this.#lateAllowance(now);
+		const {parts, isLate} = planCall(jobs.map(job => ({...job, isSuspect: this.#jobs.get(job.job.id)!.isSuspect, inCall: this.#jobs.get(job.job.id)!.inCall})), {
+			batch: this.#limits.batch,
+			freeMb: target.freeMemoryMb(this.#limits.resultMemoryMb, this.#throughput.expectedCallMs(0, this.#learnedLimits()), now),
+			reservedMb: target.usableMemoryMb(this.#limits.resultMemoryMb, now) * reservedMemoryShare,
+			isEmpty: target.isEmpty,
+			mayBeLate: [...this.#calls.values()].filter(({call}) => call.isLate).length < targets,
+		});
+		const pieces = parts.flatMap(part => this.#jobs.get(part.job.id)!.waiting.splice(0, part.pieces).map(piece => ({job: part.job, piece})));
+		return {pieces, isLate};
+	}
+
+	#lateAllowance(now: Ms): LateAllowance {
+		return lateAllowance(this.#targets.size, this.#throughput.onTimeShare(this.#targets.size * this.#limits.slots, now));
 	}
 
 	#shouldSkipSlowTarget(target: StageTargetState, now: Ms): boolean {
 		const others = [...this.#targets.values()].filter(other => other !== target);
-		return shouldSkipSlowTarget(target, others, {backlog: this.backlog, limits: this.#limits, now});
+		return shouldSkipSlowTarget(target, others, {backlog: this.backlog, limits: this.#learnedLimits(), now});
 	}
 
 	/** Number of pieces that the targets of each zone can take in their next calls. */
@@ -377,12 +408,15 @@
 
 	#startCall(target: StageTargetState, pieces: readonly CalledPiece[], {now, isLate}: {now: Ms; isLate: boolean}): StageCall {
 		const id = this.#nextCallId++;
-		const expectedMs = (this.#limits.callMs + (this.#limits.pieceMs * pieces.length)) * Math.max(1, target.slowdown(now));
+		const parts = countKinds(pieces);
+		const usualMs = this.#pieceTimes.callMs(parts, this.#limits);
+		const slowdown = Math.max(1, target.slowdown(now));
+		const expectedMs = target.queueMs(usualMs, now) + (usualMs * slowdown);
 		const call: StageCall = {
-			id, target: target.target, pieces, repeats: this.#countTries(pieces, now), isLate, expectedMs, timeoutMs: (expectedMs * callTimeoutFactor) + callTimeoutSlackMs,
+			id, target: target.target, pieces, repeats: this.#countTries(pieces, now), isLate, expectedMs, timeoutMs: (Math.max(expectedMs, this.#pieceTimes.safeCallMs(parts, this.#limits) * slowdown) * callTimeoutFactor) + callTimeoutSlackMs,
 		};
-		this.#calls.set(id, {call, startedMs: now, expectedMs: expectedMs / Math.max(1, target.slowdown(now))});
-		target.startCall(id, {memoryMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), endsMs: now + expectedMs}, now);
+		this.#calls.set(id, {call, startedMs: now, expectedMs: usualMs});
+		target.startCall(id, {memoryMb: pieces.reduce((sum, {job}) => sum + (job.resultBytes / 1e6), 0), memoryLimitMb: this.#limits.resultMemoryMb, endsMs: now + expectedMs}, now);
 		return call;
 	}
 
@@ -407,6 +441,15 @@
 		return repeats;
 	}
 
+	/** Learns from a call in which every piece ran. What its target takes longer than the others says nothing about the pieces. */
+	#learnTimes({target, pieces}: StageCall, end: StageCallOutcome, tookMs: Ms): void {
+		if (end.kind === 'done' && end.results.every(result => 'handle' in result)) {
+			const speeds = [...this.#targets.values()].map(each => each.lastSlowdown).toSorted((a, b) => a - b);
+			const usual = speeds[Math.floor(speeds.length / 2)] ?? 1;
+			this.#pieceTimes.record(countKinds(pieces), tookMs * usual / (this.#targets.get(target.id)?.lastSlowdown ?? usual), this.#limits);
+		}
+	}
+
 	#endPiece({job, piece}: CalledPiece, result: PieceResult, end: StageCallOutcome, now: Ms): void {
 		const state = this.#jobs.get(job.id);
 		// The job may have ended, and its id be that of a new one.
@@ -450,17 +493,17 @@
 		this.#rejectInfeasible(now);
 	}
 
-	/** Rejects late jobs that cannot meet their deadline with the spare throughput, unless they have pieces in a call. */
+	/** Rejects late jobs that cannot meet their deadline with the spare throughput, unless they have been started. */
 	#rejectInfeasible(now: Ms): void {
-		const late = [...this.#jobs.values()].filter(state => state.waiting.length > 0 && isLate(state.job, now));
+		const late = this.#waitingJobs().filter(({job}) => isLate(job, now));
 		if (late.length === 0) {
 			return;
 		}
 
 		const usable = [...this.#targets.values()].filter(target => target.isUsable(now)).length;
-		const piecesPerMs = Math.min(this.#throughput.sparePiecesPerMs(usable, this.#limits, now), this.#throughput.piecesPerMs(usable, this.#limits) * lateTargetShare);
-		const queue = late.map(({job, waiting, inCall}) => ({job, pieces: waiting.length, isInCall: inCall > 0}));
-		for (const {id, excessMs} of findInfeasibleJobs(queue, {now, piecesPerMs, callMs: this.#limits.callMs})) {
+		const limits = this.#learnedLimits();
+		const piecesPerMs = Math.min(this.#throughput.sparePiecesPerMs(usable, limits, now), this.#throughput.piecesPerMs(usable, limits) * this.#lateAllowance(now).targets / Math.max(1, this.#targets.size));
+		for (const {id, excessMs} of findInfeasibleJobs(late, {now, piecesPerMs, callMs: this.#limits.callMs})) {
 			this.#fail(this.#jobs.get(id)!, 'overloaded', excessMs);
 		}
 	}
@@ -505,3 +548,16 @@
 		}
 	}
 }
+
+/** Counts the pieces of a call by kind. */
+function countKinds(pieces: readonly CalledPiece[]): KindPieces[] {
+	const kinds = new Map<string, {kind: PieceKind; pieces: number}>();
+	for (const {job} of pieces) {
+		const key = pieceKindKey(job);
+		const counted = kinds.get(key) ?? {kind: job, pieces: 0};
+		counted.pieces++;
+		kinds.set(key, counted);
+	}
+
+	return [...kinds.values()];
+}
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -1,16 +1,23 @@
 import type {Ms} from '../clock/index.js';
 import {RateSchedule} from '../limits/index.js';
+import type {TargetLoad} from '../registry/index.js';
+import {ReleaseTrust} from './release-trust.js';
 import type {StageCallOutcome} from './stage-job.js';
+import {ToldLoad} from './told-load.js';
 
 /** A target of a stage pool. */
 export interface StageTarget {
 	readonly id: string;
 	readonly address: string;
 	readonly zone: string;
+	/** Region of the zone, if known. */
+	readonly region?: string | undefined;
 }
 
 /** Backoff after a target refused a call. */
 const refusalBackoffMs: Ms = 150;
+/** The same for a target that may refuse one call in a second without a crash; one that may refuse N gets a call after an Nth of it. */
+const brittleRefusalMs: Ms = 2000;
 /** Backoff after a target was unreachable or its call failed; doubles with each such call up to the maximum. */
 const initialBackoffMs: Ms = 400;
 const maxBackoffMs: Ms = 4000;
@@ -29,8 +36,9 @@
 const holdTimeSmoothing = 0.05;
 /** Half-life of a measured slowdown; it decays so that a target that gets no calls is tried again. */
 const slowdownHalfLifeMs: Ms = 2000;
-/** Weight of the latest call in the moving average of the slowdown. */
+/** Weight of the latest call in the moving average of the slowdown; smaller for targets that tell what slows them down for a moment. */
 const slowdownSmoothing = 0.4;
+const toldSlowdownSmoothing = 0.15;
 
 /**
  * Tracks the calls, result memory and speed of one target on behalf of its pool.
@@ -38,8 +46,9 @@
  * @internal
  */
 export class StageTargetState {
-	static create(target: StageTarget): StageTargetState {
-		return new StageTargetState(target);
+	/** The targets of a pool share what is learned of releases. */
+	static create(target: StageTarget, releaseTrust = ReleaseTrust.create()): StageTargetState {
+		return new StageTargetState(target, releaseTrust);
 	}
 
 	#slowdown = 1;
@@ -47,36 +56,64 @@
 	/** Fraction of the declared memory that calls may use: other hosts may use the target too, and result sizes are approximate. */
 	#memoryShare = maxMemoryShare;
 	#memoryShareAtMs: Ms = 0;
-	readonly #calls = new Map<number, {memoryMb: number; endsMs: Ms}>();
+	readonly #calls = new Map<number, {memoryMb: number; endsMs: Ms; isCountingOnReleases: boolean; toldSlowdown: number}>();
 	readonly #results = new Map<string, {mb: number; createdMs: Ms; expiresMs: Ms}>();
 	/** Moving average of the time between the creation of a result and its release. */
 	#holdTimeMs: Ms = 0;
 	#releaseCount = 0;
+	readonly #told = ToldLoad.create();
 	#backoffUntilMs: Ms = -Infinity;
 	#backoffMs: Ms = initialBackoffMs;
+	#heldUntilMs: Ms = -Infinity;
 	/** Places for calls while the target names a limit. A pool has one host, so that no one else sends calls. */
 	#schedule: RateSchedule | undefined;
 
-	private constructor(readonly target: StageTarget) {}
+	private constructor(readonly target: StageTarget, private readonly releaseTrust: ReleaseTrust) {}
 
-	/** Returns the measured call time as a multiple of the expected one; measurements decay towards 1 with age. */
+	/** Returns the expected call time as a multiple of the usual one: the measured multiple, which decays towards 1 with age, times the one that the target has told. */
 	slowdown(now: Ms): number {
+		return this.#measuredSlowdown(now) * this.#told.slowdown(now);
+	}
+
+	#measuredSlowdown(now: Ms): number {
 		return 1 + ((this.#slowdown - 1) * (0.5 ** ((now - this.#slowdownAtMs) / slowdownHalfLifeMs)));
 	}
 
+	/** Returns the expected time until calls of other hosts that wait at the target are done. */
+	queueMs(callMs: Ms, now: Ms): Ms {
+		return this.#told.queueMs(callMs, now);
+	}
+
+	/** Measured slowdown without its decay and without what the target tells, by which targets are compared. */
+	get lastSlowdown(): number {
+		return this.#slowdown;
+	}
+
+	/** Records the load that a response tells. Returns the slowdown that the target has told over a call, on average of its start and end. */
+	updateLoad(callId: number, load: TargetLoad | undefined, now: Ms): number {
+		const before = this.#calls.get(callId)?.toldSlowdown ?? 1;
+		this.#told.update(load, now);
+		return load?.slowdown === undefined ? 1 : (before + this.#told.slowdown(now)) / 2;
+	}
+
 	/** Number of calls in progress. */
 	get callCount(): number {
 		return this.#calls.size;
 	}
 
-	/** Whether calls may be sent to the target, that is, whether it is not in backoff and its limit has a place. */
+	/** Whether calls may be sent to the target, that is, whether it is not in backoff or held back and its limit has a place. */
 	isUsable(now: Ms): boolean {
 		return this.usableAt(now) <= now;
 	}
 
 	/** Returns the earliest time at which the target is usable. */
 	usableAt(now: Ms): Ms {
-		return Math.max(now, this.#backoffUntilMs, this.#schedule?.freeAt(now) ?? now);
+		return Math.max(now, this.#backoffUntilMs, this.#heldUntilMs, this.#schedule?.freeAt(now) ?? now);
+	}
+
+	/** Makes the target unusable until `untilMs`. */
+	holdBack(untilMs: Ms): void {
+		this.#heldUntilMs = untilMs;
 	}
 
 	/** Returns the time by which the calls in progress are expected to end. */
@@ -84,8 +121,13 @@
 		return Math.max(now, ...[...this.#calls.values()].map(call => call.endsMs));
 	}
 
-	/** Returns the result memory expected to be free at the end of a call that takes `callMs`. */
+	/** Returns the result memory expected to be free for a call that takes `callMs`. */
 	freeMemoryMb(memoryMb: number, callMs: Ms, now: Ms): number {
+		return this.usableMemoryMb(memoryMb, now) - this.#usedMemoryMb(1 - this.releaseTrust.fraction, callMs, now);
+	}
+
+	/** Returns the memory in use; results that are likely to be released within `callMs` count by a fraction. */
+	#usedMemoryMb(releasedFraction: number, callMs: Ms, now: Ms): number {
 		let used = 0;
 		for (const call of this.#calls.values()) {
 			used += call.memoryMb;
@@ -94,12 +136,17 @@
 		for (const [handle, result] of this.#results) {
 			if (result.expiresMs <= now) {
 				this.#results.delete(handle);
-			} else if (!this.#isReleasedWithin(result.createdMs, callMs, now)) {
-				used += result.mb;
+			} else {
+				used += result.mb * (this.#isReleasedWithin(result.createdMs, callMs, now) ? releasedFraction : 1);
 			}
 		}
 
-		return (memoryMb * this.#memoryShareAt(now)) - used;
+		return used;
+	}
+
+	/** Returns the part of the declared memory that calls may use. */
+	usableMemoryMb(memoryMb: number, now: Ms): number {
+		return memoryMb * this.#memoryShareAt(now);
 	}
 
 	/** Whether a result is likely to be released during a call. One already held longer than average does not count, since it may be held for much longer. */
@@ -113,8 +160,16 @@
 		return this.#calls.size === 0 && this.#results.size === 0;
 	}
 
-	/** Reduces the usable memory after a call in which pieces ran out of memory. */
-	reduceMemoryShare(now: Ms): void {
+	/** Records whether there was memory for all results of a call that is about to end. Without it, the next calls count less on releases or, if the call did not count on any, use less memory. */
+	recordMemory(callId: number, hadRoom: boolean, now: Ms): void {
+		if (this.#calls.get(callId)?.isCountingOnReleases) {
+			this.releaseTrust.record(hadRoom);
+		} else if (!hadRoom) {
+			this.#reduceMemoryShare(now);
+		}
+	}
+
+	#reduceMemoryShare(now: Ms): void {
 		this.#memoryShare = Math.max(minMemoryShare, this.#memoryShareAt(now) * memoryShareCutFactor);
 		this.#memoryShareAtMs = now;
 	}
@@ -130,9 +185,12 @@
 		return Math.min(maxMemoryShare, this.#memoryShare + ((now - this.#memoryShareAtMs) * memoryShareGrowthPerMs));
 	}
 
-	/** Records the start of a call, which takes memory until it ends, and a place within the limit. */
-	startCall(callId: number, call: {memoryMb: number; endsMs: Ms}, now: Ms): void {
-		this.#calls.set(callId, call);
+	/** Records the start of a call, which takes memory until it ends, and a place within the limit. `memoryLimitMb` is the declared memory. */
+	startCall(callId: number, call: {memoryMb: number; memoryLimitMb: number; endsMs: Ms}, now: Ms): void {
+		const {memoryMb, memoryLimitMb, endsMs} = call;
+		this.#calls.set(callId, {
+			memoryMb, endsMs, toldSlowdown: this.#told.slowdown(now), isCountingOnReleases: this.#usedMemoryMb(1, 0, now) + memoryMb > this.usableMemoryMb(memoryLimitMb, now),
+		});
 		this.#schedule?.reserve(now, 0);
 	}
 
@@ -147,15 +205,15 @@
 	}
 
 	/** Records the end of a call: a successful one updates the slowdown, any other starts a backoff. */
-	endCall(callId: number, call: {end: StageCallOutcome['kind']; tookMs: Ms; expectedMs: Ms}, now: Ms): void {
+	endCall(callId: number, call: {end: StageCallOutcome['kind']; tookMs: Ms; expectedMs: Ms; brittlePerSecond?: number | undefined}, now: Ms): void {
 		this.#calls.delete(callId);
 		if (call.end === 'done') {
 			this.#backoffMs = initialBackoffMs;
-			const before = this.slowdown(now);
-			this.#slowdown = before + (slowdownSmoothing * (Math.max(0.5, call.tookMs / call.expectedMs) - before));
+			const before = this.#measuredSlowdown(now);
+			this.#slowdown = before + ((this.#told.tellsSlowdown ? toldSlowdownSmoothing : slowdownSmoothing) * (Math.max(0.5, call.tookMs / call.expectedMs) - before));
 			this.#slowdownAtMs = now;
 		} else if (call.end === 'refused') {
-			this.#backoffUntilMs = now + refusalBackoffMs;
+			this.#backoffUntilMs = now + Math.max(refusalBackoffMs, call.brittlePerSecond !== undefined && call.brittlePerSecond >= 0 ? Math.min(maxBackoffMs, brittleRefusalMs / call.brittlePerSecond) : 0);
 		} else {
 			this.#backoffUntilMs = now + this.#backoffMs;
 			this.#backoffMs = Math.min(maxBackoffMs, this.#backoffMs * 2);
--- a/src/pools/throughput-estimator.ts
+++ b/src/pools/throughput-estimator.ts
@@ -23,17 +23,26 @@
 	#batchFill = 1;
 	/** Moving average of the pieces per call. */
 	#averagePieces = 0;
-	readonly #onTimeCalls: Array<{at: Ms; pieces: number}> = [];
+	readonly #onTimeCalls: Array<{at: Ms; pieces: number; expectedMs: Ms}> = [];
+	#firstCallMs: Ms | undefined;
 
-	/** Records a call that was sent; `hasBacklog` tells whether pieces were left waiting. Without a backlog, a call counts as full. */
-	recordCall(call: {pieces: number; batch: number; hasBacklog: boolean; isLate: boolean}, now: Ms): void {
+	/**
+	 * Records a call that was sent; `hasBacklog` tells whether pieces were left waiting. Without a backlog, a call counts as
+	 * full. Late calls do not count for the fill: they leave memory to on-time jobs, and forecasts by their size would make
+	 * all further jobs late.
+	 */
+	recordCall(call: {pieces: number; batch: number; hasBacklog: boolean; isLate: boolean; expectedMs: Ms}, now: Ms): void {
+		this.#firstCallMs ??= now;
 		const fill = call.hasBacklog ? call.pieces / call.batch : 1;
-		this.#batchFill += batchSmoothing * (fill - this.#batchFill);
+		if (!call.isLate) {
+			this.#batchFill += batchSmoothing * (fill - this.#batchFill);
+		}
+
 		this.#averagePieces += batchSmoothing * (call.pieces - this.#averagePieces);
 		// Calls are dropped here too: their sum is asked for only while there is late work.
 		this.#dropOldCalls(now);
 		if (!call.isLate) {
-			this.#onTimeCalls.push({at: now, pieces: call.pieces});
+			this.#onTimeCalls.push({at: now, pieces: call.pieces, expectedMs: call.expectedMs});
 		}
 	}
 
@@ -42,6 +51,16 @@
 		return this.#onTimeCalls.length;
 	}
 
+	/** Fraction of the time of this many slots that on-time calls have used recently; `undefined` until it has been measured for a whole window. */
+	onTimeShare(slots: number, now: Ms): number | undefined {
+		if (this.#firstCallMs === undefined || now - this.#firstCallMs < onTimeWindowMs) {
+			return undefined;
+		}
+
+		this.#dropOldCalls(now);
+		return this.#onTimeCalls.reduce((sum, {expectedMs}) => sum + expectedMs, 0) / (Math.max(1, slots) * onTimeWindowMs);
+	}
+
 	#dropOldCalls(now: Ms): void {
 		const firstKept = this.#onTimeCalls.findIndex(({at}) => at >= now - onTimeWindowMs);
 		this.#onTimeCalls.splice(0, firstKept === -1 ? this.#onTimeCalls.length : firstKept);
--- /dev/null
+++ b/src/pools/told-load.ts
@@ -0,0 +1,48 @@
+import type {Ms} from '../clock/index.js';
+import type {TargetLoad} from '../registry/index.js';
+
+/** Half-life of a told slowdown, half of the time for which other work usually slows a machine down. */
+const halfLifeMs: Ms = 300;
+/** Bounds of a told slowdown that is used; others are taken for errors of the target. */
+const slowdownBounds = {min: 0.1, max: 20};
+/** Age from which waiting calls are taken to be done. */
+const maxQueueAgeMs: Ms = 1000;
+
+/**
+ * The load that a target has told in its latest response. It changes many times a second, so that it counts in full when
+ * fresh and fades with its age.
+ */
+export class ToldLoad {
+	static create(): ToldLoad {
+		return new ToldLoad();
+	}
+
+	#load: TargetLoad | undefined;
+	#atMs: Ms = -Infinity;
+
+	private constructor() {}
+
+	/** Whether the latest response told how long work takes. */
+	get tellsSlowdown(): boolean {
+		return this.#load?.slowdown !== undefined;
+	}
+
+	/** Replaces the load; `undefined` if a response told none. */
+	update(load: TargetLoad | undefined, now: Ms): void {
+		this.#load = load;
+		this.#atMs = now;
+	}
+
+	/** Returns the told time of work as a multiple of the usual one; 1 if none was told, or long ago. */
+	slowdown(now: Ms): number {
+		const told = this.#load?.slowdown ?? 1;
+		const bounded = Math.max(slowdownBounds.min, Math.min(slowdownBounds.max, told));
+		return 1 + ((bounded - 1) * (0.5 ** (Math.max(0, now - this.#atMs) / halfLifeMs)));
+	}
+
+	/** Returns the expected time until calls of other senders that waited at the target are done, when each takes `callMs`. */
+	queueMs(callMs: Ms, now: Ms): Ms {
+		const ageMs = now - this.#atMs;
+		return this.#load === undefined || ageMs > maxQueueAgeMs ? 0 : Math.max(0, (this.#load.waiting * callMs / Math.max(1, this.#load.slots)) - ageMs);
+	}
+}
--- /dev/null
+++ b/src/prompts/exchange-news.test.ts
@@ -0,0 +1,26 @@
+import {expect, it} from 'vitest';
+import {Random} from '../random/index.js';
+import {ExchangeNews} from './exchange-news.js';
+
+// Guards against a peer that is told its own news again, which would count twice.
+it('tells a peer the news of all others', () => {
+	const random = Random.create(3);
+	const sources = [undefined, {}, {}, {}];
+	const news = ExchangeNews.create();
+	for (let index = 0; index < 60; index++) {
+		const source = sources[random.integer(0, 2)];
+		news.addSpeed(random.integer(1, 9), {ratio: 0.5 + random.float(), weight: 0.1 + random.float()}, source);
+		news.addLengths(`s-${random.integer(1, 2)}`, [[random.integer(0, 20), 1, random.integer(64, 9000)]], source);
+	}
+
+	const sorted = ({speeds, lengths}: ReturnType<ExchangeNews['select']>) => ({
+		speeds: speeds.toSorted(([a], [b]) => a - b),
+		lengths: lengths.map(([service, rows]) => [service, rows.toSorted(([a], [b]) => a - b)] as const).toSorted(([a], [b]) => a.localeCompare(b)),
+	});
+	for (const source of sources.slice(1)) {
+		expect(sorted(news.except(source!))).toEqual(sorted(news.select(other => other !== source)));
+	}
+
+	news.clear();
+	expect(news.except(sources[1]!)).toEqual({speeds: [], lengths: []});
+});
--- a/src/quarantine/prompt-quarantine.test.ts
+++ b/src/quarantine/prompt-quarantine.test.ts
@@ -104,6 +104,18 @@
 		expect([fleet.countQuarantined(['dead', 'x']), fleet.countQuarantined(['a', 'b']), fleet.messages <= 4 * size]).toEqual([size, 0, true]);
 	});
 
+	// Guards against sound requests that are rejected for an hour at entry VMs that have not seen the answer.
+	it('releases a part at all entry VMs once its crashes are explained and one of them has had an answer', async () => {
+		const fleet = SimulatedFleet.create(9);
+		fleet.quarantines[3]!.answered(['shared']);
+		await fleet.clock.advance(10_000);
+		await fleet.crash(1, 'e-1', ['shared', 'a']);
+		await fleet.crash(2, 'e-2', ['shared', 'dead']);
+		expect(fleet.countQuarantined(['shared'])).toBe(9);
+		await fleet.crash(1, 'e-3', ['dead', 'b']);
+		expect([fleet.countQuarantined(['shared']), fleet.countQuarantined(['dead'])]).toEqual([0, 9]);
+	});
+
 	it.each([9, 200])('clears a part at all of %d entry VMs when one of them has an answer, with a bounded number of messages', async size => {
 		const fleet = SimulatedFleet.create(size);
 		await fleet.crash(1, 'e-1', ['shared', 'dead']);
@@ -122,6 +134,22 @@
 		expect(fleet.countQuarantined(['shared'])).toBe(0);
 	});
 
+	// Guards against crashes that count as one although a peer has told of the first, and against one crash that counts twice.
+	it.each([[200, 1], [5, 0]])('tells a crash from the one before by a connection made %d ms after the target refused one, once a peer has told of that one', async (connectedMs, expected) => {
+		const fleet = SimulatedFleet.create(2);
+		const crash = (vm: number, sentMs: number, aliveMs?: number) => {
+			fleet.quarantines[vm]!.crashed('e-1', [{
+				parts: ['dead'], progress: 'begun', sentMs, brokenMs: sentMs + 5, aliveMs,
+			}]);
+		};
+
+		const startMs = fleet.clock.now();
+		crash(0, startMs - 105);
+		await fleet.clock.advance(300);
+		crash(1, startMs + 210, startMs + connectedMs);
+		expect(fleet.quarantines[1]!.size).toBe(expected);
+	});
+
 	it('suspects requests that only waited less than one whose response had begun', async () => {
 		const fleet = SimulatedFleet.create(1);
 		const now = fleet.clock.now();
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -1,7 +1,7 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {
-	passOn, type Link, type LinkMessage, type RelayMesh,
+	linkLimits, passOn, type Link, type LinkMessage, type RelayMesh,
 } from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {KeyedRecord, KeyedWriter, SnapshotOrigin} from '../topics/index.js';
@@ -41,6 +41,8 @@
 	readonly progress: keyof typeof weights;
 	readonly sentMs: Ms;
 	readonly brokenMs: Ms;
+	/** Latest time before the request was sent at which this entry VM knows the target to have been running. */
+	readonly aliveMs?: Ms | undefined;
 }
 
 /** Dependencies of {@link PromptQuarantine}. */
@@ -118,16 +120,17 @@
 		};
 	}
 
-	/** Handles a crash of a target, which is named by `crash` with its incarnation. Requests whose response had begun are suspected before those that only waited. */
+	/** Handles a crash of a target, which is named by `crash` with its incarnation and has ended by now. Requests whose response had begun are suspected before those that only waited. */
 	crashed(crash: string, requests: readonly CrashedRequest[]): void {
+		const goneMs = this.options.clock.now();
 		const begun = requests.filter(({progress}) => progress !== 'waiting');
 		// A request that ran for long before the crash is less likely to be its cause.
 		const suspects = (begun.length > 0 ? begun : requests).toSorted((a, b) => Number(this.#ledger.isSuspected(b.parts)) - Number(this.#ledger.isSuspected(a.parts)) || b.sentMs - a.sentMs);
 		this.#apply({
-			suspicions: suspects.slice(0, maxRequestsPerCrash).flatMap(({parts, progress, sentMs, brokenMs}) => parts.length === 0
+			suspicions: suspects.slice(0, maxRequestsPerCrash).flatMap(({parts, progress, sentMs, brokenMs, aliveMs}) => parts.length === 0
 				? []
 				: {
-					parts: limitParts(parts), crashes: new Map([[crash, weights[progress]]]), sentMs, crashedMs: brokenMs, quarantinedMs: undefined,
+					parts: limitParts(parts), crashes: new Map([[crash, weights[progress]]]), sentMs, crashedMs: brokenMs, aliveMs, goneMs, quarantinedMs: undefined,
 				}),
 			answered: new Map(),
 		});
@@ -136,7 +139,9 @@
 	/** Handles an answer to a request with these parts. */
 	answered(parts: readonly string[]): void {
 		const now = this.options.clock.now();
-		this.#passOnCleared(this.#ledger.answered(parts, now), undefined);
+		const change = this.#ledger.answered(parts, now);
+		this.#passOnCleared(change, undefined);
+		this.#passOnExplained(change.explained, undefined);
 	}
 
 	/** Handles evidence of a peer. */
@@ -144,16 +149,17 @@
 		const now = this.options.clock.now();
 		this.#apply({
 			suspicions: message.suspicions.map(([parts, crashes, sentAgoMs, crashedAgoMs, quarantinedAgoMs]) => ({
-				parts: parts.toSorted(), crashes: new Map(crashes), sentMs: now - sentAgoMs, crashedMs: now - crashedAgoMs, quarantinedMs: quarantinedAgoMs === null ? undefined : now - quarantinedAgoMs,
+				parts: parts.toSorted(), crashes: new Map(crashes), sentMs: now - sentAgoMs, crashedMs: now - crashedAgoMs, goneMs: now, quarantinedMs: quarantinedAgoMs === null ? undefined : now - quarantinedAgoMs,
 			})),
 			answered: new Map(message.answered.map(([part, agoMs]) => [part, now - agoMs])),
 		}, link);
 	}
 
-	/** Sends all suspicions to a peer that has just been linked. */
+	/** Sends all suspicions to a peer that has just been linked, and the answers to quarantined parts, by which it knows parts that were answered once. */
 	linkUp(link: Link): void {
 		for (const suspicions of chunk(this.#ledger.all(), maxMessageSuspicions)) {
-			link.send(this.#encode(suspicions, new Map()));
+			const parts = suspicions.filter(({quarantinedMs}) => quarantinedMs !== undefined).flatMap(suspicion => suspicion.parts);
+			link.send(this.#encode(suspicions, this.#ledger.answersTo([...new Set(parts)].slice(0, linkLimits.promptParts))));
 		}
 	}
 
@@ -198,17 +204,23 @@
 	#apply({suspicions, answered}: {suspicions: readonly Suspicion[]; answered: ReadonlyMap<string, Ms>}, from?: Link): void {
 		const now = this.options.clock.now();
 		for (const [part, answeredMs] of answered) {
-			this.#passOnCleared(this.#ledger.answered([part], answeredMs), from);
+			const change = this.#ledger.answered([part], answeredMs);
+			this.#passOnCleared(change, from);
+			this.#passOnExplained(change.explained, from);
 		}
 
 		const changes = suspicions.map(suspicion => this.#ledger.add(suspicion, now));
 		const added = changes.flatMap(change => change.added ?? []);
-		const quarantined = changes.flatMap(change => change.quarantined);
+		// A later change may explain what an earlier one has quarantined.
+		const quarantined = changes.flatMap(change => change.quarantined).filter(({parts}) => this.#ledger.isQuarantined(parts));
 		this.#log(added, quarantined, from);
 		for (const news of added.length > 0 ? chunk([...added, ...quarantined], maxMessageSuspicions) : []) {
 			this.#passOn(this.#encode(news, new Map()), from);
 		}
 
+		// The sender may lack the answers that have ended a quarantine here.
+		this.#passOnExplained(changes.flatMap(change => change.explained), undefined);
+
 		// Parts that this entry VM knows to be sound are news to the sender of the suspicion.
 		if (from) {
 			for (const change of changes) {
@@ -231,6 +243,14 @@
 		}
 	}
 
+	/** Tells the others of the answers without which a set of parts would stay quarantined there. */
+	#passOnExplained(explained: readonly Suspicion[], from: Link | undefined): void {
+		for (const suspicion of explained) {
+			this.options.logger.info('Ended a quarantine: other prompt parts or requests explain its crashes.', {...this.#logFields(suspicion), source: from?.peer.name ?? 'self'});
+			this.#passOn(this.#encode([], this.#ledger.answersTo(suspicion.parts)), from);
+		}
+	}
+
 	#log(added: readonly Suspicion[], quarantined: readonly Suspicion[], from: Link | undefined): void {
 		const {logger} = this.options;
 		const source = from?.peer.name ?? 'self';
@@ -308,7 +328,7 @@
 	#logFields(suspicion: Suspicion): Record<string, unknown> {
 		const now = this.options.clock.now();
 		return {
-			parts: partsKey(suspicion.parts), crashes: [...suspicion.crashes.keys()], weight: weightOf(suspicion), age_ms: Math.round(now - suspicion.crashedMs),
+			parts: partsKey(suspicion.parts), crashes: [...suspicion.crashes.keys()], weight: weightOf(suspicion), age_ms: Math.round(now - suspicion.crashedMs), alive_age_ms: suspicion.aliveMs === undefined || suspicion.aliveMs === -Infinity ? undefined : Math.round(now - suspicion.aliveMs),
 		};
 	}
 
--- a/src/quarantine/suspicion-ledger.test.ts
+++ b/src/quarantine/suspicion-ledger.test.ts
@@ -38,6 +38,30 @@
 		expect([['dead'], ['a', 'b'], ['x', 'dead', 'y']].map(parts => ledger.isQuarantined(parts))).toEqual([true, false, true]);
 	});
 
+	// Guards against sound requests that are rejected for an hour: 401 in a run of the soak. Their part came along with a deadly
+	// request and, at an engine that held both, with a deadly part.
+	it('ends the quarantine of a part that was answered once, when its crashes are explained, and renews it at a crash that is not', () => {
+		const ledger = SuspicionLedger.create();
+		ledger.answered(['shared'], -10_000);
+		addCrashes(ledger, [['shared', 'own', request('/deadly')], ['own', request('/deadly')]]);
+		ledger.add(crash('e-x', ['shared', 'a', request('/a')], {sentMs: 2000, crashedMs: 2500}), 2500);
+		ledger.add(crash('e-x', ['dead', 'b', request('/b')], {sentMs: 2400, crashedMs: 2500}), 2500);
+		expect(ledger.isQuarantined(['shared'])).toBe(true);
+		const {quarantined, explained} = ledger.add(crash('e-y', ['dead', 'c', request('/c')], {sentMs: 3000, crashedMs: 3500}), 3500);
+		expect([quarantined.map(({parts}) => parts), explained.map(({parts}) => parts)]).toEqual([[['dead']], [['shared']]]);
+		expect([['shared'], ['dead'], ['own', request('/deadly')]].map(parts => ledger.isQuarantined(parts))).toEqual([false, true, true]);
+		addCrashes(ledger, [['shared', 'd', request('/d')]], 4000);
+		expect(ledger.isQuarantined(['shared'])).toBe(true);
+	});
+
+	// Guards against a deadly part that is released since a sound one, or another deadly one, came along with it.
+	it('ends no quarantine of a part that was never answered, until it is known that it was', () => {
+		const ledger = SuspicionLedger.create();
+		addCrashes(ledger, [['deadly', 'b'], ['deadly', 'other'], ['other', 'c'], ['other', 'd']]);
+		expect([ledger.isQuarantined(['deadly']), ledger.isQuarantined(['other'])]).toEqual([true, true]);
+		expect(ledger.answered(['deadly'], -10_000).explained.map(({parts}) => parts)).toEqual([['deadly']]);
+	});
+
 	it('rejects only requests with all parts of a set while the deadly one among them is unknown', () => {
 		const ledger = SuspicionLedger.create();
 		addCrashes(ledger, [['dead', 'a'], ['dead', 'a']]);
@@ -100,6 +124,40 @@
 		expect([ledger.add(evidence, 500).added, ledger.add({...evidence, crashedMs: 900}, 900).added, ledger.quarantined()]).toEqual([evidence, undefined, []]);
 	});
 
+	// Guards against evidence that is lost since its crash is before, or between, those that arrived earlier.
+	it.each([[[1, 2, 3]], [[1, 3, 2]], [[3, 1, 2]], [[3, 2, 1]], [[2, 1, 3]], [[2, 3, 1]]])('quarantines a request at the third of its crashes in the order %j', order => {
+		const ledger = SuspicionLedger.create();
+		expect(order.map(index => {
+			ledger.add(crash(`e-${index}`, [request('/deadly')], {sentMs: index * 1000, crashedMs: (index * 1000) + 500, weight: 0.5}), 4000);
+			return ledger.quarantined().length;
+		})).toEqual([0, 0, 1]);
+	});
+
+	// Guards against crashes that count as one since the entry of a target is not updated while the store is unavailable.
+	it('counts crashes of successive starts with the same name, each once', () => {
+		const ledger = SuspicionLedger.create();
+		const start = (sentMs: number) => crash('e-1 1000', [request('/deadly')], {sentMs, crashedMs: sentMs + 500, weight: 0.5});
+		expect([start(0), start(200), start(3000), start(3100), start(600), start(6000)].map(evidence => {
+			ledger.add(evidence, 7000);
+			return ledger.quarantined().length;
+		})).toEqual([0, 0, 0, 0, 0, 1]);
+	});
+
+	// Guards against one crash that counts twice. Connections are accepted until 1000 ms, and those of before `cutMs` are cut then.
+	it('never counts the crash of one incarnation twice, whenever its requests were sent and its evidence arrived', () => {
+		const time = fc.integer({min: 0, max: 1000});
+		fc.assert(fc.property(time, fc.array(fc.tuple(time, time, time, fc.boolean()), {minLength: 2, maxLength: 6}), (cutMs, items) => {
+			const ledger = SuspicionLedger.create();
+			for (const [connectedMs, waitMs, judgedAfterMs, isOwn] of items) {
+				const sentMs = Math.min(1000, connectedMs + waitMs);
+				const crashedMs = Math.max(sentMs, connectedMs < cutMs ? cutMs : 1000);
+				ledger.add({...crash('e-1', ['sound'], {sentMs, crashedMs}), aliveMs: isOwn ? connectedMs : undefined, goneMs: 1000 + judgedAfterMs}, 2000);
+			}
+
+			expect(ledger.all().map(({crashes}) => crashes.size)).toEqual([1]);
+		}), {seed: 49, numRuns: 500});
+	});
+
 	it('needs more crashes at which requests only waited than crashes at the start of their responses', () => {
 		const ledger = SuspicionLedger.create();
 		for (let index = 0; index < 4; index++) {
--- a/src/quarantine/suspicion-ledger.ts
+++ b/src/quarantine/suspicion-ledger.ts
@@ -1,6 +1,8 @@
 import type {Ms} from '../clock/index.js';
 import {LatestAnswers} from './latest-answers.js';
 import {isRequestId} from './request-id.js';
+import {combineSuspicions} from './combine-suspicions.js';
+import {findUnexplained} from './explain-crashes.js';
 import {
 	isAgainstRequest, partsKey, weightOf, type Suspicion,
 } from './suspicion.js';
@@ -11,8 +13,6 @@
 const renewableWeight = 1.5;
 /** A part of a request that was answered is cleared of crashes up to this long after the answer; without such a limit, a part that turns deadly would never be suspected. */
 const clearanceMs: Ms = 3000;
-/** Times of different entry VMs are compared with this tolerance, since messages take time to arrive. */
-const clockToleranceMs: Ms = 50;
 /** Time after which a quarantine becomes a suspicion again, so that one further crash renews it; also the time for which a suspicion is kept. */
 export const suspicionLifetimeMs: Ms = 3_600_000;
 /** Maximum numbers of suspicions against prompt parts alone and against requests, so that many deadly requests do not displace a deadly part. */
@@ -24,8 +24,6 @@
 /** Maximum numbers of prompt parts and requests whose latest answers are remembered. */
 const maxAnsweredParts = 5000;
 const maxAnsweredRequests = 1000;
-/** Maximum number of crashes that a suspicion names. */
-const maxCrashes = 8;
 
 /** What a change of the ledger led to. */
 export interface LedgerChange {
@@ -35,6 +33,8 @@
 	readonly cleared: ReadonlyMap<string, Ms>;
 	/** Sets of parts that are quarantined by this change. */
 	readonly quarantined: readonly Suspicion[];
+	/** Sets of parts that were quarantined until this change, which explains their crashes. */
+	readonly explained: readonly Suspicion[];
 }
 
 /**
@@ -53,6 +53,8 @@
 	}
 
 	readonly #suspicions = new Map<string, Suspicion>();
+	/** Those of them that are quarantined. */
+	readonly #quarantined = new Map<string, Suspicion>();
 	/** Keys of the suspicions that name a part. */
 	readonly #keysByPart = new Map<string, Set<string>>();
 	readonly #partAnswers = LatestAnswers.create(maxAnsweredParts);
@@ -72,7 +74,7 @@
 
 	/** Returns the quarantined sets of parts. */
 	quarantined(): readonly Suspicion[] {
-		return this.all().filter(({quarantinedMs}) => quarantinedMs !== undefined);
+		return [...this.#quarantined.values()];
 	}
 
 	/** Returns a quarantined set that a request with these parts has all parts of, so that it is to be rejected. */
@@ -112,19 +114,26 @@
 
 		const parts = suspicion.parts.filter(part => !cleared.has(part));
 		if (parts.length === 0) {
-			return {added: undefined, cleared, quarantined: []};
+			return unchanged(cleared);
 		}
 
 		const added = {...suspicion, parts};
-		const combined = this.#suspicionsWith(parts).flatMap(other => combine(other, added) ?? []);
+		const combined = this.#suspicionsWith(parts).flatMap(other => combineSuspicions(other, added) ?? []);
 		const stored = [added, ...combined].flatMap(candidate => this.#put(candidate, now) ?? []);
+		const explained = stored.some(({isQuarantinedNow}) => isQuarantinedNow) ? this.#releaseExplained() : [];
 		this.#dropExcess();
-		return {added: stored.length > 0 ? added : undefined, cleared, quarantined: stored.flatMap(({current, isQuarantinedNow}) => isQuarantinedNow ? [current] : [])};
+		return {
+			added: stored.length > 0 ? added : undefined,
+			cleared,
+			quarantined: stored.flatMap(({current, isQuarantinedNow}) => isQuarantinedNow && !explained.includes(current) ? [current] : []),
+			explained,
+		};
 	}
 
 	/** Records that requests with these parts were answered at `answeredMs`. Returns the parts that this clears. */
 	answered(parts: readonly string[], answeredMs: Ms): LedgerChange {
 		const cleared = new Map<string, Ms>();
+		const isNews = parts.some(part => this.#keysByPart.has(part) && this.#answersTo(part).get(part) === undefined);
 		for (const part of parts) {
 			this.#answersTo(part).record(part, answeredMs);
 		}
@@ -150,7 +159,15 @@
 			}
 		}
 
-		return {added: undefined, cleared, quarantined: []};
+		return {...unchanged(cleared), explained: isNews ? this.#releaseExplained() : []};
+	}
+
+	/** Returns the times of the latest answers to requests with these parts, as far as there were any. */
+	answersTo(parts: readonly string[]): ReadonlyMap<string, Ms> {
+		return new Map(parts.flatMap(part => {
+			const answeredMs = this.#answersTo(part).get(part);
+			return answeredMs === undefined ? [] : [[part, answeredMs]];
+		}));
 	}
 
 	/** Removes a set of parts, which another entry VM has found to be sound. */
@@ -165,7 +182,7 @@
 			if (quarantinedMs !== undefined && now - quarantinedMs >= suspicionLifetimeMs) {
 				const [latestCrash] = [...crashes.keys()].slice(-1);
 				this.#set({
-					...suspicion, crashes: new Map([[latestCrash!, renewableWeight]]), crashedMs: now, quarantinedMs: undefined,
+					...suspicion, crashes: new Map([[latestCrash!, renewableWeight]]), spans: undefined, crashedMs: now, quarantinedMs: undefined,
 				});
 			} else if (quarantinedMs === undefined && now - crashedMs >= suspicionLifetimeMs) {
 				this.#delete(suspicion);
@@ -173,11 +190,17 @@
 		}
 	}
 
-	/** Stores a suspicion unless the same parts are known with as much evidence. */
-	#put(suspicion: Suspicion, now: Ms): {current: Suspicion; isQuarantinedNow: boolean} | undefined {
+	/** Stores what is not explained of a suspicion, unless the same parts are known with as much evidence. */
+	#put(candidate: Suspicion, now: Ms): {current: Suspicion; isQuarantinedNow: boolean} | undefined {
+		const suspicion = this.#unexplainedOf(candidate);
 		const existing = this.#suspicions.get(partsKey(suspicion.parts));
 		const isQuarantined = suspicion.quarantinedMs !== undefined || weightOf(suspicion) >= quarantineWeight;
-		if (existing && (existing.quarantinedMs !== undefined || (!isQuarantined && weightOf(existing) >= weightOf(suspicion)))) {
+		if (existing?.quarantinedMs !== undefined && suspicion.crashes.size > existing.crashes.size) {
+			// It explains later crashes as well.
+			this.#set({...suspicion, quarantinedMs: existing.quarantinedMs});
+		}
+
+		if (suspicion.crashes.size === 0 || (existing && (existing.quarantinedMs !== undefined || (!isQuarantined && weightOf(existing) >= weightOf(suspicion))))) {
 			return undefined;
 		}
 
@@ -186,6 +209,36 @@
 		return {current, isQuarantinedNow: isQuarantined};
 	}
 
+	/**
+	 * Returns the evidence that the quarantined sets do not explain; it counts as quarantined only as far as it suffices.
+	 * Only parts that were answered once, however long ago, are released, and only sets with parts that never were explain
+	 * the crashes of others: a deadly part is not answered.
+	 */
+	#unexplainedOf(suspicion: Suspicion): Suspicion {
+		const isNew = (part: string) => this.#answersTo(part).get(part) === undefined;
+		if (this.#quarantined.size === 0 || suspicion.parts.some(part => isNew(part))) {
+			return suspicion;
+		}
+
+		const unexplained = findUnexplained(suspicion, this.quarantined().filter(cause => cause.parts.some(part => isNew(part))));
+		return unexplained === suspicion || weightOf(unexplained) >= quarantineWeight ? unexplained : {...unexplained, quarantinedMs: undefined};
+	}
+
+	/** Ends the quarantines that the others explain, and returns them. */
+	#releaseExplained(): readonly Suspicion[] {
+		const released: Suspicion[] = [];
+		for (const suspicion of this.quarantined()) {
+			const unexplained = this.#unexplainedOf(suspicion);
+			if (unexplained.quarantinedMs === undefined) {
+				released.push(suspicion);
+				this.#delete(suspicion);
+				this.#put(unexplained, suspicion.quarantinedMs!);
+			}
+		}
+
+		return released;
+	}
+
 	#dropExcess(): void {
 		// Neither maximum can be exceeded below the smaller of them.
 		if (this.#suspicions.size <= Math.min(maxPartSuspicions, maxRequestSuspicions)) {
@@ -213,6 +266,12 @@
 	#set(suspicion: Suspicion): void {
 		const key = partsKey(suspicion.parts);
 		this.#suspicions.set(key, suspicion);
+		if (suspicion.quarantinedMs === undefined) {
+			this.#quarantined.delete(key);
+		} else {
+			this.#quarantined.set(key, suspicion);
+		}
+
 		for (const part of suspicion.parts) {
 			const keys = this.#keysByPart.get(part) ?? new Set();
 			this.#keysByPart.set(part, keys.add(key));
@@ -222,6 +281,7 @@
 	#delete({parts}: Pick<Suspicion, 'parts'>): void {
 		const key = partsKey(parts);
 		this.#suspicions.delete(key);
+		this.#quarantined.delete(key);
 		for (const part of parts) {
 			const keys = this.#keysByPart.get(part);
 			keys?.delete(key);
@@ -251,23 +311,12 @@
 	return suspicions.filter(suspicion => !kept.has(suspicion));
 }
 
-function isCleared({crashedMs}: Suspicion, answeredMs: Ms): boolean {
-	return answeredMs >= crashedMs - clearanceMs;
-}
-
-/** Returns the evidence against the common parts of two suspicions; `undefined` if they have none, or do not rest on crashes one after the other. */
-function combine(a: Suspicion, b: Suspicion): Suspicion | undefined {
-	const parts = a.parts.filter(part => b.parts.includes(part));
-	const areSuccessive = b.sentMs >= a.crashedMs - clockToleranceMs || a.sentMs >= b.crashedMs - clockToleranceMs;
-	if (parts.length === 0 || !areSuccessive || [...b.crashes.keys()].some(crash => a.crashes.has(crash))) {
-		return undefined;
-	}
-
+function unchanged(cleared: ReadonlyMap<string, Ms>): LedgerChange {
 	return {
-		parts,
-		crashes: new Map([...a.crashes, ...b.crashes].slice(-maxCrashes)),
-		sentMs: Math.min(a.sentMs, b.sentMs),
-		crashedMs: Math.max(a.crashedMs, b.crashedMs),
-		quarantinedMs: undefined,
+		added: undefined, cleared, quarantined: [], explained: [],
 	};
 }
+
+function isCleared({crashedMs}: Suspicion, answeredMs: Ms): boolean {
+	return answeredMs >= crashedMs - clearanceMs;
+}
--- a/src/quarantine/suspicion-record.ts
+++ b/src/quarantine/suspicion-record.ts
@@ -50,6 +50,6 @@
 
 	const crashedMs = Math.min(nowMs, nowMs - wallMs + data.crashedWallMs);
 	return {
-		parts: data.parts.toSorted(), crashes: new Map(data.crashes), sentMs: crashedMs, crashedMs, quarantinedMs: Math.min(nowMs, nowMs - wallMs + data.quarantinedWallMs),
+		parts: data.parts.toSorted(), crashes: new Map(data.crashes), sentMs: crashedMs, crashedMs, goneMs: nowMs, quarantinedMs: Math.min(nowMs, nowMs - wallMs + data.quarantinedWallMs),
 	};
 }
--- a/src/reach/reach-watch.test.ts
+++ b/src/reach/reach-watch.test.ts
@@ -69,6 +69,17 @@
 		watches[7]!.close();
 	});
 
+	// Guards against a request that is left to an entry VM whose region nobody knows, since another one has told of it.
+	it('knows the zone of an entry VM that others have told of', async () => {
+		const {watches, failAt} = createFleet(50, new Set(Array.from({length: 25}, (_, vm) => vm)));
+		await failAt(7);
+		const zones: Array<string | undefined> = [];
+		expect(watches[7]!.helperWhere(zone => zones.push(zone) === 0)).toBeUndefined();
+		expect(watches[7]!.helperWhere(zone => zone === 'zone-1')).toBe(watches[7]!.helper);
+		expect(new Set(zones)).toEqual(new Set(['zone-1']));
+		watches[7]!.close();
+	});
+
 	// Guards against a fleet that makes itself unready when its targets are down.
 	it('is not cut off where nobody reaches a target, or a probe does', async () => {
 		const all = createFleet(30, new Set(Array.from({length: 30}, (_, vm) => vm)));
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -16,9 +16,11 @@
 const maxAsked = 4;
 /** Maximum number of entry VMs between one that asks and one that replies: the leader of its cell and that of another one. */
 const maxHops = 2;
+/** Maximum number of entry VMs whose zones are remembered; the oldest are dropped first. */
+const maxZones = 1000;
 
 /** Link message about the reach of targets. */
-export type ReachMessage = LinkMessage & {type: 'reach-request' | 'reach-reply'};
+export type ReachMessage = LinkMessage & {type: 'reach-request' | 'reach-reply' | 'reach-zone'};
 
 /** A target that can be probed. */
 export interface ProbeableTarget {
@@ -60,6 +62,8 @@
 	readonly #reach = TargetReach.create();
 	readonly #replies: PendingReplies<{readonly callers: string | null}>;
 	#helpers: readonly string[] = [];
+	/** Zones of entry VMs, by their addresses for callers. */
+	readonly #zones = new Map<string, string>();
 	#isChecking = false;
 	#isClosed = false;
 	#turn = 0;
@@ -75,7 +79,13 @@
 
 	/** Address for callers of an entry VM that reaches targets, another one at each call; `undefined` unless this one is cut off. */
 	get helper(): string | undefined {
-		return this.#helpers[this.#turn++ % this.#helpers.length];
+		return this.helperWhere(() => true);
+	}
+
+	/** Returns the address for callers of an entry VM that reaches targets and is in a zone that is allowed; the zone is `undefined` if it is not known. */
+	helperWhere(allows: (zone: string | undefined) => boolean): string | undefined {
+		const helpers = this.#helpers.filter(helper => allows(this.#zones.get(helper)));
+		return helpers[this.#turn++ % helpers.length];
 	}
 
 	/** Records a response of a target. */
@@ -101,11 +111,21 @@
 	receive(link: Link, message: ReachMessage): void {
 		if (message.type === 'reach-reply') {
 			this.#replies.reply(link, message.id, {callers: message.callers});
+		} else if (message.type === 'reach-zone') {
+			this.#recordZone(message.callers, message.zone);
 		} else {
 			void this.#answer(link, message.id, message.hops);
 		}
 	}
 
+	#recordZone(callers: string, zone: string): void {
+		this.#zones.delete(callers);
+		this.#zones.set(callers, zone);
+		if (this.#zones.size > maxZones) {
+			this.#zones.delete(this.#zones.keys().next().value!);
+		}
+	}
+
 	/** Ends the questions that were sent over a link. */
 	linkLost(link: Link): void {
 		this.#replies.linkLost(link);
@@ -241,6 +261,11 @@
 			logger.error('Cannot tell a peer whether targets can be reached.', {peer: link.peer.name, error: errorMessage(err)});
 		}
 
+		const zone = callers === null ? undefined : (callers === callersAddress() ? this.options.zone : this.#zones.get(callers));
+		if (callers !== null && zone !== undefined) {
+			link.send({type: 'reach-zone', callers, zone});
+		}
+
 		link.send({type: 'reach-reply', id, callers});
 	}
 }
--- a/src/registry/relay-target.ts
+++ b/src/registry/relay-target.ts
@@ -11,6 +11,8 @@
 	readonly isDraining: boolean;
 	/** Wall-clock time of its start, if the entry has it; a different value under the same id means another incarnation. */
 	readonly startedMs: number | undefined;
+	/** Time for which the target stayed cold when it wrote the entry; absent or 0 if it was warm. */
+	readonly coldMs?: Ms | undefined;
 }
 
 /** Weight of the latest observation in the exponential moving averages; roughly the last ten calls count. */
--- a/src/registry/target-registry.ts
+++ b/src/registry/target-registry.ts
@@ -14,6 +14,8 @@
 	readonly logger: PartLogger;
 	/** Called with each target that no longer accepts new work, because it is draining or was removed. */
 	readonly onUnavailable?: (target: RelayTarget) => void;
+	/** Called with each entry that is read of a target in use; `isStart` tells that it is another start than those known before, `isFromList` that it comes with a complete list, so that its age is unknown. */
+	readonly onEntry?: (target: RelayTarget, entry: TargetEntry, isStart: boolean, isFromList: boolean) => void;
 	/** Whether the target of a new entry is known to be draining, although the entry does not say so. */
 	readonly isKnownToDrain?: (entry: TargetEntry) => boolean;
 }
@@ -49,6 +51,11 @@
 		return this.#services.get(service)?.filter(target => target.isAccepting) ?? [];
 	}
 
+	/** Returns the targets of a service, those that accept no new work included. */
+	targetsOf(service: string): readonly RelayTarget[] {
+		return this.#services.get(service) ?? [];
+	}
+
 	get size(): number {
 		return this.#targets.size;
 	}
@@ -79,7 +86,7 @@
 	}
 
 	/** Returns the target if it was added. */
-	#put(entry: TargetEntry): RelayTarget | undefined {
+	#put(entry: TargetEntry, isFromList = false): RelayTarget | undefined {
 		this.#pendingRemovals.get(entry.id)?.();
 		this.#pendingRemovals.delete(entry.id);
 		const existing = this.#targets.get(entry.id);
@@ -88,6 +95,7 @@
 				this.#markDraining(existing);
 			}
 
+			this.options.onEntry?.(existing, entry, false, isFromList);
 			return undefined;
 		}
 
@@ -96,11 +104,13 @@
 		}
 
 		const gone = this.#gone.get(entry.id);
+		const isListedAgain = gone !== undefined && isSameIncarnation(gone.entry, entry);
 		const target = RelayTarget.create(entry);
-		target.isDraining ||= (gone?.isDraining === true && isSameIncarnation(gone.entry, entry)) || this.options.isKnownToDrain?.(entry) === true;
+		target.isDraining ||= (isListedAgain && gone.isDraining) || this.options.isKnownToDrain?.(entry) === true;
 		this.#targets.set(entry.id, target);
 		this.#zones.set(entry.address, entry.zone);
 		this.#services.set(entry.service, [...this.#services.get(entry.service) ?? [], target]);
+		this.options.onEntry?.(target, entry, !isListedAgain, isFromList);
 		return target;
 	}
 
@@ -130,7 +140,7 @@
 			this.remove(id);
 		}
 
-		const added = entries.flatMap(entry => this.#put(entry) ?? []);
+		const added = entries.flatMap(entry => this.#put(entry, true) ?? []);
 		this.options.logger.info('Read all targets.', {
 			targets: entries.length, added: added.length, draining: entries.filter(entry => entry.isDraining).length, unreadable: heldIds.length,
 		});
@@ -151,7 +161,7 @@
 		}
 
 		const current = entries.filter(entry => !this.#isOver(entry));
-		const added = current.flatMap(entry => this.#put(entry) ?? []);
+		const added = current.flatMap(entry => this.#put(entry, true) ?? []);
 		this.options.logger.info('Merged the targets of a restored store.', {
 			targets: entries.length, added: added.length, over: entries.length - current.length, missing: missing.length,
 		});
