--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,15 +1,20 @@
+import {ServicePace} from '../admission/index.js';
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {listenWithRetry, type Listen, type ListenAddress} from '../http/index.js';
 import {errorMessage, type RequestProgress} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
-	getOrCreateLinkKey, RankCache, RelayMesh, type LinkIdentity, type LinkKey, type LinkKeyStore,
+	RankCache, RelayMesh, getOrCreateLinkKey, type Link, type LinkIdentity, type LinkKey, type LinkKeyStore, type LinkMessage,
 } from '../links/index.js';
-import {TargetLimits} from '../limits/index.js';
+import {
+	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits, type ColdBound, type TargetHealth,
+} from '../limits/index.js';
 import type {LoggerFactory, PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, RetryBudgets, RetrySpendLog, shareRenewalMs, type LostStageCall, type RetryCause, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
+	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type LostStageCall, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
+import {Placement, type EvacuationRecord} from '../placement/index.js';
+import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
 import {LeaderStandby, ReachWatch, type ReachMessage} from '../reach/index.js';
@@ -17,10 +22,10 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
+	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
-import {RouteTable, type RelayDeclarations} from '../routes/index.js';
+import {RouteTable, type ColdStart, type RelayDeclarations} from '../routes/index.js';
 import {
 	TopicFollower, type EraTracker, type KeyedRecord, type KeyedTopic, type KeyedWriter,
 } from '../topics/index.js';
@@ -29,6 +34,7 @@
 import {startControlServer, type ControlServer} from './control-server.js';
 import {EventLoopWatch} from './event-loop-watch.js';
 import {judgeDeclarations} from './judge-declarations.js';
+import {memoryBoundsOf} from './memory-bounds.js';
 import {MemoryWatch, readMemory} from './memory-watch.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import {TargetNews} from './target-news.js';
@@ -44,10 +50,6 @@
 /** Maximum time in which the last responses are written before their connections are closed. */
 const flushTimeoutMs: Ms = 200;
 const flushCheckIntervalMs: Ms = 10;
-/** Memory for the responses of all requests in progress: a small entry VM has 250 MB, of which the process without them takes about half. */
-const maxResponseMemoryBytes = 48 * 1024 * 1024;
-/** Memory for the requests of all callers. */
-const maxRequestMemoryBytes = 40 * 1024 * 1024;
 /** Number of turns of the event loop in which a connection that waits is accepted, a request on it read, and a refusal written. */
 const turnsToRead = 4;
 /** Bound on how often these turns are repeated while more arrives: each turn accepts one connection. */
@@ -99,7 +101,8 @@
 	readonly seed: number;
 	readonly codec: RelayCodec;
 	readonly stageTargets: StageTargetPort;
-	readonly probe: (target: RelayTarget) => Promise<ProbeResult>;
+	/** Resolves with what the health path of a target says, or without a path another one at which every target responds; never rejects. */
+	readonly checkHealth: (target: RelayTarget, path: string | undefined) => Promise<TargetHealth>;
 	readonly configTopic: KeyedTopic;
 	readonly targetTopic: KeyedTopic;
 	/** Topic of the quarantined prompt parts. */
@@ -107,11 +110,19 @@
 	readonly quarantineWriter: KeyedWriter;
 	/** Decodes the configuration; returns `undefined` for a record without one. */
 	readonly decodeDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
+	/** Decodes the evacuation of a zone; returns `undefined` for a record without one. */
+	readonly decodeEvacuation: (record: KeyedRecord) => EvacuationRecord | undefined;
 	/** Decodes a target entry; returns `undefined` for a record without one. */
 	readonly decodeTarget: (record: KeyedRecord) => TargetEntry | undefined;
 	/** Eras of the history of the store's log. */
 	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
+	/** Memory that the operator gives the process, in bytes; `undefined` if that is not known. */
+	readonly memoryBytes?: number | undefined;
+	/** Time after its acknowledgement from which an evacuation must hold; `undefined` if the settings name none. */
+	readonly evacuateMs?: Ms | undefined;
 	readonly limits: RelayLimits;
+	/** Bound on the requests to a cold target from all entry VMs together; `undefined` for the rate that its service tolerates. */
+	readonly coldBound?: ColdBound | undefined;
 	/**
 	 * Whether no earlier process of this entry VM has run; by default one may have, and have used the share of the retry slack
 	 * until it ended.
@@ -149,8 +160,10 @@
 
 	readonly #lifecycle = RelayVmLifecycle.create();
 	readonly #registry: TargetRegistry;
+	readonly #placement: Placement;
 	readonly #poolHost: PoolHost;
-	readonly #pools = TargetPools.create();
+	readonly #liveness: TargetLiveness;
+	readonly #pools: TargetPools;
 	readonly #prefixCache = PrefixCacheTracker.create();
 	readonly #metrics = RelayMetrics.create({
 		configVersion: () => this.configVersion,
@@ -167,12 +180,16 @@
 			const now = this.options.clock.now();
 			return {entryVms: this.#retryBudgets.entryVms(now) ?? 0, borrowed: this.#retryBudgets.borrowedShares(now)};
 		},
+		evacuatedZones: () => this.#placement.evacuatedZones,
 		quarantined: () => this.#quarantine.size,
 		memory: readMemory,
 		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
+		coldTargets: () => this.#coldTargets.size,
+		heldBackTargets: () => ({retry_after: this.#holds.size, brittle: [...this.#registry.all()].filter(target => this.#brittle.isBrittle(target)).length}),
 	});
 
 	readonly #retryBudgets: RetryBudgets;
+	readonly #retryLoans: RetryLoans;
 	readonly #retrySpendLog: RetrySpendLog;
 	readonly #ranks = RankCache.create();
 	readonly #configFollower: TopicFollower;
@@ -190,7 +207,13 @@
 	readonly #distributor = TopicDistributor.create(() => this.#mesh);
 	readonly #stages: MeshStageRunner;
 	readonly #quarantine: PromptQuarantine;
+	readonly #holds: TargetHolds;
+	readonly #brittle: BrittleTargets;
 	readonly #targetLimits: TargetLimits;
+	readonly #prompts: PromptLoads;
+	readonly #promptExchange: PromptExchange;
+	readonly #coldTargets: ColdTargets;
+	readonly #coldWatch: ColdWatch;
 	readonly #drainingReports: DrainingReports;
 	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
@@ -210,9 +233,17 @@
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
 		this.#random = Random.create(options.seed + 3);
-		this.#requestMemory = RequestMemory.create({maxBytes: maxRequestMemoryBytes, clock, logger: createLogger('requests')});
-		this.#responseMemory = ResponseMemory.create({maxBytes: maxResponseMemoryBytes, clock, logger: createLogger('requests')});
+		const memoryBounds = memoryBoundsOf(options.memoryBytes);
+		this.#requestMemory = RequestMemory.create({maxBytes: memoryBounds.requestBytes, clock, logger: createLogger('requests')});
+		this.#responseMemory = ResponseMemory.create({maxBytes: memoryBounds.responseBytes, clock, logger: createLogger('requests')});
 		const logger = createLogger('targets');
+		this.#liveness = TargetLiveness.create(clock);
+		this.#pools = TargetPools.create(this.#liveness);
+		this.#holds = TargetHolds.create({
+			clock, logger, random: Random.create(options.seed + 5), onChange: () => {
+				this.#poolHost.placementChanged();
+			},
+		});
 		this.#registry = TargetRegistry.create({
 			clock,
 			logger,
@@ -222,8 +253,29 @@
 					this.#pools.drop(target.entry.address);
 				}
 			},
+			onEntry: (target, entry, isStart, isFromList) => {
+				this.#coldTargets.seeEntry(target, entry, {isStart: isStart && this.#hasTargets, isFromList});
+			},
 			isKnownToDrain: entry => this.#drainingReports.has(entry),
 		});
+		this.#placement = Placement.create({
+			clock,
+			logger,
+			targets: this.#registry,
+			zone: options.self.zone,
+			regionOf: options.regionOf,
+			evacuateMs: options.evacuateMs,
+			onExcluded: (reason, count) => {
+				this.#metrics.recordExcluded(reason, count);
+			},
+			onChange: ({zone, isOn}) => {
+				this.#poolHost.placementChanged();
+				// Its targets may have become cold meanwhile.
+				if (!isOn) {
+					this.#coldTargets.zoneReopened(zone);
+				}
+			},
+		});
 		this.#drainingReports = DrainingReports.create({
 			clock, logger, mesh: () => this.#mesh, registry: this.#registry,
 		});
@@ -234,11 +286,15 @@
 			zone: options.self.zone,
 			callersAddress: () => `${options.callers.host}:${this.callersPort}`,
 			links: () => this.#mesh?.links() ?? [],
-			targets: () => [...this.#registry.all()].filter(target => target.isAccepting),
-			probe: async target => await options.probe(target) === 'alive',
+			targets: () => [...this.#registry.all()].filter(target => this.#mayProbe(target)),
+			probe: async target => {
+				const {result} = await this.#checkHealth(target);
+				return result === 'alive';
+			},
 			onChange: isCutOff => {
 				this.#standby.setCutOff(isCutOff);
 				if (isCutOff) {
+					this.#coldTargets.forgetUnreachable();
 					this.#stages.handOverAll();
 				}
 			},
@@ -264,15 +320,18 @@
 			startedMs: options.isFirstStart ? -Infinity : clock.now(),
 			isStageService: service => this.#isStageService(service),
 			onSpend: (service, spend) => {
-				this.#retrySpendLog.record(service, this.#retryCauseOf(service), spend);
+				this.#retrySpendLog.record(service, 'attempt', spend);
 			},
 		});
+		this.#retryLoans = RetryLoans.create({
+			clock, logger: createLogger('requests'), mesh: () => this.#mesh, budgetOf: service => this.#retryBudgets.of(service),
+		});
 		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
+			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
 			}, onRetrySpend: (service, spend) => {
 				this.#retrySpendLog.record(service, 'piece', spend);
-			}, service: name => this.#table?.declarations.services.get(name), onLostCall: call => {
+			}, holds: this.#holds, service: name => this.#table?.declarations.services.get(name), onLostCall: call => {
 				this.#watchLostCall(call);
 			},
 		});
@@ -288,7 +347,7 @@
 			},
 		});
 		this.#stages = MeshStageRunner.create({
-			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff,
+			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
 		});
 		this.#configFollower = TopicFollower.create({
 			name: 'configuration',
@@ -298,10 +357,13 @@
 			pollMs: 0,
 			waitMs: configLongPollMs,
 			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}) => {
+			onSnapshot: ({records}, origin) => {
+				// Before the first configuration, with which requests are accepted.
+				this.#placement.applySnapshot(records.flatMap(record => options.decodeEvacuation(record) ?? []), origin);
 				this.#applyConfiguration(records);
 			},
 			onRecords: records => {
+				this.#placement.applyRecords(records.flatMap(record => options.decodeEvacuation(record) ?? []));
 				this.#applyConfiguration(records);
 			},
 		});
@@ -314,7 +376,6 @@
 			waitMs: 0,
 			hasFeeder: () => this.#distributor.hasFeeder,
 			onSnapshot: ({records}, origin) => {
-				this.#hasTargets = true;
 				this.#targetNews.applySnapshot(records, origin);
 				const entries = records.flatMap(record => this.#decodeTarget(record) ?? []);
 				const heldIds = records.filter(record => record.value !== undefined && !this.#decodeTarget(record)).map(({key}) => key);
@@ -323,6 +384,9 @@
 				} else {
 					this.#registry.replace(entries, heldIds);
 				}
+
+				this.#hasTargets = true;
+				this.#coldWatch.check();
 			},
 			onRecords: records => {
 				this.#targetNews.apply(records);
@@ -338,6 +402,30 @@
 		this.#targetLimits = TargetLimits.create({
 			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), targets: this.#registry,
 		});
+		this.#brittle = BrittleTargets.create({
+			clock, logger, random: Random.create(options.seed + 6), self: options.self.incarnation, mesh: () => this.#mesh, share: () => this.#poolShare(), entryVms: () => this.#retryBudgets.entryVms(clock.now()),
+		});
+		this.#promptExchange = PromptExchange.create({clock, mesh: () => this.#mesh, loads: () => this.#prompts});
+		this.#prompts = PromptLoads.create({
+			clock, service: name => this.#table?.declarations.services.get(name), rank: (key, names) => this.#ranks.of(key, names), groupOf: zone => options.regionOf(zone) ?? zone, listener: this.#promptExchange, metrics: PromptMetrics.create(this.#metrics.registry, () => this.#prompts.totals()),
+		});
+		this.#coldTargets = ColdTargets.create({
+			clock, logger, self: options.self, mesh: () => this.#mesh, targets: this.#registry, coldStart: service => this.#coldStartOf(service), bound: options.coldBound, isCutOff: () => this.#reach.isCutOff, onPermit: () => {
+				this.#metrics.recordColdPermit();
+			},
+		});
+		this.#coldWatch = ColdWatch.create({
+			clock,
+			self: options.self.name,
+			targets: () => [...this.#registry.all()].filter(target => this.#mayProbe(target) && this.#coldStartOf(target.entry.service) !== undefined),
+			watchersOf: zone => this.#mesh?.watchersOf(zone) ?? [],
+			rank: (key, names) => this.#ranks.of(key, names),
+			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#mesh?.links().length ?? 0) === 0),
+			checkHealth: async target => this.#checkHealth(target, this.#table?.declarations.services.get(target.entry.service)?.healthPath),
+			onHealth: (target, health, askedMs) => {
+				this.#coldTargets.seeHealth(target, health, askedMs);
+			},
+		});
 		this.#quarantineFollower = TopicFollower.create({
 			name: 'quarantine',
 			topic: options.quarantineTopic,
@@ -409,8 +497,8 @@
 
 	/** Counts of requests since the start. */
 	get requestProgress(): RequestProgress {
-		const {ended, answered} = this.#metrics.requestCounts;
-		return {arrived: ended + this.inFlight, answered};
+		const {ended, answered, begun} = this.#metrics.requestCounts;
+		return {arrived: ended + this.inFlight, answered: answered + begun};
 	}
 
 	/** Counts an error that nothing handled, by the place that threw it. */
@@ -437,14 +525,17 @@
 		this.#shutdownSchedule = schedule;
 		this.#lifecycle.send({type: 'SHUTDOWN'});
 		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
-		await this.#tryStep('return shares of retries', () => {
-			this.#returnShares();
+		let hasReturnedShares = false;
+		const returnShares = async () => this.#tryStep('return shares of retries', () => {
+			hasReturnedShares ||= this.#returnShares();
 		});
+		await returnShares();
 		await this.#tryStep('hand over stage plans', () => {
 			this.#stages.handOver();
 		});
 		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
 		while (this.#lifecycle.state !== 'stopped') {
+			await returnShares();
 			await this.#tryStep('reject late requests', () => {
 				this.#server.rejectLate();
 			});
@@ -513,9 +604,14 @@
 		this.#targetFollower.stop();
 		this.#quarantineFollower.stop();
 		this.#quarantine.close();
+		this.#coldWatch.close();
+		this.#coldTargets.close();
+		this.#holds.close();
 		this.#eventLoopWatch.close();
 		this.#memoryWatch.close();
 		this.#reach.close();
+		this.#placement.close();
+		this.#promptExchange.close();
 		this.#standby.close();
 		this.#cancelShareRenewal();
 		this.#stages.close();
@@ -557,7 +653,9 @@
 		this.#targetFollower.start();
 		this.#quarantineFollower.start();
 		this.#quarantine.start();
+		this.#stages.start();
 		this.#eventLoopWatch.start();
+		this.#coldWatch.start();
 		this.#memoryWatch.start();
 		void this.#startMetrics();
 		void this.#startMesh();
@@ -585,16 +683,22 @@
 				metrics: this.#metrics,
 				codec: options.codec,
 				registry: this.#registry,
+				placement: this.#placement,
 				pools: this.#pools,
+				liveness: this.#liveness,
 				memory: this.#responseMemory,
 				requestMemory: this.#requestMemory,
 				turnBudget: TurnBudget.create({clock}),
 				stages: this.#stages,
 				prefixCache: this.#prefixCache,
+				prompts: this.#prompts,
 				zone: options.self.zone,
 				distance: zone => this.#distance(zone),
 				rank: (key, names) => this.#ranks.of(key, names),
 				retryBudget: service => this.#retryBudgets.of(service),
+				createRetry: service => RequestRetry.create({
+					clock, service, budget: this.#retryBudgets.of(service), loans: this.#retryLoans,
+				}),
 				probe,
 				crashWatch: CrashWatch.create({
 					clock,
@@ -606,10 +710,14 @@
 					},
 				}),
 				limits: this.#targetLimits,
+				holds: this.#holds,
+				brittle: this.#brittle,
+				coldTargets: this.#coldTargets,
 				drainingReports: this.#drainingReports,
 				reach: this.#reach,
 				quarantine: this.#quarantine,
 				durations: {requests: RouteDurations.create(), attempts: RouteDurations.create()},
+				servicePace: ServicePace.create(),
 				shutdown: () => this.#shutdownSchedule,
 				isClosing,
 				targetsAgeMs: () => this.#targetFollower.ageMs,
@@ -619,8 +727,15 @@
 
 	/** Probes a target; the result tells of the reach of targets as well. */
 	async #probe(target: RelayTarget): Promise<ProbeResult> {
-		const result = await this.options.probe(target);
+		if (this.#placement.isEvacuated(target.entry.zone) || this.#holds.isHeld(target)) {
+			return 'withheld';
+		}
+
+		const recordReply = this.#liveness.begin(target.entry.address);
+		const {result} = await this.#checkHealth(target);
+		this.#coldTargets.seeHealth(target, {result, coldMs: undefined});
 		if (result === 'alive') {
+			recordReply();
 			this.#reach.recordReached();
 		} else {
 			this.#reach.recordFailed(target.id);
@@ -629,6 +744,17 @@
 		return result;
 	}
 
+	/** Whether a target takes requests, so that its health is watched. */
+	#mayProbe(target: RelayTarget): boolean {
+		return this.#placement.exclusionOf(target) === undefined && !this.#holds.isHeld(target);
+	}
+
+	async #checkHealth(target: RelayTarget, path?: string): Promise<TargetHealth> {
+		const health = await this.options.checkHealth(target, path);
+		this.#holds.observe(target, health.retryAfterMs);
+		return health;
+	}
+
 	/** Finds out whether a stage target has crashed, and tells the plans whose pieces were in the call. */
 	#watchLostCall({target, pieces, sentMs, lostMs}: LostStageCall): void {
 		const jobs = new Map(pieces.map(({job}) => [job.attemptId, job]));
@@ -685,6 +811,62 @@
 		}
 	}
 
+	/** Handles a message about targets or the work at them; returns false for another one. */
+	#receiveAboutTargets(link: Link, message: LinkMessage): boolean {
+		switch (message.type) {
+			case 'prompt-suspicions': {
+				this.#quarantine.receive(link, message);
+
+				break;
+			}
+
+			case 'target-limit':
+			case 'limit-request':
+			case 'limit-reply': {
+				this.#targetLimits.receive(link, message);
+
+				break;
+			}
+
+			case 'target-cold':
+			case 'permit-request':
+			case 'permit-reply':
+			case 'permit-vote-request':
+			case 'permit-vote': {
+				this.#coldTargets.receive(link, message);
+
+				break;
+			}
+
+			case 'service-brittle':
+			case 'slot-request':
+			case 'slot-reply':
+			case 'slot-release': {
+				this.#brittle.receive(link, message);
+
+				break;
+			}
+
+			case 'target-draining': {
+				this.#drainingReports.receive(link, message);
+
+				break;
+			}
+
+			case 'prompt-work': {
+				this.#promptExchange.receive(link, message);
+
+				break;
+			}
+
+			default: {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
 	async #createMesh(): Promise<void> {
 		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
 		const logger = createLogger('links');
@@ -706,42 +888,36 @@
 			},
 			regionOf: this.options.regionOf,
 			onMessage: (link, message) => {
-				switch (message.type) {
-					case 'prompt-suspicions': {
-						this.#quarantine.receive(link, message);
-
-						break;
-					}
-
-					case 'target-limit':
-					case 'limit-request':
-					case 'limit-reply': {
-						this.#targetLimits.receive(link, message);
-
-						break;
-					}
+				if (this.#receiveAboutTargets(link, message)) {
+					return;
+				}
 
-					case 'target-draining': {
-						this.#drainingReports.receive(link, message);
+				switch (message.type) {
+					case 'reach-request':
+					case 'reach-reply':
+					case 'reach-zone': {
+						this.#reach.receive(link, message satisfies ReachMessage);
 
 						break;
 					}
 
-					case 'reach-request':
-					case 'reach-reply': {
-						this.#reach.receive(link, message satisfies ReachMessage);
+					case 'share-loan': {
+						this.#retryBudgets.borrow(link.peer.incarnation, clock.now(), message.spent);
 
 						break;
 					}
 
-					case 'share-loan': {
-						this.#retryBudgets.borrow(link.peer.incarnation, clock.now());
+					case 'retry-request':
+					case 'retry-loan-request':
+					case 'retry-loan':
+					case 'retry-loan-return': {
+						this.#retryLoans.receive(link, message);
 
 						break;
 					}
 
 					case 'share-return': {
-						this.#retryBudgets.takeBack(link.peer.incarnation);
+						this.#retryBudgets.takeBack(link.peer.incarnation, {spent: message.spent, now: clock.now()});
 
 						break;
 					}
@@ -773,14 +949,21 @@
 			onUp: link => {
 				this.#quarantine.linkUp(link);
 				this.#targetLimits.linkUp(link);
+				this.#brittle.linkUp(link);
+				this.#coldTargets.linkUp(link);
 				this.#drainingReports.linkUp(link);
+				this.#promptExchange.linkUp();
 			},
 			onLost: link => {
 				this.#retryBudgets.giveBack(link.peer.incarnation);
+				this.#retryLoans.linkLost(link);
 				this.#stages.linkLost(link);
 				this.#distributor.linkLost(link);
 				this.#targetLimits.linkLost(link);
+				this.#brittle.linkLost(link);
+				this.#coldTargets.linkLost(link);
 				this.#reach.linkLost(link);
+				this.#promptExchange.linkLost(link);
 			},
 		});
 		this.#mesh = mesh;
@@ -855,6 +1038,7 @@
 			this.#configuredMs ??= this.options.clock.now();
 			this.#server.applyLimits(this.#table);
 			this.#lifecycle.send({type: 'CONFIGURED'});
+			this.#coldWatch.check();
 			logger.info('Applied a version.', {
 				version: declarations.version, before: current, routes: declarations.routes.length, teams: declarations.teams.length,
 			});
@@ -914,6 +1098,12 @@
 		return linked > maxIsolatedShare ? 1 : linked;
 	}
 
+	/** Returns the cold start that a service declares. Stage targets get calls from the host of their pool only, one at a time. */
+	#coldStartOf(service: string): ColdStart | undefined {
+		const declared = this.#table?.declarations.services.get(service);
+		return declared?.stagePool ? undefined : declared?.coldStart;
+	}
+
 	#isStageService(service: string): boolean {
 		return this.#table?.declarations.services.get(service)?.stagePool !== undefined;
 	}
@@ -929,33 +1119,41 @@
 
 	#lendShare(): boolean {
 		const leader = this.#mesh?.leader();
-		const isLent = this.#retryBudgets.lend((leader?.peer ?? this.options.self).incarnation, this.options.clock.now());
-		return isLent && (leader?.send({type: 'share-loan'}) ?? true);
+		const now = this.options.clock.now();
+		const isLent = this.#retryBudgets.lend((leader?.peer ?? this.options.self).incarnation, now);
+		const spent = this.#retryBudgets.spentOfShare(now);
+		return isLent && (leader?.send({type: 'share-loan', ...(spent > 0 ? {spent} : {})}) ?? true);
 	}
 
-	/** Returns the shares that were lent to this entry VM as the host of the stage pools, if there is a next host and nothing of them is used. */
-	#returnShares(): void {
-		if (!this.#mesh?.leader() || this.#poolHost.retryBudgets().some(({state}) => state.retries > 0)) {
-			return;
+	/**
+	 * Returns the shares that were lent to this entry VM as the host of the stage pools, with what it has spent of them, if there
+	 * is a next host and no reserved retry is still to be sent; returns whether it did.
+	 */
+	#returnShares(): boolean {
+		const now = this.options.clock.now();
+		const pieces = this.#poolHost.retryBudgets().map(({state}) => state);
+		if (!this.#mesh?.leader() || pieces.some(({reserved}) => reserved > 0)) {
+			return false;
 		}
 
-		const owners = new Set(this.#retryBudgets.returnLoans());
+		const {owners, spent} = this.#retryBudgets.returnLoans(pieces, now);
 		for (const link of this.#mesh.links()) {
-			if (owners.has(link.peer.incarnation)) {
-				link.send({type: 'share-return'});
+			if (owners.includes(link.peer.incarnation)) {
+				link.send({type: 'share-return', ...(spent > 0 ? {spent} : {})});
 			}
 		}
-	}
 
-	/** Returns what this entry VM, as the owner of requests, retries at a service. */
-	#retryCauseOf(service: string): RetryCause {
-		return this.#isStageService(service) ? 'stages' : 'attempt';
+		if (owners.length > 0) {
+			this.options.createLogger('pools').info('Returned the shares of retries that were lent to this host.', {owners: owners.length, spent_of_each: Math.round(spent * 100) / 100});
+		}
+
+		return true;
 	}
 
 	#retryBudgetStates() {
 		const now = this.options.clock.now();
 		return [
-			...this.#retryBudgets.states(now).map(({service, state}) => ({service, cause: this.#retryCauseOf(service), ...state})),
+			...this.#retryBudgets.states(now).map(({service, state}) => ({service, cause: 'attempt', ...state})),
 			...this.#poolHost.retryBudgets().map(({service, state}) => ({service, cause: 'piece', ...state})),
 		];
 	}
--- a/src/relay-vm/target-news.test.ts
+++ b/src/relay-vm/target-news.test.ts
@@ -6,12 +6,12 @@
 
 const record = (key: string, state: string | undefined): KeyedRecord => ({key, value: state === undefined ? undefined : Buffer.from(state)});
 
-/** Decodes the values `ready` and `draining`; others are malformed. */
+/** Decodes the values `ready`, `draining` and `cold`; others are malformed. */
 function decode({key, value}: KeyedRecord): TargetEntry | undefined {
 	const state = value?.toString();
-	return state === 'ready' || state === 'draining'
+	return state === 'ready' || state === 'draining' || state === 'cold'
 		? {
-			id: key, service: 'desk', address: '10.0.0.1:80', zone: 'riga-a', slots: 1, isDraining: state === 'draining', startedMs: 1,
+			id: key, service: 'desk', address: '10.0.0.1:80', zone: 'riga-a', slots: 1, isDraining: state === 'draining', startedMs: 1, coldMs: state === 'cold' ? 500 : 0,
 		}
 		: undefined;
 }
@@ -34,6 +34,13 @@
 		])).toEqual([false, true, true, false, true, false, false, true]);
 	});
 
+	// Guards against members of a cell that never hear from their leader that a target has become cold again.
+	it('takes each entry of a cold target for news', () => {
+		const news = TargetNews.create(decode);
+		news.applySnapshot([record('a', 'ready')], 'continued');
+		expect(newsOf(news, [record('a', 'cold'), record('a', 'cold'), record('a', 'ready'), record('a', 'ready')])).toEqual([true, true, false, false]);
+	});
+
 	// Guards against an entry VM that never hears of a target: it read its first snapshot while the record of the target was
 	// malformed, and the entry that the target writes next is the one that its leader has known before.
 	it('takes the first entry behind a malformed record for news', () => {
--- a/src/relay-vm/target-news.ts
+++ b/src/relay-vm/target-news.ts
@@ -70,7 +70,9 @@
 		const latest = this.#latest.get(record.key);
 		const isKnown = latest !== undefined || this.#isComplete || this.#latest.has(record.key);
 		if (entry) {
-			return !(isKnown && latest !== undefined && !this.#malformed.has(record.key) && isSameEntry(latest, entry));
+			// How long a target stays cold differs with each entry.
+			const isCold = entry.coldMs !== undefined && entry.coldMs > 0;
+			return isCold || !(isKnown && latest !== undefined && !this.#malformed.has(record.key) && isSameEntry(latest, entry));
 		}
 
 		return record.value === undefined ? latest !== undefined || !isKnown : latest !== undefined && !this.#malformed.has(record.key);
--- a/src/relay/caller-connection.test.ts
+++ b/src/relay/caller-connection.test.ts
@@ -162,6 +162,30 @@
 		expect([clientErrors, seen.text]).toEqual([[], '']);
 	});
 
+	// Guards against an end that overtakes bytes which wait for their turn: the HTTP server resumes the connection when the
+	// body is read, and Node.js emits the end before it tells of that.
+	it.each([20_000, 200_000])('takes a request of %d bytes whose body is read while its connection is held for a whole one', async bodyBytes => {
+		let receivedBytes = 0;
+		server.prependListener('request', (req: IncomingMessage) => {
+			setTimeout(connection.hold(), 100);
+			setTimeout(() => {
+				req.on('error', () => undefined).on('data', (chunk: Buffer) => {
+					receivedBytes += chunk.length;
+				});
+			}, 50);
+		});
+		handle = () => undefined;
+		const clientErrors: Error[] = [];
+		server.on('clientError', (err, socket) => {
+			clientErrors.push(err);
+			socket.destroy();
+		});
+		const {socket} = open();
+		socket.end(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${bodyBytes}\r\n\r\n${'p'.repeat(bodyBytes)}`);
+		await waitUntil(() => socket.closed);
+		expect([clientErrors, receivedBytes]).toEqual([[], bodyBytes]);
+	});
+
 	it('reads no more than a little from a caller whose first request is not answered', async () => {
 		const responses: ServerResponse[] = [];
 		handle = (req, res) => {
--- a/src/relay/caller-connection.ts
+++ b/src/relay/caller-connection.ts
@@ -35,6 +35,9 @@
 	}
 
 	readonly #parse: ((bytes: Buffer) => void) | undefined;
+	/** Tells the HTTP server of the end, which must not overtake bytes that are not parsed yet. */
+	readonly #finish: (() => void) | undefined;
+	#hasEnded = false;
 	#unparsed: Buffer[] = [];
 	#sliceBytes = minSliceBytes;
 	/** Bytes parsed since the parsing was last deferred or the last request began. */
@@ -51,6 +54,13 @@
 			socket.removeListener('data', parse);
 			socket.on('data', this.#onData);
 			socket.on('resume', this.#onResume);
+			// The first one is that of the socket itself.
+			this.#finish = socket.listeners('end').slice(1).at(-1) as (() => void) | undefined;
+		}
+
+		if (this.#finish) {
+			socket.removeListener('end', this.#finish);
+			socket.on('end', this.#onEnd);
 		}
 	}
 
@@ -101,6 +111,19 @@
 		}
 	};
 
+	/** A connection that is resumed by the HTTP server emits its end even if it is paused again at once. */
+	readonly #onEnd = () => {
+		this.#hasEnded = true;
+		this.#finishIfParsed();
+	};
+
+	#finishIfParsed(): void {
+		if (this.#hasEnded && this.#unparsed.length === 0 && !this.socket.destroyed) {
+			this.#hasEnded = false;
+			this.#finish!.call(this.socket);
+		}
+	}
+
 	/** The HTTP server asks for more, which is here already. */
 	readonly #onResume = () => {
 		if (this.#unparsed.length > 0 || this.#holds.size > 0) {
@@ -138,6 +161,7 @@
 				socket.resume();
 			}
 
+			this.#finishIfParsed();
 			return;
 		}
 
@@ -156,6 +180,8 @@
 			this.#defer();
 		} else if (this.#unparsed.length > 0 || this.#isPaused) {
 			this.#schedule();
+		} else {
+			this.#finishIfParsed();
 		}
 	}
 
--- a/src/relay/choose-engine.test.ts
+++ b/src/relay/choose-engine.test.ts
@@ -2,7 +2,7 @@
 import {rankByRendezvous} from '../links/index.js';
 import {Random} from '../random/index.js';
 import {RelayTarget} from '../registry/index.js';
-import {chooseEngine, type ChooseEngineOptions} from './choose-engine.js';
+import {chooseEngine, type ChooseEngineOptions, type EngineChoice} from './choose-engine.js';
 import type {ZoneDistance} from './choose-target.js';
 import {PrefixCacheTracker} from './prefix-cache-tracker.js';
 import type {Prompt} from './relay-codec.js';
@@ -53,6 +53,24 @@
 		expect(chooseEngine(engines(), options({prompt: small, bodyBytes: 1400, stageResults: results}))!.entry.zone).toBe('liepaja-a');
 	});
 
+	// Guards against long prompts that leave their region, which is billed, since the engines for them are busy there.
+	it('sends a long prompt to an engine for short ones of its region rather than to another region', () => {
+		const long: Prompt = {inputTokens: 40_000, maxOutputTokens: 60, parts: [{id: 'own', tokens: 40_000}]};
+		const loads = {
+			side: () => ({kind: 'long', prefers: (id: string) => ['e0', 'e1', 'e2'].includes(id)} as const),
+			outlook: (engine: RelayTarget) => ({
+				aheadTokens: engine.id === 'e0' ? 20_000 : 0, slowness: 1, reportAgeMs: 0, speedAgeMs: undefined,
+			}),
+		};
+		const choices: EngineChoice[] = [];
+		const chosen = chooseEngine(engines(), options({
+			prompt: long, loads, random: Random.create(1), onChoice: choice => choices.push(choice),
+		}))!;
+		expect([chosen.entry.zone, chosen.id, choices[0]?.side]).toEqual(['riga-a', 'e0', {kind: 'long', isSpilled: false}]);
+		const spilled = chooseEngine(engines().filter(({id}) => id !== 'e0'), options({prompt: long, loads, random: Random.create(1)}))!;
+		expect(spilled.entry.zone).toBe('riga-a');
+	});
+
 	// Entry VMs in different zones receive requests for the same new subjects at the same time, before any of them has
 	// sent these prompts to an engine. A choice by load alone then prefills each subject on several engines.
 	it('prefills shared parts repeatedly far less often than a choice by load alone', () => {
--- a/src/relay/close-aware-connector.test.ts
+++ b/src/relay/close-aware-connector.test.ts
@@ -33,7 +33,7 @@
 					const event = currentCloseEvent();
 					// As undici does once it has reported the response.
 					socket.destroy();
-					resolve(event.kind === 'ended' && await event.wasReset ? 'reset' : event.kind);
+					resolve(event.kind === 'ended' && await event.reset === 'instead_of_end' ? 'reset' : event.kind);
 				};
 
 				socket.on('end', report);
--- a/src/relay/close-aware-connector.ts
+++ b/src/relay/close-aware-connector.ts
@@ -1,11 +1,13 @@
 import {buildConnector} from 'undici';
 import type {Ms} from '../clock/index.js';
+import {EndedConnection} from './ended-connection.js';
+import type {ConnectionEnd} from './watch-response-end.js';
 
 /** Close event of a connection that is being handled: none, its end, or an error such as a reset. */
 export type ConnectionCloseEvent =
 	| {readonly kind: 'none' | 'failed'}
-	/** Node.js reports an end also where a reset has arrived together with the last data; `wasReset` tells them apart. */
-	| {readonly kind: 'ended'; readonly wasReset: Promise<boolean>};
+	/** Node.js reports an end also where a reset has arrived together with the last data; `reset` tells them apart. */
+	| ({readonly kind: 'ended'} & ConnectionEnd);
 
 const noEvent: ConnectionCloseEvent = {kind: 'none'};
 let closeEvent: ConnectionCloseEvent = noEvent;
@@ -37,14 +39,8 @@
 				setCloseEvent({kind: 'failed'});
 			});
 			socket?.on('end', () => {
-				const wasReset = new Promise<boolean>(resolve => {
-					// Sends nothing, and fails if the kernel has received a reset. After an orderly end the target may reset the
-					// connection too (EPIPE), since it takes no more data.
-					socket.write('', err => {
-						resolve(err !== undefined && err !== null && (err as NodeJS.ErrnoException).code !== 'EPIPE');
-					});
-				});
-				setCloseEvent({kind: 'ended', wasReset});
+				const connection = EndedConnection.create(socket);
+				setCloseEvent({kind: 'ended', connection, reset: connection.check()});
 			});
 			callback(...args);
 		});
--- a/src/relay/crash-watch.ts
+++ b/src/relay/crash-watch.ts
@@ -18,6 +18,8 @@
 	readonly progress: BrokenProgress;
 	readonly sentMs: Ms;
 	readonly brokenMs: Ms;
+	/** Latest time before the request was sent at which the target is known to have been running. */
+	readonly aliveMs?: Ms | undefined;
 }
 
 /** A crash of a target, as seen by one entry VM. */
--- a/src/relay/forwarded-request.ts
+++ b/src/relay/forwarded-request.ts
@@ -1,4 +1,5 @@
 import type {Ms} from '../clock/index.js';
+import {findAllowedRegions, type AllowedRegions} from '../placement/index.js';
 import type {BodyEnd, BodyFraming} from './body-framing.js';
 import type {RelayContext} from './relay-context.js';
 import type {RoutedRequest} from './request-handler.js';
@@ -30,6 +31,8 @@
 	}
 
 	#exchange: Exchange | undefined;
+	/** Regions in which the request may be served, and so be sent to another entry VM. */
+	readonly #regions: AllowedRegions;
 	/** Address of the entry VM that the request was left to last, how the end of the target's response is declared, and how the response ended. */
 	#helper: string | undefined;
 	#framing: BodyFraming | undefined;
@@ -38,7 +41,9 @@
 	#isSent = false;
 	#resolve: () => void = () => undefined;
 
-	private constructor(private readonly context: RelayContext, private readonly request: RoutedRequest) {}
+	private constructor(private readonly context: RelayContext, private readonly request: RoutedRequest) {
+		this.#regions = findAllowedRegions(request.route, request.team);
+	}
 
 	/** Resolves when the response has been passed on, or the caller has disconnected. */
 	async run(): Promise<void> {
@@ -87,9 +92,9 @@
 
 	#send(helpersLeft: number): void {
 		const {context, request} = this;
-		const {clock, codec, pools, reach} = context;
+		const {clock, codec, pools, reach, placement} = context;
 		const {req, head, body, arrivedMs, res} = request;
-		const address = helpersLeft > 0 ? reach.helper : undefined;
+		const address = helpersLeft > 0 ? reach.helperWhere(zone => placement.allowsPeer(zone, this.#regions)) : undefined;
 		if (address === undefined) {
 			this.#fail(503, 'no other entry VM could be reached');
 			return;
@@ -152,6 +157,7 @@
 			connection: 'close',
 		});
 		res.flushHeaders();
+		this.context.metrics.recordResponseStart();
 	}
 
 	/** Ends the request without a whole response. "Not run" is told only if nothing can have reached another entry VM. */
@@ -165,7 +171,7 @@
 			res.socket?.resetAndDestroy();
 		} else {
 			const isNotRun = status === 503 && !this.#isSent;
-			sendRejection(res, isNotRun ? {status, reason: 'cut_off', retryAfterMs} : {status: status === 503 ? 502 : status, reason: status === 504 ? 'timeout' : 'target_failed'}, true);
+			sendRejection(res, isNotRun ? {status, reason: this.#regions === undefined ? 'cut_off' : 'no_allowed_target', retryAfterMs} : {status: status === 503 ? 502 : status, reason: status === 504 ? 'timeout' : 'target_failed'}, true);
 		}
 
 		this.#exchange?.abort(reason);
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -1,4 +1,4 @@
-export {chooseEngine, type ChooseEngineOptions} from './choose-engine.js';
+export {chooseEngine, type ChooseEngineOptions, type EngineChoice} from './choose-engine.js';
 export {chooseTarget, type ChooseTargetOptions, type ZoneDistance} from './choose-target.js';
 export {createCloseAwareConnector} from './close-aware-connector.js';
 export {
@@ -22,5 +22,6 @@
 export {ResponseMemory} from './response-memory.js';
 export {RouteDurations, type DurationEstimate} from './route-durations.js';
 export {ShutdownSchedule, type ScheduledRequest} from './shutdown-schedule.js';
+export {TargetLiveness} from './target-liveness.js';
 export {TargetPools} from './target-pools.js';
 export {TurnBudget} from './turn-budget.js';
--- a/src/relay/prefix-cache-tracker.ts
+++ b/src/relay/prefix-cache-tracker.ts
@@ -6,6 +6,9 @@
 /** Time without use after which a part is assumed to be evicted from the engine's cache. */
 const partTtlMs: Ms = 30_000;
 
+/** Keys of the prefixes of prompts, which are the same for all engines and all choices of a request. */
+const keysOfParts = new WeakMap<readonly PromptPart[], readonly number[]>();
+
 /**
  * Estimates which prompt prefixes engines have cached, from the requests that this entry VM has sent to them.
  *
@@ -44,15 +47,18 @@
 	/** Returns the number of leading prompt tokens that the engine is likely to have cached. */
 	cachedTokens(engine: string, parts: readonly PromptPart[], now: Ms): number {
 		const lastUsed = this.#engines.get(engine);
+		if (!lastUsed) {
+			return 0;
+		}
+
 		let tokens = 0;
-		let index = 0;
-		for (const key of prefixKeys(parts)) {
-			const lastUsedMs = lastUsed?.get(key);
+		for (const [index, key] of prefixKeys(parts).entries()) {
+			const lastUsedMs = lastUsed.get(key);
 			if (lastUsedMs === undefined || now - lastUsedMs > partTtlMs) {
 				break;
 			}
 
-			tokens += parts[index++]!.tokens;
+			tokens += parts[index]!.tokens;
 		}
 
 		return tokens;
@@ -68,8 +74,19 @@
  * Returns a number for each prefix, of 53 bits: the texts of all prefixes of a long prompt would take the square of its
  * length. Equal numbers of different prefixes only make an estimate wrong.
  */
-function * prefixKeys(parts: readonly PromptPart[]): Generator<number> {
+function prefixKeys(parts: readonly PromptPart[]): readonly number[] {
+	let keys = keysOfParts.get(parts);
+	if (!keys) {
+		keys = hashPrefixes(parts);
+		keysOfParts.set(parts, keys);
+	}
+
+	return keys;
+}
+
+function hashPrefixes(parts: readonly PromptPart[]): readonly number[] {
 	let [low, high] = [0xDE_AD_BE_EF, 0x41_C6_CE_57];
+	const keys: number[] = [];
 	for (const part of parts) {
 		for (const char of `/${part.id}`) {
 			const code = char.codePointAt(0)!;
@@ -78,6 +95,8 @@
 			low = (low << 13) | (low >>> 19);
 		}
 
-		yield ((high >>> 0) % (2 ** 21) * (2 ** 32)) + (low >>> 0);
+		keys.push(((high >>> 0) % (2 ** 21) * (2 ** 32)) + (low >>> 0));
 	}
+
+	return keys;
 }
--- a/src/relay/read-body.ts
+++ b/src/relay/read-body.ts
@@ -48,7 +48,8 @@
 	#release: () => void = () => undefined;
 	/** Length that the head tells; `undefined` for a body in chunks. */
 	readonly #length: number | undefined;
-	#body: GrowingBuffer;
+	/** Takes the memory of the whole body only once that is granted: a hundred callers that wait would take it all at once. */
+	readonly #body = GrowingBuffer.create();
 	#lease: RequestLease | undefined;
 	#isGranted = false;
 	/** Whether a body in chunks has asked for the memory of the largest one. */
@@ -58,7 +59,6 @@
 
 	constructor(private readonly req: IncomingMessage, private readonly options: ReadBodyOptions, private readonly resolve: (outcome: ReceivedBody | IncompleteBody) => void) {
 		this.#length = req.headers['transfer-encoding'] === undefined ? Number(req.headers['content-length'] ?? 0) : undefined;
-		this.#body = GrowingBuffer.create(this.#length);
 	}
 
 	start(): void {
@@ -97,6 +97,10 @@
 
 	readonly #onGranted = () => {
 		this.#isGranted = true;
+		if (!this.#isEnded) {
+			this.#body.reserve(this.#length ?? (this.#isLarge ? this.options.maxBytes : 0));
+		}
+
 		this.#release();
 		this.#completeIfWhole();
 	};
@@ -131,10 +135,6 @@
 		const {maxBytes, headBytes} = this.options;
 		this.#isLarge = true;
 		this.#isGranted = false;
-		const small = this.#body;
-		// Memory that is not written to is not resident.
-		this.#body = GrowingBuffer.create(maxBytes);
-		this.#body.append(small.bytes);
 		this.#release = this.options.connection.hold();
 		this.#lease!.resize(headBytes + maxBytes, this.#onGranted);
 	}
@@ -149,7 +149,7 @@
 	#completeIfWhole(): void {
 		if (this.#isEnded && this.#isGranted && !this.#isFinished) {
 			const bytes = this.#body.trim();
-			this.#lease!.complete(this.options.headBytes + bytes.length);
+			this.#lease!.complete(this.options.headBytes + this.#body.capacity);
 			this.#finish({body: bytes, lease: this.#lease!});
 		}
 	}
@@ -174,7 +174,7 @@
 		req.off('readable', this.#onReadable);
 		req.off('end', this.#onEnd);
 		req.socket.off('close', this.#onDisconnected);
-		this.#body = GrowingBuffer.create();
+		this.#body.clear();
 		if (typeof outcome === 'string') {
 			this.#lease?.release();
 		}
--- a/src/relay/relay-codec.ts
+++ b/src/relay/relay-codec.ts
@@ -1,4 +1,5 @@
 import type {Ms} from '../clock/index.js';
+import type {TargetLoad} from '../registry/index.js';
 
 /** One part of a prompt. Prompts that begin with the same parts can share cached prefill work. */
 export interface PromptPart {
@@ -59,8 +60,14 @@
 	readonly isNotRun: boolean;
 	/** Requests per second that the target takes from all entry VMs together; `undefined` without a limit, NaN if it cannot be read. */
 	readonly limitPerSecond: number | undefined;
+	/** Requests that each target of the service may reject in a second without a crash; `undefined` if it is not brittle, NaN if it cannot be read. */
+	readonly brittlePerSecond: number | undefined;
+	/** Time for which a response with status 503 asks for no requests; `undefined` if it does not ask for it, NaN if it cannot be read. */
+	readonly retryAfterMs: Ms | undefined;
 	/** True if the target says that it is draining. */
 	readonly isDraining: boolean;
+	/** Load that the target tells; `undefined` if it tells none that can be read. */
+	readonly load: TargetLoad | undefined;
 	/** Media type of the body in lower case, without parameters; empty without one. */
 	readonly mediaType: string;
 	/** Headers forwarded to the caller unchanged. */
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -25,6 +25,12 @@
 	readonly retryShares: () => {readonly entryVms: number; readonly borrowed: number};
 	/** Number of targets that name a limit. */
 	readonly limitedTargets: () => number;
+	/** Number of zones that are evacuated. */
+	readonly evacuatedZones: () => number;
+	/** Number of targets that are treated as cold. */
+	readonly coldTargets: () => number;
+	/** Number of targets that are held back, by reason. */
+	readonly heldBackTargets: () => Readonly<Record<string, number>>;
 	/** Memory of the process. */
 	readonly memory: () => {readonly heapBytes: number; readonly heapLimitBytes: number; readonly residentBytes: number};
 	/** Number of quarantined sets of prompt parts and quarantined requests. */
@@ -61,6 +67,14 @@
 		name: 'guavamill_relay_target_crashes_total', help: 'Crashes of targets while requests of this entry VM waited for their first event.', registers: [this.registry],
 	});
 
+	readonly #excluded = new Counter({
+		name: 'guavamill_relay_excluded_targets_total', help: 'Targets that were left out of a choice, by reason.', labelNames: ['reason'], registers: [this.registry],
+	});
+
+	readonly #coldPermits = new Counter({
+		name: 'guavamill_relay_cold_permits_total', help: 'Requests that have taken a permit for a cold target.', registers: [this.registry],
+	});
+
 	readonly #heldUp = new Counter({
 		name: 'guavamill_relay_event_loop_held_seconds_total', help: 'Time for which the event loop was held up for longer than callers should notice.', registers: [this.registry],
 	});
@@ -83,6 +97,7 @@
 
 	#ended = 0;
 	#answered = 0;
+	#begun = 0;
 
 	private constructor(sources: RelayMetricSources) {
 		const gauge = (name: string, help: string, read: () => number) => {
@@ -100,6 +115,8 @@
 		gauge('guavamill_relay_retry_entry_vms', 'Entry VMs that the retry slack is divided by; 0 while their number is not known.', () => sources.retryShares().entryVms);
 		gauge('guavamill_relay_retry_borrowed_shares', 'Entry VMs whose shares of the retry slack for pieces may be used here.', () => sources.retryShares().borrowed);
 		gauge('guavamill_relay_limited_targets', 'Targets that name a limit of requests per second.', sources.limitedTargets);
+		gauge('guavamill_relay_evacuated_zones', 'Zones to whose targets nothing is sent.', sources.evacuatedZones);
+		gauge('guavamill_relay_cold_targets', 'Targets that are treated as cold, so that requests to them need permits.', sources.coldTargets);
 		gauge('guavamill_relay_quarantined_prompt_parts', 'Sets of prompt parts with which requests are rejected, and single requests that are, since they crash targets.', sources.quarantined);
 		gauge('guavamill_relay_heap_bytes', 'Heap in use, without the young generation.', () => sources.memory().heapBytes);
 		gauge('guavamill_relay_heap_limit_bytes', 'Limit of the heap, beyond which the engine ends the process.', () => sources.memory().heapLimitBytes);
@@ -118,6 +135,18 @@
 			},
 		});
 		this.#addRetryBudgetGauge(sources);
+		// eslint-disable-next-line no-new -- The constructor registers the gauge with the registry.
+		new Gauge({
+			name: 'guavamill_relay_held_back_targets',
+			help: 'Targets to which nothing, or less, is sent since they ask for it, by reason.',
+			labelNames: ['reason'],
+			registers: [this.registry],
+			collect() {
+				for (const [reason, count] of Object.entries(sources.heldBackTargets())) {
+					this.set({reason}, count);
+				}
+			},
+		});
 	}
 
 	/** Adds a gauge that shows what each retry budget has counted in its window. */
@@ -125,7 +154,7 @@
 		// eslint-disable-next-line no-new -- The constructor registers the gauge with the registry.
 		new Gauge({
 			name: 'guavamill_relay_retry_budget',
-			help: 'Requests and retries in the window of a retry budget of this process, the retries that it allows, and the part of them that comes from the slack.',
+			help: 'Requests and retries in the window of a retry budget of this process, the retries that it allows, the part of them that comes from the slack, and the part of the retries that is reserved and not sent.',
 			labelNames: ['service', 'cause', 'part'],
 			registers: [this.registry],
 			collect() {
@@ -139,9 +168,14 @@
 		});
 	}
 
-	/** Number of requests that have ended, and of those among them that got an answer of whatever kind. */
-	get requestCounts(): {readonly ended: number; readonly answered: number} {
-		return {ended: this.#ended, answered: this.#answered};
+	/** Numbers of requests that have ended, of those among them that got an answer of whatever kind, and of responses that have begun. */
+	get requestCounts(): {readonly ended: number; readonly answered: number; readonly begun: number} {
+		return {ended: this.#ended, answered: this.#answered, begun: this.#begun};
+	}
+
+	/** Records that the first event of a stream has arrived for a caller. */
+	recordResponseStart(): void {
+		this.#begun++;
 	}
 
 	/** Records the end of a request. */
@@ -173,6 +207,16 @@
 		this.#crashes.inc();
 	}
 
+	/** Records targets that were left out of a choice. */
+	recordExcluded(reason: string, count: number): void {
+		this.#excluded.inc({reason}, count);
+	}
+
+	/** Records that a request has taken a permit for a cold target. */
+	recordColdPermit(): void {
+		this.#coldPermits.inc();
+	}
+
 	/** Records that the event loop was held up. */
 	recordHeldUp(delayMs: Ms): void {
 		this.#heldUp.inc(delayMs / 1000);
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -1,7 +1,10 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Ms} from '../clock/index.js';
-import type {StageFailure, StagePlanOutcome, StageResult} from '../pools/index.js';
+import {findAllowedRegions, type AllowedRegions} from '../placement/index.js';
+import type {
+	RequestRetry, StageFailure, StagePlanOutcome, StageResult,
+} from '../pools/index.js';
 import {requestId, type QuarantineCause} from '../quarantine/index.js';
 import type {RelayTarget} from '../registry/index.js';
 import {
@@ -17,9 +20,11 @@
 import {RequestRecord, type RequestResult} from './request-record.js';
 import {sendRejection} from './send-rejection.js';
 import {sharedPartIds} from './shared-part-ids.js';
+import {startPrompt} from './start-prompt.js';
 import {StreamWriter} from './stream-writer.js';
 import {TargetPicker} from './target-picker.js';
 import {TimeBudget} from './time-budget.js';
+import {unsentBytes} from './unsent-bytes.js';
 import {writeResponseHead} from './write-response-head.js';
 import {
 	runAttempt, type AttemptOutcome, type ResponseProgress, type TargetResponse,
@@ -29,6 +34,8 @@
 const maxUnsentRetries = 3;
 /** Delay after which a caller may ask again for what crashes targets; it stays rejected for much longer. */
 const quarantineRetryAfterMs: Ms = 30_000;
+/** Delay after which a caller may ask again for a prompt that no engine has room for. */
+const enginesFullRetryAfterMs: Ms = 500;
 /** Status with which an engine refuses a request when a stage result among its inputs no longer exists. */
 const inputGoneStatus = 409;
 
@@ -67,6 +74,7 @@
 	readonly #abortController = new AbortController();
 	readonly #timeBudget: TimeBudget;
 	readonly #service: string;
+	readonly #regions: AllowedRegions;
 	readonly #picker: TargetPicker;
 	readonly #record: RequestRecord;
 	readonly #streamWriter: StreamWriter | undefined;
@@ -82,8 +90,8 @@
 	#errorResponse: TargetResponse | undefined;
 	/** Target with a place for the next attempt, for which a retry is taken from the budget already. */
 	#reservedTarget: RelayTarget | undefined;
-	/** Whether a retry is reserved in the budget for the next attempt. */
-	#isRetryReserved = false;
+	/** The retry that is reserved for the next attempt. */
+	readonly #retry: RequestRetry;
 	/** Whether the stages have failed while they were run again for a further attempt. */
 	#hasFailedInputs = false;
 	/** Prompt parts that other requests may share. */
@@ -96,8 +104,10 @@
 		this.#timeBudget = TimeBudget.create({route, head, arrivedMs});
 		this.#sharedParts = head.prompt ? sharedPartIds(head.prompt) : [];
 		this.#service = pickService(route, context.random.float());
+		this.#retry = context.createRetry(this.#service);
+		this.#regions = findAllowedRegions(route, request.team);
 		this.#picker = TargetPicker.create(context, {
-			attemptId: request.attemptId, service: this.#service, prompt: head.prompt, bodyBytes: request.body.length, stageResults: () => this.#stageResults,
+			attemptId: request.attemptId, service: this.#service, regions: this.#regions, prompt: head.prompt, bodyBytes: request.body.length, stageResults: () => this.#stageResults,
 		});
 		this.#streamWriter = route.kind === 'stream'
 			? StreamWriter.create(res, {
@@ -131,9 +141,8 @@
 			endWatch();
 			res.off('close', onClose);
 			this.#releaseStageResults();
-			if (this.#isRetryReserved) {
-				this.context.retryBudget(this.#service).release();
-			}
+			this.#picker.close();
+			this.#retry.release();
 		}
 	}
 
@@ -173,13 +182,30 @@
 			return;
 		}
 
+		// Its stages would run in vain.
+		if (this.#picker.lacksAllowed || this.#picker.isHeldBack) {
+			this.#reject(this.#picker.rejectionWithoutTarget(false));
+			return;
+		}
+
 		let inputs = await this.#runStages();
+		let failed: FailedAttempt | undefined;
 		while (inputs && !this.#abortController.signal.aborted) {
 			const target = await this.#acquireTarget();
 			if (!target || this.#endIfLate('attempts')) {
 				break;
 			}
 
+			const isRenewed = failed === undefined || await this.#retry.renew();
+			if (this.#isFinished || this.#abortController.signal.aborted) {
+				break;
+			}
+
+			if (failed && !isRenewed) {
+				this.#endFailed(failed, 'no_budget');
+				break;
+			}
+
 			const outcome = await this.#attempt(target, inputs);
 			if (outcome.kind === 'answer') {
 				this.#sendResponse(outcome.response);
@@ -191,10 +217,11 @@
 				return;
 			}
 
-			if (outcome.kind === 'aborted' || !this.#retryOrFinish(outcome, target)) {
+			if (outcome.kind === 'aborted' || !await this.#retryOrFinish(outcome, target)) {
 				break;
 			}
 
+			failed = outcome;
 			// The failed attempt may have consumed the stage results, or they may have expired.
 			inputs = this.#needsStages ? await this.#runStages(outcome) : this.#stageResults.map(result => result.handle);
 		}
@@ -228,7 +255,7 @@
 		if (failed && outcome.failure === 'no_budget') {
 			this.#endFailed(failed, 'no_stage_budget');
 		} else {
-			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: stageRejections[outcome.failure] ?? 'stages_failed', retryAfterMs: outcome.retryAfterMs});
+			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: outcome.failure === 'no_target' && this.context.placement.isRestricted(this.#regions) ? 'no_allowed_target' : stageRejections[outcome.failure] ?? 'stages_failed', retryAfterMs: outcome.retryAfterMs});
 		}
 
 		return undefined;
@@ -261,6 +288,7 @@
 			// Without the results of all of them, the first run has ended the request.
 			sentPieces: isFirst ? undefined : stages.map(({pieces}) => pieces),
 			pieceKey: head.pieceKey,
+			...(this.#regions ? {regions: this.#regions} : {}),
 			zone: this.#picker.choose()?.entry.zone ?? context.zone,
 			priority: this.#priority,
 			callByMs: this.#timeBudget.latestCallStartMs,
@@ -303,26 +331,17 @@
 		const mayRetry = this.#sentCount + 1 < route.maxAttempts && isRetryable(route);
 		const {prompt} = head;
 		this.#picker.addTried(target);
-		if (this.#isRetryReserved) {
-			this.#isRetryReserved = false;
-			context.retryBudget(this.#service).recordSent(startedMs);
-		}
-
-		if (prompt) {
-			target.pendingTokens += prompt.inputTokens;
-		}
-
-		let isPromptPending = prompt !== undefined;
-		const removePendingTokens = () => {
-			if (isPromptPending) {
-				isPromptPending = false;
-				target.pendingTokens -= prompt!.inputTokens;
-			}
-		};
+		this.#retry.recordSent();
 
+		const ticket = startPrompt(context, {
+			target, prompt, choice: this.#picker.choiceOf(target), isStream: this.#streamWriter !== undefined,
+		});
 		let hasResponded = false;
+		let aliveMs: Ms | undefined;
+		let recordReply: (() => void) | undefined;
 		this.#isAttempting = true;
 		this.#record.startAttempt(target, startedMs);
+		this.#record.recordChoice(ticket.logFields);
 		const outcome = await runAttempt({
 			clock,
 			pools,
@@ -330,7 +349,9 @@
 			turnBudget,
 			codec,
 			target,
+			mayStart: () => this.#picker.isAllowed(target),
 			attemptId,
+			sendByMs: this.#picker.sendByMs(target),
 			sink: this.#streamWriter,
 			signal: this.#abortController.signal,
 			probe,
@@ -354,24 +375,35 @@
 					lastEventId: this.#lastEventId === undefined ? head.lastEventId : String(this.#lastEventId),
 				}),
 			},
+			onSent() {
+				recordReply = context.liveness.begin(target.entry.address);
+				aliveMs = context.liveness.latestMs(target.entry.address);
+			},
 			onProbe: result => {
 				this.#record.recordProbe(result);
 			},
 			onBodyEnd: end => {
 				this.#record.recordBodyEnd(end);
 			},
-			onHead: (targetHead, framing) => {
+			onHead: (targetHead, framing, status) => {
 				hasResponded = true;
+				recordReply?.();
 				this.#record.recordFraming(framing);
 				context.reach.recordReached();
+				context.coldTargets.recordReached(target);
+				context.brittle.observe(target, {perSecond: targetHead.brittlePerSecond, sentMs: startedMs});
 				context.limits.observe(target, {perSecond: targetHead.limitPerSecond, sentMs: startedMs});
+				if (status === 503) {
+					context.holds.observe(target, targetHead.retryAfterMs);
+				}
+
 				if (targetHead.isDraining) {
 					context.drainingReports.observe(target);
 				}
 			},
 			onResponseStart: () => {
 				this.#record.recordFirstByte(clock.now());
-				removePendingTokens();
+				ticket.recordResponseStart();
 				// An engine that starts to respond has fetched its inputs.
 				this.#releaseStageResults();
 				if (prompt) {
@@ -385,16 +417,23 @@
 			},
 			onAnswered: () => {
 				this.#isAnswered = true;
+				if (this.#streamWriter) {
+					metrics.recordResponseStart();
+				}
+
+				ticket.recordFirstEvent();
 			},
 		});
 		this.#isAttempting = false;
-		removePendingTokens();
+		this.#picker.endAttempt(target, outcome.kind === 'failed' && outcome.failure === 'refused');
+		ticket.end();
 		this.#record.recordLastEvent(this.#lastEventId);
 		this.#record.endAttempt(outcome, clock.now());
 		if (outcome.kind === 'answer' || outcome.kind === 'streamed' || (outcome.kind === 'aborted' && clock.now() >= this.#timeBudget.deadlineMs)) {
 			context.durations.attempts.record(route.name, {tookMs: clock.now() - startedMs, size: this.#size}, clock.now());
 		}
 
+		this.#recordPace(outcome, startedMs);
 		if (!hasResponded) {
 			this.#recordNoResponse(target, outcome);
 		}
@@ -405,23 +444,33 @@
 			context.quarantine.answered(this.#suspectedParts);
 		} else if (outcome.kind === 'failed' && (outcome.failure === 'broken' || outcome.failure === 'silent') && !outcome.response) {
 			context.crashWatch.attemptBroken(target, {
-				attemptId, parts: this.#parts, progress: this.#streamWriter ? brokenProgress[outcome.progress] : 'waiting', sentMs: startedMs, brokenMs: clock.now(),
+				attemptId, parts: this.#parts, progress: this.#streamWriter ? brokenProgress[outcome.progress] : 'waiting', sentMs: startedMs, brokenMs: clock.now(), aliveMs,
 			});
 		}
 
 		return outcome;
 	}
 
+	#recordPace({kind}: AttemptOutcome, startedMs: Ms): void {
+		const now = this.context.clock.now();
+		if (kind === 'answer' || kind === 'streamed') {
+			this.context.servicePace.recordAnswer(this.#service, now - startedMs, now);
+		}
+	}
+
 	/** Records a target that may be out of reach: the attempt ended without its response, and not because the caller left. */
 	#recordNoResponse(target: RelayTarget, outcome: AttemptOutcome): void {
 		const isOverdue = outcome.kind === 'aborted' && this.context.clock.now() >= this.#timeBudget.deadlineMs;
 		if (isOverdue || (outcome.kind === 'failed' && outcome.failure !== 'refused' && outcome.failure !== 'withdrawn')) {
 			this.context.reach.recordFailed(target.id);
+			if (outcome.kind === 'failed' && outcome.failure === 'unsent') {
+				this.context.coldTargets.recordFailed(target, 'refused');
+			}
 		}
 	}
 
 	/** Handles a failed attempt; returns true if the request is retried, else ends it with a response. */
-	#retryOrFinish(outcome: FailedAttempt, target: RelayTarget): boolean {
+	async #retryOrFinish(outcome: FailedAttempt, target: RelayTarget): Promise<boolean> {
 		const {context, request} = this;
 		const {failure} = outcome;
 		if (failure === 'unsent') {
@@ -446,6 +495,14 @@
 			this.#releaseStageResults();
 		}
 
+		// What decides is judged anew after the others were asked for a part of the retry.
+		if (!this.#reservedTarget && this.#sentCount > 0 && !isNotSent(failure) && !findRetryDenial(this.#stateAfter(failure))) {
+			await this.#retry.prepare();
+			if (this.#isFinished || this.#abortController.signal.aborted) {
+				return false;
+			}
+		}
+
 		const now = context.clock.now();
 		const decision: RetryDecision = this.#reservedTarget ? {step: 'retry'} : decideRetry({...this.#stateAfter(failure), spendRetry: () => this.#reserveBudget()});
 		if (decision.step === 'retry') {
@@ -471,8 +528,24 @@
 		} else if (this.#errorResponse && end.step === 'deliver_error') {
 			this.#sendResponse(this.#errorResponse);
 		} else {
-			this.#reject(end.step === 'reject' ? end.rejection : {status: 502, reason: 'target_failed'});
+			this.#reject(this.#rejectionAfter(end));
+		}
+	}
+
+	#rejectionAfter(end: RetryEnd): Rejection {
+		if (end.step !== 'reject') {
+			return {status: 502, reason: 'target_failed'};
 		}
+
+		return end.denial === 'no_target' && end.rejection.status === 503 && (this.#picker.lacksAllowed || this.#picker.isHeldBack) ? this.#picker.rejectionWithoutTarget(false) : this.#withReturn(end.rejection);
+	}
+
+	/** Gives a request that full targets have refused a time to return by their pace. */
+	#withReturn(rejection: Rejection): Rejection {
+		const now = this.context.clock.now();
+		return rejection.reason === 'target_refused'
+			? {...rejection, retryAfterMs: this.context.servicePace.retryAfterMs(this.#service, this.#timeBudget.remainingMs(now), now)}
+			: rejection;
 	}
 
 	/** State of the request after an attempt that has ended, or that would end, with a failure. */
@@ -487,7 +560,7 @@
 			possibleRunCount: this.#possibleRunCount,
 			maxAttempts: route.maxAttempts,
 			isQuarantined: this.context.quarantine.causeOf(this.#suspectedParts) !== undefined,
-			hasUntriedTarget: this.#picker.choose() !== undefined && this.#unsentCount <= maxUnsentRetries,
+			hasUntriedTarget: this.#picker.hasChoice() && this.#unsentCount <= maxUnsentRetries,
 			hasTime: this.#timeBudget.hasTime(now) && !this.#isLate('attempts', now),
 		};
 	}
@@ -508,11 +581,11 @@
 			return denial;
 		}
 
-		if (!this.#picker.choose({isReachable: true})) {
+		if (!this.#picker.hasChoice({isReachable: true})) {
 			return 'unreachable';
 		}
 
-		if (isSent && !this.context.retryBudget(this.#service).canSpend(this.context.clock.now())) {
+		if (isSent && !this.#retry.isPossible) {
 			return 'no_budget';
 		}
 
@@ -527,6 +600,10 @@
 		const prepared = this.#needsStages ? await this.#prepareStages(signal) : {results: []};
 		const newResults = 'results' in prepared ? prepared.results : [];
 		const target = 'results' in prepared && !signal.aborted ? await this.#picker.reservePlace({isProbed: true}) : undefined;
+		if (target && isSent && !signal.aborted) {
+			await this.#retry.prepare();
+		}
+
 		if (signal.aborted) {
 			this.#freeResults(newResults);
 			return undefined;
@@ -536,10 +613,10 @@
 			return prepared.denial;
 		}
 
-		const denial = target?.isAccepting ? this.#findReservationDenial(isSent) : 'no_place';
+		const denial = target && this.#picker.isAllowed(target) ? this.#findReservationDenial(isSent) : 'no_place';
 		if (denial !== undefined || (isSent && !this.#reserveBudget())) {
 			this.#freeResults(newResults);
-			return denial;
+			return denial ?? 'no_budget';
 		}
 
 		this.#reservedTarget = target;
@@ -549,8 +626,7 @@
 
 	/** Reserves a retry in the budget for the next attempt. */
 	#reserveBudget(): boolean {
-		this.#isRetryReserved ||= this.context.retryBudget(this.#service).reserve(this.context.clock.now());
-		return this.#isRetryReserved;
+		return this.#retry.reserve();
 	}
 
 	/** Runs the stages again while the attempt in progress goes on. */
@@ -565,34 +641,47 @@
 		return {denial: outcome.failure === 'no_budget' ? 'no_stage_budget' : 'no_inputs'};
 	}
 
-	/** Chooses a target and waits for a place there if it names a limit; rejects the request if there is none in time. */
+	/** Chooses a target and waits for a place there if it names a limit, or for a permit if it is cold; rejects the request if there is none in time. */
 	async #acquireTarget(): Promise<RelayTarget | undefined> {
-		const {clock, limits} = this.context;
+		const {clock} = this.context;
 		const reserved = this.#reservedTarget;
 		this.#reservedTarget = undefined;
-		const target = reserved?.isAccepting ? reserved : await this.#picker.reservePlace();
+		const isReserved = reserved !== undefined && this.#picker.mayBeSentTo(reserved);
+		if (!isReserved && this.#picker.lacksRoom) {
+			await this.#picker.waitForRoom(this.#timeBudget.roomDeadlineMs(clock.now()), this.#abortController.signal);
+			if (this.#abortController.signal.aborted) {
+				return undefined;
+			}
+		}
+
+		const target = isReserved ? reserved : await this.#picker.reservePlace();
 		if (target) {
 			return target;
 		}
 
+		if (this.#picker.lacksRoom) {
+			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'engines_full', retryAfterMs: enginesFullRetryAfterMs});
+			return undefined;
+		}
+
 		const limitedTarget = this.#picker.firstFree();
 		if (!limitedTarget) {
-			this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'no_target', retryAfterMs: 300});
+			this.#reject(this.#picker.rejectionWithoutTarget(this.#possibleRunCount > 0));
 			return undefined;
 		}
 
-		const reservation = await limits.reserve(limitedTarget, Math.max(0, this.#timeBudget.stagesDeadlineMs(this.#streamWriter?.lastEventMs) - clock.now()));
+		const reservation = await this.#picker.reserve(limitedTarget, Math.max(0, this.#timeBudget.stagesDeadlineMs(this.#streamWriter?.lastEventMs) - clock.now()));
 		if ('waitMs' in reservation) {
 			await clock.sleep(reservation.waitMs, this.#abortController.signal);
 			if (this.#abortController.signal.aborted) {
 				return undefined;
 			}
 
-			// The target may have started to drain meanwhile.
-			return limitedTarget.isAccepting ? limitedTarget : this.#acquireTarget();
+			// The target may have started to drain, become cold, or taken other prompts, meanwhile.
+			return this.#picker.mayBeSentTo(limitedTarget) ? limitedTarget : this.#acquireTarget();
 		}
 
-		this.#reject({status: this.#possibleRunCount > 0 ? 502 : 503, reason: 'target_limited', retryAfterMs: reservation.retryAfterMs});
+		this.#reject(this.#picker.rejectionWithoutPlace(limitedTarget, {mayHaveRun: this.#possibleRunCount > 0, retryAfterMs: reservation.retryAfterMs, remainingMs: this.#timeBudget.remainingMs(clock.now())}));
 		return undefined;
 	}
 
@@ -653,7 +742,7 @@
 		// The body stays in memory until the caller has read it.
 		const lease = this.context.memory.deliver(response.body.length, () => {
 			res.socket?.resetAndDestroy();
-		});
+		}, () => unsentBytes(res));
 		res.once('close', () => {
 			lease.release();
 		});
--- a/src/relay/request-record.ts
+++ b/src/relay/request-record.ts
@@ -4,8 +4,11 @@
 import type {RetryDenial} from './decide-retry.js';
 import type {AttemptOutcome, ProbeResult} from './target-attempt.js';
 
-type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string; framing?: BodyFraming; body_end?: BodyEnd; last_event?: number; probe?: ProbeResult};
-type RunningAttempt = {readonly target: RelayTarget; readonly startedMs: Ms; framing?: BodyFraming; bodyEnd?: BodyEnd; lastEventId?: number; probe?: ProbeResult};
+type AttemptRecord = {target: string; end: string; at_ms: number; took_ms: number; reason?: string; framing?: BodyFraming; body_end?: BodyEnd; last_event?: number; probe?: ProbeResult; choice?: ChoiceFields};
+type RunningAttempt = {readonly target: RelayTarget; readonly startedMs: Ms; framing?: BodyFraming; bodyEnd?: BodyEnd; lastEventId?: number; probe?: ProbeResult; choice?: ChoiceFields};
+
+/** Log fields with the reasons for the choice of an engine. */
+export type ChoiceFields = Readonly<Record<string, unknown>>;
 
 /** How a request ended. */
 export interface RequestResult {
@@ -53,6 +56,13 @@
 		this.#running = {target, startedMs};
 	}
 
+	/** Records why the engine of the attempt in progress was chosen. */
+	recordChoice(choice: ChoiceFields | undefined): void {
+		if (this.#running && choice) {
+			this.#running.choice = choice;
+		}
+	}
+
 	/** Records how the target of the attempt in progress responded to a probe; only the last probe is reported. */
 	recordProbe(probe: ProbeResult): void {
 		if (this.#running) {
@@ -130,7 +140,7 @@
 	}
 
 	#describe({
-		target, startedMs, framing, bodyEnd, lastEventId, probe,
+		target, startedMs, framing, bodyEnd, lastEventId, probe, choice,
 	}: RunningAttempt, end: string, now: Ms, reason?: string): AttemptRecord {
 		return {
 			target: target.id,
@@ -142,6 +152,7 @@
 			...(bodyEnd === undefined ? {} : {body_end: bodyEnd}),
 			...(lastEventId === undefined ? {} : {last_event: lastEventId}),
 			...(probe === undefined ? {} : {probe}),
+			...(choice === undefined ? {} : {choice}),
 		};
 	}
 }
--- a/src/relay/response-memory.test.ts
+++ b/src/relay/response-memory.test.ts
@@ -49,3 +49,53 @@
 	received.set(61);
 	expect([ended, memory.bytes]).toEqual([['old', 'received'], 40]);
 });
+
+// Guards against a reset of a response that its caller reads slowly, but steadily, while another one is not read at all.
+it('spares a response of which its caller takes a part every few seconds', async () => {
+	const clock = ManualClock.create();
+	const memory = ResponseMemory.create({maxBytes: 100, clock, logger: silentLoggerFactory('requests')});
+	const ended: string[] = [];
+	const deliver = (name: string, unreadBytes: () => number) => memory.deliver(32, () => {
+		ended.push(name);
+	}, unreadBytes);
+	const startedMs = clock.now();
+	deliver('steady', () => Math.max(0, 32 - ((clock.now() - startedMs) / 2000)));
+	deliver('slow', () => Math.max(0, 32 - ((clock.now() - startedMs) / 5000)));
+	await clock.advance(4000);
+	deliver('unread', () => 32);
+	const received = memory.lease(() => {
+		ended.push('received');
+	});
+	await clock.advance(4600);
+	received.set(5);
+	expect(ended).toEqual(['slow']);
+	await clock.advance(20_000);
+	received.set(38);
+	expect(ended).toEqual(['slow', 'unread']);
+	received.set(70);
+	expect(ended).toEqual(['slow', 'unread', 'received']);
+});
+
+// Guards against a response that counts as taken before it is written, and so as not read from then on.
+it('sees what a caller takes of a response that used up the memory', async () => {
+	const clock = ManualClock.create();
+	const memory = ResponseMemory.create({maxBytes: 100, clock, logger: silentLoggerFactory('requests')});
+	const ended: string[] = [];
+	const receive = (name: string, bytes: number) => {
+		memory.lease(() => {
+			ended.push(name);
+		}).set(bytes);
+	};
+
+	receive('before', 90);
+	let unreadBytes = 0;
+	memory.deliver(32, () => {
+		ended.push('delivered');
+	}, () => unreadBytes);
+	for (unreadBytes = 32; unreadBytes > 24; unreadBytes--) {
+		await clock.advance(1000);
+	}
+
+	receive('after', 80);
+	expect(ended).toEqual(['before', 'after']);
+});
--- a/src/relay/send-rejection.ts
+++ b/src/relay/send-rejection.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import type {Ms} from '../clock/index.js';
 import {mayBeFollowed} from '../http/index.js';
 import type {Rejection} from './rejection.js';
 
@@ -10,12 +11,17 @@
 		headers: {
 			'content-type': 'application/json',
 			'content-length': body.length,
-			...(rejection.retryAfterMs === undefined ? {} : {'retry-after': (rejection.retryAfterMs / 1000).toFixed(2)}),
+			...(rejection.retryAfterMs === undefined ? {} : {'retry-after': formatDelay(rejection.retryAfterMs)}),
 			...(isClosing ? {connection: 'close'} : {}),
 		},
 	};
 }
 
+/** Formats a delay in seconds, rounded up: a caller that waits as told must not be early. */
+function formatDelay(delayMs: Ms): string {
+	return (Math.ceil(delayMs / 10) / 100).toFixed(2);
+}
+
 /** Sends a rejection to the caller. It closes the connection on request, unless another request may have arrived on it. */
 export function sendRejection(res: ServerResponse, rejection: Rejection, isClosing: boolean): void {
 	const {body, headers} = encodeRejection(rejection, isClosing && !mayBeFollowed(res));
--- a/src/relay/target-attempt.ts
+++ b/src/relay/target-attempt.ts
@@ -2,7 +2,7 @@
 import type {CancelTimer, Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {GrowingBuffer} from '../http/index.js';
-import type {RelayTarget} from '../registry/index.js';
+import type {CallOutcome, RelayTarget} from '../registry/index.js';
 import type {BodyEnd, BodyFraming, WholeBodyEnd} from './body-framing.js';
 import {EventSplitter, type ServerSentEvent} from './event-splitter.js';
 import type {AttemptFailure} from './decide-retry.js';
@@ -12,6 +12,7 @@
 import type {MemoryLease, ResponseMemory} from './response-memory.js';
 import type {TargetPools} from './target-pools.js';
 import type {TurnBudget} from './turn-budget.js';
+import {watchUnsent} from './watch-unsent.js';
 
 /** Time without an event in a stream after which the target is probed, as events normally arrive every few ms to tens of ms; doubles with each further probe. */
 const streamSilenceMs: Ms = 350;
@@ -72,9 +73,9 @@
 
 /**
  * How a target responds to a probe; `gone` if new connections are refused. Open connections may still live, as in a
- * partition in which only new ones are refused.
+ * partition in which only new ones are refused. `withheld` if the target may not be probed, so that nothing is known.
  */
-export type ProbeResult = 'alive' | 'silent' | 'gone';
+export type ProbeResult = 'alive' | 'silent' | 'gone' | 'withheld';
 
 /** Options of one attempt at one target. */
 export interface TargetAttemptOptions {
@@ -84,8 +85,12 @@
 	readonly turnBudget: TurnBudget;
 	readonly codec: RelayCodec;
 	readonly target: RelayTarget;
+	/** Whether the target may take the request, just before it is sent. */
+	readonly mayStart: () => boolean;
 	readonly attemptId: string;
 	readonly request: ExchangeRequest;
+	/** Time by which the request must be sent; after it, an attempt that waits for a connection is withdrawn. */
+	readonly sendByMs?: Ms | undefined;
 	/** Receives a streamed response; `undefined` if the route is not a stream. */
 	readonly sink: StreamSink | undefined;
 	/** Time without response data after which another target takes over, if another attempt is certain. */
@@ -106,10 +111,12 @@
 	readonly reserveRetry: (signal: AbortSignal, isSent: boolean) => Promise<boolean>;
 	/** Aborted when the caller disconnects or the deadline has passed. */
 	readonly signal: AbortSignal;
+	/** Called once the request has a connection. */
+	readonly onSent?: () => void;
 	/** Called with the result of each probe that ends during the attempt. */
 	readonly onProbe?: (result: ProbeResult) => void;
 	/** Called with the headers of each response that belongs to the attempt. */
-	readonly onHead?: (head: TargetHead, framing: BodyFraming) => void;
+	readonly onHead?: (head: TargetHead, framing: BodyFraming, status: number) => void;
 	/** Called when the body of the response ends, unless the attempt is given up before. */
 	readonly onBodyEnd?: (end: BodyEnd) => void;
 	/** Called when the headers of a response arrive, unless the target refused the request. */
@@ -181,12 +188,12 @@
 		}
 
 		target.inFlight++;
-		if (!target.isAccepting) {
+		if (!this.options.mayStart()) {
 			this.#withdraw();
 			return;
 		}
 
-		this.#endUnsentWatch = target.watchUnsent(() => {
+		this.#endUnsentWatch = watchUnsent(this.options, () => {
 			this.#withdraw();
 		});
 		signal.addEventListener('abort', this.#onAbort, {once: true});
@@ -194,6 +201,7 @@
 		this.#exchange = startExchange(pools, request, {
 			onStart: () => {
 				this.#endUnsentWatch();
+				this.options.onSent?.();
 				this.#recordProgress();
 			},
 			onHead: (status, headers, framing) => {
@@ -232,7 +240,7 @@
 			return;
 		}
 
-		this.options.onHead?.(head, framing);
+		this.options.onHead?.(head, framing, status);
 		const isStream = sink !== undefined && status < 300 && !head.isNotRun;
 		if (isStream && !sink.accepts({status, head})) {
 			this.#abort('broken', `response with status ${status} and type '${head.mediaType}' does not go on with the stream`);
@@ -375,7 +383,8 @@
 		}
 
 		if (response.status >= 500 || notRunStatuses.has(response.status)) {
-			this.#recordOutcome('failed');
+			// A target that asks for no requests for a time has not failed, although it may have run the request.
+			this.#recordOutcome(response.status === 503 && response.head.retryAfterMs !== undefined ? 'busy' : 'failed');
 			this.#finish({
 				kind: 'failed', failure: notRunStatuses.has(response.status) ? 'broken' : 'error', reason: `target failed with status ${response.status}`, progress: 'answered', response,
 			});
@@ -444,7 +453,7 @@
 		}
 
 		onProbe?.(result);
-		if (result !== 'alive' && !this.#isPaused && this.#lastProgressMs <= probeStartedMs) {
+		if (result !== 'alive' && result !== 'withheld' && !this.#isPaused && this.#lastProgressMs <= probeStartedMs) {
 			this.#isUnreachable = true;
 			this.#recordOutcome('unreachable');
 			await this.#replace(result === 'gone' ? 'target refused a probe' : 'target did not respond to a probe');
@@ -487,7 +496,7 @@
 		this.#abort('silent', reason);
 	}
 
-	#recordOutcome(outcome: 'ok' | 'failed' | 'unreachable'): void {
+	#recordOutcome(outcome: CallOutcome): void {
 		const {target, clock} = this.options;
 		const tookMs = (this.#isStream ? this.#lastProgressMs : clock.now()) - this.#startedMs;
 		target.recordCall(outcome, clock.now(), tookMs);
--- a/src/relay/target-exchange.ts
+++ b/src/relay/target-exchange.ts
@@ -1,12 +1,18 @@
 import type {Buffer} from 'node:buffer';
 import {Client, type Dispatcher} from 'undici';
+import {SystemClock} from '../clock/index.js';
 import {errorMessage, GuavamillError} from '../errors/index.js';
 import {
 	framingOf, type BodyEnd, type BodyFraming, type WholeBodyEnd,
 } from './body-framing.js';
+import {classifyStatus} from './classify-status.js';
 import type {HttpHeaders} from './relay-codec.js';
 import {currentCloseEvent} from './close-aware-connector.js';
-import {connectOptions, type TargetPools} from './target-pools.js';
+import type {EndedConnection} from './ended-connection.js';
+import type {TargetPools} from './target-pools.js';
+import {watchResponseEnd, type ConnectionEnd} from './watch-response-end.js';
+
+const clock = SystemClock.create();
 
 /** Maximum number of interim responses (1xx) to a request; a target may send them without end. */
 const maxInterimResponses = 32;
@@ -54,7 +60,7 @@
  * const exchange = startExchange(pools, request, listener);
  */
 export function startExchange(pools: TargetPools, request: ExchangeRequest, listener: ExchangeListener): Exchange {
-	const client = request.usesNewConnection ? new Client(`http://${request.address}`, connectOptions) : undefined;
+	const client = request.usesNewConnection ? new Client(`http://${request.address}`, pools.connectOptions(request.address)) : undefined;
 	return dispatchExchange(client ?? pools.get(request.address), request, listener, client);
 }
 
@@ -65,7 +71,7 @@
  * @internal
  */
 export function dispatchExchange(dispatcher: Dispatcher, request: Pick<ExchangeRequest, 'method' | 'path' | 'headers' | 'body'>, listener: ExchangeListener, ownClient?: Client): Exchange {
-	const handler = new ExchangeHandler(listener, ownClient, request.method);
+	const handler = new ExchangeHandler(listener, ownClient, {method: request.method, bytes: request.body.length});
 	dispatcher.dispatch({
 		method: request.method,
 		path: request.path,
@@ -80,11 +86,14 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	#controller: Dispatcher.DispatchController | undefined;
 	#isEnded = false;
+	#status = 0;
 	#framing: BodyFraming = 'length';
+	/** Connection whose end is judged. */
+	#endedConnection: EndedConnection | undefined;
 	#abortReason: string | undefined;
 	#interimResponses = 0;
 
-	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined, private readonly method: string) {}
+	constructor(private readonly listener: ExchangeListener, private readonly client: Client | undefined, private readonly request: {readonly method: string; readonly bytes: number}) {}
 
 	get isStarted(): boolean {
 		return this.#controller !== undefined;
@@ -98,6 +107,7 @@
 		this.#isEnded = true;
 		this.#abortReason = reason;
 		this.#controller?.abort(new GuavamillError(`Cannot continue the exchange: ${reason}`));
+		this.#endedConnection?.release();
 		this.#release();
 	}
 
@@ -106,7 +116,10 @@
 	}
 
 	resume(): void {
-		this.#controller?.resume();
+		// undici would parse on behind the end of a connection that is still open.
+		if (!this.#endedConnection) {
+			this.#controller?.resume();
+		}
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -124,20 +137,31 @@
 			return;
 		}
 
-		if (status < 200) {
+		const statusClass = classifyStatus(status);
+		if (statusClass === 'invalid') {
+			this.#refuse(controller, `status ${status} is none in HTTP`);
+			return;
+		}
+
+		if (statusClass === 'informational') {
 			if (++this.#interimResponses > maxInterimResponses) {
-				const err = new GuavamillError(`more than ${maxInterimResponses} interim responses`);
-				controller.abort(err);
-				this.onResponseError(controller, err);
+				this.#refuse(controller, `more than ${maxInterimResponses} interim responses`);
 			}
 
 			return;
 		}
 
-		this.#framing = framingOf({method: this.method, status, headers});
+		this.#status = status;
+		this.#framing = framingOf({method: this.request.method, status, headers});
 		this.listener.onHead(status, headers, this.#framing);
 	}
 
+	#refuse(controller: Dispatcher.DispatchController, reason: string): void {
+		const err = new GuavamillError(reason);
+		controller.abort(err);
+		this.onResponseError(controller, err);
+	}
+
 	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
 		if (!this.#isEnded) {
 			this.listener.onData(chunk);
@@ -149,17 +173,19 @@
 		if (closeEvent.kind === 'none' && this.#framing !== 'connection') {
 			this.#end(this.#framing === 'chunked' ? 'last_chunk' : 'length');
 		} else if (closeEvent.kind === 'ended' && this.#framing !== 'chunked') {
-			void this.#endUnlessReset(closeEvent.wasReset, this.#framing === 'length' ? 'length' : 'connection_end');
+			void this.#endUnlessCut(closeEvent, this.#framing === 'length' ? 'length' : 'connection_end');
 		} else {
 			this.#failIncomplete(closeEvent.kind === 'none' ? 'closed' : closeEvent.kind, closeEvent.kind === 'failed' ? 'reset' : 'early_end');
 		}
 	}
 
-	async #endUnlessReset(wasReset: Promise<boolean>, end: WholeBodyEnd): Promise<void> {
-		if (await wasReset) {
-			this.#failIncomplete('reset', 'reset');
-		} else {
+	async #endUnlessCut(connectionEnd: ConnectionEnd, end: WholeBodyEnd): Promise<void> {
+		this.#endedConnection = connectionEnd.connection;
+		const {verdict, waitedMs} = await watchResponseEnd(connectionEnd, {end, status: this.#status, requestBytes: this.request.bytes}, clock);
+		if (verdict === 'whole') {
 			this.#end(end);
+		} else {
+			this.#failIncomplete(verdict === 'reset' ? `reset (${Math.round(waitedMs)} ms after its end)` : `ended (request not written ${Math.round(waitedMs)} ms later)`, verdict);
 		}
 	}
 
--- a/src/relay/target-pools.ts
+++ b/src/relay/target-pools.ts
@@ -1,6 +1,7 @@
-import {Pool} from 'undici';
+import {Pool, type buildConnector} from 'undici';
 import type {Ms} from '../clock/index.js';
 import {createCloseAwareConnector} from './close-aware-connector.js';
+import type {TargetLiveness} from './target-liveness.js';
 
 /** Connect timeout; the slowest round trips between regions take about 40 ms. */
 const connectTimeoutMs: Ms = 400;
@@ -12,7 +13,7 @@
 const maxConnections = 64;
 
 /** Options of all connections to targets. */
-export const connectOptions = {
+const connectOptions = {
 	connect: createCloseAwareConnector(connectTimeoutMs), pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveTimeoutThreshold: keepAliveMarginMs,
 } as const;
 
@@ -24,19 +25,36 @@
  * pools.get('10.1.0.9:8080');
  */
 export class TargetPools {
-	static create(): TargetPools {
-		return new TargetPools();
+	/** With `liveness`, each connection to a target is recorded there. */
+	static create(liveness?: TargetLiveness): TargetPools {
+		return new TargetPools(liveness);
 	}
 
 	readonly #pools = new Map<string, Pool>();
 
-	private constructor() {}
+	private constructor(private readonly liveness: TargetLiveness | undefined) {}
+
+	/** Returns the options of connections to an address. */
+	connectOptions(address: string) {
+		const connect: buildConnector.connector = (options, callback) => {
+			const recordReply = this.liveness?.begin(address);
+			connectOptions.connect(options, (...args: buildConnector.CallbackArgs) => {
+				if (args[1]) {
+					recordReply?.();
+				}
+
+				callback(...args);
+			});
+		};
+
+		return {...connectOptions, connect};
+	}
 
 	/** Returns the pool of an address, created on first use. */
 	get(address: string): Pool {
 		let pool = this.#pools.get(address);
 		if (!pool) {
-			pool = new Pool(`http://${address}`, {...connectOptions, connections: maxConnections});
+			pool = new Pool(`http://${address}`, {...this.connectOptions(address), connections: maxConnections});
 			this.#pools.set(address, pool);
 		}
 
--- a/src/relay/time-budget.ts
+++ b/src/relay/time-budget.ts
@@ -23,6 +23,9 @@
 /** Time without an event after which a stream ends, as a multiple of its caller's patience: callers measure pauses from when events reach them, and are the first to leave. */
 const streamEndFactor = 2;
 
+/** Maximum time for which a prompt waits for room at an engine; requests at engines take a few hundred ms, longer waits are for the caller. */
+const maxRoomWaitMs: Ms = 400;
+
 /** Options of `TimeBudget`. */
 export interface TimeBudgetOptions {
 	readonly route: Route;
@@ -84,6 +87,11 @@
 		return Math.max(callerPatience.minMs, callerPatience.objectiveFactor * objectiveMs, callerPatience.pauseFactor * pauseObjectiveMs);
 	}
 
+	/** Time until which a prompt waits for an engine that has room for it. */
+	roomDeadlineMs(now: Ms): Ms {
+		return Math.min(now + maxRoomWaitMs, Math.max(now, this.latestCallStartMs));
+	}
+
 	/** True while the request may be sent to a target. */
 	hasTime(now: Ms): boolean {
 		return this.deadlineMs - now >= minRemainingMs;
--- a/src/relay/wait-for-turn.ts
+++ b/src/relay/wait-for-turn.ts
@@ -29,7 +29,10 @@
 
 /** Reads and parses on until it is known whether a request follows: the response must not close the connection then. */
 async function parseNext(res: ServerResponse, connection: CallerConnection): Promise<void> {
-	for (let turn = 0; turn < maxTurns && (turn < turnsToRead || connection.unparsedBytes > 0) && !connection.isHeld && !isFollowed(res); turn++) {
+	// The connection is read again only once what was received is parsed, which may be deferred.
+	let idleTurns = 0;
+	for (let turn = 0; turn < maxTurns && idleTurns < turnsToRead && !connection.isHeld && !isFollowed(res); turn++) {
 		await nextTurn();
+		idleTurns = connection.unparsedBytes > 0 || connection.isDeferred ? 0 : idleTurns + 1;
 	}
 }
--- a/src/routes/relay-declarations.ts
+++ b/src/routes/relay-declarations.ts
@@ -41,6 +41,8 @@
 	readonly isPublic: boolean;
 	/** True if a stream can resume after its last delivered event. */
 	readonly isResumable: boolean;
+	/** Regions in which requests may be served, cached and stored; absent or empty if in any. */
+	readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** Limits of one target of a stage pool. */
@@ -61,6 +63,14 @@
 	readonly resultTtlMs: Ms;
 }
 
+/** Bound on the requests to a target that has started a short time ago. */
+export interface ColdStart {
+	/** Time for which a target stays cold after its start. */
+	readonly durationMs: Ms;
+	/** Requests per second that a cold target tolerates from all entry VMs together. */
+	readonly perSecond: number;
+}
+
 /** A group of equivalent targets. */
 export interface ServiceDeclaration {
 	readonly name: string;
@@ -70,6 +80,12 @@
 	readonly stagePool: StagePoolLimits | undefined;
 	/** Maximum number of concurrent requests of one model engine; `undefined` for other services. */
 	readonly engineSlots: number | undefined;
+	/** Tokens that the running requests and cached prompt parts of one model engine may take; `undefined` for other services. */
+	readonly engineMemoryTokens?: number | undefined;
+	/** Path at which a target tells whether it is cold; `undefined` if the service declares none. */
+	readonly healthPath?: string | undefined;
+	/** Bound on requests to cold targets; `undefined` if targets are never cold. */
+	readonly coldStart?: ColdStart | undefined;
 }
 
 /** Limits on requests and connections of callers. */
@@ -85,6 +101,8 @@
 	readonly keys: readonly string[];
 	/** Overrides the priority of the route if present. */
 	readonly priority: number | undefined;
+	/** Regions in which requests of the team may be served, cached and stored; absent or empty if in any. */
+	readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** One complete version of the relay configuration. */
--- a/test/support/stage-load.ts
+++ b/test/support/stage-load.ts
@@ -1,6 +1,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {ManualClock, type Ms} from '../../src/clock/index.js';
 import {silentLoggerFactory} from '../../src/logging/index.js';
+import {Placement} from '../../src/placement/index.js';
 import {
 	PoolHost, type PieceResult, type StageCallOutcome, type StagePlan, type StageTargetCall, type StageTargetPort,
 } from '../../src/pools/index.js';
@@ -207,6 +208,9 @@
 		clock,
 		logger,
 		registry,
+		placement: Placement.create({
+			clock, logger, targets: registry, zone: hostZone, regionOf: zone => zone,
+		}),
 		port: targets,
 		retryLimits: {windowMs: 10_000, ratio: 0.2, slack: 58},
 		share: () => 1,
