Count no fewer than 0 uncached tokens of a prompt

Cause: a caller may list prompt parts (X-Guavamill-Prefix-Hash) with more tokens than the prompt has (X-Guavamill-Token-Count). The tokens assumed to be cached then exceed the prompt, and the negative rest went into the lengths of a prompt-work message. Receivers refuse it as malformed and close the link: decodeLinkMessage threw 'Cannot read a message of type prompt-work: it is malformed' for such a message.

Change: the uncached tokens of a prompt are at least 0.

Measured: the new test gave -3,100 tokens before, 0 after; choose-engine, long-prompts and target-picker tests pass.

--- a/src/relay/choose-engine.test.ts
+++ b/src/relay/choose-engine.test.ts
@@ -53,6 +53,27 @@
 		expect(chooseEngine(engines(), options({prompt: small, bodyBytes: 1400, stageResults: results}))!.entry.zone).toBe('liepaja-a');
 	});
 
+	// Guards against negative lengths in messages to other entry VMs, which close the link, by a caller whose parts have more tokens than its prompt.
+	it('counts no fewer than 0 uncached tokens if the parts have more tokens than the prompt', () => {
+		const contradictory: Prompt = {inputTokens: 100, maxOutputTokens: 10, parts: [{id: 'a', tokens: 4000}, {id: 'b', tokens: 20}]};
+		const sideTokens: number[] = [];
+		const choices: EngineChoice[] = [];
+		const outlook = () => ({
+			aheadTokens: 0, slowness: 1, reportAgeMs: 0, speedAgeMs: undefined,
+		});
+		chooseEngine(engines(), options({
+			prompt: contradictory, random: Random.create(1), loads: {
+				outlook, side(_engines, uncachedTokens) {
+					sideTokens.push(uncachedTokens);
+					return undefined;
+				},
+			}, onChoice(choice) {
+				choices.push(choice);
+			},
+		}));
+		expect([sideTokens, choices.map(({uncachedTokens}) => uncachedTokens)]).toEqual([[0], [0]]);
+	});
+
 	// Guards against long prompts that leave their region, which is billed, since the engines for them are busy there.
 	it('sends a long prompt to an engine for short ones of its region rather than to another region', () => {
 		const long: Prompt = {inputTokens: 40_000, maxOutputTokens: 60, parts: [{id: 'own', tokens: 40_000}]};
--- a/src/relay/choose-engine.ts
+++ b/src/relay/choose-engine.ts
@@ -143,7 +143,12 @@
 
 /** Returns the tokens of a prompt that are not cached at the engine that has most of them, the home engine included. */
 function leastUncachedTokens(prompt: Prompt, sharedTokens: number, trackedTokens: Iterable<number>): number {
-	return prompt.inputTokens - Math.max(assumedHomeCacheShare * sharedTokens, ...trackedTokens);
+	return withoutCached(prompt, Math.max(assumedHomeCacheShare * sharedTokens, ...trackedTokens));
+}
+
+/** Returns the tokens of a prompt that are not cached; callers may name parts with more tokens than the prompt has. */
+function withoutCached({inputTokens}: Prompt, cachedTokens: number): number {
+	return Math.max(0, inputTokens - cachedTokens);
 }
 
 type EngineState = {readonly isHome: boolean; readonly side: EngineSide | undefined; readonly sharedTokens: number; readonly trackedTokens: number};
@@ -152,7 +157,7 @@
 	const {prompt, bodyBytes, stageResults, distance, loads} = options;
 	const {zone} = engine.entry;
 	const cachedTokens = Math.max(trackedTokens, isHome ? assumedHomeCacheShare * sharedTokens : 0);
-	const uncachedTokens = prompt.inputTokens - cachedTokens;
+	const uncachedTokens = withoutCached(prompt, cachedTokens);
 	const outlook = loads?.outlook(engine);
 	const {aheadTokens, slowness} = outlook ?? {aheadTokens: engine.pendingTokens, slowness: 1};
 	const zoneDistance = distance(zone);
