Limit the learned fixed time of calls by the declared one in force

Cause: the correction of the fixed time is limited by the declared time when a call is recorded. If the operator then declares a much shorter call-ms, the old correction makes the fixed time negative until the next call ends, and with it expected waits and throughputs.

Change: the correction is limited when it is read as well.

--- a/src/pools/piece-times.test.ts
+++ b/src/pools/piece-times.test.ts
@@ -24,3 +24,14 @@
 	expect(times.safeCallMs([{kind: small, pieces: 10}], limits)).toBeLessThan(320);
 	expect(times.jobCallMs({kind: small, pieces: 1}, limits)).toBeCloseTo(times.callMs([{kind: small, pieces: 1}], limits));
 });
+
+// Guards against negative times of calls, and so negative waits, after the declared fixed time has become shorter.
+it('limits the learned correction of the fixed time to the declared one that is in force', () => {
+	const times = PieceTimes.create();
+	for (let call = 0; call < 50; call++) {
+		times.record([{kind: large, pieces: 1}], 120, limits);
+	}
+
+	expect(times.fixedMs(limits)).toBe(140);
+	expect(times.fixedMs({...limits, callMs: 20})).toBe(14);
+});
--- a/src/pools/piece-times.ts
+++ b/src/pools/piece-times.ts
@@ -54,7 +54,7 @@
 
 	/** Expected fixed time of a call. */
 	fixedMs({callMs}: StagePoolLimits): Ms {
-		return callMs + this.#fixedDifferenceMs;
+		return callMs + clamp(this.#fixedDifferenceMs, callMs, fixedBounds);
 	}
 
 	/** Expected time of a piece; the declared one for a kind that has not been measured. */
