Bound the time that waiting calls of a target are expected to take

Cause: the number of waiting calls that a target names in X-Guavamill-Server-Load is multiplied by the time of a call without a bound. The expected time of the next call there, its timeout and the time at which the target counts as idle follow it.

Change: at most 10 s are expected.

Measured: 2.7e18 ms for the largest number that is decoded before, 10,000 ms after; tests of told-load, stage-pool, slowed-targets and burst-recovery pass.

--- a/src/pools/told-load.test.ts
+++ b/src/pools/told-load.test.ts
@@ -17,3 +17,12 @@
 	told.update(undefined, 6000);
 	expect(told.slowdown(6000)).toBe(1);
 });
+
+// Guards against a call timeout beyond what a timer takes, by a target that names an absurd number of waiting calls.
+it('bounds the time that waiting calls are expected to take', () => {
+	const told = ToldLoad.create();
+	told.update({
+		running: 1, waiting: Number.MAX_SAFE_INTEGER, slots: 1, slowdown: undefined,
+	}, 1000);
+	expect(told.queueMs(300, 1000)).toBe(10_000);
+});
--- a/src/pools/told-load.ts
+++ b/src/pools/told-load.ts
@@ -7,6 +7,8 @@
 const slowdownBounds = {min: 0.1, max: 20};
 /** Age from which waiting calls are taken to be done. */
 const maxQueueAgeMs: Ms = 1000;
+/** Longest expected time of waiting calls; a target that names more of them is taken to be in error, and would get calls with endless timeouts. */
+const maxQueueMs: Ms = 10_000;
 
 /**
  * The load that a target has told in its latest response. It changes many times a second, so that it counts in full when
@@ -43,6 +45,6 @@
 	/** Returns the expected time until calls of other senders that waited at the target are done, when each takes `callMs`. */
 	queueMs(callMs: Ms, now: Ms): Ms {
 		const ageMs = now - this.#atMs;
-		return this.#load === undefined || ageMs > maxQueueAgeMs ? 0 : Math.max(0, (this.#load.waiting * callMs / Math.max(1, this.#load.slots)) - ageMs);
+		return this.#load === undefined || ageMs > maxQueueAgeMs ? 0 : Math.max(0, Math.min(maxQueueMs, this.#load.waiting * callMs / Math.max(1, this.#load.slots)) - ageMs);
 	}
 }
