Send calls of a stage service whose declared times are 0

Cause: call-ms and item-ms may both be 0. The measured time of the first call divided by the expected time of 0 gave an infinite slowdown, and the timeout of each later call was not a number, for which AbortSignal.timeout throws: the service served one call for each target.

--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -498,4 +498,19 @@
 		runRounds(60, undefined);
 		expect(callsMs.filter(at => at > 15_000).length).toBeGreaterThan(20);
 	});
+
+	// Guards against calls without a timeout, which cannot be sent, where the declared times of calls and pieces are 0.
+	it('sends further calls of a service that declares no times', () => {
+		const {pool, submit} = create();
+		pool.setLimits({...limits, callMs: 0, pieceMs: 0});
+		const timeoutsMs: number[] = [];
+		for (let now = 0; now < 3000; now += 1000) {
+			submit(job(`r${now}`, {startByMs: now + 1000, deadlineMs: now + 6000}), now);
+			const [call] = pool.nextCalls(now);
+			timeoutsMs.push(call!.timeoutMs);
+			pool.endCall(call!.id, {kind: 'done', results: results(call!)}, now + 50);
+		}
+
+		expect(timeoutsMs).toEqual([600, 600, 600]);
+	});
 });
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -210,7 +210,9 @@
 		if (call.end === 'done') {
 			this.#backoffMs = initialBackoffMs;
 			const before = this.#measuredSlowdown(now);
-			this.#slowdown = before + ((this.#told.tellsSlowdown ? toldSlowdownSmoothing : slowdownSmoothing) * (Math.max(0.5, call.tookMs / call.expectedMs) - before));
+			// Without declared times, a call says nothing of the speed.
+			const measured = call.expectedMs > 0 ? call.tookMs / call.expectedMs : 1;
+			this.#slowdown = before + ((this.#told.tellsSlowdown ? toldSlowdownSmoothing : slowdownSmoothing) * (Math.max(0.5, measured) - before));
 			this.#slowdownAtMs = now;
 		} else if (call.end === 'refused') {
 			this.#backoffUntilMs = now + Math.max(refusalBackoffMs, call.brittlePerSecond !== undefined && call.brittlePerSecond >= 0 ? Math.min(maxBackoffMs, brittleRefusalMs / call.brittlePerSecond) : 0);
