Let a lease be asked for again after a try while another entry VM led

Cause: #renew ended without waiting if another entry VM led, and cleared #renewing before hold() had assigned it. The ended try then stayed there, and the lease was never asked for again.

Change: #renewing is cleared by a wrapper that ends in a later turn, also if the try throws.

--- a/src/limits/coordinator-lease.ts
+++ b/src/limits/coordinator-lease.ts
@@ -49,7 +49,7 @@
 	async hold(): Promise<Ms | undefined> {
 		const {clock} = this.options;
 		if (this.#untilMs - clock.now() < renewBelowMs) {
-			this.#renewing ??= this.#renew();
+			this.#renewing ??= this.#renewOnce();
 			if (this.#untilMs <= clock.now()) {
 				await this.#renewing;
 			}
@@ -74,13 +74,21 @@
 		this.#replies.linkLost(link);
 	}
 
+	/** Renews the lease, and lets it be renewed again once that has ended, which is never before the caller has noted it. */
+	async #renewOnce(): Promise<void> {
+		try {
+			await this.#renew();
+		} finally {
+			this.#renewing = undefined;
+		}
+	}
+
 	/** Asks the members for their votes; resolves once more than half have given theirs, or no more replies can come. */
 	async #renew(): Promise<void> {
 		const {clock, self, mesh} = this.options;
 		const links = mesh();
 		const askedMs = clock.now();
 		if (!links || links.leader()) {
-			this.#renewing = undefined;
 			return;
 		}
 
@@ -113,6 +121,5 @@
 				})();
 			}
 		});
-		this.#renewing = undefined;
 	}
 }
