Log whether the leader of a cell has the votes to grant permits

Cause: a leader that lacks votes rejects requests for cold targets, and nothing in its log said why.

--- a/src/limits/coordinator-lease.test.ts
+++ b/src/limits/coordinator-lease.test.ts
@@ -1,6 +1,7 @@
-import {expect, it} from 'vitest';
+import {expect, it, vi} from 'vitest';
 import {ManualClock} from '../clock/index.js';
 import type {Link} from '../links/index.js';
+import {silentLoggerFactory} from '../logging/index.js';
 import {CoordinatorLease} from './coordinator-lease.js';
 import {leaseMs} from './vote.js';
 
@@ -10,7 +11,7 @@
 	const other = {} as unknown as Link;
 	let leader: Link | undefined = other;
 	const lease = CoordinatorLease.create({
-		clock, self: 'i-1', mesh: () => ({
+		clock, logger: silentLoggerFactory('targets'), self: 'i-1', mesh: () => ({
 			leader: () => leader, links: () => [], isInCell: () => true, cellSize: 1,
 		}),
 	});
@@ -19,3 +20,24 @@
 	leader = undefined;
 	await expect(lease.hold()).resolves.toBe(13_000 + leaseMs);
 });
+
+// Guards against rejected requests for cold targets that nothing in the log explains.
+it('logs once that it lacks votes, and once that it has them', async () => {
+	const clock = ManualClock.create({now: 10_000});
+	const logger = {...silentLoggerFactory('targets'), info: vi.fn()};
+	const lease = CoordinatorLease.create({
+		clock, logger, self: 'i-1', mesh: () => ({
+			leader: () => undefined, links: () => [], isInCell: () => true, cellSize: 1,
+		}),
+	});
+	// Until 2,050 ms after the start, the own vote is withheld.
+	for (let tries = 0; tries < 8; tries++) {
+		await lease.hold();
+		await clock.advance(400);
+	}
+
+	expect(logger.info.mock.calls).toEqual([
+		['Cannot grant permits for cold targets: too few members of the cell gave their votes.', {votes: 0, needed: 1, took_ms: 0}],
+		['Has the lease to grant permits for cold targets.', {votes: 1, needed: 1, took_ms: 0}],
+	]);
+});
--- a/src/limits/coordinator-lease.ts
+++ b/src/limits/coordinator-lease.ts
@@ -2,6 +2,7 @@
 import {
 	PendingReplies, type Link, type LinkMessage, type RelayMesh,
 } from '../links/index.js';
+import type {PartLogger} from '../logging/index.js';
 import {leaseMs, Vote} from './vote.js';
 
 /** Time that members have to reply; they are in the same region. */
@@ -18,6 +19,7 @@
 /** Dependencies of {@link CoordinatorLease}. */
 export interface CoordinatorLeaseOptions {
 	readonly clock: Clock;
+	readonly logger: PartLogger;
 	/** Incarnation of this entry VM. */
 	readonly self: string;
 	readonly mesh: () => LeaseMesh | undefined;
@@ -39,6 +41,8 @@
 	readonly #replies: PendingReplies<boolean>;
 	#untilMs: Ms = -Infinity;
 	#renewing: Promise<void> | undefined;
+	/** Result of the latest try, of which only changes are logged. */
+	#wasRenewed: boolean | undefined;
 
 	private constructor(private readonly options: CoordinatorLeaseOptions) {
 		this.#vote = Vote.create(options.clock.now());
@@ -121,5 +125,16 @@
 				})();
 			}
 		});
+		this.#log({votes, needed, askedMs});
+	}
+
+	/** Logs a try that has another result than the one before. */
+	#log({votes, needed, askedMs}: {votes: number; needed: number; askedMs: Ms}): void {
+		const {clock, logger} = this.options;
+		const isRenewed = votes >= needed;
+		if (isRenewed !== this.#wasRenewed) {
+			this.#wasRenewed = isRenewed;
+			logger.info(isRenewed ? 'Has the lease to grant permits for cold targets.' : 'Cannot grant permits for cold targets: too few members of the cell gave their votes.', {votes, needed, took_ms: Math.round(clock.now() - askedMs)});
+		}
 	}
 }
