Withdraw stage calls without a connection when their target is held back

Cause: a target that answers a call with a request for no calls for a time is left out of new calls, but calls that still waited for a connection to it were sent. Only the evacuation of its zone withdrew them.

Change: PoolHost#placementChanged, which the start of a hold triggers as well, withdraws the calls to held targets too.

Measured: the new test had no call withdrawn before; 19 tests of pool-host and those of mesh-stage-runner pass.

--- a/src/pools/pool-host.test.ts
+++ b/src/pools/pool-host.test.ts
@@ -81,7 +81,7 @@
 		}),
 	});
 	return {
-		clock, host, port, registry, placement,
+		clock, host, port, registry, placement, holds,
 	};
 }
 
@@ -162,6 +162,25 @@
 		expect(await last).toHaveProperty('results.length', 4);
 	});
 
+	// Guards against calls that get a connection in the time for which their target asks for none.
+	it('withdraws the calls to a target that is held back, which are sent only if they have a connection', async () => {
+		const {clock, host, port, holds, registry} = create();
+		registry.put({
+			id: 't2', service: 'archive', address: '10.0.0.2:80', zone: 'riga-a', slots: 1, isDraining: false, startedMs: 0,
+		});
+		const runs = ['r1', 'r2', 'r3'].map(async id => host.run(plan(id), new AbortController().signal));
+		await clock.advance(50);
+		holds.observe(registry.get('t1')!, 1000);
+		expect(port.calls.map(({target, withdrawal}) => [target.id, withdrawal?.aborted])).toEqual([['t1', true], ['t2', false]]);
+		for (let step = 0; step < 20; step++) {
+			await clock.advance(50);
+		}
+
+		for (const outcome of await Promise.all(runs)) {
+			expect(outcome).toHaveProperty('results.length', 4);
+		}
+	});
+
 	// Guards against calls and freed results at a target in an evacuated zone, and against plans that wait there until their deadline.
 	it('sends nothing to a zone that is evacuated, and ends at once what no target is left for', async () => {
 		const {clock, host, port, registry, placement} = create();
--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -85,8 +85,8 @@
 	readonly #jobs = new Map<string, StageJob & {readonly service: string}>();
 	readonly #unplacedJobs = new Map<string, {readonly failure: StageFailure; readonly retryAfterMs?: Ms}>();
 	#retryLimits: RetryLimits;
-	/** Calls in progress, which are withdrawn if their zone is evacuated before they have a connection. */
-	readonly #calls = new Set<{readonly zone: string; readonly withdrawal: AbortController}>();
+	/** Calls in progress, which are withdrawn if their zone is evacuated, or their target held back, before they have a connection. */
+	readonly #calls = new Set<{readonly zone: string; readonly target: RelayTarget | undefined; readonly withdrawal: AbortController}>();
 	#planCount = 0;
 	#takeoverMs: Ms = -Infinity;
 
@@ -207,8 +207,9 @@
 
 	/** Handles a change of the zones that are evacuated, or of the targets that are held back. */
 	placementChanged(): void {
-		for (const {zone, withdrawal} of this.#calls) {
-			if (this.options.placement.isEvacuated(zone)) {
+		const {placement, holds} = this.options;
+		for (const {zone, target, withdrawal} of this.#calls) {
+			if (placement.isEvacuated(zone) || (target && holds && holds.heldForMs(target) > 0)) {
 				withdrawal.abort();
 			}
 		}
@@ -489,10 +490,10 @@
 		const startedMs = clock.now();
 		// The target may have run the call.
 		let end: StageCallOutcome = {kind: 'failed'};
-		const sent = {zone: call.target.zone, withdrawal: new AbortController()};
+		const target = this.options.registry.get(call.target.id);
+		const sent = {zone: call.target.zone, target, withdrawal: new AbortController()};
 		this.#calls.add(sent);
 		try {
-			const target = this.options.registry.get(call.target.id);
 			end = await port.run({...call, now: startedMs, withdrawal: sent.withdrawal.signal});
 			this.#logCall(service, pool, {call, end, startedMs});
 			if (target && end.kind !== 'unreachable' && end.isDraining) {
