Pass on no more classes of prompt length than a message may have

Cause: a leader sums the lengths that its peers report by class. Each message may name any 100 classes, so that the sum of several could have more; all peers then refuse the messages of the leader and close its links. Only a faulty peer, or one of another build, sends such classes.

Change: classes from 100 on, which PromptMix ignores as well, are not passed on.

Measured: the message of the new test was refused before and is read after; 32 tests of src/prompts pass.

--- a/src/prompts/exchange-news.ts
+++ b/src/prompts/exchange-news.ts
@@ -1,3 +1,4 @@
+import {linkLimits} from '../links/index.js';
 import type {SpeedObservation} from './engine-speeds.js';
 import type {LengthRow} from './prompt-mix.js';
 import type {EngineKey, WorkSource} from './prompt-work.js';
@@ -44,12 +45,15 @@
 		}
 	}
 
+	/** Adds lengths of prompts; of classes beyond those that a message may have, none is passed on. */
 	addLengths(service: string, rows: readonly LengthRow[], source: WorkSource | undefined): void {
 		if (this.#size < maxNews) {
 			this.#size += rows.length;
 			const sums = this.#sumsOf(source);
 			for (const [index, count, tokens] of rows) {
-				addLength(sums, service, index, {count, tokens: Math.round(tokens)});
+				if (index < linkLimits.lengthClasses) {
+					addLength(sums, service, index, {count, tokens: Math.round(tokens)});
+				}
 			}
 		}
 	}
