Bound the number of brittle targets whose slots are kept

Cause: the coordinator kept the slots of each start of a target until no service was brittle any more, also of those that are gone; rejections that a peer reported were dropped only when a slot was asked for.

Change: the starts used least recently are dropped from 2,000 on, and old rejections with each new one.

Measured: 2,500 starts are kept without the bound, 2,000 with it; 109 tests of src/limits pass.

--- a/src/limits/brittle-slots.ts
+++ b/src/limits/brittle-slots.ts
@@ -1,6 +1,6 @@
 import type {Ms} from '../clock/index.js';
 
-/** Time without word of a holder after which its requests no longer count, and that after its link was lost. */
+/** Time without a message of a holder after which its requests no longer count, and that after its link was lost. */
 const holderTtlMs: Ms = 30_000;
 const lostHolderTtlMs: Ms = 3000;
 /** Time after the first request for a slot in which half of the slots are granted: others may have been granted by an earlier coordinator, or requests sent without. */
@@ -15,6 +15,8 @@
 const rejectionShare = 1 / 3;
 /** Time after which another try makes sense while all slots are taken. */
 const fullRetryMs: Ms = 50;
+/** Maximum number of starts of targets that are kept, far more than are brittle at once; the one used least recently is dropped. */
+const maxTargets = 2000;
 
 /** Request of an entry VM for a slot. */
 export interface SlotRequest {
@@ -47,18 +49,30 @@
 		return new BrittleSlots();
 	}
 
+	/** Least recently used first. */
 	readonly #targets = new Map<string, TargetSlots>();
 
 	private constructor() {}
 
+	/** Number of starts of targets that are kept. */
+	get size(): number {
+		return this.#targets.size;
+	}
+
 	/** Takes a slot for a holder, if one is free. */
 	take({target, slots, perSecond, holder, held}: SlotRequest, now: Ms): SlotReply {
 		const state = this.#targets.get(target) ?? {
 			sinceMs: now, cap: slots, capMs: now, holders: new Map(), rejectionsMs: [],
 		};
+		this.#targets.delete(target);
 		this.#targets.set(target, state);
+		if (this.#targets.size > maxTargets) {
+			const [oldest] = this.#targets.keys();
+			this.#targets.delete(oldest!);
+		}
+
 		state.holders.set(holder, {count: held, seenMs: now});
-		state.rejectionsMs = state.rejectionsMs.filter(atMs => atMs > now - windowMs);
+		state.rejectionsMs = recentOf(state.rejectionsMs, now);
 		if (state.rejectionsMs.length >= Math.max(1, perSecond * rejectionShare)) {
 			return {isGranted: false, retryAfterMs: state.rejectionsMs[0]! + windowMs - now};
 		}
@@ -83,7 +97,7 @@
 		if (isRejected) {
 			state.cap = Math.max(1, Math.min(capAt(state, slots, now), countHeld(state, now)));
 			state.capMs = now;
-			state.rejectionsMs = [...state.rejectionsMs, now];
+			state.rejectionsMs = [...recentOf(state.rejectionsMs, now), now];
 		}
 	}
 
@@ -103,6 +117,11 @@
 	}
 }
 
+/** Returns the rejections in the window. */
+function recentOf(rejectionsMs: readonly Ms[], now: Ms): readonly Ms[] {
+	return rejectionsMs.filter(atMs => atMs > now - windowMs);
+}
+
 function capAt({cap, capMs}: TargetSlots, slots: number, now: Ms): number {
 	return Math.min(slots, cap + (slots * (now - capMs) / recoveryMs));
 }
