--- a/src/limits/brittle-targets.test.ts
+++ b/src/limits/brittle-targets.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {countPeak} from '../../test/support/count-peak.js';
 import {SimulatedMesh} from '../../test/support/simulated-mesh.js';
 import {ManualClock, type Ms} from '../clock/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
@@ -68,7 +69,7 @@
 	}
 
 	get mostRejected(): number {
-		return Math.max(0, ...this.rejectedMs.map(from => this.rejectedMs.filter(at => at >= from && at < from + 1000).length));
+		return countPeak(this.rejectedMs, 1000);
 	}
 
 	async #send(vm: number): Promise<void> {
--- a/src/limits/target-limits.test.ts
+++ b/src/limits/target-limits.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {countPeak} from '../../test/support/count-peak.js';
 import {SimulatedMesh} from '../../test/support/simulated-mesh.js';
 import {ManualClock} from '../clock/index.js';
 import type {Link} from '../links/index.js';
@@ -193,7 +194,7 @@
 	}
 
 	mostInWindow(windowMs = 4000): number {
-		return Math.max(0, ...this.sentMs.map(start => this.sentMs.filter(at => at >= start && at < start + windowMs).length));
+		return countPeak(this.sentMs, windowMs);
 	}
 
 	async #ask(vm: number, maxWaitMs: number): Promise<void> {
--- a/src/pools/stage-pool.test.ts
+++ b/src/pools/stage-pool.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {countPeak} from '../../test/support/count-peak.js';
 import {Random} from '../random/index.js';
 import {ServiceRetryBudget} from './service-retry-budget.js';
 import type {PieceResult, StageJob, StageJobOutcome} from './stage-job.js';
@@ -493,7 +494,7 @@
 		};
 
 		runRounds(120, perSecond);
-		const most = Math.max(...callsMs.map(start => callsMs.filter(at => at >= start && at < start + 4000).length));
+		const most = countPeak(callsMs, 4000);
 		expect([most <= (1.5 * perSecond * 4) + 5, otherCalls > 40]).toEqual([true, true]);
 		runRounds(60, undefined);
 		expect(callsMs.filter(at => at > 15_000).length).toBeGreaterThan(20);
