Name the load that targets report as reported

ToldLoad becomes ReportedLoad, and its module reported-load: a load that a target tells is no usual term. Nothing else changes.

--- a/src/pools/told-load.ts
+++ b/src/pools/reported-load.ts
@@ -1,22 +1,22 @@
 import type {Ms} from '../clock/index.js';
 import type {TargetLoad} from '../registry/index.js';
 
-/** Half-life of a told slowdown, half of the time for which other work usually slows a machine down. */
+/** Half-life of a reported slowdown, half of the time for which other work usually slows a machine down. */
 const halfLifeMs: Ms = 300;
-/** Bounds of a told slowdown that is used; others are taken for errors of the target. */
+/** Bounds of a reported slowdown that is used; others are taken for errors of the target. */
 const slowdownBounds = {min: 0.1, max: 20};
 /** Age from which waiting calls are taken to be done. */
 const maxQueueAgeMs: Ms = 1000;
-/** Longest expected time of waiting calls; a target that names more of them is taken to be in error, and would get calls with endless timeouts. */
+/** Longest expected time of waiting calls; a target that reports more of them is taken to be in error, and would get calls with timeouts of any length. */
 const maxQueueMs: Ms = 10_000;
 
 /**
- * The load that a target has told in its latest response. It changes many times a second, so that it counts in full when
+ * The load that a target has reported in its latest response. It changes many times a second, so that it counts in full when
  * fresh and fades with its age.
  */
-export class ToldLoad {
-	static create(): ToldLoad {
-		return new ToldLoad();
+export class ReportedLoad {
+	static create(): ReportedLoad {
+		return new ReportedLoad();
 	}
 
 	#load: TargetLoad | undefined;
@@ -24,21 +24,21 @@
 
 	private constructor() {}
 
-	/** Whether the latest response told how long work takes. */
-	get tellsSlowdown(): boolean {
+	/** Whether the latest response reported how long work takes. */
+	get reportsSlowdown(): boolean {
 		return this.#load?.slowdown !== undefined;
 	}
 
-	/** Replaces the load; `undefined` if a response told none. */
+	/** Replaces the load; `undefined` if a response reported none. */
 	update(load: TargetLoad | undefined, now: Ms): void {
 		this.#load = load;
 		this.#atMs = now;
 	}
 
-	/** Returns the told time of work as a multiple of the usual one; 1 if none was told, or long ago. */
+	/** Returns the reported time of work as a multiple of the usual one; 1 if none was reported, or long ago. */
 	slowdown(now: Ms): number {
-		const told = this.#load?.slowdown ?? 1;
-		const bounded = Math.max(slowdownBounds.min, Math.min(slowdownBounds.max, told));
+		const reported = this.#load?.slowdown ?? 1;
+		const bounded = Math.max(slowdownBounds.min, Math.min(slowdownBounds.max, reported));
 		return 1 + ((bounded - 1) * (0.5 ** (Math.max(0, now - this.#atMs) / halfLifeMs)));
 	}
 
--- a/src/pools/slowed-targets.test.ts
+++ b/src/pools/slowed-targets.test.ts
@@ -29,12 +29,12 @@
 	return (target, now) => phases.get(target)!.some(start => now >= start && now < start + 600) ? 2.5 : 1;
 }
 
-function served(isLoadTold: boolean): {chain: number; large: number} {
+function served(isLoadReported: boolean): {chain: number; large: number} {
 	const sum = {chain: 0, large: 0};
 	const seeds = [1, 2, 3, 4, 5, 6];
 	for (const seed of seeds) {
 		const simulation = PoolSimulation.create({
-			limits, targets: 10, kinds, seed, slowdown: slowPhases(seed), isLoadTold,
+			limits, targets: 10, kinds, seed, slowdown: slowPhases(seed), isLoadReported,
 		});
 		simulation.runUntil(22_000);
 		sum.chain += simulation.served('chain', 3000, 20_000) / seeds.length;
@@ -47,10 +47,10 @@
 // Guards against urgent jobs at targets that other work slows down for a moment, and against targets that are avoided for
 // long after it.
 it('serves more plans of short stages in time when slowed targets tell their load', () => {
-	const told = served(true);
-	const untold = served(false);
+	const reported = served(true);
+	const unreported = served(false);
 	// 0.915 before the load was used.
-	expect(told.chain).toBeGreaterThan(0.93);
-	expect(told.chain).toBeGreaterThan(untold.chain + 0.01);
-	expect(told.large).toBeGreaterThan(0.97);
+	expect(reported.chain).toBeGreaterThan(0.93);
+	expect(reported.chain).toBeGreaterThan(unreported.chain + 0.01);
+	expect(reported.large).toBeGreaterThan(0.97);
 });
--- a/src/pools/stage-pool.ts
+++ b/src/pools/stage-pool.ts
@@ -299,8 +299,8 @@
 			target?.recordMemory(call.id, !end.results.some(result => 'problem' in result && result.problem === 'room'), now);
 		}
 
-		const toldSlowdown = end.kind === 'unreachable' ? 1 : target?.updateLoad(call.id, end.load, now) ?? 1;
-		const tookMs = (now - startedMs) / toldSlowdown;
+		const reportedSlowdown = end.kind === 'unreachable' ? 1 : target?.updateLoad(call.id, end.load, now) ?? 1;
+		const tookMs = (now - startedMs) / reportedSlowdown;
 		this.#learnTimes(call, end, tookMs);
 		// A target that asks for no calls for a time has not failed.
 		const isHeldBack = end.kind === 'failed' && end.retryAfterMs !== undefined;
--- a/src/pools/stage-target-state.ts
+++ b/src/pools/stage-target-state.ts
@@ -3,7 +3,7 @@
 import type {TargetLoad} from '../registry/index.js';
 import {ReleaseTrust} from './release-trust.js';
 import type {StageCallOutcome} from './stage-job.js';
-import {ToldLoad} from './told-load.js';
+import {ReportedLoad} from './reported-load.js';
 
 /** A target of a stage pool. */
 export interface StageTarget {
@@ -36,9 +36,9 @@
 const holdTimeSmoothing = 0.05;
 /** Half-life of a measured slowdown; it decays so that a target that gets no calls is tried again. */
 const slowdownHalfLifeMs: Ms = 2000;
-/** Weight of the latest call in the moving average of the slowdown; smaller for targets that tell what slows them down for a moment. */
+/** Weight of the latest call in the moving average of the slowdown; smaller for targets that report what slows them down for a moment. */
 const slowdownSmoothing = 0.4;
-const toldSlowdownSmoothing = 0.15;
+const reportedSlowdownSmoothing = 0.15;
 
 /**
  * Tracks the calls, result memory and speed of one target on behalf of its pool.
@@ -56,12 +56,12 @@
 	/** Fraction of the declared memory that calls may use: other hosts may use the target too, and result sizes are approximate. */
 	#memoryShare = maxMemoryShare;
 	#memoryShareAtMs: Ms = 0;
-	readonly #calls = new Map<number, {memoryMb: number; endsMs: Ms; isCountingOnReleases: boolean; toldSlowdown: number}>();
+	readonly #calls = new Map<number, {memoryMb: number; endsMs: Ms; isCountingOnReleases: boolean; reportedSlowdown: number}>();
 	readonly #results = new Map<string, {mb: number; createdMs: Ms; expiresMs: Ms}>();
 	/** Moving average of the time between the creation of a result and its release. */
 	#holdTimeMs: Ms = 0;
 	#releaseCount = 0;
-	readonly #told = ToldLoad.create();
+	readonly #reported = ReportedLoad.create();
 	#backoffUntilMs: Ms = -Infinity;
 	#backoffMs: Ms = initialBackoffMs;
 	#heldUntilMs: Ms = -Infinity;
@@ -70,9 +70,9 @@
 
 	private constructor(readonly target: StageTarget, private readonly releaseTrust: ReleaseTrust) {}
 
-	/** Returns the expected call time as a multiple of the usual one: the measured multiple, which decays towards 1 with age, times the one that the target has told. */
+	/** Returns the expected call time as a multiple of the usual one: the measured multiple, which decays towards 1 with age, times the one that the target has reported. */
 	slowdown(now: Ms): number {
-		return this.#measuredSlowdown(now) * this.#told.slowdown(now);
+		return this.#measuredSlowdown(now) * this.#reported.slowdown(now);
 	}
 
 	#measuredSlowdown(now: Ms): number {
@@ -81,19 +81,19 @@
 
 	/** Returns the expected time until calls of other hosts that wait at the target are done. */
 	queueMs(callMs: Ms, now: Ms): Ms {
-		return this.#told.queueMs(callMs, now);
+		return this.#reported.queueMs(callMs, now);
 	}
 
-	/** Measured slowdown without its decay and without what the target tells, by which targets are compared. */
+	/** Measured slowdown without its decay and without what the target reports, by which targets are compared. */
 	get lastSlowdown(): number {
 		return this.#slowdown;
 	}
 
-	/** Records the load that a response tells. Returns the slowdown that the target has told over a call, on average of its start and end. */
+	/** Records the load that a response reports. Returns the slowdown that the target has reported over a call, on average of its start and end. */
 	updateLoad(callId: number, load: TargetLoad | undefined, now: Ms): number {
-		const before = this.#calls.get(callId)?.toldSlowdown ?? 1;
-		this.#told.update(load, now);
-		return load?.slowdown === undefined ? 1 : (before + this.#told.slowdown(now)) / 2;
+		const before = this.#calls.get(callId)?.reportedSlowdown ?? 1;
+		this.#reported.update(load, now);
+		return load?.slowdown === undefined ? 1 : (before + this.#reported.slowdown(now)) / 2;
 	}
 
 	/** Number of calls in progress. */
@@ -189,7 +189,7 @@
 	startCall(callId: number, call: {memoryMb: number; memoryLimitMb: number; endsMs: Ms}, now: Ms): void {
 		const {memoryMb, memoryLimitMb, endsMs} = call;
 		this.#calls.set(callId, {
-			memoryMb, endsMs, toldSlowdown: this.#told.slowdown(now), isCountingOnReleases: this.#usedMemoryMb(1, 0, now) + memoryMb > this.usableMemoryMb(memoryLimitMb, now),
+			memoryMb, endsMs, reportedSlowdown: this.#reported.slowdown(now), isCountingOnReleases: this.#usedMemoryMb(1, 0, now) + memoryMb > this.usableMemoryMb(memoryLimitMb, now),
 		});
 		this.#schedule?.reserve(now, 0);
 	}
@@ -212,7 +212,7 @@
 			const before = this.#measuredSlowdown(now);
 			// Without declared times, a call says nothing of the speed.
 			const measured = call.expectedMs > 0 ? call.tookMs / call.expectedMs : 1;
-			this.#slowdown = before + ((this.#told.tellsSlowdown ? toldSlowdownSmoothing : slowdownSmoothing) * (Math.max(0.5, measured) - before));
+			this.#slowdown = before + ((this.#reported.reportsSlowdown ? reportedSlowdownSmoothing : slowdownSmoothing) * (Math.max(0.5, measured) - before));
 			this.#slowdownAtMs = now;
 		} else if (call.end === 'refused') {
 			this.#backoffUntilMs = now + Math.max(refusalBackoffMs, call.brittlePerSecond !== undefined && call.brittlePerSecond >= 0 ? Math.min(maxBackoffMs, brittleRefusalMs / call.brittlePerSecond) : 0);
--- a/src/pools/test/pool-simulation.ts
+++ b/src/pools/test/pool-simulation.ts
@@ -55,7 +55,7 @@
 	/** Factor by which work at a target takes longer at a time. */
 	readonly slowdown?: (target: string, now: Ms) => number;
 	/** Whether targets tell that factor. */
-	readonly isLoadTold?: boolean;
+	readonly isLoadReported?: boolean;
 }
 
 type Request = {id: string; kind: SimulatedKind; startedMs: Ms; isOnTime: boolean; plan: StagePlan; handles: readonly string[]};
@@ -242,7 +242,7 @@
 	}
 
 	#send(call: StageCall): void {
-		const {limits, slowdown = () => 1, isLoadTold = false} = this.options;
+		const {limits, slowdown = () => 1, isLoadReported = false} = this.options;
 		const held = this.#held.get(call.target.id)!;
 		for (const [handle, {expiresMs}] of held) {
 			if (expiresMs <= this.#now) {
@@ -282,7 +282,7 @@
 		const outcome: StageCallOutcome = {
 			kind: 'done',
 			results,
-			...(isLoadTold
+			...(isLoadReported
 				? {
 					load: {
 						running: 0, waiting: 0, slots: 1, slowdown: slowdown(call.target.id, this.#now + tookMs),
