Correct comments, and share the empty prompt work

The comments of LoanSources#choose (those with most are asked first), RelayMetrics#recordResponseStart (also for responses that are passed on) and PromptExchange#linkUp (schedules, as does any change) did not say what the code does. noWork stood in three modules. No behavior changes.

--- a/src/limits/brittle-targets.ts
+++ b/src/limits/brittle-targets.ts
@@ -170,7 +170,7 @@
 		}
 	}
 
-	/** Tells a peer that has just been linked which services are brittle. */
+	/** Sends the brittle services to a peer that has just been linked. */
 	linkUp(link: Link): void {
 		for (const [service, named] of this.#services) {
 			if (named.perSecond !== undefined) {
@@ -185,7 +185,7 @@
 		this.#slots.holderLost(link.peer.incarnation, this.options.clock.now());
 	}
 
-	/** Applies what was seen of a service at `seenMs`, and tells the fleet of a change. */
+	/** Applies what was seen of a service at `seenMs`, and passes a change on to the other entry VMs. */
 	#apply(service: string, perSecond: number | undefined, seenMs: Ms, from?: Link): void {
 		const {clock, logger, mesh} = this.options;
 		const current = this.#services.get(service);
--- a/src/pools/loan-sources.ts
+++ b/src/pools/loan-sources.ts
@@ -33,7 +33,8 @@
 	}
 
 	/**
-	 * Returns the lenders to ask and how much of each, fewest first; none if they are not expected to have `needed` in all.
+	 * Returns the lenders to ask and how much of each, those with most first, so that few are asked; none if they are not expected
+	 * to have `needed` in all.
 	 * `usual` is expected of a lender that has not been asked lately.
 	 */
 	choose(lenders: readonly T[], {needed, usual, now}: {needed: number; usual: number; now: Ms}): Array<LoanSource<T>> {
--- a/src/pools/stage-deferral.ts
+++ b/src/pools/stage-deferral.ts
@@ -13,7 +13,7 @@
  * Under load, targets with little memory then stand idle while plans with half of their results wait for the other half.
  * A stage therefore starts only when the rest of the plan is not expected to take longer than it.
  *
- * The load that it answers: bursts of plans with a branch of large results beside a chain of stages that is longer.
+ * It handles bursts of plans with a branch of large results beside a chain of stages that is longer.
  *
  * @example
  * const delayMs = deferral.delayMs(0, {now, waitMs: 80});
--- a/src/prompts/prompt-exchange.ts
+++ b/src/prompts/prompt-exchange.ts
@@ -90,7 +90,7 @@
 		}
 	}
 
-	/** Tells a peer that has just been linked the work that it needs to know. */
+	/** Schedules a message to a peer that has just been linked. */
 	linkUp(): void {
 		this.#scheduleChange();
 	}
@@ -102,7 +102,7 @@
 		this.#scheduleChange();
 	}
 
-	/** Sends nothing more. */
+	/** Ends the timer; nothing is sent after that. */
 	close(): void {
 		this.#cancelFlush?.();
 		this.#flushAtMs = -Infinity;
--- a/src/prompts/prompt-loads.ts
+++ b/src/prompts/prompt-loads.ts
@@ -6,7 +6,9 @@
 import {EngineSpeeds, type SpeedObservation} from './engine-speeds.js';
 import type {PromptMetrics} from './prompt-metrics.js';
 import {PromptMix, type LengthRow, type PromptSplit} from './prompt-mix.js';
-import {PromptWork, type EngineKey, type WorkSum} from './prompt-work.js';
+import {
+	noWork, PromptWork, type EngineKey, type WorkSum,
+} from './prompt-work.js';
 
 /** Dependencies of {@link PromptLoads}. */
 export interface PromptLoadsOptions {
@@ -230,8 +232,6 @@
 	return inputTokens + maxOutputTokens;
 }
 
-const noWork: WorkSum = {pendingTokens: 0, heldTokens: 0};
-
 function addWork(a: WorkSum, b: WorkSum): WorkSum {
 	return {pendingTokens: a.pendingTokens + b.pendingTokens, heldTokens: a.heldTokens + b.heldTokens};
 }
--- a/src/prompts/prompt-work.ts
+++ b/src/prompts/prompt-work.ts
@@ -48,7 +48,8 @@
 /** A peer that reports work, such as its link. */
 export type WorkSource = object;
 
-const noWork: WorkSum = {pendingTokens: 0, heldTokens: 0};
+/** Work of an engine without any. */
+export const noWork: WorkSum = {pendingTokens: 0, heldTokens: 0};
 
 type ReportedRow = WorkSum & {readonly receivedMs: Ms};
 /** Own prompts at an engine: all of them, those that are still to be prefilled, and the sum of what all of them hold. */
--- a/src/prompts/sent-work.ts
+++ b/src/prompts/sent-work.ts
@@ -1,5 +1,7 @@
 import type {Ms} from '../clock/index.js';
-import type {EngineKey, WorkRow, WorkSum} from './prompt-work.js';
+import {
+	noWork, type EngineKey, type WorkRow, type WorkSum,
+} from './prompt-work.js';
 
 /** Whose work is sent: that of a member to its leader, that of a cell to other leaders, or that of all others to a member. */
 export type WorkRole = 'own' | 'cell' | 'others';
@@ -22,8 +24,6 @@
 /** Maximum number of rows in a message; the others follow in the next one. */
 const maxRows = 300;
 
-const noWork: WorkSum = {pendingTokens: 0, heldTokens: 0};
-
 type SentRow = WorkSum & {readonly sentMs: Ms};
 
 /**
--- a/src/relay/relay-metrics.ts
+++ b/src/relay/relay-metrics.ts
@@ -173,7 +173,7 @@
 		return {ended: this.#ended, answered: this.#answered, begun: this.#begun};
 	}
 
-	/** Records that the first event of a stream has arrived for a caller. */
+	/** Records that a stream, or a response that another entry VM passes on, has begun. */
 	recordResponseStart(): void {
 		this.#begun++;
 	}
