Remove the load from the head of target responses that nothing reads

TargetHead.load was decoded for each response of a request and used nowhere; stage calls decode the load by themselves.

Measured: the build, and the tests of decoding, forwarded-request and target-picker pass.

--- a/src/relay/relay-codec.ts
+++ b/src/relay/relay-codec.ts
@@ -1,5 +1,4 @@
 import type {Ms} from '../clock/index.js';
-import type {TargetLoad} from '../registry/index.js';
 
 /** One part of a prompt. Prompts that begin with the same parts can share cached prefill work. */
 export interface PromptPart {
@@ -66,8 +65,6 @@
 	readonly retryAfterMs: Ms | undefined;
 	/** True if the target says that it is draining. */
 	readonly isDraining: boolean;
-	/** Load that the target tells; `undefined` if it tells none that can be read. */
-	readonly load: TargetLoad | undefined;
 	/** Media type of the body in lower case, without parameters; empty without one. */
 	readonly mediaType: string;
 	/** Headers forwarded to the caller unchanged. */
