--- a/src/limits/coordinator-lease.ts
+++ b/src/limits/coordinator-lease.ts
@@ -2,6 +2,7 @@
 import {
 	PendingReplies, type Link, type LinkMessage, type RelayMesh,
 } from '../links/index.js';
+import type {PartLogger} from '../logging/index.js';
 import {leaseMs, Vote} from './vote.js';
 
 /** Time that members have to reply; they are in the same region. */
@@ -18,6 +19,7 @@
 /** Dependencies of {@link CoordinatorLease}. */
 export interface CoordinatorLeaseOptions {
 	readonly clock: Clock;
+	readonly logger: PartLogger;
 	/** Incarnation of this entry VM. */
 	readonly self: string;
 	readonly mesh: () => LeaseMesh | undefined;
@@ -39,6 +41,8 @@
 	readonly #replies: PendingReplies<boolean>;
 	#untilMs: Ms = -Infinity;
 	#renewing: Promise<void> | undefined;
+	/** Result of the latest try, of which only changes are logged. */
+	#wasRenewed: boolean | undefined;
 
 	private constructor(private readonly options: CoordinatorLeaseOptions) {
 		this.#vote = Vote.create(options.clock.now());
@@ -49,7 +53,7 @@
 	async hold(): Promise<Ms | undefined> {
 		const {clock} = this.options;
 		if (this.#untilMs - clock.now() < renewBelowMs) {
-			this.#renewing ??= this.#renew();
+			this.#renewing ??= this.#renewOnce();
 			if (this.#untilMs <= clock.now()) {
 				await this.#renewing;
 			}
@@ -74,13 +78,21 @@
 		this.#replies.linkLost(link);
 	}
 
+	/** Renews the lease, and lets it be renewed again once that has ended, which is never before the caller has noted it. */
+	async #renewOnce(): Promise<void> {
+		try {
+			await this.#renew();
+		} finally {
+			this.#renewing = undefined;
+		}
+	}
+
 	/** Asks the members for their votes; resolves once more than half have given theirs, or no more replies can come. */
 	async #renew(): Promise<void> {
 		const {clock, self, mesh} = this.options;
 		const links = mesh();
 		const askedMs = clock.now();
 		if (!links || links.leader()) {
-			this.#renewing = undefined;
 			return;
 		}
 
@@ -113,6 +125,16 @@
 				})();
 			}
 		});
-		this.#renewing = undefined;
+		this.#log({votes, needed, askedMs});
+	}
+
+	/** Logs a try that has another result than the one before. */
+	#log({votes, needed, askedMs}: {votes: number; needed: number; askedMs: Ms}): void {
+		const {clock, logger} = this.options;
+		const isRenewed = votes >= needed;
+		if (isRenewed !== this.#wasRenewed) {
+			this.#wasRenewed = isRenewed;
+			logger.info(isRenewed ? 'Has the lease to grant permits for cold targets.' : 'Cannot grant permits for cold targets: too few members of the cell gave their votes.', {votes, needed, took_ms: Math.round(clock.now() - askedMs)});
+		}
 	}
 }
