Tell a peer of the answers that its quarantines lack

An entry VM that had no link while a quarantine was released kept rejecting the part until a request with it was answered elsewhere.

Cause: the release of a part whose crashes are explained rests on an answer from before the crashes, which was passed on once. linkUp() sends answers only to parts that the sender still quarantines, and the evidence that the other side sends led to no reply, since nothing was cleared by it. Answers from after the crashes were sent back to the own leader alone, which passes on only what is new to it, so that a peer that is linked to another member than the leader was not told either.

Change: an entry VM that receives a set as quarantined, but does not quarantine it itself, replies with the answers to the set's parts, and to a peer that the news of cleared parts does not reach also with these. A reply releases nothing by itself: the receiver judges with its own evidence.

--- a/src/quarantine/prompt-quarantine.test.ts
+++ b/src/quarantine/prompt-quarantine.test.ts
@@ -43,8 +43,8 @@
 
 /** Entry VMs with a quarantine each. */
 class SimulatedFleet {
-	static create(size: number): SimulatedFleet {
-		return new SimulatedFleet(size);
+	static create(size: number, cellSize?: number): SimulatedFleet {
+		return new SimulatedFleet(size, cellSize);
 	}
 
 	readonly clock = ManualClock.create({now: 10_000});
@@ -52,9 +52,10 @@
 	readonly quarantines: PromptQuarantine[] = [];
 	readonly mesh: SimulatedMesh;
 
-	private constructor(size: number) {
+	private constructor(size: number, cellSize?: number) {
 		this.mesh = SimulatedMesh.create({
 			size,
+			...(cellSize === undefined ? {} : {cellSize}),
 			clock: this.clock,
 			deliver: (vm, link, message) => {
 				this.quarantines[vm]!.receive(link, message as SuspicionMessage);
@@ -80,6 +81,13 @@
 		await this.clock.advance(100);
 	}
 
+	/** Links two entry VMs again, both of which tell what they know. */
+	async relink(a: number, b: number): Promise<void> {
+		this.quarantines[a]!.linkUp(this.mesh.link(a, b));
+		this.quarantines[b]!.linkUp(this.mesh.link(b, a));
+		await this.clock.advance(1000);
+	}
+
 	countQuarantined(parts: readonly string[]): number {
 		return this.quarantines.filter(quarantine => quarantine.isQuarantined(parts)).length;
 	}
@@ -329,3 +337,100 @@
 		expect([fleet.countQuarantined([request('/dead')]), fleet.quarantines[0]!.size]).toEqual([1, 1]);
 	});
 });
+
+// Guards against an entry VM that keeps rejecting a sound part, since it had no link while the others released it.
+describe('PromptQuarantine after links were lost', () => {
+	/** A fleet without a store in which both parts are quarantined, and `shared` is released except at the entry VMs in `cutOff`. */
+	const createDivided = async ({size, cellSize, releasing, cutOff}: {size: number; cellSize?: number; releasing: number; cutOff: readonly number[]}) => {
+		const fleet = SimulatedFleet.create(size, cellSize);
+		fleet.topic.isDown = true;
+		fleet.quarantines[releasing]!.answered(['shared']);
+		await fleet.clock.advance(10_000);
+		await fleet.crash(0, 'e-1', ['shared', 'a']);
+		await fleet.crash(size - 1, 'e-2', ['shared', 'dead']);
+		for (const vm of cutOff) {
+			fleet.mesh.cutOff.add(vm);
+		}
+
+		await fleet.crash(releasing, 'e-3', ['dead', 'b']);
+		expect([fleet.countQuarantined(['shared']), fleet.countQuarantined(['dead'])]).toEqual([cutOff.length, size - cutOff.length]);
+		fleet.mesh.cutOff.clear();
+		return fleet;
+	};
+
+	it.each([[0, 1], [1, 0]])('releases a part whose crashes entry VM %d has found explained while %d had no link', async (releasing, other) => {
+		const fleet = await createDivided({size: 2, releasing, cutOff: [other]});
+		await fleet.relink(releasing, other);
+		expect([fleet.countQuarantined(['shared']), fleet.countQuarantined(['dead'])]).toEqual([0, 2]);
+	});
+
+	it('releases a part at the members of another cell, with a bounded number of messages', async () => {
+		const fleet = await createDivided({
+			size: 10, cellSize: 5, releasing: 2, cutOff: [5, 6, 7, 8, 9],
+		});
+		const before = fleet.messages;
+		await fleet.relink(0, 5);
+		expect([fleet.countQuarantined(['shared']), fleet.countQuarantined(['dead']), fleet.messages - before <= 60]).toEqual([0, 10, true]);
+	});
+
+	it('releases a part at the next link when the one before was lost halfway, and nothing without a message', async () => {
+		const fleet = await createDivided({size: 2, releasing: 0, cutOff: [1]});
+		fleet.quarantines[1]!.linkUp(fleet.mesh.link(1, 0));
+		await fleet.clock.advance(30);
+		fleet.mesh.cutOff.add(1);
+		await fleet.clock.advance(5000);
+		expect(fleet.countQuarantined(['shared'])).toBe(1);
+		fleet.mesh.cutOff.clear();
+		await fleet.relink(0, 1);
+		expect(fleet.countQuarantined(['shared'])).toBe(0);
+	});
+
+	it('releases a part that was answered after its crashes at a peer that does not lead its cell', async () => {
+		const fleet = SimulatedFleet.create(3);
+		fleet.topic.isDown = true;
+		await fleet.crash(0, 'e-1', ['sound']);
+		await fleet.crash(1, 'e-2', ['sound']);
+		fleet.mesh.cutOff.add(2);
+		fleet.quarantines[1]!.answered(['sound']);
+		await fleet.clock.advance(5000);
+		expect(fleet.countQuarantined(['sound'])).toBe(1);
+		fleet.mesh.cutOff.clear();
+		await fleet.relink(1, 2);
+		expect(fleet.countQuarantined(['sound'])).toBe(0);
+	});
+
+	it('keeps a part quarantined that was answered only long before its crashes', async () => {
+		const fleet = SimulatedFleet.create(2);
+		fleet.topic.isDown = true;
+		fleet.quarantines[0]!.answered(['turned']);
+		await fleet.clock.advance(10_000);
+		fleet.mesh.cutOff.add(1);
+		await fleet.crash(1, 'e-1', ['turned']);
+		await fleet.crash(1, 'e-2', ['turned']);
+		fleet.mesh.cutOff.clear();
+		await fleet.relink(0, 1);
+		expect(fleet.countQuarantined(['turned'])).toBe(2);
+	});
+
+	// Guards against a message that the peer rejects, with the link, because it names too many answers.
+	it('replies with more answers than fit in one message', () => {
+		const parts = Array.from({length: 4500}, (_, index) => `part-${index}`);
+		const messages: SuspicionMessage[] = [];
+		const link = {
+			peer: {name: 'vm-1', zone: 'zone-0'},
+			send(message: SuspicionMessage) {
+				messages.push(message);
+				return true;
+			},
+		} as unknown as Link;
+		const mesh = SimulatedMesh.create({size: 2, clock: ManualClock.create({now: 0}), deliver: () => undefined});
+		const member = PromptQuarantine.create({
+			clock: ManualClock.create({now: 10_000}), logger: silentLoggerFactory('targets'), writer: MemoryTopic.create(), mesh: () => mesh.at(1),
+		});
+		member.answered(parts);
+		member.receive(link, {
+			type: 'prompt-suspicions', suspicions: [0, 1500, 3000].map(from => [parts.slice(from, from + 1500), [['e-1', 1], ['e-2', 1]], 1000, 500, 500]), answered: [],
+		});
+		expect([messages.reduce((sum, {answered}) => sum + answered.length, 0), messages.every(message => decodeLinkMessage(encodeLinkMessage(message)) !== undefined)]).toEqual([4500, true]);
+	});
+});
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -226,6 +226,8 @@
 			for (const change of changes) {
 				this.#passOnCleared(change, undefined);
 			}
+
+			this.#reply(from, changes);
 		}
 
 		if (quarantined.length > 0) {
@@ -251,6 +253,24 @@
 		}
 	}
 
+	/**
+	 * Sends the peer from which evidence came the answers that contradict it: it may have had no link when they were passed
+	 * on, and leaders pass on only what is new to them.
+	 */
+	#reply(link: Link, changes: readonly LedgerChange[]): void {
+		const {clock, logger, mesh} = this.options;
+		const leader = mesh()?.leader();
+		const isToldOfCleared = !leader || leader === link;
+		const answers = new Map(changes.flatMap(({cleared, contradicting}) => [...contradicting, ...(isToldOfCleared ? [] : cleared)]));
+		for (const entries of chunk([...answers], linkLimits.promptParts)) {
+			const answered = new Map(entries);
+			logger.info('Told a peer of answers to requests with parts that it suspects.', {
+				peer: link.peer.name, parts: partsKey([...answered.keys()]), age_ms: Math.round(clock.now() - Math.max(...answered.values())),
+			});
+			link.send(this.#encode([], answered));
+		}
+	}
+
 	#log(added: readonly Suspicion[], quarantined: readonly Suspicion[], from: Link | undefined): void {
 		const {logger} = this.options;
 		const source = from?.peer.name ?? 'self';
--- a/src/quarantine/suspicion-ledger.test.ts
+++ b/src/quarantine/suspicion-ledger.test.ts
@@ -62,6 +62,17 @@
 		expect(ledger.answered(['deadly'], -10_000).explained.map(({parts}) => parts)).toEqual([['deadly']]);
 	});
 
+	// Guards against a peer that keeps a set quarantined, since it lacks the answer without which its crashes are not explained.
+	it('returns the answers that contradict the quarantine of a peer, and none for a set that is quarantined here', () => {
+		const ledger = SuspicionLedger.create();
+		ledger.answered(['shared', 'turned'], -10_000);
+		addCrashes(ledger, [['dead', 'shared'], ['dead', 'shared', 'b'], ['dead']]);
+		const quarantinedAtPeer = (parts: readonly string[], crashes: ReadonlyMap<string, number>) => ledger.add({...crash('', parts, {sentMs: 0, crashedMs: 1500}), crashes, quarantinedMs: 1500}, 4000).contradicting;
+		expect([
+			quarantinedAtPeer(['shared'], new Map([['e-0-0', 1], ['e-0-1', 1]])), quarantinedAtPeer(['turned'], new Map([['x-1', 1], ['x-2', 1]])), quarantinedAtPeer(['dead'], new Map([['e-0-0', 1], ['e-0-1', 1]])),
+		]).toEqual([new Map([['shared', -10_000]]), new Map(), new Map()]);
+	});
+
 	it('rejects only requests with all parts of a set while the deadly one among them is unknown', () => {
 		const ledger = SuspicionLedger.create();
 		addCrashes(ledger, [['dead', 'a'], ['dead', 'a']]);
--- a/src/quarantine/suspicion-ledger.ts
+++ b/src/quarantine/suspicion-ledger.ts
@@ -35,6 +35,8 @@
 	readonly quarantined: readonly Suspicion[];
 	/** Sets of parts that were quarantined until this change, which explains their crashes. */
 	readonly explained: readonly Suspicion[];
+	/** Answers to the other parts of a set that was added as quarantined, but is not quarantined here: its source may lack them. */
+	readonly contradicting: ReadonlyMap<string, Ms>;
 }
 
 /**
@@ -127,6 +129,7 @@
 			cleared,
 			quarantined: stored.flatMap(({current, isQuarantinedNow}) => isQuarantinedNow && !explained.includes(current) ? [current] : []),
 			explained,
+			contradicting: this.answersTo(suspicion.quarantinedMs === undefined || this.isQuarantined(parts) ? [] : parts),
 		};
 	}
 
@@ -313,7 +316,7 @@
 
 function unchanged(cleared: ReadonlyMap<string, Ms>): LedgerChange {
 	return {
-		added: undefined, cleared, quarantined: [], explained: [],
+		added: undefined, cleared, quarantined: [], explained: [], contradicting: new Map(),
 	};
 }
 
