Record the later crashes of a set that was quarantined with eight

A set of parts that was quarantined with 8 crashes recorded no later ones. Sound parts that came along with a deadly one at its ninth and tenth crash were quarantined and stayed so, as nothing explained these crashes.

Cause: combineSuspicions() cuts the evidence to 8 crashes, and the ledger took later evidence against a quarantined set only if it named more crashes than before. The cut dropped the crashes whose evidence came first, not the oldest. Nothing re-examined the other sets after a later crash was recorded, and it was not passed on to other entry VMs.

Change: the oldest crash gives way. Evidence of as many crashes as the set holds is recorded if it names one that the set lacks; that of a peer, whose crashes have no times of their own, only if it is later. Crashes that other sets explain are recorded as well, so that a set is released once fewer than two of its latest eight are left unexplained. Each recorded crash leads to another look at the quarantined sets, and is passed on.

Measured: 4 new tests fail before and pass now (87 of 87 in src/quarantine); platform/deadly-requests.test.ts and platform/prompt-quarantine.test.ts pass, 15 of 15. Without the order by time, the test of evidence that arrives out of order fails.

--- a/src/quarantine/combine-suspicions.ts
+++ b/src/quarantine/combine-suspicions.ts
@@ -5,8 +5,8 @@
 export const clockToleranceMs: Ms = 50;
 /** Minimum time from a crash to a request that was sent to the next start of the target, where nothing else tells the two apart. A crash is detected by up to two probes of 500 ms each, during which requests may still be sent to the start that crashes. */
 const restartMs: Ms = 1100;
-/** Maximum number of crashes that a suspicion names. */
-const maxCrashes = 8;
+/** Maximum number of crashes that a suspicion names, the latest ones. */
+export const maxCrashes = 8;
 /** Suffix that tells a start of a target from an earlier one with the same name. */
 export const nextStartSuffix = '+';
 
@@ -38,7 +38,8 @@
 		spans.set(name, spanOf(b, crash));
 	}
 
-	for (const crash of [...crashes.keys()].slice(0, -maxCrashes)) {
+	// Evidence may arrive in any order.
+	for (const crash of [...crashes.keys()].toSorted((x, y) => spans.get(x)!.crashedMs - spans.get(y)!.crashedMs).slice(0, -maxCrashes)) {
 		crashes.delete(crash);
 		spans.delete(crash);
 	}
--- a/src/quarantine/prompt-quarantine.test.ts
+++ b/src/quarantine/prompt-quarantine.test.ts
@@ -124,6 +124,27 @@
 		expect([fleet.countQuarantined(['shared']), fleet.countQuarantined(['dead'])]).toEqual([0, 9]);
 	});
 
+	// Guards against entry VMs that do not learn of the later crashes of a quarantined set, which explain those of a sound part.
+	it('releases a part at all entry VMs that came along at the ninth and tenth crash of a deadly one', async () => {
+		const fleet = SimulatedFleet.create(9);
+		fleet.quarantines[3]!.answered(['shared']);
+		await fleet.clock.advance(10_000);
+		for (let index = 0; index < 8; index++) {
+			await fleet.crash(1, `e-${index}`, ['dead']);
+		}
+
+		for (const vm of [4, 5]) {
+			const sentMs = fleet.clock.now();
+			await fleet.clock.advance(500);
+			fleet.quarantines[vm]!.crashed(`late-${vm}`, [['shared', `own-${vm}`], ['dead']].map(parts => ({
+				parts, progress: 'begun', sentMs, brokenMs: sentMs + 500,
+			})));
+			await fleet.clock.advance(200);
+		}
+
+		expect([fleet.countQuarantined(['shared']), fleet.countQuarantined(['dead'])]).toEqual([0, 9]);
+	});
+
 	it.each([9, 200])('clears a part at all of %d entry VMs when one of them has an answer, with a bounded number of messages', async size => {
 		const fleet = SimulatedFleet.create(size);
 		await fleet.crash(1, 'e-1', ['shared', 'dead']);
--- a/src/quarantine/suspicion-ledger.test.ts
+++ b/src/quarantine/suspicion-ledger.test.ts
@@ -73,6 +73,42 @@
 		]).toEqual([new Map([['shared', -10_000]]), new Map(), new Map()]);
 	});
 
+	// Guards against a deadly part whose later crashes are not known, so that sound parts beside it stay quarantined for them.
+	it('records crashes beyond the eighth of a quarantined set, which explain those of others', () => {
+		const ledger = SuspicionLedger.create();
+		ledger.answered(['shared'], -10_000);
+		addCrashes(ledger, Array.from({length: 8}, () => ['dead']));
+		for (const index of [8, 9]) {
+			for (const parts of [['dead', `a-${index}`], ['shared', `b-${index}`]]) {
+				ledger.add(crash(`e-${index}`, parts, {sentMs: index * 1000, crashedMs: (index * 1000) + 500}), (index * 1000) + 500);
+			}
+		}
+
+		const dead = ledger.all().find(({parts}) => parts.join(',') === 'dead');
+		expect([[...dead!.crashes.keys()].slice(-2), dead!.crashes.size]).toEqual([['e-8', 'e-9'], 8]);
+		expect([['dead'], ['shared']].map(parts => ledger.isQuarantined(parts))).toEqual([true, false]);
+	});
+
+	it('releases a set of 8 crashes once its later ones are explained by another part, and not while fewer are', () => {
+		const ledger = SuspicionLedger.create();
+		ledger.answered(['shared'], -10_000);
+		addCrashes(ledger, Array.from({length: 8}, (_, index) => ['shared', `a-${index}`]));
+		const releases = Array.from({length: 7}, (_, index) => [['dead', `b-${index}`], ['shared', `c-${index}`]].flatMap(parts => {
+			const sentMs = 10_000 + (index * 1000);
+			return ledger.add(crash(`later-${index}`, parts, {sentMs, crashedMs: sentMs + 500}), sentMs + 500).explained.map(explained => explained.parts.join(','));
+		}));
+		expect(releases).toEqual([[], [], [], [], [], [], ['shared']]);
+		expect([['shared'], ['dead']].map(parts => ledger.isQuarantined(parts))).toEqual([false, true]);
+	});
+
+	it('keeps the latest eight crashes in whatever order their evidence arrives, and counts none again', () => {
+		const ledger = SuspicionLedger.create();
+		const add = (index: number) => ledger.add(crash(`e-${index}`, ['dead'], {sentMs: index * 1000, crashedMs: (index * 1000) + 500}), 20_000).added !== undefined;
+		expect([1, 2, 3, 4, 5, 6, 7, 9, 10, 8].map(index => add(index))).toEqual(Array.from({length: 10}, () => true));
+		expect([1, 2, 3, 10].map(index => add(index))).toEqual([false, false, false, false]);
+		expect([...ledger.quarantined()[0]!.crashes.keys()].toSorted()).toEqual(['e-10', 'e-3', 'e-4', 'e-5', 'e-6', 'e-7', 'e-8', 'e-9']);
+	});
+
 	it('rejects only requests with all parts of a set while the deadly one among them is unknown', () => {
 		const ledger = SuspicionLedger.create();
 		addCrashes(ledger, [['dead', 'a'], ['dead', 'a']]);
--- a/src/quarantine/suspicion-ledger.ts
+++ b/src/quarantine/suspicion-ledger.ts
@@ -1,7 +1,7 @@
 import type {Ms} from '../clock/index.js';
 import {LatestAnswers} from './latest-answers.js';
 import {isRequestId} from './request-id.js';
-import {combineSuspicions} from './combine-suspicions.js';
+import {clockToleranceMs, combineSuspicions, maxCrashes} from './combine-suspicions.js';
 import {findUnexplained} from './explain-crashes.js';
 import {
 	isAgainstRequest, partsKey, weightOf, type Suspicion,
@@ -122,7 +122,7 @@
 		const added = {...suspicion, parts};
 		const combined = this.#suspicionsWith(parts).flatMap(other => combineSuspicions(other, added) ?? []);
 		const stored = [added, ...combined].flatMap(candidate => this.#put(candidate, now) ?? []);
-		const explained = stored.some(({isQuarantinedNow}) => isQuarantinedNow) ? this.#releaseExplained() : [];
+		const explained = stored.some(({current}) => current.quarantinedMs !== undefined) ? this.#releaseExplained() : [];
 		this.#dropExcess();
 		return {
 			added: stored.length > 0 ? added : undefined,
@@ -198,9 +198,11 @@
 		const suspicion = this.#unexplainedOf(candidate);
 		const existing = this.#suspicions.get(partsKey(suspicion.parts));
 		const isQuarantined = suspicion.quarantinedMs !== undefined || weightOf(suspicion) >= quarantineWeight;
-		if (existing?.quarantinedMs !== undefined && suspicion.crashes.size > existing.crashes.size) {
-			// It explains later crashes as well.
-			this.#set({...suspicion, quarantinedMs: existing.quarantinedMs});
+		if (existing?.quarantinedMs !== undefined && hasOtherCrashes(candidate, existing)) {
+			// They count for the explanation of crashes, also those that others explain, since they take the place of earlier ones.
+			const current = {...candidate, quarantinedMs: existing.quarantinedMs};
+			this.#set(current);
+			return {current, isQuarantinedNow: false};
 		}
 
 		if (suspicion.crashes.size === 0 || (existing && (existing.quarantinedMs !== undefined || (!isQuarantined && weightOf(existing) >= weightOf(suspicion))))) {
@@ -320,6 +322,19 @@
 	};
 }
 
+/**
+ * Whether a suspicion against the parts of a quarantined set names crashes that the set lacks. The crashes of a peer have no
+ * times of their own, so that they replace as many known ones only if they are later.
+ */
+function hasOtherCrashes(suspicion: Suspicion, quarantined: Suspicion): boolean {
+	if (suspicion.crashes.size !== quarantined.crashes.size || suspicion.crashes.size < maxCrashes) {
+		return suspicion.crashes.size > quarantined.crashes.size;
+	}
+
+	const isLater = suspicion.spans !== undefined || suspicion.crashedMs > quarantined.crashedMs + clockToleranceMs;
+	return isLater && [...suspicion.crashes.keys()].some(crash => !quarantined.crashes.has(crash));
+}
+
 function isCleared({crashedMs}: Suspicion, answeredMs: Ms): boolean {
 	return answeredMs >= crashedMs - clearanceMs;
 }
