Ignore entries of lists that state nothing new about a cold target

Entries of complete lists that were read again and again after an evacuation prolonged the cold phase at the entry VM that read them, for the whole 12 s of a trial with a list each 1.5 s. Those that a health path had refuted began the phase again with each list.

Cause: an entry does not say when it was written, and its stated time counted from each reading. Within 2 s of the end of a known phase it prolonged the phase at once; otherwise it was a new claim.

Change: ColdStatements (pure) keeps the latest statement of each target, its start and the stated time. An entry of a list with the same ones, or of an earlier start, is ignored; one of a newer start counts, and so does each entry that is read as it is written.

--- a/src/limits/cold-targets.test.ts
+++ b/src/limits/cold-targets.test.ts
@@ -93,6 +93,50 @@
 		expect(knowing(0)).toBe(6);
 	});
 
+	// Guards against a target that stays cold at one entry VM as long as that one reads lists with the same old entry.
+	it.each([['after an evacuation', true], ['that a health path has refuted', false]] as const)('neither prolongs nor restarts a cold phase %s by an entry that it has read before', async (_, isEvacuated) => {
+		const {clock, vms, targets} = await setUp();
+		const target = targets[0]![0]!;
+		const readList = () => {
+			vms[0]!.seeEntry(target, {...target.entry, coldMs: 3000}, {isStart: false, isFromList: true});
+		};
+
+		if (isEvacuated) {
+			vms[0]!.zoneReopened('zone-0');
+		}
+
+		readList();
+		expect(vms[0]!.isCold(target)).toBe(true);
+		vms[0]!.seeHealth(target, {result: 'alive', coldMs: 0}, clock.now());
+		const coldAfterMs: Ms[] = [];
+		for (let atMs = 1500; atMs <= 12_000; atMs += 1500) {
+			await clock.advance(1500);
+			readList();
+			if (vms[0]!.isCold(target)) {
+				coldAfterMs.push(atMs);
+			}
+		}
+
+		expect(coldAfterMs).toEqual(isEvacuated ? [1500, 3000, 4500] : []);
+	});
+
+	it('treats a target as cold again after an entry of a newer start, and after one that was written again', async () => {
+		const {clock, vms, targets} = await setUp();
+		const target = targets[0]![0]!;
+		const isColdAfter = async (entry: {coldMs: number; startedMs: number}, isFromList: boolean) => {
+			await clock.advance(6000);
+			vms[0]!.seeEntry(target, {...target.entry, ...entry}, {isStart: false, isFromList});
+			return vms[0]!.isCold(target);
+		};
+
+		expect(await isColdAfter({coldMs: 3000, startedMs: 1}, true)).toBe(true);
+		expect(await isColdAfter({coldMs: 3000, startedMs: 1}, true)).toBe(false);
+		expect(await isColdAfter({coldMs: 3000, startedMs: 2}, true)).toBe(true);
+		expect(await isColdAfter({coldMs: 3000, startedMs: 2}, false)).toBe(true);
+		expect(await isColdAfter({coldMs: 2900, startedMs: 2}, true)).toBe(true);
+		expect(await isColdAfter({coldMs: 3000, startedMs: 1}, true)).toBe(false);
+	});
+
 	it('treats the targets of a zone as cold after its evacuation', async () => {
 		const {clock, vms, targets} = await setUp();
 		vms[0]!.zoneReopened('zone-1');
--- a/src/limits/cold-targets.ts
+++ b/src/limits/cold-targets.ts
@@ -11,6 +11,7 @@
 } from './cold-permits.js';
 import type {TargetHealth} from './cold-watch.js';
 import {ColdPhases, type ColdPhase} from './cold-phases.js';
+import {ColdStatements} from './cold-statements.js';
 import {judgeClaim} from './judge-claim.js';
 import {judgeCold, maxInformationAgeMs, type ColdEvidence} from './judge-cold.js';
 import {UnreachableTargets, type ReachFailure} from './unreachable-targets.js';
@@ -60,6 +61,7 @@
 	readonly #phases = ColdPhases.create();
 	/** Cold phases that only entries of unknown age claim, until the health paths have confirmed or refuted them. */
 	readonly #claims = ColdPhases.create();
+	readonly #statements = ColdStatements.create();
 	readonly #unreachable = UnreachableTargets.create();
 	readonly #permits: ColdPermits;
 	readonly #createdMs: Ms;
@@ -118,12 +120,21 @@
 			this.observe(target, {source: 'start'});
 		}
 
-		if (entry.coldMs !== undefined && entry.coldMs > 0) {
-			if (isFromList) {
-				this.#seeClaim(target, entry.coldMs);
-			} else {
-				this.observe(target, {source: 'entry', remainingMs: entry.coldMs});
-			}
+		const isKnown = isFromList && !this.#statements.isNews(target.id, entry);
+		if (!isKnown) {
+			this.#statements.record(target.id, entry);
+		}
+
+		if (entry.coldMs === undefined || entry.coldMs <= 0) {
+			return;
+		}
+
+		if (isKnown) {
+			this.options.logger.debug('Ignored an entry that tells that a target is cold: it tells nothing that was not read before.', {target: target.id, cold_ms: entry.coldMs});
+		} else if (isFromList) {
+			this.#seeClaim(target, entry.coldMs);
+		} else {
+			this.observe(target, {source: 'entry', remainingMs: entry.coldMs});
 		}
 	}
 
