Remove three copies of a test of cold targets

The test 'tells the fleet of a claim whose target does not respond to a health check' was there four times, word for word, since merges had taken it in again; the first one stays. The other tests of the file pass.

--- a/src/limits/cold-targets.test.ts
+++ b/src/limits/cold-targets.test.ts
@@ -83,16 +83,6 @@
 		expect(knowing(0)).toBe(0);
 	});
 
-	// Guards against entry VMs that send to a cold target as to a warm one, since its health path does not respond to the one that has read its entry.
-	it('tells the fleet of a claim whose target does not respond to a health check', async () => {
-		const {clock, vms, targets, knowing} = await setUp();
-		const target = targets[0]![0]!;
-		vms[0]!.seeEntry(target, {...target.entry, coldMs: 3000}, {isStart: false, isFromList: true});
-		vms[0]!.seeHealth(target, {result: 'silent', coldMs: undefined}, clock.now());
-		await clock.advance(100);
-		expect(knowing(0)).toBe(6);
-	});
-
 	// Guards against a target that stays cold at one entry VM as long as that one reads lists with the same old entry.
 	it.each([['after an evacuation', true], ['that a health path has refuted', false]] as const)('neither prolongs nor restarts a cold phase %s by an entry that it has read before', async (_, isEvacuated) => {
 		const {clock, vms, targets} = await setUp();
@@ -167,16 +157,6 @@
 		expect(knowing(0)).toBe(0);
 	});
 
-	// Guards against entry VMs that send to a cold target as to a warm one, since its health path does not respond to the one that has read its entry.
-	it('tells the fleet of a claim whose target does not respond to a health check', async () => {
-		const {clock, vms, targets, knowing} = await setUp();
-		const target = targets[0]![0]!;
-		vms[0]!.seeEntry(target, {...target.entry, coldMs: 3000}, {isStart: false, isFromList: true});
-		vms[0]!.seeHealth(target, {result: 'silent', coldMs: undefined}, clock.now());
-		await clock.advance(100);
-		expect(knowing(0)).toBe(6);
-	});
-
 	// Guards against a fleet that has only cold targets after a partition between zones, in which they were warm.
 	it('keeps what it finds about the reach of targets of other zones to itself', async () => {
 		const {clock, vms, targets, knowing} = await setUp();
@@ -221,16 +201,6 @@
 		await clock.advance(100);
 		expect(knowing(0)).toBe(0);
 	});
-
-	// Guards against entry VMs that send to a cold target as to a warm one, since its health path does not respond to the one that has read its entry.
-	it('tells the fleet of a claim whose target does not respond to a health check', async () => {
-		const {clock, vms, targets, knowing} = await setUp();
-		const target = targets[0]![0]!;
-		vms[0]!.seeEntry(target, {...target.entry, coldMs: 3000}, {isStart: false, isFromList: true});
-		vms[0]!.seeHealth(target, {result: 'silent', coldMs: undefined}, clock.now());
-		await clock.advance(100);
-		expect(knowing(0)).toBe(6);
-	});
 });
 
 // Guards against requests that a target gets as a warm one by entry VMs that do not know yet, and as a cold one by others.
