Ask entry VMs for parts of a retry although the leader has no slack

A leader expected 0.1 retries of each entry VM that it had not asked lately while it had no slack itself, as in the first 1.2 windows after its start. With four others, that is less than a retry, so that it denied loans without asking anyone, for others and for itself. It expects an equal part of what is missing now, and remembers the replies as before. The accounting of loans is unchanged.

Tried and left out: remembering replies for 1, 2 or 4 s in place of 8.

--- a/src/pools/loan-sources.ts
+++ b/src/pools/loan-sources.ts
@@ -34,12 +34,16 @@
 
 	/**
 	 * Returns the lenders to ask and how much of each, fewest first; none if they are not expected to have `needed` in all.
-	 * `usual` is expected of a lender that has not been asked lately.
+	 * A lender that has not been asked lately is expected to have `usual`, or an equal part of what the others lack if that is
+	 * more: only its reply tells whether it has counted requests that this entry VM knows nothing of.
 	 */
 	choose(lenders: readonly T[], {needed, usual, now}: {needed: number; usual: number; now: Ms}): Array<LoanSource<T>> {
 		const first = this.#next % Math.max(1, lenders.length);
+		const known = lenders.map(lender => this.#knownAmount(lender, now)).filter(amount => amount !== undefined);
+		const unaskedCount = Math.min(maxAsked, lenders.length - known.length);
+		const unasked = Math.max(usual, (needed - known.reduce((sum, amount) => sum + amount, 0)) / Math.max(1, unaskedCount));
 		const expected = [...lenders.slice(first), ...lenders.slice(0, first)]
-			.map(lender => ({lender, amount: this.#expect(lender, usual, now)}))
+			.map(lender => ({lender, amount: this.#knownAmount(lender, now) ?? unasked}))
 			.filter(({amount}) => amount >= minAmount)
 			.toSorted((a, b) => b.amount - a.amount)
 			.slice(0, maxAsked);
@@ -58,8 +62,9 @@
 		return left > 1e-9 ? [] : chosen;
 	}
 
-	#expect(lender: T, usual: number, now: Ms): number {
+	/** Returns what a lender could lend when it was last asked; `undefined` if that is too long ago. */
+	#knownAmount(lender: T, now: Ms): number | undefined {
 		const known = this.#known.get(lender);
-		return known && now - known.atMs < knownMs ? known.amount : usual;
+		return known && now - known.atMs < knownMs ? known.amount : undefined;
 	}
 }
--- a/src/pools/retry-loans.test.ts
+++ b/src/pools/retry-loans.test.ts
@@ -10,8 +10,8 @@
 const windowMs = 10_000;
 const ratio = 0.2;
 
-/** Entry VMs that have been up for long, with budgets for a service 'engine'. */
-function createFleet(size: number, slack: number, cellSize = size) {
+/** Entry VMs that have been up for long unless they start now (`isNew`), with budgets for a service 'engine'. */
+function createFleet(size: number, slack: number, {cellSize = size, isNew = false} = {}) {
 	const clock = ManualClock.create({now: 100_000});
 	const mesh = SimulatedMesh.create({
 		size, cellSize, clock, deliver(vm, link, message) {
@@ -20,7 +20,7 @@
 	});
 	const budgets = Array.from({length: size}, (_, vm) => {
 		const owner = RetryBudgets.create({
-			limits: {windowMs, ratio, slack}, self: `${vm}`, startedMs: -Infinity, isStageService: () => false,
+			limits: {windowMs, ratio, slack}, self: `${vm}`, startedMs: isNew ? clock.now() : -Infinity, isStageService: () => false,
 		});
 		owner.recordEntryVms(size, {now: clock.now(), isCurrent: true});
 		return owner.of('engine');
@@ -38,7 +38,7 @@
 
 /** Sends requests for 30 s or, at few entry VMs, longer, `perWindow` of them at each entry VM in a window, of which a part fails. Returns shares in percent, and messages per second and entry VM. */
 async function simulate({size, slack, cellSize, failing, perWindow, isLending}: {size: number; slack: number; cellSize: number; failing: number; perWindow: number; isLending: boolean}) {
-	const {clock, mesh, budgets, createRetry} = createFleet(size, slack, cellSize);
+	const {clock, mesh, budgets, createRetry} = createFleet(size, slack, {cellSize});
 	const random = Random.create(46);
 	let failed = 0;
 	let retried = 0;
@@ -98,6 +98,28 @@
 		expect(results.filter(({failing, after}) => failing === 0.02 && (after.messages > 1 || after.retriedPercent < 90))).toEqual([]);
 	}, 60_000);
 
+	// Guards against retries that are denied although the others have counted requests: a leader without slack expected nothing of them.
+	it('lend retries between entry VMs that have all just started, by the leader or to it', async () => {
+		const {clock, budgets, createRetry} = createFleet(5, 12, {isNew: true});
+		for (const budget of budgets) {
+			for (let request = 0; request < 6; request++) {
+				budget.recordRequest(clock.now());
+			}
+		}
+
+		const reserved: boolean[] = [];
+		for (const vm of [0, 3]) {
+			const retry = createRetry(vm);
+			const prepared = retry.prepare();
+			await clock.advance(200);
+			await prepared;
+			reserved.push(retry.reserve());
+		}
+
+		// 0.6 retries each, two in all; what is lent counts.
+		expect([reserved, budgets.reduce((sum, budget) => sum + budget.state(clock.now()).retries, 0)]).toEqual([[true, true], expect.closeTo(2, 3)]);
+	});
+
 	// Guards against a part of a retry that its lender spends as well, after the reply or the borrower was lost.
 	it('leave a loan charged to its lender until a window after its end, whoever is lost', async () => {
 		const {clock, mesh, budgets, loans} = createFleet(9, 10);
