Free stage results where a target responds with an error

Cause: a target that cannot fetch its inputs may respond with an error in place of 409; retained results would then be sent to the next target as well. Change: only the results of a response with events are retained; an error frees them as before, and the stages run again.

--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -340,6 +340,7 @@
 			target, prompt, choice: this.#picker.choiceOf(target), isStream: this.#streamWriter !== undefined,
 		});
 		let hasResponded = false;
+		let isSuccess = false;
 		let aliveMs: Ms | undefined;
 		let recordReply: (() => void) | undefined;
 		this.#isAttempting = true;
@@ -390,6 +391,7 @@
 			},
 			onHead: (targetHead, framing, status) => {
 				hasResponded = true;
+				isSuccess = status < 300;
 				recordReply?.();
 				this.#record.recordFraming(framing);
 				context.reach.recordReached();
@@ -407,7 +409,7 @@
 			onResponseStart: () => {
 				this.#record.recordFirstByte(clock.now());
 				ticket.recordResponseStart();
-				this.#results.startResponse({mayResume: mayRetry});
+				this.#results.startResponse({isStream: isSuccess, mayResume: mayRetry});
 				if (prompt) {
 					prefixCache.recordRequest(target.id, prompt.parts, clock.now());
 				}
--- a/src/retention/request-results.test.ts
+++ b/src/retention/request-results.test.ts
@@ -62,7 +62,7 @@
 	/** Interrupts a stream, so that the results of the next ones may be retained. */
 	function interrupt(): void {
 		const results = create('first');
-		results.startResponse({mayResume: true});
+		results.startResponse({isStream: true, mayResume: true});
 		results.endAttempt({isInterrupted: true});
 		results.release();
 		freed.pop();
@@ -74,7 +74,7 @@
 	it('frees results at the start of a response while no stream was interrupted', () => {
 		for (const id of ['a', 'b']) {
 			const results = create(id);
-			results.startResponse({mayResume: true});
+			results.startResponse({isStream: true, mayResume: true});
 			results.endAttempt({isInterrupted: false});
 			results.release();
 		}
@@ -85,11 +85,11 @@
 	it('retains results until they are used for a resume, and frees them once after that', () => {
 		interrupt();
 		const results = create('a');
-		results.startResponse({mayResume: true});
+		results.startResponse({isStream: true, mayResume: true});
 		expect([freed, retained()]).toEqual([[], [600_000, 1000]]);
 		results.endAttempt({isInterrupted: true});
 		expect([results.reuse(), retained()]).toEqual([['a'], [0, 0]]);
-		results.startResponse({mayResume: false});
+		results.startResponse({isStream: true, mayResume: false});
 		results.endAttempt({isInterrupted: false});
 		results.release();
 		results.release();
@@ -99,10 +99,10 @@
 	it('frees retained results at the end of the stream, and those of another run that takes their place', async () => {
 		interrupt();
 		const results = create('a');
-		results.startResponse({mayResume: true});
+		results.startResponse({isStream: true, mayResume: true});
 		results.set([resultOf('b')]);
 		expect([freed, retained()]).toEqual([['a'], [0, 0]]);
-		results.startResponse({mayResume: true});
+		results.startResponse({isStream: true, mayResume: true});
 		results.release();
 		await clock.advance(stagePool.resultTtlMs);
 		expect([freed, uses, retained()]).toEqual([['a', 'b'], ['retained', 'retained'], [0, 0]]);
@@ -111,11 +111,11 @@
 	it('frees what exceeds the bound of a service', () => {
 		interrupt();
 		const [first, second] = [create('a'), create('b')];
-		first.startResponse({mayResume: true});
-		second.startResponse({mayResume: true});
+		first.startResponse({isStream: true, mayResume: true});
+		second.startResponse({isStream: true, mayResume: true});
 		expect([freed, second.isEmpty, retained()]).toEqual([['b'], true, [600_000, 1000]]);
 		first.release();
-		create('c').startResponse({mayResume: true});
+		create('c').startResponse({isStream: true, mayResume: true});
 		expect([freed, retained()]).toEqual([['b', 'a'], [600_000, 1000]]);
 	});
 
@@ -125,34 +125,38 @@
 		lost.beginRun();
 		await clock.advance(500);
 		lost.set([resultOf('b')]);
-		lost.startResponse({mayResume: true});
+		lost.startResponse({isStream: true, mayResume: true});
 		await clock.advance(stagePool.resultTtlMs - 501);
 		expect(freed).toEqual(['a']);
 		await clock.advance(1);
 		expect([freed, lost.reuse(), retained()]).toEqual([['a', 'b'], [], [0, 0]]);
 		const used = create('c');
-		used.startResponse({mayResume: true});
+		used.startResponse({isStream: true, mayResume: true});
 		used.reuse();
 		await clock.advance(stagePool.resultTtlMs);
 		expect(freed).toEqual(['a', 'b']);
 	});
 
-	it('frees the results of responses that no attempt may follow, and counts no interruption of what cannot be resumed', () => {
-		const other = create('a', {isResumable: false});
-		other.startResponse({mayResume: true});
-		other.endAttempt({isInterrupted: true});
-		create('b').startResponse({mayResume: true});
+	it('frees the results of errors and of responses that no attempt may follow, and counts no interruption of what cannot be resumed', () => {
+		for (const [isResumable, isStream] of [[false, true], [true, false]] as const) {
+			const other = create('a', {isResumable});
+			other.startResponse({isStream, mayResume: true});
+			other.endAttempt({isInterrupted: true});
+		}
+
+		create('b').startResponse({isStream: true, mayResume: true});
 		interrupt();
-		create('c').startResponse({mayResume: false});
-		expect([uses, retained()]).toEqual([['freed', 'freed', 'freed'], [0, 0]]);
+		create('c').startResponse({isStream: true, mayResume: false});
+		create('d').startResponse({isStream: false, mayResume: true});
+		expect([uses.filter(use => use !== 'freed'), freed, retained()]).toEqual([[], ['a', 'a', 'b', 'c', 'd'], [0, 0]]);
 	});
 
 	it('forgets interruptions after 10 s', async () => {
 		interrupt();
 		await clock.advance(9000);
-		create('a').startResponse({mayResume: true});
+		create('a').startResponse({isStream: true, mayResume: true});
 		await clock.advance(1000);
-		create('b').startResponse({mayResume: true});
+		create('b').startResponse({isStream: true, mayResume: true});
 		expect(uses).toEqual(['retained', 'freed']);
 	});
 });
--- a/src/retention/request-results.ts
+++ b/src/retention/request-results.ts
@@ -25,7 +25,7 @@
  * @example
  * results.beginRun();
  * results.set(outcome.results);
- * results.startResponse({mayResume: true});
+ * results.startResponse({isStream: true, mayResume: true});
  * results.release();
  */
 export class RequestResults {
@@ -66,16 +66,20 @@
 		this.#results = results;
 	}
 
-	/** Retains or frees the results when the response to an attempt starts: the target has fetched its inputs. `mayResume` tells whether another attempt may follow. */
-	startResponse({mayResume}: {mayResume: boolean}): void {
+	/**
+	 * Retains or frees the results when the response to an attempt starts: the target has fetched its inputs. An error may
+	 * come from inputs that cannot be fetched, so that only the results of a response with events (`isStream`) are retained.
+	 * `mayResume` tells whether another attempt may follow.
+	 */
+	startResponse({isStream, mayResume}: {isStream: boolean; mayResume: boolean}): void {
 		const {clock, retention, id, service, services, isResumable} = this.options;
 		if (this.isEmpty) {
 			return;
 		}
 
 		this.#endRetention();
-		this.#hasStarted = isResumable;
-		if (!isResumable) {
+		this.#hasStarted = isResumable && isStream;
+		if (!this.#hasStarted) {
 			retention.recordFreed();
 			this.release();
 			return;
