--- a/src/quarantine/suspicion-ledger.ts
+++ b/src/quarantine/suspicion-ledger.ts
@@ -1,7 +1,7 @@
 import type {Ms} from '../clock/index.js';
 import {LatestAnswers} from './latest-answers.js';
 import {isRequestId} from './request-id.js';
-import {combineSuspicions} from './combine-suspicions.js';
+import {clockToleranceMs, combineSuspicions, maxCrashes} from './combine-suspicions.js';
 import {findUnexplained} from './explain-crashes.js';
 import {
 	isAgainstRequest, partsKey, weightOf, type Suspicion,
@@ -35,6 +35,8 @@
 	readonly quarantined: readonly Suspicion[];
 	/** Sets of parts that were quarantined until this change, which explains their crashes. */
 	readonly explained: readonly Suspicion[];
+	/** Answers to the other parts of a set that was added as quarantined, but is not quarantined here: its source may lack them. */
+	readonly contradicting: ReadonlyMap<string, Ms>;
 }
 
 /**
@@ -120,13 +122,14 @@
 		const added = {...suspicion, parts};
 		const combined = this.#suspicionsWith(parts).flatMap(other => combineSuspicions(other, added) ?? []);
 		const stored = [added, ...combined].flatMap(candidate => this.#put(candidate, now) ?? []);
-		const explained = stored.some(({isQuarantinedNow}) => isQuarantinedNow) ? this.#releaseExplained() : [];
+		const explained = stored.some(({current}) => current.quarantinedMs !== undefined) ? this.#releaseExplained() : [];
 		this.#dropExcess();
 		return {
 			added: stored.length > 0 ? added : undefined,
 			cleared,
 			quarantined: stored.flatMap(({current, isQuarantinedNow}) => isQuarantinedNow && !explained.includes(current) ? [current] : []),
 			explained,
+			contradicting: this.answersTo(suspicion.quarantinedMs === undefined || this.isQuarantined(parts) ? [] : parts),
 		};
 	}
 
@@ -195,9 +198,11 @@
 		const suspicion = this.#unexplainedOf(candidate);
 		const existing = this.#suspicions.get(partsKey(suspicion.parts));
 		const isQuarantined = suspicion.quarantinedMs !== undefined || weightOf(suspicion) >= quarantineWeight;
-		if (existing?.quarantinedMs !== undefined && suspicion.crashes.size > existing.crashes.size) {
-			// It explains later crashes as well.
-			this.#set({...suspicion, quarantinedMs: existing.quarantinedMs});
+		if (existing?.quarantinedMs !== undefined && hasOtherCrashes(candidate, existing)) {
+			// They count for the explanation of crashes, also those that others explain, since they take the place of earlier ones.
+			const current = {...candidate, quarantinedMs: existing.quarantinedMs};
+			this.#set(current);
+			return {current, isQuarantinedNow: false};
 		}
 
 		if (suspicion.crashes.size === 0 || (existing && (existing.quarantinedMs !== undefined || (!isQuarantined && weightOf(existing) >= weightOf(suspicion))))) {
@@ -313,10 +318,23 @@
 
 function unchanged(cleared: ReadonlyMap<string, Ms>): LedgerChange {
 	return {
-		added: undefined, cleared, quarantined: [], explained: [],
+		added: undefined, cleared, quarantined: [], explained: [], contradicting: new Map(),
 	};
 }
 
+/**
+ * Whether a suspicion against the parts of a quarantined set names crashes that the set lacks. The crashes of a peer have no
+ * times of their own, so that they replace as many known ones only if they are later.
+ */
+function hasOtherCrashes(suspicion: Suspicion, quarantined: Suspicion): boolean {
+	if (suspicion.crashes.size !== quarantined.crashes.size || suspicion.crashes.size < maxCrashes) {
+		return suspicion.crashes.size > quarantined.crashes.size;
+	}
+
+	const isLater = suspicion.spans !== undefined || suspicion.crashedMs > quarantined.crashedMs + clockToleranceMs;
+	return isLater && [...suspicion.crashes.keys()].some(crash => !quarantined.crashes.has(crash));
+}
+
 function isCleared({crashedMs}: Suspicion, answeredMs: Ms): boolean {
 	return answeredMs >= crashedMs - clearanceMs;
 }
