--- a/src/pools/loan-sources.ts
+++ b/src/pools/loan-sources.ts
@@ -33,7 +33,8 @@
 	}
 
 	/**
-	 * Returns the lenders to ask and how much of each, fewest first; none if they are not expected to have `needed` in all.
+	 * Returns the lenders to ask and how much of each, those with most first, so that few are asked; none if they are not
+	 * expected to have `needed` in all.
 	 * A lender that has not been asked lately is expected to have `usual`, or an equal part of what the others lack if that is
 	 * more: only its reply tells whether it has counted requests that this entry VM knows nothing of.
 	 */
