Move the options of an entry VM to their own module

relay-vm.ts holds construction, record handling, periodic tasks and shutdown in 1,178 lines. The options are the first part to leave it; the exports of the folder are the same.

--- a/src/relay-vm/index.ts
+++ b/src/relay-vm/index.ts
@@ -1,1 +1,2 @@
-export {RelayVm, type RelayLimits, type RelayVmOptions} from './relay-vm.js';
+export type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
+export {RelayVm} from './relay-vm.js';
--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,19 +1,19 @@
 import {ServicePace} from '../admission/index.js';
-import type {CancelTimer, Clock, Ms} from '../clock/index.js';
-import {listenWithRetry, type Listen, type ListenAddress} from '../http/index.js';
+import type {CancelTimer, Ms} from '../clock/index.js';
+import {listenWithRetry, type Listen} from '../http/index.js';
 import {errorMessage, type RequestProgress} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
 import {
-	RankCache, RelayMesh, getOrCreateLinkKey, type Link, type LinkIdentity, type LinkKey, type LinkKeyStore, type LinkMessage,
+	RankCache, RelayMesh, getOrCreateLinkKey, type Link, type LinkKey, type LinkMessage,
 } from '../links/index.js';
 import {
-	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits, type ColdBound, type TargetHealth,
+	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits, type TargetHealth,
 } from '../limits/index.js';
-import type {LoggerFactory, PartLogger} from '../logging/index.js';
+import type {PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type LostStageCall, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
+	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type LostStageCall, type StageCrash, type StageMessage, type StageTargetPort,
 } from '../pools/index.js';
-import {Placement, type EvacuationRecord} from '../placement/index.js';
+import {Placement} from '../placement/index.js';
 import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
@@ -22,14 +22,11 @@
 	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
 } from '../registry/index.js';
 import {
-	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
+	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type ProbeResult, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
-import {RouteTable, type ColdStart, type RelayDeclarations} from '../routes/index.js';
-import {
-	TopicFollower, type EraTracker, type KeyedRecord, type KeyedTopic, type KeyedWriter,
-} from '../topics/index.js';
-import type {VmList} from '../vms/index.js';
+import {RouteTable, type ColdStart} from '../routes/index.js';
+import {TopicFollower, type KeyedRecord} from '../topics/index.js';
 import {BufferReclaimer} from './buffer-reclaimer.js';
 import {configLongPollMs} from './config-read-times.js';
 import {startControlServer, type ControlServer} from './control-server.js';
@@ -38,6 +35,7 @@
 import {memoryBoundsOf} from './memory-bounds.js';
 import {MemoryWatch, readMemory} from './memory-watch.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
+import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
 import {TargetNews} from './target-news.js';
 import {TopicDistributor} from './topic-distributor.js';
 
@@ -72,67 +70,6 @@
 /** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
 const maxIsolatedShare = 0.34;
 
-/** Limits that may change while the process runs. */
-export interface RelayLimits {
-	readonly retryLimits: RetryLimits;
-	/** Time between SIGTERM and forced termination. */
-	readonly graceMs: Ms;
-}
-
-/** Options of `RelayVm`. */
-export interface RelayVmOptions {
-	readonly self: LinkIdentity;
-	/** Address to which other entry VMs connect. */
-	readonly links: ListenAddress;
-	readonly vmList: VmList;
-	/** Follower of the topic of the list, if it has one, to exchange news with peers. */
-	readonly vmListFollower?: TopicFollower;
-	readonly linkKeyStore: LinkKeyStore;
-	readonly regionOf: (zone: string) => string | undefined;
-	/** Address to which callers connect. */
-	readonly callers: ListenAddress;
-	/** Address of the readiness endpoint for the load balancer. */
-	readonly control: ListenAddress;
-	/** Address of the metrics endpoint. */
-	readonly metrics: ListenAddress;
-	readonly clock: Clock;
-	readonly createLogger: LoggerFactory;
-	/** Starts to write the lines that have been logged, without waiting for more. */
-	readonly flushLog?: (() => void) | undefined;
-	readonly seed: number;
-	readonly codec: RelayCodec;
-	readonly stageTargets: StageTargetPort;
-	/** Resolves with what the health path of a target says, or without a path another one at which every target responds; never rejects. */
-	readonly checkHealth: (target: RelayTarget, path: string | undefined) => Promise<TargetHealth>;
-	readonly configTopic: KeyedTopic;
-	readonly targetTopic: KeyedTopic;
-	/** Topic of the quarantined prompt parts. */
-	readonly quarantineTopic: KeyedTopic;
-	readonly quarantineWriter: KeyedWriter;
-	/** Decodes the configuration; returns `undefined` for a record without one. */
-	readonly decodeDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
-	/** Decodes the evacuation of a zone; returns `undefined` for a record without one. */
-	readonly decodeEvacuation: (record: KeyedRecord) => EvacuationRecord | undefined;
-	/** Decodes a target entry; returns `undefined` for a record without one. */
-	readonly decodeTarget: (record: KeyedRecord) => TargetEntry | undefined;
-	/** Eras of the history of the store's log. */
-	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
-	/** Memory that the operator gives the process, in bytes; `undefined` if that is not known. */
-	readonly memoryBytes?: number | undefined;
-	/** Time after its acknowledgement from which an evacuation must hold; `undefined` if the settings name none. */
-	readonly evacuateMs?: Ms | undefined;
-	readonly limits: RelayLimits;
-	/** Bound on the requests to a cold target from all entry VMs together; `undefined` for the rate that its service tolerates. */
-	readonly coldBound?: ColdBound | undefined;
-	/**
-	 * Whether no earlier process of this entry VM has run; by default one may have, and have used the share of the retry slack
-	 * until it ended.
-	 */
-	readonly isFirstStart?: boolean | undefined;
-	/** Ends the tries to bind addresses at once; `create` then throws. */
-	readonly signal?: AbortSignal | undefined;
-}
-
 /** Stages of a request that were in a call which got no whole response. */
 type LostStageAttempt = BrokenAttempt & {readonly onCrash: (crash: StageCrash) => void};
 
