Move the record handling of the store's topics out of the entry VM's class

StoreTopics follows the topics of configuration, targets and quarantined prompt parts, applies their records, and passes news on to the cell.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -19,33 +19,22 @@
 import {Random} from '../random/index.js';
 import {LeaderStandby, ReachWatch, type ReachMessage} from '../reach/index.js';
 import {
-	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
+	DrainingReports, TargetRegistry, type RelayTarget,
 } from '../registry/index.js';
 import {
 	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type ProbeResult, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
-import {RouteTable, type ColdStart} from '../routes/index.js';
-import {TopicFollower, type KeyedRecord} from '../topics/index.js';
+import type {ColdStart} from '../routes/index.js';
 import {BufferReclaimer} from './buffer-reclaimer.js';
-import {configLongPollMs} from './config-read-times.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {EventLoopWatch} from './event-loop-watch.js';
-import {judgeDeclarations} from './judge-declarations.js';
 import {memoryBoundsOf} from './memory-bounds.js';
 import {MemoryWatch, readMemory} from './memory-watch.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
-import {TargetNews} from './target-news.js';
-import {TopicDistributor} from './topic-distributor.js';
-
-/** Long-poll duration of reads of the quarantined prompt parts, which links carry as well, and the pause between them. */
-const quarantineLongPollMs: Ms = 10_000;
-const quarantinePollMs: Ms = 100;
-/** Time after the first configuration for which requests are rejected while the quarantined prompt parts are unknown. */
-const quarantineTimeoutMs: Ms = 1000;
-/** Pause between reads of the target entries. */
-const targetPollIntervalMs: Ms = 800;
+import {StoreTopics} from './store-topics.js';
+
 /** Maximum time in which the last responses are written before their connections are closed. */
 const flushTimeoutMs: Ms = 200;
 const flushCheckIntervalMs: Ms = 10;
@@ -106,7 +95,7 @@
 	readonly #metrics = RelayMetrics.create({
 		configVersion: () => this.configVersion,
 		storeEra: () => this.options.storeEras.current ?? 0,
-		targetsAgeMs: () => this.#targetFollower.ageMs,
+		targetsAgeMs: () => this.#topics.targetsAgeMs,
 		targets: () => this.#registry.size,
 		inFlight: () => this.#server.inFlight,
 		requestBytes: () => this.#requestMemory.bytes,
@@ -130,19 +119,13 @@
 	readonly #retryLoans: RetryLoans;
 	readonly #retrySpendLog: RetrySpendLog;
 	readonly #ranks = RankCache.create();
-	readonly #configFollower: TopicFollower;
-	readonly #targetFollower: TopicFollower;
-	#table: RouteTable | undefined;
-	#hasTargets = false;
-	readonly #decodedTargets = new WeakMap<KeyedRecord, TargetEntry | undefined>();
-	readonly #targetNews = TargetNews.create(record => this.#decodeTarget(record));
+	readonly #topics: StoreTopics;
 	readonly #closing = new AbortController();
 	#limits: RelayLimits;
 	#shutdownSchedule: ShutdownSchedule | undefined;
 	#mesh: RelayMesh | undefined;
 	#linkKey: LinkKey | undefined;
 	readonly #random: Random;
-	readonly #distributor = TopicDistributor.create(() => this.#mesh);
 	readonly #stages: MeshStageRunner;
 	readonly #quarantine: PromptQuarantine;
 	readonly #holds: TargetHolds;
@@ -153,7 +136,6 @@
 	readonly #coldTargets: ColdTargets;
 	readonly #coldWatch: ColdWatch;
 	readonly #drainingReports: DrainingReports;
-	readonly #quarantineFollower: TopicFollower;
 	readonly #eventLoopWatch: EventLoopWatch;
 	readonly #memoryWatch: MemoryWatch;
 	readonly #reach: ReachWatch<RelayTarget>;
@@ -161,7 +143,6 @@
 	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
 	readonly #stageCrashWatch: CrashWatch<LostStageAttempt>;
-	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
@@ -199,7 +180,7 @@
 				}
 			},
 			onEntry: (target, entry, isStart, isFromList) => {
-				this.#coldTargets.seeEntry(target, entry, {isStart: isStart && this.#hasTargets, isFromList});
+				this.#coldTargets.seeEntry(target, entry, {isStart: isStart && this.#topics.hasTargets, isFromList});
 			},
 			isKnownToDrain: entry => this.#drainingReports.has(entry),
 		});
@@ -276,7 +257,7 @@
 				this.#drainingReports.observe(target);
 			}, onRetrySpend: (service, spend) => {
 				this.#retrySpendLog.record(service, 'piece', spend);
-			}, holds: this.#holds, service: name => this.#table?.declarations.services.get(name), onLostCall: call => {
+			}, holds: this.#holds, service: name => this.#topics.service(name), onLostCall: call => {
 				this.#watchLostCall(call);
 			},
 		});
@@ -294,56 +275,26 @@
 		this.#stages = MeshStageRunner.create({
 			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
 		});
-		this.#configFollower = TopicFollower.create({
-			name: 'configuration',
-			topic: options.configTopic,
-			clock,
-			logger: createLogger('config'),
-			pollMs: 0,
-			waitMs: configLongPollMs,
-			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}, origin) => {
-				// Before the first configuration, with which requests are accepted.
-				this.#placement.applySnapshot(records.flatMap(record => options.decodeEvacuation(record) ?? []), origin);
-				this.#applyConfiguration(records);
-			},
-			onRecords: records => {
-				this.#placement.applyRecords(records.flatMap(record => options.decodeEvacuation(record) ?? []));
-				this.#applyConfiguration(records);
-			},
+		this.#quarantine = PromptQuarantine.create({
+			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
 		});
-		this.#targetFollower = TopicFollower.create({
-			name: 'targets',
-			topic: options.targetTopic,
-			clock,
-			logger,
-			pollMs: targetPollIntervalMs,
-			waitMs: 0,
-			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}, origin) => {
-				this.#targetNews.applySnapshot(records, origin);
-				const entries = records.flatMap(record => this.#decodeTarget(record) ?? []);
-				const heldIds = records.filter(record => record.value !== undefined && !this.#decodeTarget(record)).map(({key}) => key);
-				if (origin === 'restored') {
-					this.#registry.merge(entries, heldIds);
-				} else {
-					this.#registry.replace(entries, heldIds);
-				}
-
-				this.#hasTargets = true;
+		this.#topics = StoreTopics.create({
+			...options,
+			configLogger: createLogger('config'),
+			targetLogger: logger,
+			mesh: () => this.#mesh,
+			registry: this.#registry,
+			placement: this.#placement,
+			quarantine: this.#quarantine,
+			onConfiguration: table => {
+				this.#server.applyLimits(table);
+				this.#lifecycle.send({type: 'CONFIGURED'});
 				this.#coldWatch.check();
 			},
-			onRecords: records => {
-				this.#targetNews.apply(records);
-				this.#updateTargets(records);
-			},
-			onRecovered: outageMs => {
-				this.#registry.storeRecovered(outageMs);
+			onTargets: () => {
+				this.#coldWatch.check();
 			},
 		});
-		this.#quarantine = PromptQuarantine.create({
-			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
-		});
 		this.#targetLimits = TargetLimits.create({
 			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), targets: this.#registry,
 		});
@@ -352,7 +303,7 @@
 		});
 		this.#promptExchange = PromptExchange.create({clock, mesh: () => this.#mesh, loads: () => this.#prompts});
 		this.#prompts = PromptLoads.create({
-			clock, service: name => this.#table?.declarations.services.get(name), rank: (key, names) => this.#ranks.of(key, names), groupOf: zone => options.regionOf(zone) ?? zone, listener: this.#promptExchange, metrics: PromptMetrics.create(this.#metrics.registry, () => this.#prompts.totals()),
+			clock, service: name => this.#topics.service(name), rank: (key, names) => this.#ranks.of(key, names), groupOf: zone => options.regionOf(zone) ?? zone, listener: this.#promptExchange, metrics: PromptMetrics.create(this.#metrics.registry, () => this.#prompts.totals()),
 		});
 		this.#coldTargets = ColdTargets.create({
 			clock, logger, self: options.self, mesh: () => this.#mesh, targets: this.#registry, coldStart: service => this.#coldStartOf(service), bound: options.coldBound, isCutOff: () => this.#reach.isCutOff, onPermit: () => {
@@ -366,43 +317,22 @@
 			watchersOf: zone => this.#mesh?.watchersOf(zone) ?? [],
 			rank: (key, names) => this.#ranks.of(key, names),
 			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#mesh?.links().length ?? 0) === 0),
-			checkHealth: async target => this.#checkHealth(target, this.#table?.declarations.services.get(target.entry.service)?.healthPath),
+			checkHealth: async target => this.#checkHealth(target, this.#topics.service(target.entry.service)?.healthPath),
 			onHealth: (target, health, askedMs) => {
 				this.#coldTargets.seeHealth(target, health, askedMs);
 			},
 		});
-		this.#quarantineFollower = TopicFollower.create({
-			name: 'quarantine',
-			topic: options.quarantineTopic,
-			clock,
-			logger,
-			pollMs: quarantinePollMs,
-			waitMs: quarantineLongPollMs,
-			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}, origin) => {
-				this.#quarantine.applySnapshot(records, origin);
-			},
-			onRecords: records => {
-				this.#quarantine.applyRecords(records);
-			},
-		});
 		this.#eventLoopWatch = EventLoopWatch.create({
 			clock, logger: createLogger('entry-vm'), onDelay: delayMs => {
 				this.#metrics.recordHeldUp(delayMs);
 			},
 		});
 		this.#memoryWatch = MemoryWatch.create({clock, logger: createLogger('entry-vm'), onLogged: options.flushLog});
-		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
-		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
-		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#targetNews.isNews(record)});
-		if (options.vmListFollower) {
-			this.#distributor.add({name: 'entry VMs', follower: options.vmListFollower});
-		}
 	}
 
 	/** True while the load balancer should route connections to this VM. */
 	get isReady(): boolean {
-		return this.#lifecycle.state === 'serving' && this.#hasTargets && this.#stages.isReady && !this.#reach.isCutOff;
+		return this.#lifecycle.state === 'serving' && this.#topics.hasTargets && this.#stages.isReady && !this.#reach.isCutOff;
 	}
 
 	/** Applies changed limits. Retries that were spent under the earlier ones still count. */
@@ -453,7 +383,7 @@
 
 	/** Version of the current configuration; -1 before the first. */
 	get configVersion(): number {
-		return this.#table?.version ?? -1;
+		return this.#topics.table?.version ?? -1;
 	}
 
 	/** Number of known targets. */
@@ -545,9 +475,7 @@
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
 		this.#closing.abort();
-		this.#configFollower.stop();
-		this.#targetFollower.stop();
-		this.#quarantineFollower.stop();
+		this.#topics.stop();
 		this.#quarantine.close();
 		this.#coldWatch.close();
 		this.#coldTargets.close();
@@ -594,9 +522,7 @@
 			throw err;
 		}
 
-		this.#configFollower.start();
-		this.#targetFollower.start();
-		this.#quarantineFollower.start();
+		this.#topics.start();
 		this.#quarantine.start();
 		this.#stages.start();
 		this.#eventLoopWatch.start();
@@ -619,7 +545,7 @@
 		return {
 			listen: options.callers,
 			bind,
-			table: () => this.#isQuarantineKnown ? this.#table : undefined,
+			table: () => this.#topics.isQuarantineKnown ? this.#topics.table : undefined,
 			isRejecting: () => clock.now() >= (this.#shutdownSchedule?.acceptUntilMs ?? Infinity),
 			context: {
 				clock,
@@ -665,7 +591,7 @@
 				servicePace: ServicePace.create(),
 				shutdown: () => this.#shutdownSchedule,
 				isClosing,
-				targetsAgeMs: () => this.#targetFollower.ageMs,
+				targetsAgeMs: () => this.#topics.targetsAgeMs,
 			},
 		};
 	}
@@ -877,7 +803,7 @@
 					}
 
 					case 'topic-news': {
-						this.#distributor.receive(link, message);
+						this.#topics.receive(link, message);
 
 						break;
 					}
@@ -903,7 +829,7 @@
 				this.#retryBudgets.giveBack(link.peer.incarnation);
 				this.#retryLoans.linkLost(link);
 				this.#stages.linkLost(link);
-				this.#distributor.linkLost(link);
+				this.#topics.linkLost(link);
 				this.#targetLimits.linkLost(link);
 				this.#brittle.linkLost(link);
 				this.#coldTargets.linkLost(link);
@@ -959,42 +885,6 @@
 		}
 	}
 
-	/** Applies the newest configuration among records. */
-	#applyConfiguration(records: readonly KeyedRecord[]): void {
-		const logger = this.options.createLogger('config');
-		for (const record of records) {
-			const declarations = this.options.decodeDeclarations(record);
-			if (!declarations) {
-				continue;
-			}
-
-			const current = this.#table?.version;
-			const verdict = judgeDeclarations(this.#table?.declarations, declarations);
-			if (verdict !== 'apply') {
-				logger.info('Skipped a configuration version that is not newer than the current one.', {version: declarations.version, current, verdict});
-				continue;
-			}
-
-			if (declarations.version === current) {
-				logger.warn('A configuration version has another content than before; the one read last is applied.', {version: current});
-			}
-
-			this.#table = RouteTable.create(declarations);
-			this.#configuredMs ??= this.options.clock.now();
-			this.#server.applyLimits(this.#table);
-			this.#lifecycle.send({type: 'CONFIGURED'});
-			this.#coldWatch.check();
-			logger.info('Applied a version.', {
-				version: declarations.version, before: current, routes: declarations.routes.length, teams: declarations.teams.length,
-			});
-		}
-	}
-
-	/** Whether the quarantined prompt parts have been read from the store, or the store has not provided them in time. */
-	get #isQuarantineKnown(): boolean {
-		return this.#quarantineFollower.offset >= 0 || (this.#configuredMs !== undefined && this.options.clock.now() - this.#configuredMs >= quarantineTimeoutMs);
-	}
-
 	/** Returns a port whose calls tell whether targets can be reached. */
 	#watchReach(port: StageTargetPort): StageTargetPort {
 		return {
@@ -1013,27 +903,6 @@
 		};
 	}
 
-	/** Decodes a record once, although it is read to pass it on, to compare later ones with it, and to apply it. */
-	#decodeTarget(record: KeyedRecord): TargetEntry | undefined {
-		if (!this.#decodedTargets.has(record)) {
-			this.#decodedTargets.set(record, this.options.decodeTarget(record));
-		}
-
-		return this.#decodedTargets.get(record);
-	}
-
-	/** A malformed record is not its target's: what the target has written before holds until it writes again or its record is deleted. */
-	#updateTargets(records: readonly KeyedRecord[]): void {
-		for (const record of records) {
-			const entry = this.#decodeTarget(record);
-			if (entry) {
-				this.#registry.put(entry);
-			} else if (record.value === undefined) {
-				this.#registry.remove(record.key);
-			}
-		}
-	}
-
 	/**
 	 * Returns this host's share of the stage calls. It is less than 1 without links to most of the other entry VMs: they
 	 * then use another pool host, which calls the same targets.
@@ -1045,12 +914,12 @@
 
 	/** Returns the cold start that a service declares. Stage targets get calls from the host of their pool only, one at a time. */
 	#coldStartOf(service: string): ColdStart | undefined {
-		const declared = this.#table?.declarations.services.get(service);
+		const declared = this.#topics.service(service);
 		return declared?.stagePool ? undefined : declared?.coldStart;
 	}
 
 	#isStageService(service: string): boolean {
-		return this.#table?.declarations.services.get(service)?.stagePool !== undefined;
+		return this.#topics.service(service)?.stagePool !== undefined;
 	}
 
 	/** Lends the share of the retries of pieces to the host of the stage pools, and does so again before the loan is over. */
