Move probes and the watch of stage crashes out of the entry VM's class

TargetProbes probes targets and records what that tells of their reach; StageCrashWatch tells plans of crashes of stage targets.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -7,11 +7,11 @@
 	RankCache, RelayMesh, getOrCreateLinkKey, type Link, type LinkKey, type LinkMessage,
 } from '../links/index.js';
 import {
-	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits, type TargetHealth,
+	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits,
 } from '../limits/index.js';
 import type {PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type LostStageCall, type StageCrash, type StageMessage, type StageTargetPort,
+	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type StageMessage,
 } from '../pools/index.js';
 import {Placement} from '../placement/index.js';
 import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
@@ -22,7 +22,7 @@
 	DrainingReports, TargetRegistry, type RelayTarget,
 } from '../registry/index.js';
 import {
-	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type ProbeResult, type RelayServerOptions, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import {retry} from '../retry/index.js';
 import type {ColdStart} from '../routes/index.js';
@@ -31,9 +31,12 @@
 import {EventLoopWatch} from './event-loop-watch.js';
 import {memoryBoundsOf} from './memory-bounds.js';
 import {MemoryWatch, readMemory} from './memory-watch.js';
+import {nameStart} from './name-start.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
+import {StageCrashWatch} from './stage-crash-watch.js';
 import {StoreTopics} from './store-topics.js';
+import {TargetProbes} from './target-probes.js';
 
 /** Maximum time in which the last responses are written before their connections are closed. */
 const flushTimeoutMs: Ms = 200;
@@ -59,14 +62,6 @@
 /** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
 const maxIsolatedShare = 0.34;
 
-/** Stages of a request that were in a call which got no whole response. */
-type LostStageAttempt = BrokenAttempt & {readonly onCrash: (crash: StageCrash) => void};
-
-/** Names a start of a target. */
-function nameStart({id, entry: {startedMs}}: RelayTarget): string {
-	return `${id} ${startedMs ?? ''}`;
-}
-
 /**
  * Entry VM that relays requests: follows configuration and targets in the store, serves callers, and drains on shutdown.
  *
@@ -142,7 +137,8 @@
 	readonly #requestMemory: RequestMemory;
 	readonly #responseMemory: ResponseMemory;
 	readonly #standby: LeaderStandby;
-	readonly #stageCrashWatch: CrashWatch<LostStageAttempt>;
+	readonly #probes: TargetProbes;
+	readonly #stageCrashWatch: StageCrashWatch;
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
@@ -202,6 +198,21 @@
 				}
 			},
 		});
+		this.#probes = TargetProbes.create({
+			checkHealth: options.checkHealth,
+			placement: this.#placement,
+			holds: this.#holds,
+			liveness: this.#liveness,
+			reach: () => this.#reach,
+			onProbe: (target, result) => {
+				this.#coldTargets.seeHealth(target, {result, coldMs: undefined});
+			},
+		});
+		this.#stageCrashWatch = StageCrashWatch.create({
+			clock, logger, probe: async target => this.#probes.probe(target), onCrash: () => {
+				this.#metrics.recordCrash();
+			},
+		});
 		this.#drainingReports = DrainingReports.create({
 			clock, logger, mesh: () => this.#mesh, registry: this.#registry,
 		});
@@ -212,9 +223,9 @@
 			zone: options.self.zone,
 			callersAddress: () => `${options.callers.host}:${this.callersPort}`,
 			links: () => this.#mesh?.links() ?? [],
-			targets: () => [...this.#registry.all()].filter(target => this.#mayProbe(target)),
+			targets: () => [...this.#registry.all()].filter(target => this.#probes.mayProbe(target)),
 			probe: async target => {
-				const {result} = await this.#checkHealth(target);
+				const {result} = await this.#probes.checkHealth(target);
 				return result === 'alive';
 			},
 			onChange: isCutOff => {
@@ -253,23 +264,12 @@
 			clock, logger: createLogger('requests'), mesh: () => this.#mesh, budgetOf: service => this.#retryBudgets.of(service),
 		});
 		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
+			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#probes.watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
 			}, onRetrySpend: (service, spend) => {
 				this.#retrySpendLog.record(service, 'piece', spend);
 			}, holds: this.#holds, service: name => this.#topics.service(name), onLostCall: call => {
-				this.#watchLostCall(call);
-			},
-		});
-		this.#stageCrashWatch = CrashWatch.create({
-			clock,
-			logger,
-			probe: async target => this.#probe(target),
-			onCrash: ({target, attempts}) => {
-				this.#metrics.recordCrash();
-				for (const {onCrash, sentMs, brokenMs} of attempts) {
-					onCrash({crash: nameStart(target), sentMs, brokenMs});
-				}
+				this.#stageCrashWatch.callLost(call);
 			},
 		});
 		this.#stages = MeshStageRunner.create({
@@ -313,11 +313,11 @@
 		this.#coldWatch = ColdWatch.create({
 			clock,
 			self: options.self.name,
-			targets: () => [...this.#registry.all()].filter(target => this.#mayProbe(target) && this.#coldStartOf(target.entry.service) !== undefined),
+			targets: () => [...this.#registry.all()].filter(target => this.#probes.mayProbe(target) && this.#coldStartOf(target.entry.service) !== undefined),
 			watchersOf: zone => this.#mesh?.watchersOf(zone) ?? [],
 			rank: (key, names) => this.#ranks.of(key, names),
 			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#mesh?.links().length ?? 0) === 0),
-			checkHealth: async target => this.#checkHealth(target, this.#topics.service(target.entry.service)?.healthPath),
+			checkHealth: async target => this.#probes.checkHealth(target, this.#topics.service(target.entry.service)?.healthPath),
 			onHealth: (target, health, askedMs) => {
 				this.#coldTargets.seeHealth(target, health, askedMs);
 			},
@@ -540,7 +540,7 @@
 	#serverOptions(bind: Listen): RelayServerOptions {
 		const {options} = this;
 		const {clock, createLogger} = options;
-		const probe = async (target: RelayTarget) => this.#probe(target);
+		const probe = async (target: RelayTarget) => this.#probes.probe(target);
 		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
 		return {
 			listen: options.callers,
@@ -596,48 +596,6 @@
 		};
 	}
 
-	/** Probes a target; the result tells of the reach of targets as well. */
-	async #probe(target: RelayTarget): Promise<ProbeResult> {
-		if (this.#placement.isEvacuated(target.entry.zone) || this.#holds.isHeld(target)) {
-			return 'withheld';
-		}
-
-		const recordReply = this.#liveness.begin(target.entry.address);
-		const {result} = await this.#checkHealth(target);
-		this.#coldTargets.seeHealth(target, {result, coldMs: undefined});
-		if (result === 'alive') {
-			recordReply();
-			this.#reach.recordReached();
-		} else {
-			this.#reach.recordFailed(target.id);
-		}
-
-		return result;
-	}
-
-	/** Whether a target takes requests, so that its health is watched. */
-	#mayProbe(target: RelayTarget): boolean {
-		return this.#placement.exclusionOf(target) === undefined && !this.#holds.isHeld(target);
-	}
-
-	async #checkHealth(target: RelayTarget, path?: string): Promise<TargetHealth> {
-		const health = await this.options.checkHealth(target, path);
-		this.#holds.observe(target, health.retryAfterMs);
-		return health;
-	}
-
-	/** Finds out whether a stage target has crashed, and tells the plans whose pieces were in the call. */
-	#watchLostCall({target, pieces, sentMs, lostMs}: LostStageCall): void {
-		const jobs = new Map(pieces.map(({job}) => [job.attemptId, job]));
-		for (const {attemptId, onCrash} of jobs.values()) {
-			if (onCrash) {
-				this.#stageCrashWatch.attemptBroken(target, {
-					attemptId, parts: [], progress: 'waiting', sentMs, brokenMs: lostMs, onCrash,
-				});
-			}
-		}
-	}
-
 	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
 		const {metrics, createLogger} = this.options;
@@ -885,24 +843,6 @@
 		}
 	}
 
-	/** Returns a port whose calls tell whether targets can be reached. */
-	#watchReach(port: StageTargetPort): StageTargetPort {
-		return {
-			run: async call => {
-				const outcome = await port.run(call);
-				if (outcome.kind === 'unreachable') {
-					this.#reach.recordFailed(call.target.id);
-				} else {
-					this.#reach.recordReached();
-				}
-
-				return outcome;
-			},
-			free: async (producer, handles) => port.free(producer, handles),
-			producerOf: handle => port.producerOf(handle),
-		};
-	}
-
 	/**
 	 * Returns this host's share of the stage calls. It is less than 1 without links to most of the other entry VMs: they
 	 * then use another pool host, which calls the same targets.
