--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,5 +1,5 @@
 import {ServicePace} from '../admission/index.js';
-import type {CancelTimer, Ms} from '../clock/index.js';
+import type {Ms} from '../clock/index.js';
 import {listenWithRetry, type Listen} from '../http/index.js';
 import {errorMessage, type RequestProgress} from '../errors/index.js';
 import {EventRing} from '../events/index.js';
@@ -11,7 +11,7 @@
 } from '../limits/index.js';
 import type {PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type StageMessage,
+	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, type StageMessage,
 } from '../pools/index.js';
 import {Placement} from '../placement/index.js';
 import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
@@ -32,6 +32,7 @@
 import {memoryBoundsOf} from './memory-bounds.js';
 import {MemoryWatch, readMemory} from './memory-watch.js';
 import {nameStart} from './name-start.js';
+import {PieceShareLoans} from './piece-share-loans.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
 import {StageCrashWatch} from './stage-crash-watch.js';
@@ -45,8 +46,6 @@
 const turnsToRead = 4;
 /** Bound on how often these turns are repeated while more arrives: each turn accepts one connection. */
 const maxReadRounds = 100;
-/** Interval of the tries to lend the share of the retries of pieces to another host than before. */
-const shareRetryMs: Ms = 100;
 /** Interval at which a shutdown checks for requests in progress. */
 const drainCheckIntervalMs: Ms = 100;
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
@@ -112,6 +111,7 @@
 
 	readonly #retryBudgets: RetryBudgets;
 	readonly #retryLoans: RetryLoans;
+	readonly #pieceShares: PieceShareLoans;
 	readonly #retrySpendLog: RetrySpendLog;
 	readonly #ranks = RankCache.create();
 	readonly #topics: StoreTopics;
@@ -142,7 +142,6 @@
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
-	#cancelShareRenewal: CancelTimer = () => undefined;
 
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
@@ -240,7 +239,7 @@
 			clock, logger, onChange: isOn => {
 				this.#mesh?.setStandby(isOn);
 				if (isOn) {
-					this.#returnShares();
+					this.#pieceShares.returnShares();
 				} else {
 					this.#retryBudgets.takeLoans();
 				}
@@ -275,6 +274,9 @@
 		this.#stages = MeshStageRunner.create({
 			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
 		});
+		this.#pieceShares = PieceShareLoans.create({
+			clock, logger: createLogger('pools'), self: options.self, mesh: () => this.#mesh, budgets: this.#retryBudgets, host: this.#poolHost, isReady: () => this.#stages.isReady,
+		});
 		this.#quarantine = PromptQuarantine.create({
 			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
 		});
@@ -402,7 +404,7 @@
 		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
 		let hasReturnedShares = false;
 		const returnShares = async () => this.#tryStep('return shares of retries', () => {
-			hasReturnedShares ||= this.#returnShares();
+			hasReturnedShares ||= this.#pieceShares.returnShares();
 		});
 		await returnShares();
 		await this.#tryStep('hand over stage plans', () => {
@@ -486,7 +488,7 @@
 		this.#placement.close();
 		this.#promptExchange.close();
 		this.#standby.close();
-		this.#cancelShareRenewal();
+		this.#pieceShares.close();
 		this.#stages.close();
 		await this.#tryStep('close the server for callers', async () => this.#server.close());
 		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
@@ -530,7 +532,7 @@
 		this.#memoryWatch.start();
 		void this.#startMetrics();
 		void this.#startMesh();
-		this.#renewShareLoan();
+		this.#pieceShares.start();
 		options.storeEras.onChange(() => {
 			void this.#tryRestoreLinkKey();
 		});
@@ -862,48 +864,6 @@
 		return this.#topics.service(service)?.stagePool !== undefined;
 	}
 
-	/** Lends the share of the retries of pieces to the host of the stage pools, and does so again before the loan is over. */
-	#renewShareLoan(): void {
-		this.#cancelShareRenewal();
-		const isLent = this.#stages.isReady && this.#lendShare();
-		this.#cancelShareRenewal = this.options.clock.after(isLent ? shareRenewalMs : shareRetryMs, () => {
-			this.#renewShareLoan();
-		});
-	}
-
-	#lendShare(): boolean {
-		const leader = this.#mesh?.leader();
-		const now = this.options.clock.now();
-		const isLent = this.#retryBudgets.lend((leader?.peer ?? this.options.self).incarnation, now);
-		const spent = this.#retryBudgets.spentOfShare(now);
-		return isLent && (leader?.send({type: 'share-loan', ...(spent > 0 ? {spent} : {})}) ?? true);
-	}
-
-	/**
-	 * Returns the shares that were lent to this entry VM as the host of the stage pools, with what it has spent of them, if there
-	 * is a next host and no reserved retry is still to be sent; returns whether it did.
-	 */
-	#returnShares(): boolean {
-		const now = this.options.clock.now();
-		const pieces = this.#poolHost.retryBudgets().map(({state}) => state);
-		if (!this.#mesh?.leader() || pieces.some(({reserved}) => reserved > 0)) {
-			return false;
-		}
-
-		const {owners, spent} = this.#retryBudgets.returnLoans(pieces, now);
-		for (const link of this.#mesh.links()) {
-			if (owners.includes(link.peer.incarnation)) {
-				link.send({type: 'share-return', ...(spent > 0 ? {spent} : {})});
-			}
-		}
-
-		if (owners.length > 0) {
-			this.options.createLogger('pools').info('Returned the shares of retries that were lent to this host.', {owners: owners.length, spent_of_each: Math.round(spent * 100) / 100});
-		}
-
-		return true;
-	}
-
 	#retryBudgetStates() {
 		const now = this.options.clock.now();
 		return [
