Move the mesh and its messages out of the entry VM's class

MeshMember joins the mesh and leaves it, SharedLinkKey holds the link key across restores of the store, LinkListeners passes messages and news of links to the parts they are for, and startInBackground repeats the starts that may fail for a while.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -2,40 +2,38 @@
 import type {Ms} from '../clock/index.js';
 import {listenWithRetry, type Listen} from '../http/index.js';
 import {errorMessage, type RequestProgress} from '../errors/index.js';
-import {EventRing} from '../events/index.js';
-import {
-	RankCache, RelayMesh, getOrCreateLinkKey, type Link, type LinkKey, type LinkMessage,
-} from '../links/index.js';
+import {RankCache} from '../links/index.js';
 import {
 	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits,
 } from '../limits/index.js';
-import type {PartLogger} from '../logging/index.js';
 import {
-	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, type StageMessage,
+	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog,
 } from '../pools/index.js';
 import {Placement} from '../placement/index.js';
 import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
 import {PromptQuarantine} from '../quarantine/index.js';
 import {Random} from '../random/index.js';
-import {LeaderStandby, ReachWatch, type ReachMessage} from '../reach/index.js';
+import {LeaderStandby, ReachWatch} from '../reach/index.js';
 import {
 	DrainingReports, TargetRegistry, type RelayTarget,
 } from '../registry/index.js';
 import {
 	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
-import {retry} from '../retry/index.js';
 import type {ColdStart} from '../routes/index.js';
 import {BufferReclaimer} from './buffer-reclaimer.js';
 import {startControlServer, type ControlServer} from './control-server.js';
 import {EventLoopWatch} from './event-loop-watch.js';
+import {LinkListeners} from './link-listeners.js';
 import {memoryBoundsOf} from './memory-bounds.js';
 import {MemoryWatch, readMemory} from './memory-watch.js';
+import {MeshMember} from './mesh-member.js';
 import {nameStart} from './name-start.js';
 import {PieceShareLoans} from './piece-share-loans.js';
 import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
 import {StageCrashWatch} from './stage-crash-watch.js';
+import {startInBackground} from './start-in-background.js';
 import {StoreTopics} from './store-topics.js';
 import {TargetProbes} from './target-probes.js';
 
@@ -50,14 +48,6 @@
 const drainCheckIntervalMs: Ms = 100;
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
 const listenSchedule = {timeoutMs: 60_000, initialDelayMs: 100, maxDelayMs: 1000};
-/** Tries to bind the addresses for metrics and links, without which requests are served meanwhile. */
-const backgroundSchedule = {timeoutMs: Infinity, initialDelayMs: 500, maxDelayMs: 2000};
-/** Time over which the entry VMs spread the check of the link key in a restored store. */
-const linkKeySpreadMs: Ms = 1000;
-/** Intervals between reads of the list of entry VMs, which is in memory and cheap to read. */
-const vmListIntervals = {busyMs: 250, quietMs: 1000, quietAfterMs: 3000};
-/** Capacity of the ring of link events; events of the relay are logged instead. */
-const eventCapacity = 500;
 /** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
 const maxIsolatedShare = 0.34;
 
@@ -94,7 +84,7 @@
 		inFlight: () => this.#server.inFlight,
 		requestBytes: () => this.#requestMemory.bytes,
 		responseBytes: () => this.#responseMemory.bytes,
-		entryVms: () => this.#mesh?.size ?? 1,
+		entryVms: () => this.#member.mesh?.size ?? 1,
 		backlog: () => this.#poolHost.load(),
 		retryBudgets: () => this.#retryBudgetStates(),
 		retryShares: () => {
@@ -118,9 +108,7 @@
 	readonly #closing = new AbortController();
 	#limits: RelayLimits;
 	#shutdownSchedule: ShutdownSchedule | undefined;
-	#mesh: RelayMesh | undefined;
-	#linkKey: LinkKey | undefined;
-	readonly #random: Random;
+	readonly #member: MeshMember;
 	readonly #stages: MeshStageRunner;
 	readonly #quarantine: PromptQuarantine;
 	readonly #holds: TargetHolds;
@@ -146,7 +134,6 @@
 	private constructor(private readonly options: RelayVmOptions) {
 		const {clock, createLogger} = options;
 		this.#limits = options.limits;
-		this.#random = Random.create(options.seed + 3);
 		const memoryBounds = memoryBoundsOf(options.memoryBytes);
 		const reclaimer = BufferReclaimer.create({
 			maxGarbageBytes: memoryBounds.garbageBytes, usedBytes: () => this.#requestMemory.bytes + this.#responseMemory.bytes, clock, logger: createLogger('entry-vm'),
@@ -213,7 +200,7 @@
 			},
 		});
 		this.#drainingReports = DrainingReports.create({
-			clock, logger, mesh: () => this.#mesh, registry: this.#registry,
+			clock, logger, mesh: () => this.#member.mesh, registry: this.#registry,
 		});
 		this.#reach = ReachWatch.create({
 			clock,
@@ -221,7 +208,7 @@
 			random: Random.create(options.seed + 4),
 			zone: options.self.zone,
 			callersAddress: () => `${options.callers.host}:${this.callersPort}`,
-			links: () => this.#mesh?.links() ?? [],
+			links: () => this.#member.mesh?.links() ?? [],
 			targets: () => [...this.#registry.all()].filter(target => this.#probes.mayProbe(target)),
 			probe: async target => {
 				const {result} = await this.#probes.checkHealth(target);
@@ -237,7 +224,7 @@
 		});
 		this.#standby = LeaderStandby.create({
 			clock, logger, onChange: isOn => {
-				this.#mesh?.setStandby(isOn);
+				this.#member.mesh?.setStandby(isOn);
 				if (isOn) {
 					this.#pieceShares.returnShares();
 				} else {
@@ -260,10 +247,10 @@
 			},
 		});
 		this.#retryLoans = RetryLoans.create({
-			clock, logger: createLogger('requests'), mesh: () => this.#mesh, budgetOf: service => this.#retryBudgets.of(service),
+			clock, logger: createLogger('requests'), mesh: () => this.#member.mesh, budgetOf: service => this.#retryBudgets.of(service),
 		});
 		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#probes.watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
+			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#probes.watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#member.mesh?.isInCell(zone) ?? true, onDraining: target => {
 				this.#drainingReports.observe(target);
 			}, onRetrySpend: (service, spend) => {
 				this.#retrySpendLog.record(service, 'piece', spend);
@@ -272,19 +259,19 @@
 			},
 		});
 		this.#stages = MeshStageRunner.create({
-			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
+			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#member.mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
 		});
 		this.#pieceShares = PieceShareLoans.create({
-			clock, logger: createLogger('pools'), self: options.self, mesh: () => this.#mesh, budgets: this.#retryBudgets, host: this.#poolHost, isReady: () => this.#stages.isReady,
+			clock, logger: createLogger('pools'), self: options.self, mesh: () => this.#member.mesh, budgets: this.#retryBudgets, host: this.#poolHost, isReady: () => this.#stages.isReady,
 		});
 		this.#quarantine = PromptQuarantine.create({
-			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
+			clock, logger, mesh: () => this.#member.mesh, writer: options.quarantineWriter,
 		});
 		this.#topics = StoreTopics.create({
 			...options,
 			configLogger: createLogger('config'),
 			targetLogger: logger,
-			mesh: () => this.#mesh,
+			mesh: () => this.#member.mesh,
 			registry: this.#registry,
 			placement: this.#placement,
 			quarantine: this.#quarantine,
@@ -298,17 +285,17 @@
 			},
 		});
 		this.#targetLimits = TargetLimits.create({
-			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), targets: this.#registry,
+			clock, logger, mesh: () => this.#member.mesh, share: () => this.#poolShare(), targets: this.#registry,
 		});
 		this.#brittle = BrittleTargets.create({
-			clock, logger, random: Random.create(options.seed + 6), self: options.self.incarnation, mesh: () => this.#mesh, share: () => this.#poolShare(), entryVms: () => this.#retryBudgets.entryVms(clock.now()),
+			clock, logger, random: Random.create(options.seed + 6), self: options.self.incarnation, mesh: () => this.#member.mesh, share: () => this.#poolShare(), entryVms: () => this.#retryBudgets.entryVms(clock.now()),
 		});
-		this.#promptExchange = PromptExchange.create({clock, mesh: () => this.#mesh, loads: () => this.#prompts});
+		this.#promptExchange = PromptExchange.create({clock, mesh: () => this.#member.mesh, loads: () => this.#prompts});
 		this.#prompts = PromptLoads.create({
 			clock, service: name => this.#topics.service(name), rank: (key, names) => this.#ranks.of(key, names), groupOf: zone => options.regionOf(zone) ?? zone, listener: this.#promptExchange, metrics: PromptMetrics.create(this.#metrics.registry, () => this.#prompts.totals()),
 		});
 		this.#coldTargets = ColdTargets.create({
-			clock, logger, self: options.self, mesh: () => this.#mesh, targets: this.#registry, coldStart: service => this.#coldStartOf(service), bound: options.coldBound, isCutOff: () => this.#reach.isCutOff, onPermit: () => {
+			clock, logger, self: options.self, mesh: () => this.#member.mesh, targets: this.#registry, coldStart: service => this.#coldStartOf(service), bound: options.coldBound, isCutOff: () => this.#reach.isCutOff, onPermit: () => {
 				this.#metrics.recordColdPermit();
 			},
 		});
@@ -316,9 +303,9 @@
 			clock,
 			self: options.self.name,
 			targets: () => [...this.#registry.all()].filter(target => this.#probes.mayProbe(target) && this.#coldStartOf(target.entry.service) !== undefined),
-			watchersOf: zone => this.#mesh?.watchersOf(zone) ?? [],
+			watchersOf: zone => this.#member.mesh?.watchersOf(zone) ?? [],
 			rank: (key, names) => this.#ranks.of(key, names),
-			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#mesh?.links().length ?? 0) === 0),
+			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#member.mesh?.links().length ?? 0) === 0),
 			checkHealth: async target => this.#probes.checkHealth(target, this.#topics.service(target.entry.service)?.healthPath),
 			onHealth: (target, health, askedMs) => {
 				this.#coldTargets.seeHealth(target, health, askedMs);
@@ -330,6 +317,39 @@
 			},
 		});
 		this.#memoryWatch = MemoryWatch.create({clock, logger: createLogger('entry-vm'), onLogged: options.flushLog});
+		const listeners = LinkListeners.create({
+			clock,
+			quarantine: this.#quarantine,
+			targetLimits: this.#targetLimits,
+			brittle: this.#brittle,
+			coldTargets: this.#coldTargets,
+			drainingReports: this.#drainingReports,
+			promptExchange: this.#promptExchange,
+			reach: this.#reach,
+			retryBudgets: this.#retryBudgets,
+			retryLoans: this.#retryLoans,
+			stages: this.#stages,
+			topics: this.#topics,
+		});
+		this.#member = MeshMember.create({
+			...options,
+			logger: createLogger('links'),
+			metrics: this.#metrics,
+			distance: zone => this.#distance(zone),
+			isOnStandby: () => this.#standby.isOn,
+			onSize: (size, isCurrent) => {
+				this.#retryBudgets.recordEntryVms(size, {now: clock.now(), isCurrent});
+			},
+			onMessage(link, message) {
+				listeners.receive(link, message);
+			},
+			onUp(link) {
+				listeners.linkUp(link);
+			},
+			onLost(link) {
+				listeners.linkLost(link);
+			},
+		});
 	}
 
 	/** True while the load balancer should route connections to this VM. */
@@ -358,10 +378,6 @@
 		}
 	}
 
-	get #isClosed(): boolean {
-		return this.#closing.signal.aborted;
-	}
-
 	/** Port to which callers connect. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -401,7 +417,9 @@
 		let schedule = ShutdownSchedule.create({startedMs, graceMs: this.#limits.graceMs});
 		this.#shutdownSchedule = schedule;
 		this.#lifecycle.send({type: 'SHUTDOWN'});
-		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
+		await this.#tryStep('leave the mesh', () => {
+			this.#member.leave();
+		});
 		let hasReturnedShares = false;
 		const returnShares = async () => this.#tryStep('return shares of retries', () => {
 			hasReturnedShares ||= this.#pieceShares.returnShares();
@@ -477,6 +495,7 @@
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
 		this.#closing.abort();
+		this.#member.stop();
 		this.#topics.stop();
 		this.#quarantine.close();
 		this.#coldWatch.close();
@@ -493,7 +512,7 @@
 		await this.#tryStep('close the server for callers', async () => this.#server.close());
 		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
 		await this.#tryStep('close the metrics endpoint', async () => this.#metricsServer?.close());
-		await this.#tryStep('close the mesh', async () => this.#mesh?.close());
+		await this.#tryStep('close the mesh', async () => this.#member.close());
 		this.#pools.destroy();
 	}
 
@@ -531,10 +550,10 @@
 		this.#coldWatch.start();
 		this.#memoryWatch.start();
 		void this.#startMetrics();
-		void this.#startMesh();
+		void this.#member.start();
 		this.#pieceShares.start();
 		options.storeEras.onChange(() => {
-			void this.#tryRestoreLinkKey();
+			void this.#member.restoreKey();
 		});
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
@@ -600,249 +619,23 @@
 
 	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
-		const {metrics, createLogger} = this.options;
+		const {metrics, clock, createLogger} = this.options;
 		const {registry} = this.#metrics;
-		await this.#startInBackground('Cannot serve metrics yet; requests are still served, and it is tried again.', createLogger('entry-vm'), async () => {
-			const server = await startControlServer({
-				listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
-			});
-			this.#metricsServer = server;
-			if (this.#isClosed) {
-				await server.close();
-			}
-		});
-	}
-
-	/** Starts the mesh once the link key is available, with tries while its port is in use; until then this entry VM has no links. */
-	async #startMesh(): Promise<void> {
-		const logger = this.options.createLogger('links');
-		await this.#startInBackground('Cannot start the mesh yet; running without links, and it is tried again.', logger, async () => this.#createMesh());
-	}
-
-	/** Repeats an act until it succeeds or this entry VM closes, while requests are served. */
-	async #startInBackground(message: string, logger: PartLogger, act: () => Promise<void>): Promise<void> {
-		let failures = 0;
-		try {
-			await retry(act, {
-				clock: this.options.clock,
-				schedule: backgroundSchedule,
-				signal: this.#closing.signal,
-				onRetry({err, tries, delayMs}) {
-					failures = tries;
-					logger.warn(message, {error: errorMessage(err), tries, next_in_ms: delayMs});
-				},
-			});
-		} catch (err) {
-			logger.warn('Gave up an address since this entry VM closes.', {error: errorMessage(err)});
-			return;
-		}
-
-		if (failures > 0) {
-			logger.info('Bound an address after further tries.', {tries: failures + 1});
-		}
-	}
-
-	/** Handles a message about targets or the work at them; returns false for another one. */
-	#receiveAboutTargets(link: Link, message: LinkMessage): boolean {
-		switch (message.type) {
-			case 'prompt-suspicions': {
-				this.#quarantine.receive(link, message);
-
-				break;
-			}
-
-			case 'target-limit':
-			case 'limit-request':
-			case 'limit-reply': {
-				this.#targetLimits.receive(link, message);
-
-				break;
-			}
-
-			case 'target-cold':
-			case 'permit-request':
-			case 'permit-reply':
-			case 'permit-vote-request':
-			case 'permit-vote': {
-				this.#coldTargets.receive(link, message);
-
-				break;
-			}
-
-			case 'service-brittle':
-			case 'slot-request':
-			case 'slot-reply':
-			case 'slot-release': {
-				this.#brittle.receive(link, message);
-
-				break;
-			}
-
-			case 'target-draining': {
-				this.#drainingReports.receive(link, message);
-
-				break;
-			}
-
-			case 'prompt-work': {
-				this.#promptExchange.receive(link, message);
-
-				break;
-			}
-
-			default: {
-				return false;
-			}
-		}
-
-		return true;
-	}
-
-	async #createMesh(): Promise<void> {
-		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
-		const logger = createLogger('links');
-		this.#linkKey ??= await getOrCreateLinkKey({store: linkKeyStore, clock, logger});
-		const mesh = await RelayMesh.create({
-			self,
-			key: this.#linkKey,
-			listen: links,
+		await startInBackground({
 			clock,
-			random: Random.create(seed + 1),
-			vmList,
-			intervals: vmListIntervals,
-			registry: this.#metrics.registry,
-			logger,
-			events: EventRing.create({process: self.name, clock, capacity: eventCapacity}),
-			distanceTo: zone => {
-				const distance = this.#distance(zone);
-				return distance === 'same_region' ? 'other_zone' : distance;
-			},
-			regionOf: this.options.regionOf,
-			onMessage: (link, message) => {
-				if (this.#receiveAboutTargets(link, message)) {
-					return;
-				}
-
-				switch (message.type) {
-					case 'reach-request':
-					case 'reach-reply':
-					case 'reach-zone': {
-						this.#reach.receive(link, message satisfies ReachMessage);
-
-						break;
-					}
-
-					case 'share-loan': {
-						this.#retryBudgets.borrow(link.peer.incarnation, clock.now(), message.spent);
-
-						break;
-					}
-
-					case 'retry-request':
-					case 'retry-loan-request':
-					case 'retry-loan':
-					case 'retry-loan-return': {
-						this.#retryLoans.receive(link, message);
-
-						break;
-					}
-
-					case 'share-return': {
-						this.#retryBudgets.takeBack(link.peer.incarnation, {spent: message.spent, now: clock.now()});
-
-						break;
-					}
-
-					case 'standby': {
-						// The plans that wait here go on at the leader that has come back.
-						if (!message.isOn) {
-							this.#stages.handOver();
-						}
-
-						break;
-					}
-
-					case 'topic-news': {
-						this.#topics.receive(link, message);
-
-						break;
-					}
-
-					default: {if (message.type.startsWith('stage-')) {
-						this.#stages.receive(link, message as StageMessage);
-					}
-					}
+			logger: createLogger('entry-vm'),
+			message: 'Cannot serve metrics yet; requests are still served, and it is tried again.',
+			signal: this.#closing.signal,
+			act: async () => {
+				const server = await startControlServer({
+					listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
+				});
+				this.#metricsServer = server;
+				if (this.#closing.signal.aborted) {
+					await server.close();
 				}
 			},
-			onSize: (size, isCurrent) => {
-				this.#retryBudgets.recordEntryVms(size, {now: clock.now(), isCurrent});
-			},
-			onUp: link => {
-				this.#quarantine.linkUp(link);
-				this.#targetLimits.linkUp(link);
-				this.#brittle.linkUp(link);
-				this.#coldTargets.linkUp(link);
-				this.#drainingReports.linkUp(link);
-				this.#promptExchange.linkUp();
-			},
-			onLost: link => {
-				this.#retryBudgets.giveBack(link.peer.incarnation);
-				this.#retryLoans.linkLost(link);
-				this.#stages.linkLost(link);
-				this.#topics.linkLost(link);
-				this.#targetLimits.linkLost(link);
-				this.#brittle.linkLost(link);
-				this.#coldTargets.linkLost(link);
-				this.#reach.linkLost(link);
-				this.#promptExchange.linkLost(link);
-			},
 		});
-		this.#mesh = mesh;
-		if (this.#standby.isOn) {
-			mesh.setStandby(true);
-		}
-
-		// The shutdown may have begun while the port was in use.
-		if (this.#isClosed) {
-			await mesh.close();
-		} else if (this.#lifecycle.state === 'draining') {
-			mesh.leave();
-		}
-	}
-
-	async #tryRestoreLinkKey(): Promise<void> {
-		try {
-			await this.#restoreLinkKey();
-		} catch (err) {
-			this.options.createLogger('links').error('Cannot restore the link key; the current one remains in use.', {error: errorMessage(err)});
-		}
-	}
-
-	/**
-	 * Stores the link key again, or takes over the one that another entry VM has stored meanwhile, after the store has come
-	 * back from a copy that may be older than the key.
-	 */
-	async #restoreLinkKey(): Promise<void> {
-		const {linkKeyStore, clock, createLogger} = this.options;
-		const current = this.#linkKey;
-		if (!current) {
-			return;
-		}
-
-		const logger = createLogger('links');
-		await clock.sleep(this.#random.float() * linkKeySpreadMs);
-		if (this.#isClosed) {
-			return;
-		}
-
-		const key = await getOrCreateLinkKey({
-			store: linkKeyStore, clock, logger, current,
-		});
-		if (!key.equals(current)) {
-			this.#linkKey = key;
-			this.#mesh?.setKey(key);
-			logger.warn('Replaced the link key by the one that another entry VM has stored.');
-		}
 	}
 
 	/**
@@ -850,7 +643,7 @@
 	 * then use another pool host, which calls the same targets.
 	 */
 	#poolShare(): number {
-		const linked = this.#mesh?.linkedShare ?? 1;
+		const linked = this.#member.mesh?.linkedShare ?? 1;
 		return linked > maxIsolatedShare ? 1 : linked;
 	}
 
