Move the drain of a shutdown out of the entry VM's class

Drain runs the steps from SIGTERM to the last answers and holds the schedule; tryShutdownStep is shared with the closing.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,7 +1,6 @@
 import {ServicePace} from '../admission/index.js';
-import type {Ms} from '../clock/index.js';
 import {listenWithRetry, type Listen} from '../http/index.js';
-import {errorMessage, type RequestProgress} from '../errors/index.js';
+import type {RequestProgress} from '../errors/index.js';
 import {RankCache} from '../links/index.js';
 import {
 	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits,
@@ -18,11 +17,12 @@
 	DrainingReports, TargetRegistry, type RelayTarget,
 } from '../registry/index.js';
 import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type RelayServerOptions, type ZoneDistance,
+	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, TargetLiveness, TargetPools, TurnBudget, type RelayServerOptions, type ZoneDistance,
 } from '../relay/index.js';
 import type {ColdStart} from '../routes/index.js';
 import {BufferReclaimer} from './buffer-reclaimer.js';
 import {startControlServer, type ControlServer} from './control-server.js';
+import {Drain} from './drain.js';
 import {EventLoopWatch} from './event-loop-watch.js';
 import {LinkListeners} from './link-listeners.js';
 import {memoryBoundsOf} from './memory-bounds.js';
@@ -36,16 +36,8 @@
 import {startInBackground} from './start-in-background.js';
 import {StoreTopics} from './store-topics.js';
 import {TargetProbes} from './target-probes.js';
+import {tryShutdownStep} from './try-shutdown-step.js';
 
-/** Maximum time in which the last responses are written before their connections are closed. */
-const flushTimeoutMs: Ms = 200;
-const flushCheckIntervalMs: Ms = 10;
-/** Number of turns of the event loop in which a connection that waits is accepted, a request on it read, and a refusal written. */
-const turnsToRead = 4;
-/** Bound on how often these turns are repeated while more arrives: each turn accepts one connection. */
-const maxReadRounds = 100;
-/** Interval at which a shutdown checks for requests in progress. */
-const drainCheckIntervalMs: Ms = 100;
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
 const listenSchedule = {timeoutMs: 60_000, initialDelayMs: 100, maxDelayMs: 1000};
 /** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
@@ -107,7 +99,7 @@
 	readonly #topics: StoreTopics;
 	readonly #closing = new AbortController();
 	#limits: RelayLimits;
-	#shutdownSchedule: ShutdownSchedule | undefined;
+	readonly #drain: Drain;
 	readonly #member: MeshMember;
 	readonly #stages: MeshStageRunner;
 	readonly #quarantine: PromptQuarantine;
@@ -350,6 +342,9 @@
 				listeners.linkLost(link);
 			},
 		});
+		this.#drain = Drain.create({
+			clock, logger: createLogger('entry-vm'), lifecycle: this.#lifecycle, server: () => this.#server, member: this.#member, pieceShares: this.#pieceShares, stages: this.#stages,
+		});
 	}
 
 	/** True while the load balancer should route connections to this VM. */
@@ -360,24 +355,11 @@
 	/** Applies changed limits. Retries that were spent under the earlier ones still count. */
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
 		this.#limits = {retryLimits, graceMs};
-		this.#changeSchedule(graceMs);
+		this.#drain.setGrace(graceMs);
 		this.#retryBudgets.setLimits(retryLimits, this.options.clock.now());
 		this.#poolHost.setRetryLimits(retryLimits);
 	}
 
-	/** Applies a changed grace period to a shutdown in progress. */
-	#changeSchedule(graceMs: Ms): void {
-		const {clock, createLogger} = this.options;
-		const schedule = this.#shutdownSchedule;
-		if (schedule) {
-			const now = clock.now();
-			this.#shutdownSchedule = schedule.withGrace(graceMs, now);
-			createLogger('entry-vm').info(this.#shutdownSchedule === schedule ? 'Kept the end of the shutdown.' : 'Brought the end of the shutdown forward.', {
-				grace_ms: graceMs, end_in_ms: Math.round(this.#shutdownSchedule.endMs - now), last_end_in_ms: Math.round(schedule.lastEndMs - now), in_flight: this.#server.inFlight,
-			});
-		}
-	}
-
 	/** Port to which callers connect. */
 	get callersPort(): number {
 		return this.#server.port;
@@ -411,89 +393,13 @@
 
 	/** Drains: rejects the requests that cannot end in the grace period, waits for the other requests and hosted stage plans in progress until the grace period ends, then closes. Resolves when everything is closed. */
 	async shutdown(): Promise<void> {
-		const {clock, createLogger} = this.options;
-		const logger = createLogger('entry-vm');
-		const startedMs = clock.now();
-		let schedule = ShutdownSchedule.create({startedMs, graceMs: this.#limits.graceMs});
-		this.#shutdownSchedule = schedule;
-		this.#lifecycle.send({type: 'SHUTDOWN'});
-		await this.#tryStep('leave the mesh', () => {
-			this.#member.leave();
-		});
-		let hasReturnedShares = false;
-		const returnShares = async () => this.#tryStep('return shares of retries', () => {
-			hasReturnedShares ||= this.#pieceShares.returnShares();
-		});
-		await returnShares();
-		await this.#tryStep('hand over stage plans', () => {
-			this.#stages.handOver();
-		});
-		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
-		while (this.#lifecycle.state !== 'stopped') {
-			await returnShares();
-			await this.#tryStep('reject late requests', () => {
-				this.#server.rejectLate();
-			});
-			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.nextEndMs(clock.now()) - clock.now())));
-			await this.#readArrived();
-			const now = clock.now();
-			schedule = this.#shutdownSchedule;
-			if (now >= schedule.acceptUntilMs) {
-				this.#server.closeIdleConnections();
-			}
-
-			const isOver = now >= schedule.endMs;
-			if (isOver && now < schedule.lastEndMs) {
-				this.#server.endUnanswered();
-			}
-
-			const isIdle = this.#server.inFlight === 0 && (isOver || this.#stages.hostedPlans === 0);
-			if ((now >= schedule.idleStopMs && isIdle) || now >= schedule.lastEndMs) {
-				this.#lifecycle.send({type: 'STOP'});
-			}
-		}
-
-		await this.#tryStep('end requests', async () => this.#endRequests());
-		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
+		await this.#drain.run(this.#limits.graceMs);
 		await this.close();
 	}
 
-	/** Lets the event loop read what has arrived while the process stood still: timers run before that. */
-	async #readArrived(): Promise<void> {
-		for (let round = 0; round < maxReadRounds; round++) {
-			const before = this.#server.arrivals;
-			for (let turn = 0; turn < turnsToRead; turn++) {
-				await new Promise(resolve => {
-					setImmediate(resolve);
-				});
-			}
-
-			if (this.#server.arrivals === before) {
-				return;
-			}
-		}
-	}
-
-	/** Gives the requests in progress their last answers and waits until these are written. */
-	async #endRequests(): Promise<void> {
-		const {clock, createLogger} = this.options;
-		if (this.#server.inFlight === 0) {
-			return;
-		}
-
-		createLogger('entry-vm').warn('Ending the requests that are still in progress at the end of the grace period.', {in_flight: this.#server.inFlight});
-		this.#server.endRequests();
-		const endMs = clock.now() + flushTimeoutMs;
-		while (this.#server.inFlight > 0 && clock.now() < endMs) {
-			await clock.sleep(flushCheckIntervalMs);
-		}
-
-		// A response counts as sent once the kernel has it; the caller reads it after that.
-		await clock.sleep(flushCheckIntervalMs);
-	}
-
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
+		const logger = this.options.createLogger('entry-vm');
 		this.#closing.abort();
 		this.#member.stop();
 		this.#topics.stop();
@@ -509,22 +415,13 @@
 		this.#standby.close();
 		this.#pieceShares.close();
 		this.#stages.close();
-		await this.#tryStep('close the server for callers', async () => this.#server.close());
-		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
-		await this.#tryStep('close the metrics endpoint', async () => this.#metricsServer?.close());
-		await this.#tryStep('close the mesh', async () => this.#member.close());
+		await tryShutdownStep(logger, 'close the server for callers', async () => this.#server.close());
+		await tryShutdownStep(logger, 'close the readiness endpoint', async () => this.#control.close());
+		await tryShutdownStep(logger, 'close the metrics endpoint', async () => this.#metricsServer?.close());
+		await tryShutdownStep(logger, 'close the mesh', async () => this.#member.close());
 		this.#pools.destroy();
 	}
 
-	/** Takes a step of the shutdown. After one that fails, the others matter no less: requests in progress depend on them. */
-	async #tryStep(step: string, take: () => void | Promise<void>): Promise<void> {
-		try {
-			await take();
-		} catch (err) {
-			this.options.createLogger('entry-vm').error('A step of the shutdown failed; going on.', {step, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
-		}
-	}
-
 	async #start(): Promise<void> {
 		const {options} = this;
 		const {clock, createLogger} = options;
@@ -567,7 +464,7 @@
 			listen: options.callers,
 			bind,
 			table: () => this.#topics.isQuarantineKnown ? this.#topics.table : undefined,
-			isRejecting: () => clock.now() >= (this.#shutdownSchedule?.acceptUntilMs ?? Infinity),
+			isRejecting: () => clock.now() >= (this.#drain.schedule?.acceptUntilMs ?? Infinity),
 			context: {
 				clock,
 				random: Random.create(options.seed),
@@ -610,7 +507,7 @@
 				quarantine: this.#quarantine,
 				durations: {requests: RouteDurations.create(), attempts: RouteDurations.create()},
 				servicePace: ServicePace.create(),
-				shutdown: () => this.#shutdownSchedule,
+				shutdown: () => this.#drain.schedule,
 				isClosing,
 				targetsAgeMs: () => this.#topics.targetsAgeMs,
 			},
