Move the construction of the parts out of the entry VM's class

RelayVmParts creates the parts and connects them, in the order of before; createServerOptions gives the server for callers what it needs of them. RelayVm keeps the start, the state for outside, and the closing.

--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,47 +1,15 @@
-import {ServicePace} from '../admission/index.js';
 import {listenWithRetry, type Listen} from '../http/index.js';
 import type {RequestProgress} from '../errors/index.js';
-import {RankCache} from '../links/index.js';
-import {
-	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits,
-} from '../limits/index.js';
-import {
-	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog,
-} from '../pools/index.js';
-import {Placement} from '../placement/index.js';
-import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
-import {PromptQuarantine} from '../quarantine/index.js';
-import {Random} from '../random/index.js';
-import {LeaderStandby, ReachWatch} from '../reach/index.js';
-import {
-	DrainingReports, TargetRegistry, type RelayTarget,
-} from '../registry/index.js';
-import {
-	CrashWatch, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, TargetLiveness, TargetPools, TurnBudget, type RelayServerOptions, type ZoneDistance,
-} from '../relay/index.js';
-import type {ColdStart} from '../routes/index.js';
-import {BufferReclaimer} from './buffer-reclaimer.js';
+import {RelayServer} from '../relay/index.js';
 import {startControlServer, type ControlServer} from './control-server.js';
-import {Drain} from './drain.js';
-import {EventLoopWatch} from './event-loop-watch.js';
-import {LinkListeners} from './link-listeners.js';
-import {memoryBoundsOf} from './memory-bounds.js';
-import {MemoryWatch, readMemory} from './memory-watch.js';
-import {MeshMember} from './mesh-member.js';
-import {nameStart} from './name-start.js';
-import {PieceShareLoans} from './piece-share-loans.js';
-import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
 import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
-import {StageCrashWatch} from './stage-crash-watch.js';
+import {RelayVmParts} from './relay-vm-parts.js';
+import {createServerOptions} from './server-options.js';
 import {startInBackground} from './start-in-background.js';
-import {StoreTopics} from './store-topics.js';
-import {TargetProbes} from './target-probes.js';
 import {tryShutdownStep} from './try-shutdown-step.js';
 
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
 const listenSchedule = {timeoutMs: 60_000, initialDelayMs: 100, maxDelayMs: 1000};
-/** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
-const maxIsolatedShare = 0.34;
 
 /**
  * Entry VM that relays requests: follows configuration and targets in the store, serves callers, and drains on shutdown.
@@ -61,303 +29,29 @@
 		return vm;
 	}
 
-	readonly #lifecycle = RelayVmLifecycle.create();
-	readonly #registry: TargetRegistry;
-	readonly #placement: Placement;
-	readonly #poolHost: PoolHost;
-	readonly #liveness: TargetLiveness;
-	readonly #pools: TargetPools;
-	readonly #prefixCache = PrefixCacheTracker.create();
-	readonly #metrics = RelayMetrics.create({
-		configVersion: () => this.configVersion,
-		storeEra: () => this.options.storeEras.current ?? 0,
-		targetsAgeMs: () => this.#topics.targetsAgeMs,
-		targets: () => this.#registry.size,
-		inFlight: () => this.#server.inFlight,
-		requestBytes: () => this.#requestMemory.bytes,
-		responseBytes: () => this.#responseMemory.bytes,
-		entryVms: () => this.#member.mesh?.size ?? 1,
-		backlog: () => this.#poolHost.load(),
-		retryBudgets: () => this.#retryBudgetStates(),
-		retryShares: () => {
-			const now = this.options.clock.now();
-			return {entryVms: this.#retryBudgets.entryVms(now) ?? 0, borrowed: this.#retryBudgets.borrowedShares(now)};
-		},
-		evacuatedZones: () => this.#placement.evacuatedZones,
-		quarantined: () => this.#quarantine.size,
-		memory: readMemory,
-		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
-		coldTargets: () => this.#coldTargets.size,
-		heldBackTargets: () => ({retry_after: this.#holds.size, brittle: [...this.#registry.all()].filter(target => this.#brittle.isBrittle(target)).length}),
-	});
-
-	readonly #retryBudgets: RetryBudgets;
-	readonly #retryLoans: RetryLoans;
-	readonly #pieceShares: PieceShareLoans;
-	readonly #retrySpendLog: RetrySpendLog;
-	readonly #ranks = RankCache.create();
-	readonly #topics: StoreTopics;
+	readonly #parts: RelayVmParts;
 	readonly #closing = new AbortController();
 	#limits: RelayLimits;
-	readonly #drain: Drain;
-	readonly #member: MeshMember;
-	readonly #stages: MeshStageRunner;
-	readonly #quarantine: PromptQuarantine;
-	readonly #holds: TargetHolds;
-	readonly #brittle: BrittleTargets;
-	readonly #targetLimits: TargetLimits;
-	readonly #prompts: PromptLoads;
-	readonly #promptExchange: PromptExchange;
-	readonly #coldTargets: ColdTargets;
-	readonly #coldWatch: ColdWatch;
-	readonly #drainingReports: DrainingReports;
-	readonly #eventLoopWatch: EventLoopWatch;
-	readonly #memoryWatch: MemoryWatch;
-	readonly #reach: ReachWatch<RelayTarget>;
-	readonly #requestMemory: RequestMemory;
-	readonly #responseMemory: ResponseMemory;
-	readonly #standby: LeaderStandby;
-	readonly #probes: TargetProbes;
-	readonly #stageCrashWatch: StageCrashWatch;
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
 
 	private constructor(private readonly options: RelayVmOptions) {
-		const {clock, createLogger} = options;
 		this.#limits = options.limits;
-		const memoryBounds = memoryBoundsOf(options.memoryBytes);
-		const reclaimer = BufferReclaimer.create({
-			maxGarbageBytes: memoryBounds.garbageBytes, usedBytes: () => this.#requestMemory.bytes + this.#responseMemory.bytes, clock, logger: createLogger('entry-vm'),
-		});
-		this.#requestMemory = RequestMemory.create({
-			maxBytes: memoryBounds.requestBytes, clock, logger: createLogger('requests'), onReceived(bytes) {
-				reclaimer.received(bytes);
-			},
-		});
-		this.#responseMemory = ResponseMemory.create({maxBytes: memoryBounds.responseBytes, clock, logger: createLogger('requests')});
-		const logger = createLogger('targets');
-		this.#liveness = TargetLiveness.create(clock);
-		this.#pools = TargetPools.create(this.#liveness);
-		this.#holds = TargetHolds.create({
-			clock, logger, random: Random.create(options.seed + 5), onChange: () => {
-				this.#poolHost.placementChanged();
-			},
-		});
-		this.#registry = TargetRegistry.create({
-			clock,
-			logger,
-			onUnavailable: target => {
-				this.#prefixCache.removeEngine(target.id);
-				if (target.isRemoved) {
-					this.#pools.drop(target.entry.address);
-				}
-			},
-			onEntry: (target, entry, isStart, isFromList) => {
-				this.#coldTargets.seeEntry(target, entry, {isStart: isStart && this.#topics.hasTargets, isFromList});
-			},
-			isKnownToDrain: entry => this.#drainingReports.has(entry),
-		});
-		this.#placement = Placement.create({
-			clock,
-			logger,
-			targets: this.#registry,
-			zone: options.self.zone,
-			regionOf: options.regionOf,
-			evacuateMs: options.evacuateMs,
-			onExcluded: (reason, count) => {
-				this.#metrics.recordExcluded(reason, count);
-			},
-			onChange: ({zone, isOn}) => {
-				this.#poolHost.placementChanged();
-				// Its targets may have become cold meanwhile.
-				if (!isOn) {
-					this.#coldTargets.zoneReopened(zone);
-				}
-			},
-		});
-		this.#probes = TargetProbes.create({
-			checkHealth: options.checkHealth,
-			placement: this.#placement,
-			holds: this.#holds,
-			liveness: this.#liveness,
-			reach: () => this.#reach,
-			onProbe: (target, result) => {
-				this.#coldTargets.seeHealth(target, {result, coldMs: undefined});
-			},
-		});
-		this.#stageCrashWatch = StageCrashWatch.create({
-			clock, logger, probe: async target => this.#probes.probe(target), onCrash: () => {
-				this.#metrics.recordCrash();
-			},
-		});
-		this.#drainingReports = DrainingReports.create({
-			clock, logger, mesh: () => this.#member.mesh, registry: this.#registry,
-		});
-		this.#reach = ReachWatch.create({
-			clock,
-			logger,
-			random: Random.create(options.seed + 4),
-			zone: options.self.zone,
-			callersAddress: () => `${options.callers.host}:${this.callersPort}`,
-			links: () => this.#member.mesh?.links() ?? [],
-			targets: () => [...this.#registry.all()].filter(target => this.#probes.mayProbe(target)),
-			probe: async target => {
-				const {result} = await this.#probes.checkHealth(target);
-				return result === 'alive';
-			},
-			onChange: isCutOff => {
-				this.#standby.setCutOff(isCutOff);
-				if (isCutOff) {
-					this.#coldTargets.forgetUnreachable();
-					this.#stages.handOverAll();
-				}
-			},
-		});
-		this.#standby = LeaderStandby.create({
-			clock, logger, onChange: isOn => {
-				this.#member.mesh?.setStandby(isOn);
-				if (isOn) {
-					this.#pieceShares.returnShares();
-				} else {
-					this.#retryBudgets.takeLoans();
-				}
-			},
-		});
-		this.#retrySpendLog = RetrySpendLog.create({
-			clock, logger: createLogger('requests'), entryVms: () => this.#retryBudgets.entryVms(clock.now()), onRetries: retries => {
-				this.#metrics.recordRetries(retries);
-			},
-		});
-		this.#retryBudgets = RetryBudgets.create({
-			limits: options.limits.retryLimits,
-			self: options.self.incarnation,
-			startedMs: options.isFirstStart ? -Infinity : clock.now(),
-			isStageService: service => this.#isStageService(service),
-			onSpend: (service, spend) => {
-				this.#retrySpendLog.record(service, 'attempt', spend);
-			},
-		});
-		this.#retryLoans = RetryLoans.create({
-			clock, logger: createLogger('requests'), mesh: () => this.#member.mesh, budgetOf: service => this.#retryBudgets.of(service),
-		});
-		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#probes.watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#member.mesh?.isInCell(zone) ?? true, onDraining: target => {
-				this.#drainingReports.observe(target);
-			}, onRetrySpend: (service, spend) => {
-				this.#retrySpendLog.record(service, 'piece', spend);
-			}, holds: this.#holds, service: name => this.#topics.service(name), onLostCall: call => {
-				this.#stageCrashWatch.callLost(call);
-			},
-		});
-		this.#stages = MeshStageRunner.create({
-			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#member.mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
-		});
-		this.#pieceShares = PieceShareLoans.create({
-			clock, logger: createLogger('pools'), self: options.self, mesh: () => this.#member.mesh, budgets: this.#retryBudgets, host: this.#poolHost, isReady: () => this.#stages.isReady,
-		});
-		this.#quarantine = PromptQuarantine.create({
-			clock, logger, mesh: () => this.#member.mesh, writer: options.quarantineWriter,
-		});
-		this.#topics = StoreTopics.create({
-			...options,
-			configLogger: createLogger('config'),
-			targetLogger: logger,
-			mesh: () => this.#member.mesh,
-			registry: this.#registry,
-			placement: this.#placement,
-			quarantine: this.#quarantine,
-			onConfiguration: table => {
-				this.#server.applyLimits(table);
-				this.#lifecycle.send({type: 'CONFIGURED'});
-				this.#coldWatch.check();
-			},
-			onTargets: () => {
-				this.#coldWatch.check();
-			},
-		});
-		this.#targetLimits = TargetLimits.create({
-			clock, logger, mesh: () => this.#member.mesh, share: () => this.#poolShare(), targets: this.#registry,
-		});
-		this.#brittle = BrittleTargets.create({
-			clock, logger, random: Random.create(options.seed + 6), self: options.self.incarnation, mesh: () => this.#member.mesh, share: () => this.#poolShare(), entryVms: () => this.#retryBudgets.entryVms(clock.now()),
-		});
-		this.#promptExchange = PromptExchange.create({clock, mesh: () => this.#member.mesh, loads: () => this.#prompts});
-		this.#prompts = PromptLoads.create({
-			clock, service: name => this.#topics.service(name), rank: (key, names) => this.#ranks.of(key, names), groupOf: zone => options.regionOf(zone) ?? zone, listener: this.#promptExchange, metrics: PromptMetrics.create(this.#metrics.registry, () => this.#prompts.totals()),
-		});
-		this.#coldTargets = ColdTargets.create({
-			clock, logger, self: options.self, mesh: () => this.#member.mesh, targets: this.#registry, coldStart: service => this.#coldStartOf(service), bound: options.coldBound, isCutOff: () => this.#reach.isCutOff, onPermit: () => {
-				this.#metrics.recordColdPermit();
-			},
-		});
-		this.#coldWatch = ColdWatch.create({
-			clock,
-			self: options.self.name,
-			targets: () => [...this.#registry.all()].filter(target => this.#probes.mayProbe(target) && this.#coldStartOf(target.entry.service) !== undefined),
-			watchersOf: zone => this.#member.mesh?.watchersOf(zone) ?? [],
-			rank: (key, names) => this.#ranks.of(key, names),
-			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#member.mesh?.links().length ?? 0) === 0),
-			checkHealth: async target => this.#probes.checkHealth(target, this.#topics.service(target.entry.service)?.healthPath),
-			onHealth: (target, health, askedMs) => {
-				this.#coldTargets.seeHealth(target, health, askedMs);
-			},
-		});
-		this.#eventLoopWatch = EventLoopWatch.create({
-			clock, logger: createLogger('entry-vm'), onDelay: delayMs => {
-				this.#metrics.recordHeldUp(delayMs);
-			},
-		});
-		this.#memoryWatch = MemoryWatch.create({clock, logger: createLogger('entry-vm'), onLogged: options.flushLog});
-		const listeners = LinkListeners.create({
-			clock,
-			quarantine: this.#quarantine,
-			targetLimits: this.#targetLimits,
-			brittle: this.#brittle,
-			coldTargets: this.#coldTargets,
-			drainingReports: this.#drainingReports,
-			promptExchange: this.#promptExchange,
-			reach: this.#reach,
-			retryBudgets: this.#retryBudgets,
-			retryLoans: this.#retryLoans,
-			stages: this.#stages,
-			topics: this.#topics,
-		});
-		this.#member = MeshMember.create({
-			...options,
-			logger: createLogger('links'),
-			metrics: this.#metrics,
-			distance: zone => this.#distance(zone),
-			isOnStandby: () => this.#standby.isOn,
-			onSize: (size, isCurrent) => {
-				this.#retryBudgets.recordEntryVms(size, {now: clock.now(), isCurrent});
-			},
-			onMessage(link, message) {
-				listeners.receive(link, message);
-			},
-			onUp(link) {
-				listeners.linkUp(link);
-			},
-			onLost(link) {
-				listeners.linkLost(link);
-			},
-		});
-		this.#drain = Drain.create({
-			clock, logger: createLogger('entry-vm'), lifecycle: this.#lifecycle, server: () => this.#server, member: this.#member, pieceShares: this.#pieceShares, stages: this.#stages,
-		});
+		this.#parts = RelayVmParts.create(options, () => this.#server);
 	}
 
 	/** True while the load balancer should route connections to this VM. */
 	get isReady(): boolean {
-		return this.#lifecycle.state === 'serving' && this.#topics.hasTargets && this.#stages.isReady && !this.#reach.isCutOff;
+		return this.#parts.lifecycle.state === 'serving' && this.#parts.topics.hasTargets && this.#parts.stages.isReady && !this.#parts.reach.isCutOff;
 	}
 
 	/** Applies changed limits. Retries that were spent under the earlier ones still count. */
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
 		this.#limits = {retryLimits, graceMs};
-		this.#drain.setGrace(graceMs);
-		this.#retryBudgets.setLimits(retryLimits, this.options.clock.now());
-		this.#poolHost.setRetryLimits(retryLimits);
+		this.#parts.drain.setGrace(graceMs);
+		this.#parts.retryBudgets.setLimits(retryLimits, this.options.clock.now());
+		this.#parts.poolHost.setRetryLimits(retryLimits);
 	}
 
 	/** Port to which callers connect. */
@@ -372,28 +66,28 @@
 
 	/** Counts of requests since the start. */
 	get requestProgress(): RequestProgress {
-		const {ended, answered, begun} = this.#metrics.requestCounts;
+		const {ended, answered, begun} = this.#parts.metrics.requestCounts;
 		return {arrived: ended + this.inFlight, answered: answered + begun};
 	}
 
 	/** Counts an error that nothing handled, by the place that threw it. */
 	recordUnhandledError(place: string): void {
-		this.#metrics.recordUnhandledError(place);
+		this.#parts.metrics.recordUnhandledError(place);
 	}
 
 	/** Version of the current configuration; -1 before the first. */
 	get configVersion(): number {
-		return this.#topics.table?.version ?? -1;
+		return this.#parts.topics.table?.version ?? -1;
 	}
 
 	/** Number of known targets. */
 	get targetCount(): number {
-		return this.#registry.size;
+		return this.#parts.registry.size;
 	}
 
 	/** Drains: rejects the requests that cannot end in the grace period, waits for the other requests and hosted stage plans in progress until the grace period ends, then closes. Resolves when everything is closed. */
 	async shutdown(): Promise<void> {
-		await this.#drain.run(this.#limits.graceMs);
+		await this.#parts.drain.run(this.#limits.graceMs);
 		await this.close();
 	}
 
@@ -401,25 +95,25 @@
 	async close(): Promise<void> {
 		const logger = this.options.createLogger('entry-vm');
 		this.#closing.abort();
-		this.#member.stop();
-		this.#topics.stop();
-		this.#quarantine.close();
-		this.#coldWatch.close();
-		this.#coldTargets.close();
-		this.#holds.close();
-		this.#eventLoopWatch.close();
-		this.#memoryWatch.close();
-		this.#reach.close();
-		this.#placement.close();
-		this.#promptExchange.close();
-		this.#standby.close();
-		this.#pieceShares.close();
-		this.#stages.close();
+		this.#parts.member.stop();
+		this.#parts.topics.stop();
+		this.#parts.quarantine.close();
+		this.#parts.coldWatch.close();
+		this.#parts.coldTargets.close();
+		this.#parts.holds.close();
+		this.#parts.eventLoopWatch.close();
+		this.#parts.memoryWatch.close();
+		this.#parts.reach.close();
+		this.#parts.placement.close();
+		this.#parts.promptExchange.close();
+		this.#parts.standby.close();
+		this.#parts.pieceShares.close();
+		this.#parts.stages.close();
 		await tryShutdownStep(logger, 'close the server for callers', async () => this.#server.close());
 		await tryShutdownStep(logger, 'close the readiness endpoint', async () => this.#control.close());
 		await tryShutdownStep(logger, 'close the metrics endpoint', async () => this.#metricsServer?.close());
-		await tryShutdownStep(logger, 'close the mesh', async () => this.#member.close());
-		this.#pools.destroy();
+		await tryShutdownStep(logger, 'close the mesh', async () => this.#parts.member.close());
+		this.#parts.pools.destroy();
 	}
 
 	async #start(): Promise<void> {
@@ -434,90 +128,31 @@
 		// Bound last, and with nothing to wait for afterwards: a start that is given up has accepted no request.
 		try {
 			options.signal?.throwIfAborted();
-			this.#server = await RelayServer.create(this.#serverOptions(bind('callers')));
+			this.#server = await RelayServer.create(createServerOptions(this.#parts, bind('callers')));
 		} catch (err) {
 			await this.#control.close();
 			throw err;
 		}
 
-		this.#topics.start();
-		this.#quarantine.start();
-		this.#stages.start();
-		this.#eventLoopWatch.start();
-		this.#coldWatch.start();
-		this.#memoryWatch.start();
+		this.#parts.topics.start();
+		this.#parts.quarantine.start();
+		this.#parts.stages.start();
+		this.#parts.eventLoopWatch.start();
+		this.#parts.coldWatch.start();
+		this.#parts.memoryWatch.start();
 		void this.#startMetrics();
-		void this.#member.start();
-		this.#pieceShares.start();
+		void this.#parts.member.start();
+		this.#parts.pieceShares.start();
 		options.storeEras.onChange(() => {
-			void this.#member.restoreKey();
+			void this.#parts.member.restoreKey();
 		});
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
 
-	#serverOptions(bind: Listen): RelayServerOptions {
-		const {options} = this;
-		const {clock, createLogger} = options;
-		const probe = async (target: RelayTarget) => this.#probes.probe(target);
-		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
-		return {
-			listen: options.callers,
-			bind,
-			table: () => this.#topics.isQuarantineKnown ? this.#topics.table : undefined,
-			isRejecting: () => clock.now() >= (this.#drain.schedule?.acceptUntilMs ?? Infinity),
-			context: {
-				clock,
-				random: Random.create(options.seed),
-				logger: createLogger('requests'),
-				metrics: this.#metrics,
-				codec: options.codec,
-				registry: this.#registry,
-				placement: this.#placement,
-				pools: this.#pools,
-				liveness: this.#liveness,
-				memory: this.#responseMemory,
-				requestMemory: this.#requestMemory,
-				turnBudget: TurnBudget.create({clock}),
-				stages: this.#stages,
-				prefixCache: this.#prefixCache,
-				prompts: this.#prompts,
-				zone: options.self.zone,
-				distance: zone => this.#distance(zone),
-				rank: (key, names) => this.#ranks.of(key, names),
-				retryBudget: service => this.#retryBudgets.of(service),
-				createRetry: service => RequestRetry.create({
-					clock, service, budget: this.#retryBudgets.of(service), loans: this.#retryLoans,
-				}),
-				probe,
-				crashWatch: CrashWatch.create({
-					clock,
-					logger: createLogger('targets'),
-					probe,
-					onCrash: ({target, attempts}) => {
-						this.#metrics.recordCrash();
-						this.#quarantine.crashed(nameStart(target), attempts);
-					},
-				}),
-				limits: this.#targetLimits,
-				holds: this.#holds,
-				brittle: this.#brittle,
-				coldTargets: this.#coldTargets,
-				drainingReports: this.#drainingReports,
-				reach: this.#reach,
-				quarantine: this.#quarantine,
-				durations: {requests: RouteDurations.create(), attempts: RouteDurations.create()},
-				servicePace: ServicePace.create(),
-				shutdown: () => this.#drain.schedule,
-				isClosing,
-				targetsAgeMs: () => this.#topics.targetsAgeMs,
-			},
-		};
-	}
-
 	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
 		const {metrics, clock, createLogger} = this.options;
-		const {registry} = this.#metrics;
+		const {registry} = this.#parts.metrics;
 		await startInBackground({
 			clock,
 			logger: createLogger('entry-vm'),
@@ -534,41 +169,4 @@
 			},
 		});
 	}
-
-	/**
-	 * Returns this host's share of the stage calls. It is less than 1 without links to most of the other entry VMs: they
-	 * then use another pool host, which calls the same targets.
-	 */
-	#poolShare(): number {
-		const linked = this.#member.mesh?.linkedShare ?? 1;
-		return linked > maxIsolatedShare ? 1 : linked;
-	}
-
-	/** Returns the cold start that a service declares. Stage targets get calls from the host of their pool only, one at a time. */
-	#coldStartOf(service: string): ColdStart | undefined {
-		const declared = this.#topics.service(service);
-		return declared?.stagePool ? undefined : declared?.coldStart;
-	}
-
-	#isStageService(service: string): boolean {
-		return this.#topics.service(service)?.stagePool !== undefined;
-	}
-
-	#retryBudgetStates() {
-		const now = this.options.clock.now();
-		return [
-			...this.#retryBudgets.states(now).map(({service, state}) => ({service, cause: 'attempt', ...state})),
-			...this.#poolHost.retryBudgets().map(({service, state}) => ({service, cause: 'piece', ...state})),
-		];
-	}
-
-	#distance(zone: string): ZoneDistance {
-		const {self: {zone: own}, regionOf} = this.options;
-		if (zone === own) {
-			return 'same_zone';
-		}
-
-		const region = regionOf(own);
-		return region !== undefined && region === regionOf(zone) ? 'same_region' : 'other_region';
-	}
 }
