--- a/src/relay-vm/relay-vm.ts
+++ b/src/relay-vm/relay-vm.ts
@@ -1,146 +1,15 @@
-import {ServicePace} from '../admission/index.js';
-import type {CancelTimer, Clock, Ms} from '../clock/index.js';
-import {listenWithRetry, type Listen, type ListenAddress} from '../http/index.js';
-import {errorMessage, type RequestProgress} from '../errors/index.js';
-import {EventRing} from '../events/index.js';
-import {
-	RankCache, RelayMesh, getOrCreateLinkKey, type Link, type LinkIdentity, type LinkKey, type LinkKeyStore, type LinkMessage,
-} from '../links/index.js';
-import {
-	BrittleTargets, ColdTargets, ColdWatch, TargetHolds, TargetLimits, type ColdBound, type TargetHealth,
-} from '../limits/index.js';
-import type {LoggerFactory, PartLogger} from '../logging/index.js';
-import {
-	MeshStageRunner, PoolHost, RequestRetry, RetryBudgets, RetryLoans, RetrySpendLog, shareRenewalMs, type LostStageCall, type RetryLimits, type StageCrash, type StageMessage, type StageTargetPort,
-} from '../pools/index.js';
-import {Placement, type EvacuationRecord} from '../placement/index.js';
-import {PromptExchange, PromptLoads, PromptMetrics} from '../prompts/index.js';
-import {PromptQuarantine} from '../quarantine/index.js';
-import {Random} from '../random/index.js';
-import {LeaderStandby, ReachWatch, type ReachMessage} from '../reach/index.js';
-import {
-	DrainingReports, TargetRegistry, type RelayTarget, type TargetEntry,
-} from '../registry/index.js';
-import {
-	CrashWatch, type BrokenAttempt, PrefixCacheTracker, RelayMetrics, RelayServer, RequestMemory, ResponseMemory, RouteDurations, ShutdownSchedule, TargetLiveness, TargetPools, TurnBudget, type ProbeResult, type RelayCodec, type RelayServerOptions, type ZoneDistance,
-} from '../relay/index.js';
-import {ResultRetention} from '../retention/index.js';
-import {retry} from '../retry/index.js';
-import {RouteTable, type ColdStart, type RelayDeclarations} from '../routes/index.js';
-import {
-	TopicFollower, type EraTracker, type KeyedRecord, type KeyedTopic, type KeyedWriter,
-} from '../topics/index.js';
-import type {VmList} from '../vms/index.js';
-import {BufferReclaimer} from './buffer-reclaimer.js';
-import {configLongPollMs} from './config-read-times.js';
+import {listenWithRetry, type Listen} from '../http/index.js';
+import type {RequestProgress} from '../errors/index.js';
+import {RelayServer} from '../relay/index.js';
 import {startControlServer, type ControlServer} from './control-server.js';
-import {EventLoopWatch} from './event-loop-watch.js';
-import {judgeDeclarations} from './judge-declarations.js';
-import {memoryBoundsOf} from './memory-bounds.js';
-import {MemoryWatch, readMemory} from './memory-watch.js';
-import {RelayVmLifecycle} from './relay-vm-lifecycle.js';
-import {TargetNews} from './target-news.js';
-import {TopicDistributor} from './topic-distributor.js';
+import type {RelayLimits, RelayVmOptions} from './relay-vm-options.js';
+import {RelayVmParts} from './relay-vm-parts.js';
+import {createServerOptions} from './server-options.js';
+import {startInBackground} from './start-in-background.js';
+import {tryShutdownStep} from './try-shutdown-step.js';
 
-/** Long-poll duration of reads of the quarantined prompt parts, which links carry as well, and the pause between them. */
-const quarantineLongPollMs: Ms = 10_000;
-const quarantinePollMs: Ms = 100;
-/** Time after the first configuration for which requests are rejected while the quarantined prompt parts are unknown. */
-const quarantineTimeoutMs: Ms = 1000;
-/** Pause between reads of the target entries. */
-const targetPollIntervalMs: Ms = 800;
-/** Maximum time in which the last responses are written before their connections are closed. */
-const flushTimeoutMs: Ms = 200;
-const flushCheckIntervalMs: Ms = 10;
-/** Number of turns of the event loop in which a connection that waits is accepted, a request on it read, and a refusal written. */
-const turnsToRead = 4;
-/** Bound on how often these turns are repeated while more arrives: each turn accepts one connection. */
-const maxReadRounds = 100;
-/** Interval of the tries to lend the share of the retries of pieces to another host than before. */
-const shareRetryMs: Ms = 100;
-/** Interval at which a shutdown checks for requests in progress. */
-const drainCheckIntervalMs: Ms = 100;
 /** Tries to bind the addresses for callers and readiness checks; longer than the grace period of an earlier process that still has them. */
 const listenSchedule = {timeoutMs: 60_000, initialDelayMs: 100, maxDelayMs: 1000};
-/** Tries to bind the addresses for metrics and links, without which requests are served meanwhile. */
-const backgroundSchedule = {timeoutMs: Infinity, initialDelayMs: 500, maxDelayMs: 2000};
-/** Time over which the entry VMs spread the check of the link key in a restored store. */
-const linkKeySpreadMs: Ms = 1000;
-/** Intervals between reads of the list of entry VMs, which is in memory and cheap to read. */
-const vmListIntervals = {busyMs: 250, quietMs: 1000, quietAfterMs: 3000};
-/** Capacity of the ring of link events; events of the relay are logged instead. */
-const eventCapacity = 500;
-/** A pool host linked to at most this share of the entry VMs, itself included, counts as isolated; otherwise so many links are lost at once only if the peers are killed. */
-const maxIsolatedShare = 0.34;
-
-/** Limits that may change while the process runs. */
-export interface RelayLimits {
-	readonly retryLimits: RetryLimits;
-	/** Time between SIGTERM and forced termination. */
-	readonly graceMs: Ms;
-}
-
-/** Options of `RelayVm`. */
-export interface RelayVmOptions {
-	readonly self: LinkIdentity;
-	/** Address to which other entry VMs connect. */
-	readonly links: ListenAddress;
-	readonly vmList: VmList;
-	/** Follower of the topic of the list, if it has one, to exchange news with peers. */
-	readonly vmListFollower?: TopicFollower;
-	readonly linkKeyStore: LinkKeyStore;
-	readonly regionOf: (zone: string) => string | undefined;
-	/** Address to which callers connect. */
-	readonly callers: ListenAddress;
-	/** Address of the readiness endpoint for the load balancer. */
-	readonly control: ListenAddress;
-	/** Address of the metrics endpoint. */
-	readonly metrics: ListenAddress;
-	readonly clock: Clock;
-	readonly createLogger: LoggerFactory;
-	/** Starts to write the lines that have been logged, without waiting for more. */
-	readonly flushLog?: (() => void) | undefined;
-	readonly seed: number;
-	readonly codec: RelayCodec;
-	readonly stageTargets: StageTargetPort;
-	/** Resolves with what the health path of a target says, or without a path another one at which every target responds; never rejects. */
-	readonly checkHealth: (target: RelayTarget, path: string | undefined) => Promise<TargetHealth>;
-	readonly configTopic: KeyedTopic;
-	readonly targetTopic: KeyedTopic;
-	/** Topic of the quarantined prompt parts. */
-	readonly quarantineTopic: KeyedTopic;
-	readonly quarantineWriter: KeyedWriter;
-	/** Decodes the configuration; returns `undefined` for a record without one. */
-	readonly decodeDeclarations: (record: KeyedRecord) => RelayDeclarations | undefined;
-	/** Decodes the evacuation of a zone; returns `undefined` for a record without one. */
-	readonly decodeEvacuation: (record: KeyedRecord) => EvacuationRecord | undefined;
-	/** Decodes a target entry; returns `undefined` for a record without one. */
-	readonly decodeTarget: (record: KeyedRecord) => TargetEntry | undefined;
-	/** Eras of the history of the store's log. */
-	readonly storeEras: Pick<EraTracker, 'current' | 'onChange'>;
-	/** Memory that the operator gives the process, in bytes; `undefined` if that is not known. */
-	readonly memoryBytes?: number | undefined;
-	/** Time after its acknowledgement from which an evacuation must hold; `undefined` if the settings name none. */
-	readonly evacuateMs?: Ms | undefined;
-	readonly limits: RelayLimits;
-	/** Bound on the requests to a cold target from all entry VMs together; `undefined` for the rate that its service tolerates. */
-	readonly coldBound?: ColdBound | undefined;
-	/**
-	 * Whether no earlier process of this entry VM has run; by default one may have, and have used the share of the retry slack
-	 * until it ended.
-	 */
-	readonly isFirstStart?: boolean | undefined;
-	/** Ends the tries to bind addresses at once; `create` then throws. */
-	readonly signal?: AbortSignal | undefined;
-}
-
-/** Stages of a request that were in a call which got no whole response. */
-type LostStageAttempt = BrokenAttempt & {readonly onCrash: (crash: StageCrash) => void};
-
-/** Names a start of a target. */
-function nameStart({id, entry: {startedMs}}: RelayTarget): string {
-	return `${id} ${startedMs ?? ''}`;
-}
 
 /**
  * Entry VM that relays requests: follows configuration and targets in the store, serves callers, and drains on shutdown.
@@ -160,338 +29,29 @@
 		return vm;
 	}
 
-	readonly #lifecycle = RelayVmLifecycle.create();
-	readonly #registry: TargetRegistry;
-	readonly #placement: Placement;
-	readonly #poolHost: PoolHost;
-	readonly #liveness: TargetLiveness;
-	readonly #pools: TargetPools;
-	readonly #prefixCache = PrefixCacheTracker.create();
-	readonly #metrics = RelayMetrics.create({
-		configVersion: () => this.configVersion,
-		storeEra: () => this.options.storeEras.current ?? 0,
-		targetsAgeMs: () => this.#targetFollower.ageMs,
-		targets: () => this.#registry.size,
-		inFlight: () => this.#server.inFlight,
-		requestBytes: () => this.#requestMemory.bytes,
-		responseBytes: () => this.#responseMemory.bytes,
-		entryVms: () => this.#mesh?.size ?? 1,
-		backlog: () => this.#poolHost.load(),
-		retryBudgets: () => this.#retryBudgetStates(),
-		retryShares: () => {
-			const now = this.options.clock.now();
-			return {entryVms: this.#retryBudgets.entryVms(now) ?? 0, borrowed: this.#retryBudgets.borrowedShares(now)};
-		},
-		evacuatedZones: () => this.#placement.evacuatedZones,
-		quarantined: () => this.#quarantine.size,
-		memory: readMemory,
-		limitedTargets: () => [...this.#registry.all()].filter(({limit}) => limit !== undefined).length,
-		coldTargets: () => this.#coldTargets.size,
-		heldBackTargets: () => ({retry_after: this.#holds.size, brittle: [...this.#registry.all()].filter(target => this.#brittle.isBrittle(target)).length}),
-	});
-
-	readonly #retryBudgets: RetryBudgets;
-	readonly #retryLoans: RetryLoans;
-	readonly #retrySpendLog: RetrySpendLog;
-	readonly #ranks = RankCache.create();
-	readonly #configFollower: TopicFollower;
-	readonly #targetFollower: TopicFollower;
-	#table: RouteTable | undefined;
-	#hasTargets = false;
-	readonly #decodedTargets = new WeakMap<KeyedRecord, TargetEntry | undefined>();
-	readonly #targetNews = TargetNews.create(record => this.#decodeTarget(record));
+	readonly #parts: RelayVmParts;
 	readonly #closing = new AbortController();
 	#limits: RelayLimits;
-	#shutdownSchedule: ShutdownSchedule | undefined;
-	#mesh: RelayMesh | undefined;
-	#linkKey: LinkKey | undefined;
-	readonly #random: Random;
-	readonly #distributor = TopicDistributor.create(() => this.#mesh);
-	readonly #stages: MeshStageRunner;
-	readonly #quarantine: PromptQuarantine;
-	readonly #holds: TargetHolds;
-	readonly #brittle: BrittleTargets;
-	readonly #targetLimits: TargetLimits;
-	readonly #prompts: PromptLoads;
-	readonly #promptExchange: PromptExchange;
-	readonly #coldTargets: ColdTargets;
-	readonly #coldWatch: ColdWatch;
-	readonly #drainingReports: DrainingReports;
-	readonly #quarantineFollower: TopicFollower;
-	readonly #eventLoopWatch: EventLoopWatch;
-	readonly #memoryWatch: MemoryWatch;
-	readonly #reach: ReachWatch<RelayTarget>;
-	readonly #requestMemory: RequestMemory;
-	readonly #responseMemory: ResponseMemory;
-	readonly #standby: LeaderStandby;
-	readonly #stageCrashWatch: CrashWatch<LostStageAttempt>;
-	#configuredMs: Ms | undefined;
 	#server!: RelayServer;
 	#control!: ControlServer;
 	#metricsServer: ControlServer | undefined;
-	#cancelShareRenewal: CancelTimer = () => undefined;
 
 	private constructor(private readonly options: RelayVmOptions) {
-		const {clock, createLogger} = options;
 		this.#limits = options.limits;
-		this.#random = Random.create(options.seed + 3);
-		const memoryBounds = memoryBoundsOf(options.memoryBytes);
-		const reclaimer = BufferReclaimer.create({
-			maxGarbageBytes: memoryBounds.garbageBytes, usedBytes: () => this.#requestMemory.bytes + this.#responseMemory.bytes, clock, logger: createLogger('entry-vm'),
-		});
-		this.#requestMemory = RequestMemory.create({
-			maxBytes: memoryBounds.requestBytes, clock, logger: createLogger('requests'), onReceived(bytes) {
-				reclaimer.received(bytes);
-			},
-		});
-		this.#responseMemory = ResponseMemory.create({maxBytes: memoryBounds.responseBytes, clock, logger: createLogger('requests')});
-		const logger = createLogger('targets');
-		this.#liveness = TargetLiveness.create(clock);
-		this.#pools = TargetPools.create(this.#liveness);
-		this.#holds = TargetHolds.create({
-			clock, logger, random: Random.create(options.seed + 5), onChange: () => {
-				this.#poolHost.placementChanged();
-			},
-		});
-		this.#registry = TargetRegistry.create({
-			clock,
-			logger,
-			onUnavailable: target => {
-				this.#prefixCache.removeEngine(target.id);
-				if (target.isRemoved) {
-					this.#pools.drop(target.entry.address);
-				}
-			},
-			onEntry: (target, entry, isStart, isFromList) => {
-				this.#coldTargets.seeEntry(target, entry, {isStart: isStart && this.#hasTargets, isFromList});
-			},
-			isKnownToDrain: entry => this.#drainingReports.has(entry),
-		});
-		this.#placement = Placement.create({
-			clock,
-			logger,
-			targets: this.#registry,
-			zone: options.self.zone,
-			regionOf: options.regionOf,
-			evacuateMs: options.evacuateMs,
-			onExcluded: (reason, count) => {
-				this.#metrics.recordExcluded(reason, count);
-			},
-			onChange: ({zone, isOn}) => {
-				this.#poolHost.placementChanged();
-				// Its targets may have become cold meanwhile.
-				if (!isOn) {
-					this.#coldTargets.zoneReopened(zone);
-				}
-			},
-		});
-		this.#drainingReports = DrainingReports.create({
-			clock, logger, mesh: () => this.#mesh, registry: this.#registry,
-		});
-		this.#reach = ReachWatch.create({
-			clock,
-			logger,
-			random: Random.create(options.seed + 4),
-			zone: options.self.zone,
-			callersAddress: () => `${options.callers.host}:${this.callersPort}`,
-			links: () => this.#mesh?.links() ?? [],
-			targets: () => [...this.#registry.all()].filter(target => this.#mayProbe(target)),
-			probe: async target => {
-				const {result} = await this.#checkHealth(target);
-				return result === 'alive';
-			},
-			onChange: isCutOff => {
-				this.#standby.setCutOff(isCutOff);
-				if (isCutOff) {
-					this.#coldTargets.forgetUnreachable();
-					this.#stages.handOverAll();
-				}
-			},
-		});
-		this.#standby = LeaderStandby.create({
-			clock, logger, onChange: isOn => {
-				this.#mesh?.setStandby(isOn);
-				if (isOn) {
-					this.#returnShares();
-				} else {
-					this.#retryBudgets.takeLoans();
-				}
-			},
-		});
-		this.#retrySpendLog = RetrySpendLog.create({
-			clock, logger: createLogger('requests'), entryVms: () => this.#retryBudgets.entryVms(clock.now()), onRetries: retries => {
-				this.#metrics.recordRetries(retries);
-			},
-		});
-		this.#retryBudgets = RetryBudgets.create({
-			limits: options.limits.retryLimits,
-			self: options.self.incarnation,
-			startedMs: options.isFirstStart ? -Infinity : clock.now(),
-			isStageService: service => this.#isStageService(service),
-			onSpend: (service, spend) => {
-				this.#retrySpendLog.record(service, 'attempt', spend);
-			},
-		});
-		this.#retryLoans = RetryLoans.create({
-			clock, logger: createLogger('requests'), mesh: () => this.#mesh, budgetOf: service => this.#retryBudgets.of(service),
-		});
-		this.#poolHost = PoolHost.create({
-			clock, logger: createLogger('pools'), registry: this.#registry, placement: this.#placement, port: this.#watchReach(options.stageTargets), retryLimits: options.limits.retryLimits, retryShares: this.#retryBudgets.pieceShares, share: () => this.#poolShare(), isOwnZone: zone => this.#mesh?.isInCell(zone) ?? true, onDraining: target => {
-				this.#drainingReports.observe(target);
-			}, onRetrySpend: (service, spend) => {
-				this.#retrySpendLog.record(service, 'piece', spend);
-			}, holds: this.#holds, service: name => this.#table?.declarations.services.get(name), onLostCall: call => {
-				this.#watchLostCall(call);
-			},
-		});
-		this.#stageCrashWatch = CrashWatch.create({
-			clock,
-			logger,
-			probe: async target => this.#probe(target),
-			onCrash: ({target, attempts}) => {
-				this.#metrics.recordCrash();
-				for (const {onCrash, sentMs, brokenMs} of attempts) {
-					onCrash({crash: nameStart(target), sentMs, brokenMs});
-				}
-			},
-		});
-		this.#stages = MeshStageRunner.create({
-			clock, logger: createLogger('pools'), host: this.#poolHost, mesh: () => this.#mesh, isCutOff: () => this.#reach.isCutOff, allowsZone: (zone, regions) => this.#placement.allowsZone(zone, regions),
-		});
-		this.#configFollower = TopicFollower.create({
-			name: 'configuration',
-			topic: options.configTopic,
-			clock,
-			logger: createLogger('config'),
-			pollMs: 0,
-			waitMs: configLongPollMs,
-			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}, origin) => {
-				// Before the first configuration, with which requests are accepted.
-				this.#placement.applySnapshot(records.flatMap(record => options.decodeEvacuation(record) ?? []), origin);
-				this.#applyConfiguration(records);
-			},
-			onRecords: records => {
-				this.#placement.applyRecords(records.flatMap(record => options.decodeEvacuation(record) ?? []));
-				this.#applyConfiguration(records);
-			},
-		});
-		this.#targetFollower = TopicFollower.create({
-			name: 'targets',
-			topic: options.targetTopic,
-			clock,
-			logger,
-			pollMs: targetPollIntervalMs,
-			waitMs: 0,
-			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}, origin) => {
-				this.#targetNews.applySnapshot(records, origin);
-				const entries = records.flatMap(record => this.#decodeTarget(record) ?? []);
-				const heldIds = records.filter(record => record.value !== undefined && !this.#decodeTarget(record)).map(({key}) => key);
-				if (origin === 'restored') {
-					this.#registry.merge(entries, heldIds);
-				} else {
-					this.#registry.replace(entries, heldIds);
-				}
-
-				this.#hasTargets = true;
-				this.#coldWatch.check();
-			},
-			onRecords: records => {
-				this.#targetNews.apply(records);
-				this.#updateTargets(records);
-			},
-			onRecovered: outageMs => {
-				this.#registry.storeRecovered(outageMs);
-			},
-		});
-		this.#quarantine = PromptQuarantine.create({
-			clock, logger, mesh: () => this.#mesh, writer: options.quarantineWriter,
-		});
-		this.#targetLimits = TargetLimits.create({
-			clock, logger, mesh: () => this.#mesh, share: () => this.#poolShare(), targets: this.#registry,
-		});
-		this.#brittle = BrittleTargets.create({
-			clock, logger, random: Random.create(options.seed + 6), self: options.self.incarnation, mesh: () => this.#mesh, share: () => this.#poolShare(), entryVms: () => this.#retryBudgets.entryVms(clock.now()),
-		});
-		this.#promptExchange = PromptExchange.create({clock, mesh: () => this.#mesh, loads: () => this.#prompts});
-		this.#prompts = PromptLoads.create({
-			clock, service: name => this.#table?.declarations.services.get(name), rank: (key, names) => this.#ranks.of(key, names), groupOf: zone => options.regionOf(zone) ?? zone, listener: this.#promptExchange, metrics: PromptMetrics.create(this.#metrics.registry, () => this.#prompts.totals()),
-		});
-		this.#coldTargets = ColdTargets.create({
-			clock, logger, self: options.self, mesh: () => this.#mesh, targets: this.#registry, coldStart: service => this.#coldStartOf(service), bound: options.coldBound, isCutOff: () => this.#reach.isCutOff, onPermit: () => {
-				this.#metrics.recordColdPermit();
-			},
-		});
-		this.#coldWatch = ColdWatch.create({
-			clock,
-			self: options.self.name,
-			targets: () => [...this.#registry.all()].filter(target => this.#mayProbe(target) && this.#coldStartOf(target.entry.service) !== undefined),
-			watchersOf: zone => this.#mesh?.watchersOf(zone) ?? [],
-			rank: (key, names) => this.#ranks.of(key, names),
-			isWatched: target => this.#coldTargets.isUnreachable(target) || this.#coldTargets.isClaimed(target) || (target.inFlight > 0 && (this.#mesh?.links().length ?? 0) === 0),
-			checkHealth: async target => this.#checkHealth(target, this.#table?.declarations.services.get(target.entry.service)?.healthPath),
-			onHealth: (target, health, askedMs) => {
-				this.#coldTargets.seeHealth(target, health, askedMs);
-			},
-		});
-		this.#quarantineFollower = TopicFollower.create({
-			name: 'quarantine',
-			topic: options.quarantineTopic,
-			clock,
-			logger,
-			pollMs: quarantinePollMs,
-			waitMs: quarantineLongPollMs,
-			hasFeeder: () => this.#distributor.hasFeeder,
-			onSnapshot: ({records}, origin) => {
-				this.#quarantine.applySnapshot(records, origin);
-			},
-			onRecords: records => {
-				this.#quarantine.applyRecords(records);
-			},
-		});
-		this.#eventLoopWatch = EventLoopWatch.create({
-			clock, logger: createLogger('entry-vm'), onDelay: delayMs => {
-				this.#metrics.recordHeldUp(delayMs);
-			},
-		});
-		this.#memoryWatch = MemoryWatch.create({clock, logger: createLogger('entry-vm'), onLogged: options.flushLog});
-		this.#distributor.add({name: 'quarantine', follower: this.#quarantineFollower});
-		this.#distributor.add({name: 'configuration', follower: this.#configFollower});
-		this.#distributor.add({name: 'targets', follower: this.#targetFollower, isNews: record => this.#targetNews.isNews(record)});
-		if (options.vmListFollower) {
-			this.#distributor.add({name: 'entry VMs', follower: options.vmListFollower});
-		}
+		this.#parts = RelayVmParts.create(options, () => this.#server);
 	}
 
 	/** True while the load balancer should route connections to this VM. */
 	get isReady(): boolean {
-		return this.#lifecycle.state === 'serving' && this.#hasTargets && this.#stages.isReady && !this.#reach.isCutOff;
+		return this.#parts.lifecycle.state === 'serving' && this.#parts.topics.hasTargets && this.#parts.stages.isReady && !this.#parts.reach.isCutOff;
 	}
 
 	/** Applies changed limits. Retries that were spent under the earlier ones still count. */
 	setLimits({retryLimits, graceMs}: RelayLimits): void {
 		this.#limits = {retryLimits, graceMs};
-		this.#changeSchedule(graceMs);
-		this.#retryBudgets.setLimits(retryLimits, this.options.clock.now());
-		this.#poolHost.setRetryLimits(retryLimits);
-	}
-
-	/** Applies a changed grace period to a shutdown in progress. */
-	#changeSchedule(graceMs: Ms): void {
-		const {clock, createLogger} = this.options;
-		const schedule = this.#shutdownSchedule;
-		if (schedule) {
-			const now = clock.now();
-			this.#shutdownSchedule = schedule.withGrace(graceMs, now);
-			createLogger('entry-vm').info(this.#shutdownSchedule === schedule ? 'Kept the end of the shutdown.' : 'Brought the end of the shutdown forward.', {
-				grace_ms: graceMs, end_in_ms: Math.round(this.#shutdownSchedule.endMs - now), last_end_in_ms: Math.round(schedule.lastEndMs - now), in_flight: this.#server.inFlight,
-			});
-		}
-	}
-
-	get #isClosed(): boolean {
-		return this.#closing.signal.aborted;
+		this.#parts.drain.setGrace(graceMs);
+		this.#parts.retryBudgets.setLimits(retryLimits, this.options.clock.now());
+		this.#parts.poolHost.setRetryLimits(retryLimits);
 	}
 
 	/** Port to which callers connect. */
@@ -506,138 +66,54 @@
 
 	/** Counts of requests since the start. */
 	get requestProgress(): RequestProgress {
-		const {ended, answered, begun} = this.#metrics.requestCounts;
+		const {ended, answered, begun} = this.#parts.metrics.requestCounts;
 		return {arrived: ended + this.inFlight, answered: answered + begun};
 	}
 
 	/** Counts an error that nothing handled, by the place that threw it. */
 	recordUnhandledError(place: string): void {
-		this.#metrics.recordUnhandledError(place);
+		this.#parts.metrics.recordUnhandledError(place);
 	}
 
 	/** Version of the current configuration; -1 before the first. */
 	get configVersion(): number {
-		return this.#table?.version ?? -1;
+		return this.#parts.topics.table?.version ?? -1;
 	}
 
 	/** Number of known targets. */
 	get targetCount(): number {
-		return this.#registry.size;
+		return this.#parts.registry.size;
 	}
 
 	/** Drains: rejects the requests that cannot end in the grace period, waits for the other requests and hosted stage plans in progress until the grace period ends, then closes. Resolves when everything is closed. */
 	async shutdown(): Promise<void> {
-		const {clock, createLogger} = this.options;
-		const logger = createLogger('entry-vm');
-		const startedMs = clock.now();
-		let schedule = ShutdownSchedule.create({startedMs, graceMs: this.#limits.graceMs});
-		this.#shutdownSchedule = schedule;
-		this.#lifecycle.send({type: 'SHUTDOWN'});
-		await this.#tryStep('leave the mesh', () => this.#mesh?.leave());
-		let hasReturnedShares = false;
-		const returnShares = async () => this.#tryStep('return shares of retries', () => {
-			hasReturnedShares ||= this.#returnShares();
-		});
-		await returnShares();
-		await this.#tryStep('hand over stage plans', () => {
-			this.#stages.handOver();
-		});
-		logger.info('Draining.', {in_flight: this.#server.inFlight, hosted_plans: this.#stages.hostedPlans});
-		while (this.#lifecycle.state !== 'stopped') {
-			await returnShares();
-			await this.#tryStep('reject late requests', () => {
-				this.#server.rejectLate();
-			});
-			await clock.sleep(Math.min(drainCheckIntervalMs, Math.max(0, schedule.nextEndMs(clock.now()) - clock.now())));
-			await this.#readArrived();
-			const now = clock.now();
-			schedule = this.#shutdownSchedule;
-			if (now >= schedule.acceptUntilMs) {
-				this.#server.closeIdleConnections();
-			}
-
-			const isOver = now >= schedule.endMs;
-			if (isOver && now < schedule.lastEndMs) {
-				this.#server.endUnanswered();
-			}
-
-			const isIdle = this.#server.inFlight === 0 && (isOver || this.#stages.hostedPlans === 0);
-			if ((now >= schedule.idleStopMs && isIdle) || now >= schedule.lastEndMs) {
-				this.#lifecycle.send({type: 'STOP'});
-			}
-		}
-
-		await this.#tryStep('end requests', async () => this.#endRequests());
-		logger.info('Stopped.', {in_flight: this.#server.inFlight, took_ms: Math.round(clock.now() - startedMs)});
+		await this.#parts.drain.run(this.#limits.graceMs);
 		await this.close();
 	}
 
-	/** Lets the event loop read what has arrived while the process stood still: timers run before that. */
-	async #readArrived(): Promise<void> {
-		for (let round = 0; round < maxReadRounds; round++) {
-			const before = this.#server.arrivals;
-			for (let turn = 0; turn < turnsToRead; turn++) {
-				await new Promise(resolve => {
-					setImmediate(resolve);
-				});
-			}
-
-			if (this.#server.arrivals === before) {
-				return;
-			}
-		}
-	}
-
-	/** Gives the requests in progress their last answers and waits until these are written. */
-	async #endRequests(): Promise<void> {
-		const {clock, createLogger} = this.options;
-		if (this.#server.inFlight === 0) {
-			return;
-		}
-
-		createLogger('entry-vm').warn('Ending the requests that are still in progress at the end of the grace period.', {in_flight: this.#server.inFlight});
-		this.#server.endRequests();
-		const endMs = clock.now() + flushTimeoutMs;
-		while (this.#server.inFlight > 0 && clock.now() < endMs) {
-			await clock.sleep(flushCheckIntervalMs);
-		}
-
-		// A response counts as sent once the kernel has it; the caller reads it after that.
-		await clock.sleep(flushCheckIntervalMs);
-	}
-
 	/** Closes all servers and connections immediately. */
 	async close(): Promise<void> {
+		const logger = this.options.createLogger('entry-vm');
 		this.#closing.abort();
-		this.#configFollower.stop();
-		this.#targetFollower.stop();
-		this.#quarantineFollower.stop();
-		this.#quarantine.close();
-		this.#coldWatch.close();
-		this.#coldTargets.close();
-		this.#holds.close();
-		this.#eventLoopWatch.close();
-		this.#memoryWatch.close();
-		this.#reach.close();
-		this.#placement.close();
-		this.#promptExchange.close();
-		this.#standby.close();
-		this.#cancelShareRenewal();
-		this.#stages.close();
-		await this.#tryStep('close the server for callers', async () => this.#server.close());
-		await this.#tryStep('close the readiness endpoint', async () => this.#control.close());
-		await this.#tryStep('close the metrics endpoint', async () => this.#metricsServer?.close());
-		await this.#tryStep('close the mesh', async () => this.#mesh?.close());
-		this.#pools.destroy();
-	}
-
-	/** Takes a step of the shutdown. After one that fails, the others matter no less: requests in progress depend on them. */
-	async #tryStep(step: string, take: () => void | Promise<void>): Promise<void> {
-		try {
-			await take();
-		} catch (err) {
-			this.options.createLogger('entry-vm').error('A step of the shutdown failed; going on.', {step, error: errorMessage(err), stack: err instanceof Error ? err.stack : undefined});
-		}
+		this.#parts.member.stop();
+		this.#parts.topics.stop();
+		this.#parts.quarantine.close();
+		this.#parts.coldWatch.close();
+		this.#parts.coldTargets.close();
+		this.#parts.holds.close();
+		this.#parts.eventLoopWatch.close();
+		this.#parts.memoryWatch.close();
+		this.#parts.reach.close();
+		this.#parts.placement.close();
+		this.#parts.promptExchange.close();
+		this.#parts.standby.close();
+		this.#parts.pieceShares.close();
+		this.#parts.stages.close();
+		await tryShutdownStep(logger, 'close the server for callers', async () => this.#server.close());
+		await tryShutdownStep(logger, 'close the readiness endpoint', async () => this.#control.close());
+		await tryShutdownStep(logger, 'close the metrics endpoint', async () => this.#metricsServer?.close());
+		await tryShutdownStep(logger, 'close the mesh', async () => this.#parts.member.close());
+		this.#parts.pools.destroy();
 	}
 
 	async #start(): Promise<void> {
@@ -652,537 +128,45 @@
 		// Bound last, and with nothing to wait for afterwards: a start that is given up has accepted no request.
 		try {
 			options.signal?.throwIfAborted();
-			this.#server = await RelayServer.create(this.#serverOptions(bind('callers')));
+			this.#server = await RelayServer.create(createServerOptions(this.#parts, bind('callers')));
 		} catch (err) {
 			await this.#control.close();
 			throw err;
 		}
 
-		this.#configFollower.start();
-		this.#targetFollower.start();
-		this.#quarantineFollower.start();
-		this.#quarantine.start();
-		this.#stages.start();
-		this.#eventLoopWatch.start();
-		this.#coldWatch.start();
-		this.#memoryWatch.start();
+		this.#parts.topics.start();
+		this.#parts.quarantine.start();
+		this.#parts.stages.start();
+		this.#parts.eventLoopWatch.start();
+		this.#parts.coldWatch.start();
+		this.#parts.memoryWatch.start();
 		void this.#startMetrics();
-		void this.#startMesh();
-		this.#renewShareLoan();
+		void this.#parts.member.start();
+		this.#parts.pieceShares.start();
 		options.storeEras.onChange(() => {
-			void this.#tryRestoreLinkKey();
+			void this.#parts.member.restoreKey();
 		});
 		createLogger('entry-vm').info('Started.', {zone: options.self.zone, callers: `${options.callers.host}:${options.callers.port}`, control: `${options.control.host}:${options.control.port}`});
 	}
 
-	#serverOptions(bind: Listen): RelayServerOptions {
-		const {options} = this;
-		const {clock, createLogger} = options;
-		const probe = async (target: RelayTarget) => this.#probe(target);
-		const isClosing = () => this.#lifecycle.state !== 'serving' && this.#lifecycle.state !== 'starting';
-		return {
-			listen: options.callers,
-			bind,
-			table: () => this.#isQuarantineKnown ? this.#table : undefined,
-			isRejecting: () => clock.now() >= (this.#shutdownSchedule?.acceptUntilMs ?? Infinity),
-			context: {
-				clock,
-				random: Random.create(options.seed),
-				logger: createLogger('requests'),
-				metrics: this.#metrics,
-				codec: options.codec,
-				registry: this.#registry,
-				placement: this.#placement,
-				pools: this.#pools,
-				liveness: this.#liveness,
-				memory: this.#responseMemory,
-				requestMemory: this.#requestMemory,
-				turnBudget: TurnBudget.create({clock}),
-				stages: this.#stages,
-				retention: ResultRetention.create({
-					clock,
-					logger: createLogger('requests'),
-					targetCount: service => this.#registry.targetsOf(service).length,
-					entryVms: () => this.#retryBudgets.entryVms(clock.now()),
-					onUse: use => {
-						this.#metrics.recordStageResults(use);
-					},
-				}),
-				prefixCache: this.#prefixCache,
-				prompts: this.#prompts,
-				zone: options.self.zone,
-				distance: zone => this.#distance(zone),
-				rank: (key, names) => this.#ranks.of(key, names),
-				retryBudget: service => this.#retryBudgets.of(service),
-				createRetry: service => RequestRetry.create({
-					clock, service, budget: this.#retryBudgets.of(service), loans: this.#retryLoans,
-				}),
-				probe,
-				crashWatch: CrashWatch.create({
-					clock,
-					logger: createLogger('targets'),
-					probe,
-					onCrash: ({target, attempts}) => {
-						this.#metrics.recordCrash();
-						this.#quarantine.crashed(nameStart(target), attempts);
-					},
-				}),
-				limits: this.#targetLimits,
-				holds: this.#holds,
-				brittle: this.#brittle,
-				coldTargets: this.#coldTargets,
-				drainingReports: this.#drainingReports,
-				reach: this.#reach,
-				quarantine: this.#quarantine,
-				durations: {requests: RouteDurations.create(), attempts: RouteDurations.create()},
-				servicePace: ServicePace.create(),
-				shutdown: () => this.#shutdownSchedule,
-				isClosing,
-				targetsAgeMs: () => this.#targetFollower.ageMs,
-			},
-		};
-	}
-
-	/** Probes a target; the result tells of the reach of targets as well. */
-	async #probe(target: RelayTarget): Promise<ProbeResult> {
-		if (this.#placement.isEvacuated(target.entry.zone) || this.#holds.isHeld(target)) {
-			return 'withheld';
-		}
-
-		const recordReply = this.#liveness.begin(target.entry.address);
-		const {result} = await this.#checkHealth(target);
-		this.#coldTargets.seeHealth(target, {result, coldMs: undefined});
-		if (result === 'alive') {
-			recordReply();
-			this.#reach.recordReached();
-		} else {
-			this.#reach.recordFailed(target.id);
-		}
-
-		return result;
-	}
-
-	/** Whether a target takes requests, so that its health is watched. */
-	#mayProbe(target: RelayTarget): boolean {
-		return this.#placement.exclusionOf(target) === undefined && !this.#holds.isHeld(target);
-	}
-
-	async #checkHealth(target: RelayTarget, path?: string): Promise<TargetHealth> {
-		const health = await this.options.checkHealth(target, path);
-		this.#holds.observe(target, health.retryAfterMs);
-		return health;
-	}
-
-	/** Finds out whether a stage target has crashed, and tells the plans whose pieces were in the call. */
-	#watchLostCall({target, pieces, sentMs, lostMs}: LostStageCall): void {
-		const jobs = new Map(pieces.map(({job}) => [job.attemptId, job]));
-		for (const {attemptId, onCrash} of jobs.values()) {
-			if (onCrash) {
-				this.#stageCrashWatch.attemptBroken(target, {
-					attemptId, parts: [], progress: 'waiting', sentMs, brokenMs: lostMs, onCrash,
-				});
-			}
-		}
-	}
-
 	/** Starts the metrics endpoint, with tries until its address can be bound; until then requests are served without metrics. */
 	async #startMetrics(): Promise<void> {
-		const {metrics, createLogger} = this.options;
-		const {registry} = this.#metrics;
-		await this.#startInBackground('Cannot serve metrics yet; requests are still served, and it is tried again.', createLogger('entry-vm'), async () => {
-			const server = await startControlServer({
-				listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
-			});
-			this.#metricsServer = server;
-			if (this.#isClosed) {
-				await server.close();
-			}
-		});
-	}
-
-	/** Starts the mesh once the link key is available, with tries while its port is in use; until then this entry VM has no links. */
-	async #startMesh(): Promise<void> {
-		const logger = this.options.createLogger('links');
-		await this.#startInBackground('Cannot start the mesh yet; running without links, and it is tried again.', logger, async () => this.#createMesh());
-	}
-
-	/** Repeats an act until it succeeds or this entry VM closes, while requests are served. */
-	async #startInBackground(message: string, logger: PartLogger, act: () => Promise<void>): Promise<void> {
-		let failures = 0;
-		try {
-			await retry(act, {
-				clock: this.options.clock,
-				schedule: backgroundSchedule,
-				signal: this.#closing.signal,
-				onRetry({err, tries, delayMs}) {
-					failures = tries;
-					logger.warn(message, {error: errorMessage(err), tries, next_in_ms: delayMs});
-				},
-			});
-		} catch (err) {
-			logger.warn('Gave up an address since this entry VM closes.', {error: errorMessage(err)});
-			return;
-		}
-
-		if (failures > 0) {
-			logger.info('Bound an address after further tries.', {tries: failures + 1});
-		}
-	}
-
-	/** Handles a message about targets or the work at them; returns false for another one. */
-	#receiveAboutTargets(link: Link, message: LinkMessage): boolean {
-		switch (message.type) {
-			case 'prompt-suspicions': {
-				this.#quarantine.receive(link, message);
-
-				break;
-			}
-
-			case 'target-limit':
-			case 'limit-request':
-			case 'limit-reply': {
-				this.#targetLimits.receive(link, message);
-
-				break;
-			}
-
-			case 'target-cold':
-			case 'permit-request':
-			case 'permit-reply':
-			case 'permit-vote-request':
-			case 'permit-vote': {
-				this.#coldTargets.receive(link, message);
-
-				break;
-			}
-
-			case 'service-brittle':
-			case 'slot-request':
-			case 'slot-reply':
-			case 'slot-release': {
-				this.#brittle.receive(link, message);
-
-				break;
-			}
-
-			case 'target-draining': {
-				this.#drainingReports.receive(link, message);
-
-				break;
-			}
-
-			case 'prompt-work': {
-				this.#promptExchange.receive(link, message);
-
-				break;
-			}
-
-			default: {
-				return false;
-			}
-		}
-
-		return true;
-	}
-
-	async #createMesh(): Promise<void> {
-		const {self, links, clock, vmList, linkKeyStore, createLogger, seed} = this.options;
-		const logger = createLogger('links');
-		this.#linkKey ??= await getOrCreateLinkKey({store: linkKeyStore, clock, logger});
-		const mesh = await RelayMesh.create({
-			self,
-			key: this.#linkKey,
-			listen: links,
+		const {metrics, clock, createLogger} = this.options;
+		const {registry} = this.#parts.metrics;
+		await startInBackground({
 			clock,
-			random: Random.create(seed + 1),
-			vmList,
-			intervals: vmListIntervals,
-			registry: this.#metrics.registry,
-			logger,
-			events: EventRing.create({process: self.name, clock, capacity: eventCapacity}),
-			distanceTo: zone => {
-				const distance = this.#distance(zone);
-				return distance === 'same_region' ? 'other_zone' : distance;
-			},
-			regionOf: this.options.regionOf,
-			onMessage: (link, message) => {
-				if (this.#receiveAboutTargets(link, message)) {
-					return;
-				}
-
-				switch (message.type) {
-					case 'reach-request':
-					case 'reach-reply':
-					case 'reach-zone': {
-						this.#reach.receive(link, message satisfies ReachMessage);
-
-						break;
-					}
-
-					case 'share-loan': {
-						this.#retryBudgets.borrow(link.peer.incarnation, clock.now(), message.spent);
-
-						break;
-					}
-
-					case 'retry-request':
-					case 'retry-loan-request':
-					case 'retry-loan':
-					case 'retry-loan-return': {
-						this.#retryLoans.receive(link, message);
-
-						break;
-					}
-
-					case 'share-return': {
-						this.#retryBudgets.takeBack(link.peer.incarnation, {spent: message.spent, now: clock.now()});
-
-						break;
-					}
-
-					case 'standby': {
-						// The plans that wait here go on at the leader that has come back.
-						if (!message.isOn) {
-							this.#stages.handOver();
-						}
-
-						break;
-					}
-
-					case 'topic-news': {
-						this.#distributor.receive(link, message);
-
-						break;
-					}
-
-					default: {if (message.type.startsWith('stage-')) {
-						this.#stages.receive(link, message as StageMessage);
-					}
-					}
-				}
-			},
-			onSize: (size, isCurrent) => {
-				this.#retryBudgets.recordEntryVms(size, {now: clock.now(), isCurrent});
-			},
-			onUp: link => {
-				this.#quarantine.linkUp(link);
-				this.#targetLimits.linkUp(link);
-				this.#brittle.linkUp(link);
-				this.#coldTargets.linkUp(link);
-				this.#drainingReports.linkUp(link);
-				this.#promptExchange.linkUp();
-			},
-			onLost: link => {
-				this.#retryBudgets.giveBack(link.peer.incarnation);
-				this.#retryLoans.linkLost(link);
-				this.#stages.linkLost(link);
-				this.#distributor.linkLost(link);
-				this.#targetLimits.linkLost(link);
-				this.#brittle.linkLost(link);
-				this.#coldTargets.linkLost(link);
-				this.#reach.linkLost(link);
-				this.#promptExchange.linkLost(link);
-			},
-		});
-		this.#mesh = mesh;
-		if (this.#standby.isOn) {
-			mesh.setStandby(true);
-		}
-
-		// The shutdown may have begun while the port was in use.
-		if (this.#isClosed) {
-			await mesh.close();
-		} else if (this.#lifecycle.state === 'draining') {
-			mesh.leave();
-		}
-	}
-
-	async #tryRestoreLinkKey(): Promise<void> {
-		try {
-			await this.#restoreLinkKey();
-		} catch (err) {
-			this.options.createLogger('links').error('Cannot restore the link key; the current one remains in use.', {error: errorMessage(err)});
-		}
-	}
-
-	/**
-	 * Stores the link key again, or takes over the one that another entry VM has stored meanwhile, after the store has come
-	 * back from a copy that may be older than the key.
-	 */
-	async #restoreLinkKey(): Promise<void> {
-		const {linkKeyStore, clock, createLogger} = this.options;
-		const current = this.#linkKey;
-		if (!current) {
-			return;
-		}
-
-		const logger = createLogger('links');
-		await clock.sleep(this.#random.float() * linkKeySpreadMs);
-		if (this.#isClosed) {
-			return;
-		}
-
-		const key = await getOrCreateLinkKey({
-			store: linkKeyStore, clock, logger, current,
-		});
-		if (!key.equals(current)) {
-			this.#linkKey = key;
-			this.#mesh?.setKey(key);
-			logger.warn('Replaced the link key by the one that another entry VM has stored.');
-		}
-	}
-
-	/** Applies the newest configuration among records. */
-	#applyConfiguration(records: readonly KeyedRecord[]): void {
-		const logger = this.options.createLogger('config');
-		for (const record of records) {
-			const declarations = this.options.decodeDeclarations(record);
-			if (!declarations) {
-				continue;
-			}
-
-			const current = this.#table?.version;
-			const verdict = judgeDeclarations(this.#table?.declarations, declarations);
-			if (verdict !== 'apply') {
-				logger.info('Skipped a configuration version that is not newer than the current one.', {version: declarations.version, current, verdict});
-				continue;
-			}
-
-			if (declarations.version === current) {
-				logger.warn('A configuration version has another content than before; the one read last is applied.', {version: current});
-			}
-
-			this.#table = RouteTable.create(declarations);
-			this.#configuredMs ??= this.options.clock.now();
-			this.#server.applyLimits(this.#table);
-			this.#lifecycle.send({type: 'CONFIGURED'});
-			this.#coldWatch.check();
-			logger.info('Applied a version.', {
-				version: declarations.version, before: current, routes: declarations.routes.length, teams: declarations.teams.length,
-			});
-		}
-	}
-
-	/** Whether the quarantined prompt parts have been read from the store, or the store has not provided them in time. */
-	get #isQuarantineKnown(): boolean {
-		return this.#quarantineFollower.offset >= 0 || (this.#configuredMs !== undefined && this.options.clock.now() - this.#configuredMs >= quarantineTimeoutMs);
-	}
-
-	/** Returns a port whose calls tell whether targets can be reached. */
-	#watchReach(port: StageTargetPort): StageTargetPort {
-		return {
-			run: async call => {
-				const outcome = await port.run(call);
-				if (outcome.kind === 'unreachable') {
-					this.#reach.recordFailed(call.target.id);
-				} else {
-					this.#reach.recordReached();
+			logger: createLogger('entry-vm'),
+			message: 'Cannot serve metrics yet; requests are still served, and it is tried again.',
+			signal: this.#closing.signal,
+			act: async () => {
+				const server = await startControlServer({
+					listen: metrics, paths: {'/metrics': async () => ({status: 200, body: await registry.metrics(), contentType: registry.contentType})},
+				});
+				this.#metricsServer = server;
+				if (this.#closing.signal.aborted) {
+					await server.close();
 				}
-
-				return outcome;
 			},
-			free: async (producer, handles) => port.free(producer, handles),
-			producerOf: handle => port.producerOf(handle),
-		};
-	}
-
-	/** Decodes a record once, although it is read to pass it on, to compare later ones with it, and to apply it. */
-	#decodeTarget(record: KeyedRecord): TargetEntry | undefined {
-		if (!this.#decodedTargets.has(record)) {
-			this.#decodedTargets.set(record, this.options.decodeTarget(record));
-		}
-
-		return this.#decodedTargets.get(record);
-	}
-
-	/** A malformed record is not its target's: what the target has written before holds until it writes again or its record is deleted. */
-	#updateTargets(records: readonly KeyedRecord[]): void {
-		for (const record of records) {
-			const entry = this.#decodeTarget(record);
-			if (entry) {
-				this.#registry.put(entry);
-			} else if (record.value === undefined) {
-				this.#registry.remove(record.key);
-			}
-		}
-	}
-
-	/**
-	 * Returns this host's share of the stage calls. It is less than 1 without links to most of the other entry VMs: they
-	 * then use another pool host, which calls the same targets.
-	 */
-	#poolShare(): number {
-		const linked = this.#mesh?.linkedShare ?? 1;
-		return linked > maxIsolatedShare ? 1 : linked;
-	}
-
-	/** Returns the cold start that a service declares. Stage targets get calls from the host of their pool only, one at a time. */
-	#coldStartOf(service: string): ColdStart | undefined {
-		const declared = this.#table?.declarations.services.get(service);
-		return declared?.stagePool ? undefined : declared?.coldStart;
-	}
-
-	#isStageService(service: string): boolean {
-		return this.#table?.declarations.services.get(service)?.stagePool !== undefined;
-	}
-
-	/** Lends the share of the retries of pieces to the host of the stage pools, and does so again before the loan is over. */
-	#renewShareLoan(): void {
-		this.#cancelShareRenewal();
-		const isLent = this.#stages.isReady && this.#lendShare();
-		this.#cancelShareRenewal = this.options.clock.after(isLent ? shareRenewalMs : shareRetryMs, () => {
-			this.#renewShareLoan();
 		});
 	}
-
-	#lendShare(): boolean {
-		const leader = this.#mesh?.leader();
-		const now = this.options.clock.now();
-		const isLent = this.#retryBudgets.lend((leader?.peer ?? this.options.self).incarnation, now);
-		const spent = this.#retryBudgets.spentOfShare(now);
-		return isLent && (leader?.send({type: 'share-loan', ...(spent > 0 ? {spent} : {})}) ?? true);
-	}
-
-	/**
-	 * Returns the shares that were lent to this entry VM as the host of the stage pools, with what it has spent of them, if there
-	 * is a next host and no reserved retry is still to be sent; returns whether it did.
-	 */
-	#returnShares(): boolean {
-		const now = this.options.clock.now();
-		const pieces = this.#poolHost.retryBudgets().map(({state}) => state);
-		if (!this.#mesh?.leader() || pieces.some(({reserved}) => reserved > 0)) {
-			return false;
-		}
-
-		const {owners, spent} = this.#retryBudgets.returnLoans(pieces, now);
-		for (const link of this.#mesh.links()) {
-			if (owners.includes(link.peer.incarnation)) {
-				link.send({type: 'share-return', ...(spent > 0 ? {spent} : {})});
-			}
-		}
-
-		if (owners.length > 0) {
-			this.options.createLogger('pools').info('Returned the shares of retries that were lent to this host.', {owners: owners.length, spent_of_each: Math.round(spent * 100) / 100});
-		}
-
-		return true;
-	}
-
-	#retryBudgetStates() {
-		const now = this.options.clock.now();
-		return [
-			...this.#retryBudgets.states(now).map(({service, state}) => ({service, cause: 'attempt', ...state})),
-			...this.#poolHost.retryBudgets().map(({service, state}) => ({service, cause: 'piece', ...state})),
-		];
-	}
-
-	#distance(zone: string): ZoneDistance {
-		const {self: {zone: own}, regionOf} = this.options;
-		if (zone === own) {
-			return 'same_zone';
-		}
-
-		const region = regionOf(own);
-		return region !== undefined && region === regionOf(zone) ? 'same_region' : 'other_region';
-	}
 }
