--- a/src/reach/reach-watch.test.ts
+++ b/src/reach/reach-watch.test.ts
@@ -135,44 +135,6 @@
 		}
 	});
 
-	// Guards against requests that go on waiting at targets that never get them, for as long as the first attempts take to fail.
-	it('finds a cut in which packets are lost by the silence of targets, before any attempt fails', async () => {
-		const {clock, watches, changes} = createFleet(3, new Set([0]), 500);
-		const startedMs = clock.now();
-		watches[0]!.awaitResponse('a-1', startedMs);
-		watches[0]!.awaitResponse('b-1', startedMs);
-		await clock.advance(3000);
-		expect(changes.get(0)!.map(({atMs, isCutOff}) => [atMs - startedMs <= 900, isCutOff])).toEqual([[true, true]]);
-		watches[0]!.close();
-	});
-
-	// Guards against probes that nothing asks for, and against a cut that is seen where targets just take long.
-	it('does not probe while another target responds, and is not cut off where probes of silent targets are answered', async () => {
-		const clock = ManualClock.create();
-		const probesMs: number[] = [];
-		const watch = ReachWatch.create({
-			clock, logger: silentLoggerFactory('targets'), random: Random.create(1), zone: 'riga-a', callersAddress: () => 'vm-1', links: () => [], targets: () => targets, async probe() {
-				probesMs.push(clock.now());
-				return true;
-			},
-		});
-		const ends = ['a-1', 'b-1'].map(target => watch.awaitResponse(target, clock.now()));
-		for (let step = 0; step < 10; step++) {
-			await clock.advance(250);
-			watch.recordReached();
-		}
-
-		const quietMs = clock.now();
-		await clock.advance(2000);
-		expect([probesMs.map(atMs => atMs - quietMs), watch.isCutOff]).toEqual([[300, 300, 300, 300], false]);
-		for (const end of ends) {
-			end();
-		}
-
-		await clock.advance(5000);
-		expect(probesMs.length).toBe(4);
-	});
-
 	it('ends with a response of a target', async () => {
 		const {watches, failAt} = createFleet(30, new Set([3]));
 		await failAt(3);
--- a/src/reach/reach-watch.ts
+++ b/src/reach/reach-watch.ts
@@ -1,9 +1,8 @@
-import type {CancelTimer, Clock, Ms} from '../clock/index.js';
+import type {Clock, Ms} from '../clock/index.js';
 import {errorMessage} from '../errors/index.js';
 import {PendingReplies, type Link, type LinkMessage} from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
 import type {Random} from '../random/index.js';
-import {SilentTargets} from './silent-targets.js';
 import {TargetReach} from './target-reach.js';
 
 /** Targets that are probed before an entry VM counts as cut off, of as many services as possible, and at each check after. */
@@ -17,10 +16,6 @@
 const maxAsked = 4;
 /** Maximum number of entry VMs between one that asks and one that replies: the leader of its cell and that of another one. */
 const maxHops = 2;
-/** Maximum time between two judgments of the silence of targets while several are waited for. */
-const silenceCheckMs: Ms = 300;
-/** Delay of such a judgment from which this process itself may not have run, so that responses may wait to be read. */
-const stallMs: Ms = 100;
 /** Maximum number of entry VMs whose zones are remembered; the oldest are dropped first. */
 const maxZones = 1000;
 
@@ -51,8 +46,8 @@
 }
 
 /**
- * Finds out when this entry VM is partitioned from all targets while other entry VMs reach some: several targets fail or are
- * silent, probes of further ones fail too, and a peer says that it reaches one. Where no peer does, the targets are down, and nothing
+ * Finds out when this entry VM is partitioned from all targets while other entry VMs reach some: several targets fail,
+ * probes of further ones too, and a peer says that it reaches one. Where no peer does, the targets are down, and nothing
  * would be gained by leaving requests to others. Ends as soon as one target responds.
  *
  * @example
@@ -72,8 +67,6 @@
 	#isChecking = false;
 	#isClosed = false;
 	#turn = 0;
-	readonly #silent = SilentTargets.create();
-	#cancelSilenceCheck: CancelTimer | undefined;
 
 	private constructor(private readonly options: ReachWatchOptions<Target>) {
 		this.#replies = PendingReplies.create(options.clock);
@@ -98,7 +91,6 @@
 	/** Records a response of a target. */
 	recordReached(): void {
 		this.#reach.recordReached(this.options.clock.now());
-		this.#silent.recordReached(this.options.clock.now());
 		if (this.isCutOff) {
 			this.#helpers = [];
 			this.options.logger.warn('Targets can be reached again.');
@@ -115,18 +107,6 @@
 		}
 	}
 
-	/**
-	 * Records an attempt at a target, which is expected to respond by `expectedMs`; call the returned function when it has
-	 * responded or the attempt has ended. If several targets are silent together, others are probed.
-	 */
-	awaitResponse(target: string, expectedMs: Ms): () => void {
-		const wait = this.#silent.begin(target, expectedMs);
-		this.#scheduleSilenceCheck();
-		return () => {
-			this.#silent.end(wait);
-		};
-	}
-
 	/** Handles a message of a peer. */
 	receive(link: Link, message: ReachMessage): void {
 		if (message.type === 'reach-reply') {
@@ -154,51 +134,14 @@
 	/** Stops the checks. */
 	close(): void {
 		this.#isClosed = true;
-		this.#cancelSilenceCheck?.();
-	}
-
-	#scheduleSilenceCheck(): void {
-		const {clock} = this.options;
-		if (this.#cancelSilenceCheck !== undefined || this.#isClosed) {
-			return;
-		}
-
-		const dueMs = this.#silent.nextSuspicionMs();
-		if (dueMs === undefined) {
-			return;
-		}
-
-		const now = clock.now();
-		const checkMs = now + Math.min(silenceCheckMs, Math.max(1, dueMs - now));
-		this.#cancelSilenceCheck = clock.after(checkMs - now, () => {
-			this.#cancelSilenceCheck = undefined;
-			this.#judgeSilence(checkMs);
-			this.#scheduleSilenceCheck();
-		});
-	}
-
-	/** Checks whether targets can be reached if several are silent; `checkMs` is the time for which the judgment was scheduled. */
-	#judgeSilence(checkMs: Ms): void {
-		const now = this.options.clock.now();
-		if (now - checkMs >= stallMs) {
-			this.#silent.recordReached(now);
-		} else if (!this.#isChecking && now >= (this.#silent.nextSuspicionMs() ?? Infinity)) {
-			this.#silent.recordSuspicion(now);
-			this.#isChecking = true;
-			void this.#check([...this.#silent.targets]);
-		}
 	}
 
-	/** Checks until a target responds, or no entry VM reaches one; `silent` are the targets whose silence is the reason, if it is. */
-	async #check(silent: readonly string[] = []): Promise<void> {
+	/** Checks until a target responds, or no entry VM reaches one. */
+	async #check(): Promise<void> {
 		const {clock, logger} = this.options;
 		const startedMs = clock.now();
 		try {
 			let isReached = await this.#probe(probesBeforeCut);
-			if (silent.length > 0) {
-				logger.info('Probed targets, since several are silent.', {silent: silent.slice(0, probesBeforeCut), is_reached: isReached, took_ms: Math.round(clock.now() - startedMs)});
-			}
-
 			while (!isReached && !this.#isClosed) {
 				const replies = await this.#ask(0, {
 					onKnown: helper => {
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -342,7 +342,6 @@
 		this.#isAttempting = true;
 		this.#record.startAttempt(target, startedMs);
 		this.#record.recordChoice(ticket.logFields);
-		const endWait = context.reach.awaitResponse(target.id, startedMs + (prompt ? this.#timeBudget.expectedResponseMs(target.pendingTokens) : 0));
 		const outcome = await runAttempt({
 			clock,
 			pools,
@@ -388,7 +387,6 @@
 			},
 			onHead: (targetHead, framing, status) => {
 				hasResponded = true;
-				endWait();
 				recordReply?.();
 				this.#record.recordFraming(framing);
 				context.reach.recordReached();
@@ -427,7 +425,6 @@
 			},
 		});
 		this.#isAttempting = false;
-		endWait();
 		this.#picker.endAttempt(target, outcome.kind === 'failed' && outcome.failure === 'refused');
 		ticket.end();
 		this.#record.recordLastEvent(this.#lastEventId);
--- a/src/relay/time-budget.ts
+++ b/src/relay/time-budget.ts
@@ -116,13 +116,8 @@
 		return Math.min(remainingMs, attemptMs);
 	}
 
-	/** Time in which an engine usually sends the first token, given the prompt tokens pending there. */
-	expectedResponseMs(pendingTokens: number): Ms {
-		return this.#firstTokenMs + (pendingTokens / prefillTokensPerMs);
-	}
-
 	/** Time without a first token after which an engine is probed, given the prompt tokens pending there. */
 	probeAfterMs(pendingTokens: number): Ms {
-		return this.expectedResponseMs(pendingTokens) + probeMarginMs;
+		return this.#firstTokenMs + (pendingTokens / prefillTokensPerMs) + probeMarginMs;
 	}
 }
