Release the slots of brittle targets that no attempt uses

A stream whose target went silent reserved a place at a second target. When its own target went on, or a retry was denied, the slot there was kept until the stream ended, and other requests got 503 target_brittle. A reserved or awaited target that may no longer be sent to kept its slot as well.

The handler now ends each reservation that no attempt follows. An attempt does not wait for its reservation to end, so that an aborted one may release its target after the next attempt has reserved the same one. TargetPicker therefore counts the reservations of a target and releases the slot with the last. Of two concurrent reservations of a target, the first slot was lost; the second slot is now released at once.

--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -610,7 +610,7 @@
 		}
 
 		if (signal.aborted) {
-			this.#freeResults(newResults);
+			this.#releasePrepared(target, newResults);
 			return undefined;
 		}
 
@@ -620,7 +620,7 @@
 
 		const denial = target && this.#picker.isAllowed(target) ? this.#findReservationDenial(isSent) : 'no_place';
 		if (denial !== undefined || (isSent && !this.#reserveBudget())) {
-			this.#freeResults(newResults);
+			this.#releasePrepared(target, newResults);
 			return denial ?? 'no_budget';
 		}
 
@@ -632,6 +632,14 @@
 		return undefined;
 	}
 
+	/** Releases what was prepared for an attempt that is not made: the one in progress may go on for long. */
+	#releasePrepared(target: RelayTarget | undefined, results: readonly StageResult[]): void {
+		this.#freeResults(results);
+		if (target) {
+			this.#picker.endAttempt(target, false);
+		}
+	}
+
 	/** Reserves a retry in the budget for the next attempt. */
 	#reserveBudget(): boolean {
 		return this.#retry.reserve();
@@ -655,6 +663,10 @@
 		const reserved = this.#reservedTarget;
 		this.#reservedTarget = undefined;
 		const isReserved = reserved !== undefined && this.#picker.mayBeSentTo(reserved);
+		if (reserved && !isReserved) {
+			this.#picker.endAttempt(reserved, false);
+		}
+
 		if (!isReserved && this.#picker.lacksRoom) {
 			await this.#picker.waitForRoom(this.#timeBudget.roomDeadlineMs(clock.now()), this.#abortController.signal);
 			if (this.#abortController.signal.aborted) {
@@ -686,7 +698,12 @@
 			}
 
 			// The target may have started to drain, become cold, or taken other prompts, meanwhile.
-			return this.#picker.mayBeSentTo(limitedTarget) ? limitedTarget : this.#acquireTarget();
+			if (this.#picker.mayBeSentTo(limitedTarget)) {
+				return limitedTarget;
+			}
+
+			this.#picker.endAttempt(limitedTarget, false);
+			return this.#acquireTarget();
 		}
 
 		this.#reject(this.#picker.rejectionWithoutPlace(limitedTarget, {mayHaveRun: this.#possibleRunCount > 0, retryAfterMs: reservation.retryAfterMs, remainingMs: this.#timeBudget.remainingMs(clock.now())}));
--- a/src/relay/target-picker.test.ts
+++ b/src/relay/target-picker.test.ts
@@ -83,6 +83,22 @@
 		expect(ends('t-2').filter(event => event === 't-2 taken')).toHaveLength(ends('t-2').filter(event => event === 't-2 released').length);
 	});
 
+	// Guards against an attempt whose slot is released with an earlier reservation of its target that was aborted late, and against a second slot that is lost.
+	it('keeps the slot of a target until the last reservation has ended', async () => {
+		brittle.add('t-1');
+		const target = registry.get('t-1')!;
+		await Promise.all([picker.reserve(target, 0), picker.reserve(target, 0)]);
+		expect(slots).toEqual(['t-1 taken', 't-1 taken', 't-1 released']);
+		await picker.reserve(target, 0);
+		full.add('t-1');
+		await picker.reserve(target, 0);
+		picker.endAttempt(target, false);
+		picker.endAttempt(target, false);
+		expect(slots).toHaveLength(3);
+		picker.endAttempt(target, true);
+		expect(slots.at(-1)).toBe('t-1 rejected');
+	});
+
 	// Guards against requests that are sent, or that wait, while every target has asked for none.
 	it('leaves out targets that are held back, and tells the shortest time left once all are', async () => {
 		for (const [id, retryAfterMs] of [['t-1', 4000], ['t-2', 2000]] as const) {
--- a/src/relay/target-picker.ts
+++ b/src/relay/target-picker.ts
@@ -62,8 +62,11 @@
 	/** Times until which the request may be sent to cold targets, with the permits that it has. */
 	readonly #sendByMs = new Map<RelayTarget, Ms>();
 
-	/** Slots of brittle targets that the request has. */
-	readonly #slots = new Map<RelayTarget, BrittleSlot>();
+	/**
+	 * Targets that are reserved, with their slots if they are brittle. An aborted reservation may end after the next attempt
+	 * has reserved the same target, so that a slot is released with the last of them.
+	 */
+	readonly #reserved = new Map<RelayTarget, {count: number; slot: BrittleSlot | undefined; isRejected: boolean}>();
 	#isClosed = false;
 
 	private constructor(private readonly context: TargetPickerContext, private readonly request: PickedRequest) {}
@@ -161,7 +164,11 @@
 				continue;
 			}
 
-			if ('waitMs' in await this.reserve(target, 0) && (!isProbed || isProbedFirst || await this.#responds(target)) && this.mayBeSentTo(target)) {
+			if ('retryAfterMs' in await this.reserve(target, 0)) {
+				continue;
+			}
+
+			if ((!isProbed || isProbedFirst || await this.#responds(target)) && this.mayBeSentTo(target)) {
 				return target;
 			}
 
@@ -171,19 +178,17 @@
 		return undefined;
 	}
 
-	/** Resolves with a place within the limit that a target names, and a permit if it is cold, or with the time until there is one. */
+	/**
+	 * Resolves with a place within the limit that a target names, and a permit if it is cold, or with the time until there is
+	 * one. A place is followed by one call of `endAttempt`.
+	 */
 	async reserve(target: RelayTarget, maxWaitMs: Ms): Promise<Reservation> {
-		const slot = this.context.brittle.isBrittle(target) && !this.#slots.has(target) ? await this.context.brittle.reserve(target) : undefined;
+		const slot = this.context.brittle.isBrittle(target) && !this.#reserved.get(target)?.slot ? await this.context.brittle.reserve(target) : undefined;
 		if (slot && 'retryAfterMs' in slot) {
 			return slot;
 		}
 
-		if (slot && this.#isClosed) {
-			slot.release(false);
-		} else if (slot) {
-			this.#slots.set(target, slot);
-		}
-
+		this.#addReservation(target, slot);
 		const reservation = await this.#reservePermits(target, maxWaitMs);
 		if ('retryAfterMs' in reservation) {
 			this.endAttempt(target, false);
@@ -192,17 +197,47 @@
 		return reservation;
 	}
 
-	/** Gives back the slot of a brittle target after an attempt, `isRejected` if the target had no place for the request. */
+	/** Ends a reservation, after its attempt or without one; `isRejected` if the target had no place for the request. */
 	endAttempt(target: RelayTarget, isRejected: boolean): void {
-		this.#slots.get(target)?.release(isRejected);
-		this.#slots.delete(target);
+		const reserved = this.#reserved.get(target);
+		if (!reserved) {
+			return;
+		}
+
+		reserved.count--;
+		reserved.isRejected ||= isRejected;
+		if (reserved.count === 0) {
+			this.#reserved.delete(target);
+			reserved.slot?.release(reserved.isRejected);
+		}
 	}
 
 	/** Gives back what was reserved for attempts that were not made. */
 	close(): void {
 		this.#isClosed = true;
-		for (const target of this.#slots.keys()) {
-			this.endAttempt(target, false);
+		for (const {slot, isRejected} of this.#reserved.values()) {
+			slot?.release(isRejected);
+		}
+
+		this.#reserved.clear();
+	}
+
+	#addReservation(target: RelayTarget, slot: BrittleSlot | undefined): void {
+		const reserved = this.#reserved.get(target);
+		// Another reservation of the target may have got a slot meanwhile.
+		if (this.#isClosed || (slot && reserved?.slot)) {
+			slot?.release(false);
+		}
+
+		if (this.#isClosed) {
+			return;
+		}
+
+		if (reserved) {
+			reserved.count++;
+			reserved.slot ??= slot;
+		} else {
+			this.#reserved.set(target, {count: 1, slot, isRejected: false});
 		}
 	}
 
