Bound and drop the denials of cold and brittle targets

An entry VM that does not coordinate kept the time of a denied permit for each target for good, since only the cleanup of its own schedules dropped them. The time in permit-reply and slot-reply had no bound, so that a faulty peer could deny a target for any time.

Denials that are over are now dropped at the next one, and a reply denies a target for 10 s at most. The coordinator still decides about each permit and slot, so that the bound only costs one more request.

--- a/src/limits/brittle-targets.test.ts
+++ b/src/limits/brittle-targets.test.ts
@@ -171,6 +171,18 @@
 		expect(fleet.vms.some(other => other.hasAny)).toBe(false);
 	});
 
+	// Guards against a faulty peer that takes a target out of use for any time.
+	it('bound the time for which a peer denies a target', async () => {
+		const fleet = new Fleet(2);
+		fleet.vms[1]!.observe(fleet.target, {perSecond, sentMs: fleet.clock.now()});
+		await fleet.clock.advance(100);
+		const reserving = fleet.vms[1]!.reserve(fleet.target);
+		fleet.vms[1]!.receive(fleet.mesh.link(1, 0), {
+			type: 'slot-reply', id: 1, isGranted: false, retryAfterMs: 1e12,
+		});
+		expect(await reserving).toEqual({retryAfterMs: 10_000});
+	});
+
 	it.each([Number.NaN, -1, Infinity])('ignore a bound of %d', perSecond => {
 		const fleet = new Fleet(1);
 		fleet.vms[0]!.observe(fleet.target, {perSecond, sentMs: 0});
--- a/src/limits/brittle-targets.ts
+++ b/src/limits/brittle-targets.ts
@@ -5,6 +5,7 @@
 import type {PartLogger} from '../logging/index.js';
 import type {Random} from '../random/index.js';
 import type {RelayTarget} from '../registry/index.js';
+import {boundDenial} from './bound-denial.js';
 import {BrittleSlots, type SlotReply} from './brittle-slots.js';
 
 /** Time for which an entry VM waits for the coordinator, which is one region away at most. */
@@ -158,7 +159,7 @@
 			}
 
 			case 'slot-reply': {
-				this.#replies.reply(link, message.id, message.isGranted ? {isGranted: true} : {isGranted: false, retryAfterMs: message.retryAfterMs});
+				this.#replies.reply(link, message.id, message.isGranted ? {isGranted: true} : {isGranted: false, retryAfterMs: boundDenial(message.retryAfterMs)});
 				break;
 			}
 
--- a/src/limits/cold-permits.test.ts
+++ b/src/limits/cold-permits.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {CuttableMesh} from '../../test/support/cuttable-mesh.js';
 import {ManualClock, type Ms} from '../clock/index.js';
+import type {Link, LinkMessage} from '../links/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
 import {Random} from '../random/index.js';
 import {permitRate} from './cold-bound.js';
@@ -82,6 +83,48 @@
 	});
 });
 
+describe('ColdPermits at an entry VM that does not coordinate', () => {
+	let retryAfterMs = 0;
+	const clock = ManualClock.create({now: 10_000});
+	const link = {
+		peer: {name: 'vm-0'},
+		send(message: LinkMessage & {type: 'permit-request'}) {
+			const {id} = message;
+			queueMicrotask(() => {
+				permits.receive(link, {
+					type: 'permit-reply', id, waitMs: null, retryAfterMs,
+				});
+			});
+			return true;
+		},
+	} as unknown as Link;
+	const permits = ColdPermits.create({
+		clock, logger: silentLoggerFactory('targets'), self: 'i-1', mesh: () => ({
+			...CuttableMesh.create({
+				size: 2, cellSize: 2, clock, random: Random.create(1), deliver: () => undefined, onLost: () => undefined,
+			}).at(1), coordinatorOf: () => link,
+		}), rateOf: () => 1, coldSinceMs: () => undefined,
+	});
+
+	// Guards against a faulty peer that takes a target out of use for any time.
+	it('bounds the time for which a peer denies a target', async () => {
+		retryAfterMs = 1e12;
+		await permits.reserve(target, 0);
+		expect(permits.deniedUntilMs(target.target)).toBe(20_000);
+	});
+
+	// Guards against memory that grows with each target that was cold once.
+	it('drops the denials that are over', async () => {
+		retryAfterMs = 200;
+		for (let start = 0; start < 200; start++) {
+			await permits.reserve({...target, target: `e-${start + 2}`}, 0);
+			await clock.advance(100);
+		}
+
+		expect(permits.denialCount).toBeLessThan(5);
+	});
+});
+
 describe('ColdPermits in a fleet', () => {
 	it.each([0, 800])('keeps the bound with requests that wait %d ms, and uses it', async maxWaitMs => {
 		const fleet = new Fleet(24, 1);
--- a/src/limits/cold-permits.ts
+++ b/src/limits/cold-permits.ts
@@ -3,6 +3,7 @@
 	maxLimitHops, PendingReplies, type Link, type LinkMessage, type RelayMesh,
 } from '../links/index.js';
 import type {PartLogger} from '../logging/index.js';
+import {boundDenial} from './bound-denial.js';
 import {boundWindowMs, permitTtlMs} from './cold-bound.js';
 import {CoordinatorLease, type LeaseMesh, type LeaseMessage} from './coordinator-lease.js';
 import {RateSchedule, type Reservation} from './rate-schedule.js';
@@ -66,7 +67,7 @@
 	readonly #lease: CoordinatorLease;
 	/** Requests for a permit that are under way: a target is asked for one at a time, as the next request may be spared by the reply. */
 	readonly #asking = new Map<string, Promise<unknown>>();
-	/** Times until which there is no permit without a wait, by target. */
+	/** Times until which there is no permit without a wait, by target; the one denied first comes first. */
 	readonly #deniedUntilMs = new Map<string, Ms>();
 
 	private constructor(private readonly options: ColdPermitsOptions) {
@@ -79,6 +80,11 @@
 		return this.#deniedUntilMs.get(target) ?? 0;
 	}
 
+	/** Number of targets for which a denial is kept. */
+	get denialCount(): number {
+		return this.#deniedUntilMs.size;
+	}
+
 	/** Resolves with a permit that is free within `maxWaitMs`, or with the time until one is free without a wait. */
 	async reserve(target: PermitTarget, maxWaitMs: Ms): Promise<Permit> {
 		const {clock} = this.options;
@@ -121,7 +127,7 @@
 			}
 
 			case 'permit-reply': {
-				this.#replies.reply(link, message.id, message.waitMs === null ? {retryAfterMs: message.retryAfterMs} : {waitMs: message.waitMs});
+				this.#replies.reply(link, message.id, message.waitMs === null ? {retryAfterMs: boundDenial(message.retryAfterMs)} : {waitMs: message.waitMs});
 				break;
 			}
 
@@ -147,7 +153,7 @@
 
 		const reservation = await this.#ask(request);
 		if ('retryAfterMs' in reservation) {
-			this.#deniedUntilMs.set(request.target, clock.now() + reservation.retryAfterMs);
+			this.#deny(request.target, clock.now() + reservation.retryAfterMs);
 		} else {
 			this.#deniedUntilMs.delete(request.target);
 		}
@@ -155,6 +161,20 @@
 		return reservation;
 	}
 
+	/** Remembers until when there is no permit for a target, and drops earlier denials that are over. */
+	#deny(target: string, untilMs: Ms): void {
+		const now = this.options.clock.now();
+		this.#deniedUntilMs.delete(target);
+		this.#deniedUntilMs.set(target, untilMs);
+		for (const [key, endMs] of this.#deniedUntilMs) {
+			if (endMs > now) {
+				break;
+			}
+
+			this.#deniedUntilMs.delete(key);
+		}
+	}
+
 	/** Grants a permit here, if this entry VM coordinates the target's zone, or else asks the one that does. */
 	async #ask(request: PermitRequest): Promise<Reservation> {
 		const coordinator = this.options.mesh()?.coordinatorOf(request.zone);
@@ -207,7 +227,6 @@
 			}
 
 			this.#schedules.delete(key);
-			this.#deniedUntilMs.delete(key);
 		}
 
 		const schedule = this.#schedules.get(target)?.schedule ?? RateSchedule.create(rate, Math.max(now, (this.options.coldSinceMs(target) ?? now) + boundWindowMs + newsDelayMs), 0);
