Forget the starts of brittle targets that are not used any more

BrittleTargets kept its slots of each start of a target while any service was brittle, so that targets that crash and start again added an entry each.

An entry is now dropped 30 s after the last request for a slot, unless a slot is held or asked for, or its share of the bound is still to come.

--- a/src/limits/brittle-targets.test.ts
+++ b/src/limits/brittle-targets.test.ts
@@ -5,7 +5,9 @@
 import {silentLoggerFactory} from '../logging/index.js';
 import {Random} from '../random/index.js';
 import {RelayTarget} from '../registry/index.js';
-import {BrittleTargets, type BrittleMesh, type BrittleMessage} from './brittle-targets.js';
+import {
+	BrittleTargets, type BrittleMesh, type BrittleMessage, type BrittleSlot,
+} from './brittle-targets.js';
 
 const slots = 6;
 const perSecond = 9;
@@ -183,6 +185,26 @@
 		expect(await reserving).toEqual({retryAfterMs: 10_000});
 	});
 
+	// Guards against memory that grows with each start of a target, and against slots in use or shares of the bound that are forgotten.
+	it('forget the starts of targets that are not used any more', async () => {
+		const fleet = new Fleet(1);
+		const [brittle] = fleet.vms;
+		const reserve = async (startedMs: number) => brittle!.reserve(RelayTarget.create({...fleet.target.entry, startedMs}));
+		brittle!.observe(fleet.target, {perSecond: 0.0002, sentMs: fleet.clock.now()});
+		await reserve(2);
+		fleet.lonely.add(0);
+		await reserve(3);
+		fleet.lonely.clear();
+		for (let startedMs = 4; startedMs < 104; startedMs++) {
+			const slot = await reserve(startedMs);
+			expect(slot).toHaveProperty('release');
+			(slot as BrittleSlot).release(false);
+			await fleet.clock.advance(1000);
+		}
+
+		expect(brittle!.size).toBe(2 + 30);
+	});
+
 	it.each([Number.NaN, -1, Infinity])('ignore a bound of %d', perSecond => {
 		const fleet = new Fleet(1);
 		fleet.vms[0]!.observe(fleet.target, {perSecond, sentMs: 0});
--- a/src/limits/brittle-targets.ts
+++ b/src/limits/brittle-targets.ts
@@ -17,6 +17,9 @@
 /** Time after which to ask again without a coordinator that replies, while the number of entry VMs is not known. */
 const unreachableRetryMs: Ms = 500;
 
+/** Time without a request for a slot after which a start of a target is forgotten. */
+const localTtlMs: Ms = 30_000;
+
 /** Link message about brittle targets. */
 export type BrittleMessage = LinkMessage & {type: 'service-brittle' | 'slot-request' | 'slot-reply' | 'slot-release'};
 
@@ -44,7 +47,7 @@
 
 type Named = {readonly perSecond: number | undefined; readonly seenMs: Ms; readonly sinceMs: Ms};
 type SlotQuery = {readonly target: string; readonly startedMs: number | null; readonly zone: string; readonly slots: number; readonly perSecond: number; readonly holder: string; readonly held: number; readonly hops: number};
-type LocalSlots = {held: number; asking: Promise<unknown> | undefined; deniedUntilMs: Ms; nextShareMs: Ms | undefined};
+type LocalSlots = {held: number; asking: Promise<unknown> | undefined; deniedUntilMs: Ms; nextShareMs: Ms | undefined; usedMs: Ms};
 
 /**
  * Targets that crash if they have to reject too many requests in a second, as all responses of their service say. A
@@ -63,6 +66,7 @@
 	readonly #services = new Map<string, Named>();
 	#brittleCount = 0;
 	readonly #slots = BrittleSlots.create();
+	/** Slots of this entry VM by start of a target, least recently asked for first. */
 	readonly #local = new Map<string, LocalSlots>();
 	readonly #replies: PendingReplies<SlotReply>;
 	readonly #unreadable = new WeakSet<RelayTarget>();
@@ -76,6 +80,11 @@
 		return this.#brittleCount > 0;
 	}
 
+	/** Number of starts of targets that are kept. */
+	get size(): number {
+		return this.#local.size;
+	}
+
 	/** Whether a request to a target needs a slot. */
 	isBrittle({entry}: RelayTarget): boolean {
 		return this.hasAny && this.#services.get(entry.service)?.perSecond !== undefined;
@@ -114,11 +123,7 @@
 	/** Resolves with a slot of a brittle target, or with the time after which to ask again. */
 	async reserve(target: RelayTarget): Promise<BrittleSlot | {readonly retryAfterMs: Ms}> {
 		const {clock} = this.options;
-		const key = keyOf(target);
-		const local = this.#local.get(key) ?? {
-			held: 0, asking: undefined, deniedUntilMs: 0, nextShareMs: undefined,
-		};
-		this.#local.set(key, local);
+		const local = this.#localSlots(keyOf(target));
 		while (local.asking) {
 			await local.asking;
 		}
@@ -221,6 +226,28 @@
 		}
 	}
 
+	/** Returns the slots of a start of a target, and forgets those that are neither used nor restrict a later request. */
+	#localSlots(key: string): LocalSlots {
+		const now = this.options.clock.now();
+		const local = this.#local.get(key) ?? {
+			held: 0, asking: undefined, deniedUntilMs: 0, nextShareMs: undefined, usedMs: now,
+		};
+		local.usedMs = now;
+		this.#local.delete(key);
+		this.#local.set(key, local);
+		for (const [other, {held, asking, nextShareMs, usedMs}] of this.#local) {
+			if (now - usedMs < localTtlMs) {
+				break;
+			}
+
+			if (held === 0 && !asking && (nextShareMs ?? 0) <= now) {
+				this.#local.delete(other);
+			}
+		}
+
+		return local;
+	}
+
 	#encode(service: string, {perSecond, seenMs}: Named): BrittleMessage {
 		return {
 			type: 'service-brittle', service, perSecond: perSecond ?? null, agoMs: Math.max(0, this.options.clock.now() - seenMs),
