Log why a stage is deferred

A stage that waited for a longer branch of its plan started late without a log line that told why. StagePlanRun now logs each decision to defer one at debug level, with the id of the request, the inputs and the age of the plan.

--- a/src/pools/pool-host.ts
+++ b/src/pools/pool-host.ts
@@ -243,6 +243,10 @@
 		return this.#pools.get(service)?.pool.isUnstarted(id) ?? true;
 	}
 
+	get logger(): PartLogger {
+		return this.options.logger;
+	}
+
 	now(): Ms {
 		return this.options.clock.now();
 	}
--- a/src/pools/stage-plan-run.test.ts
+++ b/src/pools/stage-plan-run.test.ts
@@ -11,6 +11,13 @@
 
 class FakeHost implements PlanHost {
 	readonly jobs: Array<{service: string; job: StageJob}> = [];
+	readonly logged: Array<Record<string, unknown>> = [];
+	readonly logger = {
+		debug: (message: string, fields = {}) => {
+			this.logged.push({message, ...fields});
+		},
+	};
+
 	readonly freed: string[] = [];
 	readonly announced = new Map<string, number>();
 	readonly answers = new Map<string, (job: StageJob) => StageJobOutcome>();
@@ -122,6 +129,21 @@
 		expect(outcome).toHaveProperty('results.length', 2);
 	});
 
+	// Guards against a stage that starts late for a reason which no log line tells.
+	it('logs why a stage is deferred, and nothing for one that is not', async () => {
+		const host = new FakeHost();
+		await run(host);
+		expect(host.logged).toEqual([]);
+		await run(host, {
+			...chain, stages: [...chain.stages, {
+				service: 'scan', after: [], resultBytes: 1_500_000, pieces: 1,
+			}],
+		});
+		expect(host.logged[0]).toEqual({
+			message: 'Deferred a stage: the rest of its plan takes longer.', id: 'r1', stage: 3, service: 'scan', path_ms: 255, wait_ms: 0, delay_ms: 390, age_ms: 0,
+		});
+	});
+
 	it('frees all results when a stage fails', async () => {
 		const host = new FakeHost();
 		host.answers.set('assay', () => ({failure: 'input_gone', retryAfterMs: 200}));
--- a/src/pools/stage-plan-run.ts
+++ b/src/pools/stage-plan-run.ts
@@ -1,5 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import type {Ms} from '../clock/index.js';
+import type {PartLogger} from '../logging/index.js';
 import type {JobUrgency} from './job-order.js';
 import type {StageJob, StageJobOutcome, ZoneTransfer} from './stage-job.js';
 import {StageDeferral} from './stage-deferral.js';
@@ -11,6 +12,8 @@
 
 /** Operations of the pool host that a plan run uses. */
 export interface PlanHost extends PoolTimes {
+	/** Logger of the decisions about single stages. */
+	readonly logger: Pick<PartLogger, 'debug'>;
 	now(): Ms;
 	/** Resolves after `delayMs`, or as soon as `signal` aborts. */
 	sleep(delayMs: Ms, signal: AbortSignal): Promise<void>;
@@ -66,6 +69,7 @@
 	readonly #isOnTime: boolean;
 	/** Time of the longest path, without waiting. */
 	readonly #totalMs: Ms;
+	readonly #createdMs: Ms;
 	readonly #forecast: PlanForecast;
 	readonly #deferral: StageDeferral;
 	/** Aborts when a stage ends, so that deferred stages are reconsidered. */
@@ -73,12 +77,13 @@
 	readonly #handOver = new AbortController();
 
 	private constructor(private readonly host: PlanHost, private readonly plan: StagePlan, private readonly id: string) {
+		this.#createdMs = host.now();
 		this.#sentPieces = plan.stages.map(() => 0);
 		this.#forecast = PlanForecast.create(plan, host);
 		this.#deferral = StageDeferral.create(plan.stages, this.#forecast);
 		this.#totalMs = this.#forecast.totalMs;
 		this.predictedMs = this.#forecast.predictMs(plan.callByMs);
-		this.#isOnTime = host.now() + this.predictedMs + objectiveMarginMs <= plan.callByMs;
+		this.#isOnTime = this.#createdMs + this.predictedMs + objectiveMarginMs <= plan.callByMs;
 	}
 
 	/** Runs all stages; the failure of one cancels the others. */
@@ -262,11 +267,19 @@
 		while (!signal.aborted) {
 			const now = host.now();
 			// Most stages are not deferred; the expected wait takes a pass over all jobs.
-			const delayMs = this.#deferral.delayMs(stage, {now, waitMs: 0}) === 0 ? 0 : this.#deferral.delayMs(stage, {now, waitMs: host.expectedWaitMs(service, this.#urgency(stage))});
+			if (this.#deferral.delayMs(stage, {now, waitMs: 0}) === 0) {
+				return;
+			}
+
+			const waitMs = host.expectedWaitMs(service, this.#urgency(stage));
+			const delayMs = this.#deferral.delayMs(stage, {now, waitMs});
 			if (delayMs === 0) {
 				return;
 			}
 
+			host.logger.debug('Deferred a stage: the rest of its plan takes longer.', {
+				id: this.plan.attemptId, stage, service, path_ms: Math.round(this.#forecast.pathMs(stage)), wait_ms: Math.round(waitMs), delay_ms: Math.round(delayMs), age_ms: Math.round(now - this.#createdMs),
+			});
 			await host.sleep(delayMs, AbortSignal.any([signal, this.#stageEnd.signal]));
 		}
 	}
