--- a/src/limits/brittle-targets.test.ts
+++ b/src/limits/brittle-targets.test.ts
@@ -5,7 +5,9 @@
 import {silentLoggerFactory} from '../logging/index.js';
 import {Random} from '../random/index.js';
 import {RelayTarget} from '../registry/index.js';
-import {BrittleTargets, type BrittleMesh, type BrittleMessage} from './brittle-targets.js';
+import {
+	BrittleTargets, type BrittleMesh, type BrittleMessage, type BrittleSlot,
+} from './brittle-targets.js';
 
 const slots = 6;
 const perSecond = 9;
@@ -171,6 +173,38 @@
 		expect(fleet.vms.some(other => other.hasAny)).toBe(false);
 	});
 
+	// Guards against a faulty peer that takes a target out of use for any time.
+	it('bound the time for which a peer denies a target', async () => {
+		const fleet = new Fleet(2);
+		fleet.vms[1]!.observe(fleet.target, {perSecond, sentMs: fleet.clock.now()});
+		await fleet.clock.advance(100);
+		const reserving = fleet.vms[1]!.reserve(fleet.target);
+		fleet.vms[1]!.receive(fleet.mesh.link(1, 0), {
+			type: 'slot-reply', id: 1, isGranted: false, retryAfterMs: 1e12,
+		});
+		expect(await reserving).toEqual({retryAfterMs: 10_000});
+	});
+
+	// Guards against memory that grows with each start of a target, and against slots in use or shares of the bound that are forgotten.
+	it('forget the starts of targets that are not used any more', async () => {
+		const fleet = new Fleet(1);
+		const [brittle] = fleet.vms;
+		const reserve = async (startedMs: number) => brittle!.reserve(RelayTarget.create({...fleet.target.entry, startedMs}));
+		brittle!.observe(fleet.target, {perSecond: 0.0002, sentMs: fleet.clock.now()});
+		await reserve(2);
+		fleet.lonely.add(0);
+		await reserve(3);
+		fleet.lonely.clear();
+		for (let startedMs = 4; startedMs < 104; startedMs++) {
+			const slot = await reserve(startedMs);
+			expect(slot).toHaveProperty('release');
+			(slot as BrittleSlot).release(false);
+			await fleet.clock.advance(1000);
+		}
+
+		expect(brittle!.size).toBe(2 + 30);
+	});
+
 	it.each([Number.NaN, -1, Infinity])('ignore a bound of %d', perSecond => {
 		const fleet = new Fleet(1);
 		fleet.vms[0]!.observe(fleet.target, {perSecond, sentMs: 0});
