Name the headers of the own protocol of targets in one module

http-common.ts named them beside its calls. Only src/targets and the simulated targets of src/stand-ins use them, not the platform's codec, so that they stay in src/targets, in a module of names that both use.

Type check and linter pass; src/targets, src/stand-ins, src/entry-vm.

--- a/src/stand-ins/engine-stand-in.ts
+++ b/src/stand-ins/engine-stand-in.ts
@@ -4,7 +4,7 @@
 import {sendJson, type ListenAddress} from '../http/index.js';
 import {Random} from '../random/index.js';
 import {
-	drainingHeader, startIdHeader, type EngineOrder, type EngineState, type PromptSegment, type ShareClass,
+	targetHeaders, type EngineOrder, type EngineState, type PromptSegment, type ShareClass,
 } from '../targets/index.js';
 import {PrefixCache} from './prefix-cache.js';
 import {StandInServer} from './stand-in-server.js';
@@ -71,7 +71,7 @@
 		const standIn = new EngineStandIn(options);
 		standIn.#server = await StandInServer.create({
 			listen: options.listen,
-			headers: () => ({[startIdHeader]: options.startId, ...(standIn.faults.draining ? {[drainingHeader]: 'true'} : {})}),
+			headers: () => ({[targetHeaders.startId]: options.startId, ...(standIn.faults.draining ? {[targetHeaders.draining]: 'true'} : {})}),
 			routes: [
 				['POST', /^\/v1\/generate$/, ({body, req, res}) => {
 					standIn.#generate(body as GenerateCallBody, req, res);
--- a/src/stand-ins/service-stand-in.ts
+++ b/src/stand-ins/service-stand-in.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '../clock/index.js';
 import {sendJson, type ListenAddress} from '../http/index.js';
-import {drainingHeader, startIdHeader} from '../targets/index.js';
+import {targetHeaders} from '../targets/index.js';
 import {StandInServer} from './stand-in-server.js';
 import {standInOutput} from './stand-in-text.js';
 import {noTargetFaults, targetFaultsSchema, type TargetFaults} from './target-faults.js';
@@ -32,7 +32,7 @@
 		const standIn = new ServiceStandIn(options);
 		standIn.#server = await StandInServer.create({
 			listen: options.listen,
-			headers: () => ({[startIdHeader]: options.startId, ...(standIn.faults.draining ? {[drainingHeader]: 'true'} : {})}),
+			headers: () => ({[targetHeaders.startId]: options.startId, ...(standIn.faults.draining ? {[targetHeaders.draining]: 'true'} : {})}),
 			routes: [
 				['POST', /^\/v1\/call$/, async ({body, req, res}) => standIn.#call(body as ServiceCallBody, req, res)],
 				['GET', /^\/v1\/lookup$/, ({query}) => standIn.#lookup(query.get('key') ?? '')],
--- a/src/targets/http-common.ts
+++ b/src/targets/http-common.ts
@@ -3,16 +3,12 @@
 import {z} from 'zod';
 import type {Ms} from '../clock/index.js';
 import type {TargetHealth} from './engine-port.js';
+import {targetHeaders} from './header-names.js';
 import type {TargetFailure} from './target-error.js';
 
 /** Timeout of a control call to a target, such as load, health or order. @internal */
 export const controlTimeoutMs: Ms = 2000;
 
-/** Header that carries the start id of a target. */
-export const startIdHeader = 'x-guavamill-start-id';
-/** Header that is `true` while a target is draining. */
-export const drainingHeader = 'x-guavamill-draining';
-
 /** Called with the health from the headers of a reply; `undefined` when they carry none. */
 export type HealthListener = (health: TargetHealth | undefined) => void;
 
@@ -26,8 +22,8 @@
 
 /** Parses the start id and draining flag from the headers of a reply. @internal */
 export function parseHealthHeaders(headers: IncomingHttpHeaders): TargetHealth | undefined {
-	const startId = headers[startIdHeader];
-	return typeof startId === 'string' ? {startId, draining: headers[drainingHeader] === 'true'} : undefined;
+	const startId = headers[targetHeaders.startId];
+	return typeof startId === 'string' ? {startId, draining: headers[targetHeaders.draining] === 'true'} : undefined;
 }
 
 /** Closes idle connections before the target does, which usually happens after 5 s. */
--- a/src/targets/index.ts
+++ b/src/targets/index.ts
@@ -4,7 +4,7 @@
 export type {
 	CacheEvent, Chunk, EngineOrder, EnginePort, EngineState, GenerateCall, OrderResult, PromptSegment, ShareClass, TargetHealth, TargetLoad,
 } from './engine-port.js';
-export {drainingHeader, startIdHeader} from './http-common.js';
+export {targetHeaders} from './header-names.js';
 export {HttpEngine} from './http-engine.js';
 export {HttpService} from './http-service.js';
 export type {ServiceCall, ServicePort, ServiceReply} from './service-port.js';
