Give the held remainder of a retry budget its own type

A remainder that a request holds in the own budget had the type of a loan to other entry VMs, so that the compiler would have let either be released or taken back as the other. HeldRemainder names its end heldUntilMs.

--- a/src/pools/request-retry.ts
+++ b/src/pools/request-retry.ts
@@ -1,7 +1,7 @@
 import type {Clock, Ms} from '../clock/index.js';
 import type {RetryLoans} from './retry-loans.js';
 import {
-	retryLoanMs, type RetryLimits, type RetryLoan, type ServiceRetryBudget,
+	retryLoanMs, type HeldRemainder, type RetryLimits, type ServiceRetryBudget,
 } from './service-retry-budget.js';
 
 /** Added to what is borrowed, so that the rounding error of a sum does not deny a retry. */
@@ -34,7 +34,7 @@
 
 	#borrowed: Borrowed | undefined;
 	/** Part of the retry that is held in the own budget while the rest is borrowed, so that other requests do not count on it. */
-	#held: RetryLoan | undefined;
+	#held: HeldRemainder | undefined;
 	/** Part of the retry that is reserved in the own budget; `undefined` without a reserved retry. */
 	#reserved: number | undefined;
 
--- a/src/pools/service-retry-budget.ts
+++ b/src/pools/service-retry-budget.ts
@@ -52,6 +52,13 @@
 	readonly untilMs: Ms;
 }
 
+/** Remainder of a budget, less than a retry, that a request holds while it borrows the rest. */
+export interface HeldRemainder {
+	/** Part of a retry, which counts in the budget until `heldUntilMs` or until it is released. */
+	readonly amount: number;
+	readonly heldUntilMs: Ms;
+}
+
 /**
  * Time for which a part of a retry is lent. A restarted lender uses slack after 1.2 windows of 10 s: what its earlier
  * process has lent must have arrived a window before that, with up to 1 s on the way.
@@ -95,8 +102,7 @@
 	#reserved = 0;
 	/** Parts of retries that were lent and may be part of the window, oldest first. */
 	readonly #loans: RetryLoan[] = [];
-	/** Parts of retries that requests hold while they borrow the rest. */
-	readonly #held = new Set<RetryLoan>();
+	readonly #held = new Set<HeldRemainder>();
 	#limits: RetryLimits;
 	#countedSinceMs: Ms;
 
@@ -184,14 +190,14 @@
 	}
 
 	/** Holds what is left, which is less than a retry, while the rest is borrowed: for the time of a loan, or until it is released. */
-	holdSpare(now: Ms): RetryLoan {
-		const held = {amount: Math.max(0, this.spare(now) - roundingPart), untilMs: now + retryLoanMs};
+	holdSpare(now: Ms): HeldRemainder {
+		const held = {amount: Math.max(0, this.spare(now) - roundingPart), heldUntilMs: now + retryLoanMs};
 		this.#held.add(held);
 		return held;
 	}
 
 	/** Releases what was held. */
-	releaseHeld(held: RetryLoan): void {
+	releaseHeld(held: HeldRemainder): void {
 		this.#held.delete(held);
 	}
 
@@ -239,7 +245,7 @@
 
 	#expire(now: Ms): void {
 		for (const held of this.#held) {
-			if (held.untilMs <= now) {
+			if (held.heldUntilMs <= now) {
 				this.#held.delete(held);
 			}
 		}
