--- a/src/pools/loan-sources.test.ts
+++ b/src/pools/loan-sources.test.ts
@@ -18,6 +18,16 @@
 		expect(choose(sources, 0.2, 0)).toEqual([['b', 0.2]]);
 	});
 
+	// Guards against remainders that are too small to be asked for, but lower what is expected of the others, so that nobody is asked.
+	it('leave small remainders out of what is expected', () => {
+		const sources = LoanSources.create<{name: string}>();
+		for (const lender of lenders.slice(0, 3)) {
+			sources.record(lender, 0.04, 0);
+		}
+
+		expect(choose(sources, 0.5, 0)).toEqual([['d', 0.5]]);
+	});
+
 	// Guards against messages in each denied retry of a shortage.
 	it('ask nobody while the budgets that are known do not suffice', () => {
 		const sources = LoanSources.create<{name: string}>();
--- a/src/pools/loan-sources.ts
+++ b/src/pools/loan-sources.ts
@@ -41,8 +41,10 @@
 	choose(lenders: readonly T[], {needed, usual, now}: {needed: number; usual: number; now: Ms}): Array<LoanSource<T>> {
 		const first = this.#next % Math.max(1, lenders.length);
 		const known = lenders.map(lender => this.#knownAmount(lender, now)).filter(amount => amount !== undefined);
-		const unaskedCount = Math.min(maxAsked, lenders.length - known.length);
-		const unasked = Math.max(usual, (needed - known.reduce((sum, amount) => sum + amount, 0)) / Math.max(1, unaskedCount));
+		// Only these are asked.
+		const usable = known.filter(amount => amount >= minAmount).toSorted((a, b) => b - a).slice(0, maxAsked);
+		const unaskedCount = Math.max(1, Math.min(maxAsked - usable.length, lenders.length - known.length));
+		const unasked = Math.max(usual, (needed - usable.reduce((sum, amount) => sum + amount, 0)) / unaskedCount);
 		const expected = [...lenders.slice(first), ...lenders.slice(0, first)]
 			.map(lender => ({lender, amount: this.#knownAmount(lender, now) ?? unasked}))
 			.filter(({amount}) => amount >= minAmount)
--- a/src/relay/request-handler.ts
+++ b/src/relay/request-handler.ts
@@ -110,7 +110,7 @@
 		this.#regions = findAllowedRegions(route, request.team);
 		this.#stages = route.stages.map((stage, index) => ({...stage, pieces: head.pieces[index] ?? 0}));
 		this.#results = RequestResults.create({
-			clock: context.clock, retention: context.retention, id: request.attemptId, service: this.#service, isResumable: route.kind === 'stream' && isRetryable(route), stages: this.#stages, services: request.table.declarations.services, free(handles) {
+			clock: context.clock, retention: context.retention, id: request.attemptId, service: this.#service, isResumable: route.kind === 'stream' && isRetryable(route), stages: this.#stages, services: request.table.declarations.services, isUsable: zone => !context.placement.isEvacuated(zone), free(handles) {
 				context.stages.free(handles);
 			},
 		});
@@ -618,7 +618,9 @@
 			return prepared.denial;
 		}
 
-		const denial = target && this.#picker.isAllowed(target) ? this.#findReservationDenial(isSent) : 'no_place';
+		// Retained results may have been freed while the target was reserved.
+		const targetDenial = target && this.#picker.isAllowed(target) ? this.#findReservationDenial(isSent) : 'no_place';
+		const denial = newResults.length === 0 && this.#needsStages ? 'no_inputs' : targetDenial;
 		if (denial !== undefined || (isSent && !this.#reserveBudget())) {
 			this.#releasePrepared(target, newResults);
 			return denial ?? 'no_budget';
--- a/src/retention/request-results.ts
+++ b/src/retention/request-results.ts
@@ -3,10 +3,15 @@
 import type {ServiceDeclaration} from '../routes/index.js';
 import type {ResultRetention, RetentionLease} from './result-retention.js';
 
+/** Time that a resume may take, from its decision until its target has fetched the results. */
+const reuseMarginMs: Ms = 500;
+/** Longest age of retained results: hosts of other cells forget after 60 s which results of others are to be freed through them. */
+const maxAgeMs: Ms = 50_000;
+
 /** Options of {@link RequestResults}. */
 export interface RequestResultsOptions {
 	readonly clock: Clock;
-	readonly retention: Pick<ResultRetention, 'decide' | 'recordFreed' | 'recordInterruption' | 'recordReuse'>;
+	readonly retention: Pick<ResultRetention, 'decide' | 'recordExpired' | 'recordFreed' | 'recordInterruption' | 'recordReuse'>;
 	/** Id of the request attempt. */
 	readonly id: string;
 	/** Service of the final target. */
@@ -15,6 +20,8 @@
 	readonly isResumable: boolean;
 	readonly stages: readonly PlannedStage[];
 	readonly services: ReadonlyMap<string, Pick<ServiceDeclaration, 'stagePool'>>;
+	/** Whether the results of targets in a zone may be used, which ends with its evacuation. */
+	readonly isUsable: (zone: string) => boolean;
 	/** Frees results at their targets. */
 	readonly free: (handles: readonly string[]) => void;
 }
@@ -95,18 +102,23 @@
 		}
 
 		const ttlMs = Math.min(...[...bytes.keys()].map(stageService => services.get(stageService)!.stagePool!.resultTtlMs));
-		this.#cancelExpiry = clock.after(Math.max(0, this.#runStartedMs + ttlMs - clock.now()), () => {
+		const endMs = this.#runStartedMs + Math.min(maxAgeMs, ttlMs - reuseMarginMs);
+		this.#cancelExpiry = clock.after(Math.max(0, endMs - clock.now()), () => {
+			retention.recordExpired({id, results: this.#results.length, ageMs: clock.now() - this.#runStartedMs});
 			this.release();
 		});
 	}
 
-	/** Records the end of an attempt. */
+	/** Records the end of an attempt, and frees retained results that may no longer be used. */
 	endAttempt({isInterrupted}: {isInterrupted: boolean}): void {
 		if (this.#hasStarted && isInterrupted) {
 			this.options.retention.recordInterruption(this.options.service);
 		}
 
 		this.#hasStarted = false;
+		if (this.#lease && !this.#results.every(({zone}) => this.options.isUsable(zone))) {
+			this.release();
+		}
 	}
 
 	/** Returns the handles for another attempt; retained results are inputs of a request again, and no longer count as retained. */
@@ -136,17 +148,15 @@
 		this.#lease = undefined;
 	}
 
-	/** Bytes of the results of final stages, by their service. */
+	/** Bytes of the results of final stages, by their service; 0 where a stage does not declare the size of its results. */
 	#bytesByService(): ReadonlyMap<string, number> {
 		const {stages} = this.options;
 		const consumed = new Set(stages.flatMap(({after}) => after));
-		const bytes = new Map<string, number>();
-		for (const [index, {service, pieces, resultBytes}] of stages.entries()) {
-			if (pieces > 0 && !consumed.has(index)) {
-				bytes.set(service, (bytes.get(service) ?? 0) + (pieces * resultBytes));
-			}
-		}
-
-		return bytes;
+		const finals = stages.filter(({pieces}, index) => pieces > 0 && !consumed.has(index));
+		return new Map(finals.map(({service}) => {
+			const ofService = finals.filter(each => each.service === service);
+			const isDeclared = ofService.every(({resultBytes}) => resultBytes > 0);
+			return [service, isDeclared ? ofService.reduce((sum, {pieces, resultBytes}) => sum + (pieces * resultBytes), 0) : 0];
+		}));
 	}
 }
--- a/src/retention/result-retention.ts
+++ b/src/retention/result-retention.ts
@@ -5,8 +5,8 @@
 import {InterruptionCounts} from './interruption-counts.js';
 import {maxRetainedBytes} from './max-retained-bytes.js';
 
-/** What became of the stage results of a request: `retained` or `freed` at the start of a response, `reused` for another attempt. */
-export type ResultUse = 'retained' | 'freed' | 'reused';
+/** What became of the stage results of a request: `retained` or `freed` at the start of a response, `reused` for another attempt, `expired` before the end of the response. */
+export type ResultUse = 'retained' | 'freed' | 'reused' | 'expired';
 
 /** Dependencies of {@link ResultRetention}. */
 export interface ResultRetentionOptions {
@@ -94,6 +94,12 @@
 		this.options.logger.info('Reusing the stage results of a request for another attempt.', {id, results, age_ms: Math.round(ageMs)});
 	}
 
+	/** Records that retained results are freed, since they may expire. */
+	recordExpired({id, results, ageMs}: {id: string; results: number; ageMs: number}): void {
+		this.options.onUse('expired');
+		this.options.logger.debug('Freed retained stage results before they expire.', {id, results, age_ms: Math.round(ageMs)});
+	}
+
 	/** Retains the results of all stage services or none; returns the first reason against it, or the last inputs. */
 	#judge({service, mayResume, bytes, services}: StartedResponse): Judgement {
 		const {clock, targetCount, entryVms} = this.options;
