Limit the time that collections of buffers take

A collection could follow each 6 MiB of uploads: at 100 MB/s about 8 a second of 6 to 20 ms. Now four times the duration of the last one passes before the next.

--- a/src/relay-vm/buffer-reclaimer.test.ts
+++ b/src/relay-vm/buffer-reclaimer.test.ts
@@ -7,7 +7,8 @@
 
 const mebibyte = 1024 * 1024;
 
-function reclaim({keptBytes = 0, usedBytes = 0} = {}) {
+function reclaim({keptBytes = 0, usedBytes = 0, collectionMs = 0} = {}) {
+	let nowMs = 0;
 	const state = {bufferBytes: 0, usedBytes, collections: 0};
 	const reclaimer = BufferReclaimer.create({
 		maxGarbageBytes: 20 * mebibyte,
@@ -15,9 +16,10 @@
 		bufferBytes: () => state.bufferBytes,
 		collect() {
 			state.collections++;
+			nowMs += collectionMs;
 			state.bufferBytes = state.usedBytes + keptBytes;
 		},
-		clock: ManualClock.create(),
+		clock: {now: () => nowMs},
 		logger: silentLoggerFactory('entry-vm'),
 	});
 	return {
@@ -58,6 +60,13 @@
 	expect(state.collections).toBe(0);
 });
 
+// Guards against callers who keep an entry VM busy with collections.
+it('spends at most a fifth of the time on collections', () => {
+	const {state, upload} = reclaim({collectionMs: 20});
+	upload(400 * mebibyte);
+	expect(state.collections).toBe(1);
+});
+
 it('frees buffers of this process', () => {
 	const reclaimer = BufferReclaimer.create({
 		maxGarbageBytes: mebibyte, usedBytes: () => 0, clock: ManualClock.create(), logger: silentLoggerFactory('entry-vm'),
--- a/src/relay-vm/buffer-reclaimer.ts
+++ b/src/relay-vm/buffer-reclaimer.ts
@@ -1,12 +1,15 @@
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
-import type {Clock} from '../clock/index.js';
+import type {Clock, Ms} from '../clock/index.js';
 import type {PartLogger} from '../logging/index.js';
 
 /** Part of the allowed garbage that is received between two checks: an upload leaves two to three times its size. */
 const checkShare = 1 / 4;
 
+/** Time between two collections, in durations of the first: uploads alone would have one follow the other at hundreds of MB a second. */
+const pauseFactor = 4;
+
 /** Options of {@link BufferReclaimer}. */
 export interface BufferReclaimerOptions {
 	/** Memory that buffers which are not in use may take, in bytes. */
@@ -37,6 +40,7 @@
 	/** Memory of other buffers that the last collection did not free, so that it is not tried again for them. */
 	#otherBytes = 0;
 	#receivedBytes = 0;
+	#nextMs: Ms = -Infinity;
 
 	private constructor(private readonly options: BufferReclaimerOptions) {}
 
@@ -54,15 +58,17 @@
 		const unused = this.#unusedBytes();
 		// What is in use falls as requests end.
 		this.#otherBytes = Math.min(this.#otherBytes, unused);
-		if (unused - this.#otherBytes <= maxGarbageBytes) {
+		const startMs = clock.now();
+		if (unused - this.#otherBytes <= maxGarbageBytes || startMs < this.#nextMs) {
 			return;
 		}
 
-		const startMs = clock.now();
 		collect();
+		const durationMs = clock.now() - startMs;
+		this.#nextMs = startMs + ((1 + pauseFactor) * durationMs);
 		this.#otherBytes = this.#unusedBytes();
 		logger.debug('Collected buffers that are not in use.', {
-			before_bytes: unused, after_bytes: this.#otherBytes, allowed_bytes: maxGarbageBytes, duration_ms: clock.now() - startMs,
+			before_bytes: unused, after_bytes: this.#otherBytes, allowed_bytes: maxGarbageBytes, duration_ms: Math.round(durationMs),
 		});
 	}
 
