--- a/src/links/get-or-create-link-key.test.ts
+++ b/src/links/get-or-create-link-key.test.ts
@@ -1,22 +1,10 @@
 import {expect, it} from 'vitest';
+import {MemoryKeyStore} from '../../test/support/memory-key-store.js';
 import {ManualClock} from '../clock/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
-import {getOrCreateLinkKey, type LinkKeyStore} from './get-or-create-link-key.js';
+import {getOrCreateLinkKey} from './get-or-create-link-key.js';
 import {LinkKey} from './link-key.js';
 
-class MemoryKeyStore implements LinkKeyStore {
-	key: string | undefined;
-
-	async read(): Promise<string | undefined> {
-		return this.key;
-	}
-
-	async createIfAbsent(key: string): Promise<boolean> {
-		this.key ??= key;
-		return this.key === key;
-	}
-}
-
 const options = {clock: ManualClock.create(), logger: silentLoggerFactory('links')};
 
 // Guards against entry VMs with different keys: the store came back from a copy of before the key was created.
--- a/src/relay-vm/shared-link-key.test.ts
+++ b/src/relay-vm/shared-link-key.test.ts
@@ -1,23 +1,11 @@
 import {expect, test} from 'vitest';
+import {MemoryKeyStore} from '../../test/support/memory-key-store.js';
 import {ManualClock} from '../clock/index.js';
-import {LinkKey, type LinkKeyStore} from '../links/index.js';
+import {LinkKey} from '../links/index.js';
 import {silentLoggerFactory} from '../logging/index.js';
 import {Random} from '../random/index.js';
 import {SharedLinkKey} from './shared-link-key.js';
 
-class MemoryKeyStore implements LinkKeyStore {
-	key: string | undefined;
-
-	async read(): Promise<string | undefined> {
-		return this.key;
-	}
-
-	async createIfAbsent(key: string): Promise<boolean> {
-		this.key ??= key;
-		return this.key === key;
-	}
-}
-
 function createShared() {
 	const clock = ManualClock.create();
 	const store = new MemoryKeyStore();
