--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -18,11 +18,34 @@
 		this.host = host;
 		this.topics = new Map();
 		this.waiting = new Set();
+		this.views = [];
 		this.server = createServer((req, res) => {
-			void this.handle(req, res);
+			void this.handle(req, res, value => value);
 		});
 	}
 
+	/**
+	 * Opens the store at a further address, at which the addresses of engines are those of the reader's own way to them:
+	 * `addressOf` returns the address of a proxy for that of an engine.
+	 */
+	async openView(addressOf) {
+		const server = createServer((req, res) => {
+			void this.handle(req, res, value => {
+				if (value.length === 0) {
+					return value;
+				}
+
+				const entry = JSON.parse(value.toString());
+				return Buffer.from(JSON.stringify({...entry, address: addressOf(entry.address)}));
+			});
+		});
+		this.views.push(server);
+		await new Promise(resolve => {
+			server.listen(0, this.host, resolve);
+		});
+		return `${this.host}:${server.address().port}`;
+	}
+
 	get address() {
 		return `${this.host}:${this.server.address().port}`;
 	}
@@ -56,7 +79,7 @@
 		return {offset, end: topic.length};
 	}
 
-	async handle(req, res) {
+	async handle(req, res, rewriteEntry) {
 		const chunks = [];
 		for await (const chunk of req) {
 			chunks.push(chunk);
@@ -69,12 +92,12 @@
 		});
 		switch (pathname) {
 			case '/log-newest': {
-				this.sendNewest(res, name);
+				this.sendNewest(res, name, rewriteEntry);
 				break;
 			}
 
 			case '/log-read': {
-				await this.read(res, name, {from: Number(searchParams.get('from')), waitMs: Number(searchParams.get('wait-ms') ?? 0)});
+				await this.read(res, name, {from: Number(searchParams.get('from')), waitMs: Number(searchParams.get('wait-ms') ?? 0), rewriteEntry});
 				break;
 			}
 
@@ -89,14 +112,14 @@
 		}
 	}
 
-	sendNewest(res, name) {
-		const topic = this.topic(name);
+	sendNewest(res, name, rewriteEntry) {
+		const topic = this.topic(name).map(record => rewrite(name, record, rewriteEntry));
 		const newest = new Map(topic.map((record, offset) => [record.key, {...record, offset}]));
 		const items = [...newest.values()].filter(({value}) => value.length > 0).map(({key, value, offset}) => ({key, value: value.toString('base64'), offset}));
 		sendJson(res, 200, {items, 'has-more': false, end: topic.length});
 	}
 
-	async read(res, name, {from, waitMs}) {
+	async read(res, name, {from, waitMs, rewriteEntry}) {
 		const topic = this.topic(name);
 		if (from > topic.length) {
 			sendJson(res, 410, {first: 0});
@@ -119,7 +142,8 @@
 
 		const head = Buffer.alloc(16);
 		head.writeBigUInt64BE(BigInt(topic.length), 0);
-		const records = topic.slice(from).map(({key, value}) => {
+		const records = topic.slice(from).map(record => {
+			const {key, value} = rewrite(name, record, rewriteEntry);
 			const content = Buffer.concat([Buffer.from([Buffer.byteLength(key)]), Buffer.from(key), value]);
 			const length = Buffer.alloc(4);
 			length.writeUInt32BE(content.length);
@@ -154,13 +178,19 @@
 	}
 
 	async close() {
-		this.server.closeAllConnections();
-		await new Promise(resolve => {
-			this.server.close(resolve);
-		});
+		for (const server of [this.server, ...this.views]) {
+			server.closeAllConnections();
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+		}
 	}
 }
 
+function rewrite(topicName, record, rewriteEntry) {
+	return topicName === 'keyed.servers' ? {...record, value: rewriteEntry(record.value)} : record;
+}
+
 function sendJson(res, status, content) {
 	const body = JSON.stringify(content);
 	res.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(body), 'store-era': '1'});
