--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -42,6 +42,13 @@
 		process.exit(status);
 	};
 
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			note(`not run: ended by ${signal}`);
+			void end(statuses.notRun);
+		});
+	}
+
 	setTimeout(() => {
 		note('not run: it took too long');
 		void end(statuses.notRun);
