Keep the first reason for which a case ends

Ended by SIGTERM, review/6/run.sh exits with 2 now (0 before, as the play went on meanwhile); without, it exits with 1, and 0 with TROUBLE=0.

--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -29,7 +29,14 @@
 	};
 
 	note(hasTrouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)');
+	let isEnding = false;
 	const end = async status => {
+		// The first reason to end counts.
+		if (isEnding) {
+			return;
+		}
+
+		isEnding = true;
 		for (const close of ends.toReversed()) {
 			try {
 				await close();
