--- a/review/lib-2/entry-vm.mjs
+++ b/review/lib-2/entry-vm.mjs
@@ -74,7 +74,12 @@
 		}
 	}
 
+	/** Starts the process, also again after its end; not after `end`. */
 	spawn() {
+		if (this.isClosed) {
+			return;
+		}
+
 		writeFileSync(this.settings, formatSettings(this.options));
 		const log = openSync(this.log, 'a');
 		this.child = spawn(process.execPath, ['--max-old-space-size=160', 'target/relay.mjs'], {
@@ -106,6 +111,7 @@
 
 	/** Sends a signal that ends the process, kills it after the grace time, and resolves at its end. */
 	async end(signal, graceMs = 8000) {
+		this.isClosed = true;
 		if (!this.isRunning) {
 			return;
 		}
